--- /dev/null
+++ b/crates/swiftcart-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/swiftcart-core/src/config/table.rs
@@ -0,0 +1,147 @@
+//! The table that operators edit: services with limits, and weighted routes.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Names a service, for example `booking`.
+#[derive(Debug, Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceName(pub String);
+
+impl ServiceName {
+    /// Creates a name; whether it is well formed is checked with the whole table.
+    #[must_use]
+    pub fn new(name: impl Into<String>) -> Self {
+        Self(name.into())
+    }
+
+    /// Returns the name as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for ServiceName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Limits of one service. Zero means "no limit" for every field.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Requests a second over all backend servers of the service.
+    pub rate: u32,
+    /// Requests in flight at one backend server; never above its own slots.
+    pub concurrency: u32,
+    /// Longest time for one request, in milliseconds.
+    pub timeout_ms: u32,
+}
+
+/// Names a row of the table; two edits conflict when they name the same row.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RowKey {
+    /// The service with this name.
+    Service(ServiceName),
+    /// The route from a path prefix to a service.
+    Route(String, ServiceName),
+}
+
+impl fmt::Display for RowKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Service(name) => write!(f, "service {name}"),
+            Self::Route(prefix, name) => write!(f, "route {prefix} -> {name}"),
+        }
+    }
+}
+
+/// Holds the content of a row, apart from its key.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Row {
+    /// A service's limits.
+    Service(Limits),
+    /// A route's weight among the routes of the same prefix; 0 sends it nothing.
+    Route(u32),
+}
+
+/// Holds every row of one configuration version, in key order.
+///
+/// Serialised as a list of entries, since a JSON object cannot have structured keys.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<(RowKey, Row)>", into = "Vec<(RowKey, Row)>")]
+pub struct Table(pub BTreeMap<RowKey, Row>);
+
+impl Table {
+    /// Creates an empty table.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self(BTreeMap::new())
+    }
+
+    /// Adds or replaces a service.
+    #[must_use]
+    pub fn with_service(mut self, name: impl Into<String>, limits: Limits) -> Self {
+        let key = RowKey::Service(ServiceName::new(name));
+        self.0.insert(key, Row::Service(limits));
+        self
+    }
+
+    /// Adds or replaces a route.
+    #[must_use]
+    pub fn with_route(
+        mut self,
+        prefix: impl Into<String>,
+        service: impl Into<String>,
+        weight: u32,
+    ) -> Self {
+        let key = RowKey::Route(prefix.into(), ServiceName::new(service));
+        self.0.insert(key, Row::Route(weight));
+        self
+    }
+
+    /// Returns the limits of `service`, or `None` when the table lacks it.
+    #[must_use]
+    pub fn limits(&self, service: &ServiceName) -> Option<Limits> {
+        match self.0.get(&RowKey::Service(service.clone())) {
+            Some(Row::Service(limits)) => Some(*limits),
+            Some(Row::Route(_)) | None => None,
+        }
+    }
+
+    /// Iterates over the services and their limits.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, Limits)> {
+        self.0.iter().filter_map(|(key, row)| match (key, row) {
+            (RowKey::Service(name), Row::Service(limits)) => Some((name, *limits)),
+            _ => None,
+        })
+    }
+
+    /// Iterates over the routes as prefix, service and weight.
+    pub fn routes(&self) -> impl Iterator<Item = (&str, &ServiceName, u32)> {
+        self.0.iter().filter_map(|(key, row)| match (key, row) {
+            (RowKey::Route(prefix, name), Row::Route(weight)) => {
+                Some((prefix.as_str(), name, *weight))
+            }
+            _ => None,
+        })
+    }
+}
+
+impl From<Vec<(RowKey, Row)>> for Table {
+    fn from(rows: Vec<(RowKey, Row)>) -> Self {
+        Self(rows.into_iter().collect())
+    }
+}
+
+impl From<Table> for Vec<(RowKey, Row)> {
+    fn from(table: Table) -> Self {
+        table.0.into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-core/src/config/version.rs
@@ -0,0 +1,88 @@
+//! The version of a configuration and the position of a reader in the log.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Names a record's place in one stream of the platform's log, counted from 0.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Offset(pub u64);
+
+impl Offset {
+    /// Returns the offset that follows this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Offset {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Names one accepted configuration; greater is newer.
+///
+/// [`Version::NONE`] is the empty table that precedes every publish. The version
+/// of the record at offset `n` is `n + 1`.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{Offset, Version};
+///
+/// assert!(Version::at(Offset(0)) > Version::NONE);
+/// assert_eq!(Version::at(Offset(6)).to_string(), "7");
+/// ```
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// The empty table, before any publish.
+    pub const NONE: Self = Self(0);
+
+    /// Returns the version that the record at `offset` has when it is accepted.
+    #[must_use]
+    pub const fn at(offset: Offset) -> Self {
+        Self(offset.0 + 1)
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A 32-byte BLAKE3 hash of a state's canonical (`postcard`) encoding.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    /// Returns the hash of `bytes`.
+    #[must_use]
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(*blake3::hash(bytes).as_bytes())
+    }
+
+    /// Returns the first eight bytes as a number, for compact comparison.
+    #[must_use]
+    pub fn short(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Holds every decision of swiftcart as a plain state machine.
+//!
+//! An input event, the current time and a seeded random source go in; new state
+//! and typed actions come out. There are no sockets, clocks or runtimes here, so
+//! that tests drive the machines in virtual time and other programs embed them.
+
+mod config;
+mod member;
+mod outcome;
+mod time;
+
+pub use config::*;
+pub use member::*;
+pub use outcome::*;
+pub use time::*;
--- /dev/null
+++ b/crates/swiftcart-core/src/time.rs
@@ -0,0 +1,58 @@
+//! Time as the state machines see it: an offset handed in by the caller.
+
+use std::ops::Add;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A point on a process's monotonic clock, counted from an arbitrary start.
+///
+/// Values of two processes are not comparable.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use swiftcart_core::Instant;
+///
+/// let t = Instant::from_millis(5) + Duration::from_millis(10);
+/// assert_eq!(t.since(Instant::from_millis(5)), Duration::from_millis(10));
+/// ```
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Instant(Duration);
+
+impl Instant {
+    /// Creates the instant that lies `elapsed` after the clock's start.
+    #[must_use]
+    pub const fn new(elapsed: Duration) -> Self {
+        Self(elapsed)
+    }
+
+    /// Creates the instant that lies `ms` milliseconds after the clock's start.
+    #[must_use]
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(Duration::from_millis(ms))
+    }
+
+    /// Returns the time passed since `earlier`, or zero when `earlier` lies ahead.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Returns the offset from the clock's start.
+    #[must_use]
+    pub const fn elapsed(self) -> Duration {
+        self.0
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(rhs))
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/swiftcart/src/lib.rs
@@ -0,0 +1,3 @@
+//! Re-exports the coordination parts of swiftcart for programs that embed them.
+
+pub use swiftcart_core::*;
