--- a/crates/swiftcart-core/src/lib.rs
+++ b/crates/swiftcart-core/src/lib.rs
@@ -8,10 +8,12 @@
 mod member;
 mod outcome;
 mod time;
+mod view;
 mod wire;
 
 pub use config::*;
 pub use member::*;
 pub use outcome::*;
 pub use time::*;
+pub use view::*;
 pub use wire::*;
