--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,2 +1,14 @@
-//! Placeholder.
-fn main() {}
+//! Runs the chores of the repository: `cargo xtask help` lists them.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match xtask::run(&args) {
+        Ok(verdict) => verdict.into(),
+        Err(e) => {
+            eprintln!("xtask: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
