Start the node's settings, log, metrics and admin edges

Cause: the control and call edges need one agreed place to share settings, routing view, phase and the stop signal. Not run yet: a whole path.

--- /dev/null
+++ b/crates/swiftcart-node/src/admin.rs
@@ -0,0 +1,40 @@
+//! The listener for operators, metrics and the backend server's announcement.
+
+mod announce;
+mod report;
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::routing::{get, put};
+use slog::error;
+use tokio::net::TcpListener;
+
+use crate::logging::Event;
+use crate::shared::Shared;
+
+/// The most bytes of a request to this listener.
+const MAX_BODY: usize = 64 << 10;
+
+/// Serves `listener` until the node has stopped.
+pub async fn run(shared: Arc<Shared>, listener: TcpListener) {
+    let expiry = tokio::spawn(announce::expire(Arc::clone(&shared)));
+    let app = router(Arc::clone(&shared));
+    if let Err(err) = axum::serve(listener, app).await {
+        error!(shared.logger, ""; "event" => Event::Failed, "part" => "admin", "error" => %err);
+    }
+    expiry.abort();
+}
+
+fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/metrics", get(report::metrics))
+        .route("/healthz", get(report::healthz))
+        .route("/readyz", get(report::readyz))
+        .route("/v1/state", get(report::state))
+        .route("/v1/members", get(report::members))
+        .route("/v1/table", get(report::table))
+        .route("/v1/backend", put(announce::put).delete(announce::delete))
+        .layer(axum::extract::DefaultBodyLimit::max(MAX_BODY))
+        .with_state(shared)
+}
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! The node of swiftcart: the edges around `swiftcart-core`.
+//!
+//! One node runs beside each backend server. It takes callers' requests
+//! (*ingress*), guards its own backend server (*guard*), and follows the
+//! configuration and the other nodes (*control*).
+
+mod admin;
+mod args;
+mod control;
+mod counters;
+mod logging;
+mod node;
+mod settings;
+mod shared;
+mod view;
+
+pub use args::{Args, ArgsError};
+pub use counters::{Counters, Stage};
+pub use logging::{Event, open as open_log, silent as silent_log};
+pub use node::{Node, NodeError};
+pub use settings::{
+    Gossip, Limits, Listen, Log, LogLevel, MeshKey, Platform, Settings, SettingsError,
+};
+pub use shared::{Phase, Progress, Shared};
--- /dev/null
+++ b/crates/swiftcart-node/src/logging.rs
@@ -0,0 +1,130 @@
+//! The log of events: one line of key=value pairs for each, on standard error.
+
+use std::fmt;
+use std::io;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use slog::{Drain, FnValue, Key, Level, Logger, Record, Serializer, Value, o};
+use slog_async::AsyncGuard;
+use slog_logfmt::Logfmt;
+
+use crate::settings::LogLevel;
+
+/// Lines that may wait to be written; more are dropped and counted by the drain.
+const QUEUE: usize = 4096;
+
+/// Names every event that a node logs, the value of the key `event`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// The listeners are open.
+    Started,
+    /// The node was asked to stop.
+    Stopping,
+    /// Everything in flight has finished.
+    Stopped,
+    /// A second signal ended the node at once.
+    Killed,
+    /// A listener, or another part, failed.
+    Failed,
+    /// The node takes requests, or no longer does.
+    Phase,
+    /// Another configuration is in force.
+    Applied,
+    /// The log cannot be read.
+    PlatformDown,
+    /// The log can be read again.
+    PlatformUp,
+    /// The reader met a record that a later release wrote.
+    Stalled,
+    /// A member changed.
+    Member,
+    /// A datagram or pull was refused.
+    Dropped,
+    /// The backend server announced itself, changed or left.
+    Backend,
+    /// The announcement of the backend server was not renewed.
+    Expired,
+    /// A connection could not be accepted.
+    Refused,
+}
+
+impl Event {
+    /// Returns the name written to the log.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Started => "started",
+            Self::Stopping => "stopping",
+            Self::Stopped => "stopped",
+            Self::Killed => "killed",
+            Self::Failed => "failed",
+            Self::Phase => "phase",
+            Self::Applied => "applied",
+            Self::PlatformDown => "platform-down",
+            Self::PlatformUp => "platform-up",
+            Self::Stalled => "stalled",
+            Self::Member => "member",
+            Self::Dropped => "dropped",
+            Self::Backend => "backend",
+            Self::Expired => "expired",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl Value for Event {
+    fn serialize(
+        &self,
+        _record: &Record<'_>,
+        key: Key,
+        serializer: &mut dyn Serializer,
+    ) -> slog::Result {
+        serializer.emit_str(key, self.as_str())
+    }
+}
+
+impl LogLevel {
+    const fn level(self) -> Level {
+        match self {
+            Self::Error => Level::Error,
+            Self::Warning => Level::Warning,
+            Self::Info => Level::Info,
+            Self::Debug => Level::Debug,
+        }
+    }
+}
+
+/// Opens the log on standard error; dropping the guard writes what still waits.
+pub fn open(level: LogLevel) -> (Logger, AsyncGuard) {
+    let lines = Logfmt::new(io::stderr()).no_prefix().build().fuse();
+    let (queue, guard) = slog_async::Async::new(lines)
+        .chan_size(QUEUE)
+        .build_with_guard();
+    let filter = queue.filter_level(level.level()).fuse();
+    let now = FnValue(|_: &Record<'_>| unix_ms());
+    let severity = FnValue(|record: &Record<'_>| record.level().as_short_str());
+    (
+        Logger::root(filter, o!("level" => severity, "at" => now)),
+        guard,
+    )
+}
+
+/// Returns a log that drops every line, for embedding and tests.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+/// Returns the wall clock in milliseconds since 1970.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/node.rs
@@ -0,0 +1,91 @@
+//! One running node: its listeners, its parts and its graceful stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quick_error::quick_error;
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::logging::Event;
+use crate::settings::Settings;
+use crate::shared::{Phase, Shared};
+use crate::{admin, control};
+
+/// Time between two upkeeps of the metrics.
+const UPKEEP: Duration = Duration::from_secs(2);
+
+quick_error! {
+    /// Tells why a node cannot start.
+    #[derive(Debug)]
+    pub enum NodeError {
+        /// A listener cannot be opened.
+        Listen(path: &'static str, addr: SocketAddr, err: io::Error) {
+            source(err)
+            display("{path}: {addr} cannot be listened on: {err}: free the port or choose another")
+        }
+    }
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    shared: Arc<Shared>,
+    background: Vec<JoinHandle<()>>,
+}
+
+impl Node {
+    /// Opens the listeners and starts the parts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first listener that cannot be opened.
+    pub async fn start(settings: Settings, logger: Logger) -> Result<Self, NodeError> {
+        let listen = settings.listen;
+        let admin = bind("listen.admin", listen.admin).await?;
+        let shared = Shared::new(settings, logger);
+        let background = vec![
+            tokio::spawn(admin::run(Arc::clone(&shared), admin)),
+            tokio::spawn(control::run(Arc::clone(&shared))),
+            tokio::spawn(upkeep(Arc::clone(&shared))),
+        ];
+        info!(shared.logger, ""; "event" => Event::Started, "id" => %shared.id,
+            "calls" => %listen.calls, "release" => env!("CARGO_PKG_VERSION"));
+        Ok(Self { shared, background })
+    }
+
+    /// Returns what the node's parts share.
+    #[must_use]
+    pub const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Refuses new work, finishes everything in flight however long it takes, and ends.
+    pub async fn stop(self) {
+        self.shared.enter(Phase::Stopping);
+        self.shared.stopping.cancel();
+        info!(self.shared.logger, ""; "event" => Event::Stopping);
+        for task in self.background {
+            task.abort();
+        }
+        info!(self.shared.logger, ""; "event" => Event::Stopped);
+    }
+}
+
+async fn bind(path: &'static str, addr: SocketAddr) -> Result<TcpListener, NodeError> {
+    let listener = TcpListener::bind(addr).await;
+    listener.map_err(|err| NodeError::Listen(path, addr, err))
+}
+
+async fn upkeep(shared: Arc<Shared>) {
+    let mut ticks = interval(UPKEEP);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        shared.counters.upkeep();
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/settings.rs
@@ -0,0 +1,143 @@
+//! The settings of a node: one JSON file, checked as a whole before anything starts.
+//!
+//! Unknown keys and values out of range are refused with the file, the path of
+//! the key, the value and the cure. Every default is stated at its field.
+
+mod check;
+mod error;
+mod gossip;
+mod limits;
+mod load;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use swiftcart_core::FailureDomain;
+
+pub use error::SettingsError;
+pub use gossip::Gossip;
+pub use limits::Limits;
+
+/// Holds the checked settings of one node.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The failure domain of the instance.
+    pub domain: FailureDomain,
+    /// The addresses to listen on.
+    pub listen: Listen,
+    /// Datagram addresses of nodes to join through; default none.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's log.
+    pub platform: Platform,
+    /// The key of the datagrams' tags, the same on every node.
+    pub mesh_key: MeshKey,
+    /// Bounds of the call path.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Timing of the membership protocol.
+    #[serde(default)]
+    pub gossip: Gossip,
+    /// The log of events.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Addresses that a node listens on; other nodes reach it at the same ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers' requests (HTTP).
+    pub calls: SocketAddr,
+    /// Requests handed on by other nodes (HTTP).
+    pub peer: SocketAddr,
+    /// Operators, metrics and the backend server's announcement (HTTP).
+    pub admin: SocketAddr,
+    /// Membership datagrams (UDP); also the node's name.
+    pub gossip: SocketAddr,
+    /// State pulls of other nodes (`nng` over TCP).
+    pub sync: SocketAddr,
+}
+
+/// Where and how the platform's log is reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// The log's address.
+    pub addr: SocketAddr,
+    /// Longest time for one request to the log, in milliseconds; default 2000.
+    #[serde(default = "Platform::default_timeout")]
+    pub timeout_ms: u64,
+    /// How long the log keeps a record, in seconds; default 86400.
+    #[serde(default = "Platform::default_retention")]
+    pub retention_s: u64,
+}
+
+/// The key of the datagrams' tags; its text is never shown.
+#[derive(Clone, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct MeshKey(String);
+
+/// What is logged.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// The least severe level that is written; default `info`.
+    pub level: LogLevel,
+}
+
+/// Names the levels of the log, most severe first.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogLevel {
+    /// Only failures that need an operator.
+    Error,
+    /// Also what is degraded.
+    Warning,
+    /// Also changes of state.
+    #[default]
+    Info,
+    /// Also single requests.
+    Debug,
+}
+
+impl Platform {
+    /// Returns the longest time for one request to the log.
+    #[must_use]
+    pub const fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
+
+    const fn default_timeout() -> u64 {
+        2000
+    }
+
+    const fn default_retention() -> u64 {
+        86_400
+    }
+}
+
+impl MeshKey {
+    /// The least number of characters of a key.
+    pub const MIN_LEN: usize = 32;
+
+    /// Creates a key; its length is checked with the other settings.
+    #[must_use]
+    pub fn new(key: impl Into<String>) -> Self {
+        Self(key.into())
+    }
+
+    /// Returns the key's bytes.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+}
+
+impl std::fmt::Debug for MeshKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("MeshKey(..)")
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/settings/check.rs
@@ -0,0 +1,174 @@
+//! Checks values that their types do not.
+
+use std::net::SocketAddr;
+
+use super::{MeshKey, Settings, SettingsError};
+
+/// The most characters of a failure domain's name.
+const MAX_DOMAIN: usize = 63;
+
+/// A number, its path and the least and greatest value allowed.
+type Bound = (&'static str, u64, u64, u64);
+
+/// Checks every value of `settings` against its range.
+pub(super) fn check(file: &str, settings: &Settings) -> Result<(), SettingsError> {
+    bounds(settings)
+        .into_iter()
+        .find(|(_, value, min, max)| !(min..=max).contains(&value))
+        .map_or(Ok(()), |(path, value, min, max)| {
+            Err(SettingsError::Range(file.into(), path, value, min, max))
+        })?;
+    domain(file, &settings.domain.0)?;
+    mesh_key(file, &settings.mesh_key)?;
+    addresses(file, settings)
+}
+
+fn bounds(settings: &Settings) -> Vec<Bound> {
+    let limits = &settings.limits;
+    let gossip = &settings.gossip;
+    let platform = &settings.platform;
+    vec![
+        ("platform.timeout_ms", platform.timeout_ms, 10, 60_000),
+        ("platform.retention_s", platform.retention_s, 60, 31_536_000),
+        (
+            "limits.header_bytes",
+            limits.header_bytes.into(),
+            8192,
+            1 << 20,
+        ),
+        ("limits.headers", limits.headers.into(), 16, 1000),
+        ("limits.connections", limits.connections.into(), 1, 1 << 20),
+        ("limits.queue", limits.queue.into(), 0, 65_536),
+        ("limits.queue_ms", limits.queue_ms.into(), 0, 60_000),
+        (
+            "limits.header_timeout_ms",
+            limits.header_timeout_ms.into(),
+            10,
+            600_000,
+        ),
+        (
+            "limits.body_timeout_ms",
+            limits.body_timeout_ms.into(),
+            10,
+            3_600_000,
+        ),
+        (
+            "limits.idle_timeout_ms",
+            limits.idle_timeout_ms.into(),
+            10,
+            600_000,
+        ),
+        (
+            "limits.connect_timeout_ms",
+            limits.connect_timeout_ms.into(),
+            10,
+            60_000,
+        ),
+        (
+            "limits.idle_connections",
+            limits.idle_connections.into(),
+            0,
+            4096,
+        ),
+        (
+            "limits.replay_bytes",
+            limits.replay_bytes.into(),
+            0,
+            16 << 20,
+        ),
+        ("limits.keyed_bytes", limits.keyed_bytes.into(), 0, 64 << 20),
+        (
+            "limits.answer_store_bytes",
+            limits.answer_store_bytes.into(),
+            0,
+            1 << 30,
+        ),
+        ("gossip.probe_ms", gossip.probe_ms.into(), 10, 60_000),
+        (
+            "gossip.ack_ms",
+            gossip.ack_ms.into(),
+            1,
+            u64::from(gossip.probe_ms),
+        ),
+        ("gossip.indirect", gossip.indirect.into(), 0, 16),
+        (
+            "gossip.suspicion_ms",
+            gossip.suspicion_ms.into(),
+            10,
+            600_000,
+        ),
+        ("gossip.fanout", gossip.fanout.into(), 1, 64),
+        ("gossip.readers", gossip.readers.into(), 1, 64),
+        ("gossip.remember_s", gossip.remember_s.into(), 1, 31_536_000),
+    ]
+}
+
+fn domain(file: &str, name: &str) -> Result<(), SettingsError> {
+    let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    match name.len() {
+        1..=MAX_DOMAIN if name.bytes().all(plain) => Ok(()),
+        _ => Err(SettingsError::Rule(
+            file.into(),
+            "domain".into(),
+            format!("{name:?}"),
+            "use 1 to 63 of the characters a-z, 0-9 and -",
+        )),
+    }
+}
+
+fn mesh_key(file: &str, key: &MeshKey) -> Result<(), SettingsError> {
+    match key.as_bytes().len() {
+        MeshKey::MIN_LEN.. => Ok(()),
+        len => Err(SettingsError::Rule(
+            file.into(),
+            "mesh_key".into(),
+            format!("a text of {len} characters"),
+            "use at least 32 characters, the same on every node",
+        )),
+    }
+}
+
+fn addresses(file: &str, settings: &Settings) -> Result<(), SettingsError> {
+    let listen = &settings.listen;
+    let own = [
+        ("listen.calls", listen.calls),
+        ("listen.peer", listen.peer),
+        ("listen.admin", listen.admin),
+        ("listen.gossip", listen.gossip),
+        ("listen.sync", listen.sync),
+    ];
+    let reached = own
+        .iter()
+        .skip(1)
+        .map(|(path, addr)| ((*path).into(), *addr));
+    let seeds = settings.seeds.iter().enumerate();
+    let seeds = seeds.map(|(i, addr)| (format!("seeds[{i}]"), *addr));
+    reached
+        .chain(seeds)
+        .chain([("platform.addr".into(), settings.platform.addr)])
+        .try_for_each(|(path, addr)| reachable(file, path, addr))?;
+    let tcp = [own[0], own[1], own[2], own[4]];
+    tcp.iter()
+        .enumerate()
+        .find(|(i, (_, addr))| tcp[..*i].iter().any(|(_, other)| other == addr))
+        .map_or(Ok(()), |(_, (path, addr))| {
+            Err(SettingsError::Rule(
+                file.into(),
+                (*path).into(),
+                addr.to_string(),
+                "give each listener a port of its own",
+            ))
+        })
+}
+
+fn reachable(file: &str, path: String, addr: SocketAddr) -> Result<(), SettingsError> {
+    match addr.ip().is_unspecified() || addr.port() == 0 {
+        false => Ok(()),
+        true => Err(SettingsError::Rule(
+            file.into(),
+            path,
+            addr.to_string(),
+            "use an address and port that other processes reach, neither 0.0.0.0 nor port 0",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/settings/gossip.rs
@@ -0,0 +1,37 @@
+//! Timing of the membership protocol.
+
+use serde::Deserialize;
+
+/// Timing and sizes of membership; the same values belong on every node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Gossip {
+    /// Time between probes, in milliseconds; default 500.
+    pub probe_ms: u32,
+    /// Longest wait for a probe's answer, in milliseconds; default 200.
+    pub ack_ms: u32,
+    /// Nodes asked to probe in this node's place; default 3.
+    pub indirect: u32,
+    /// Time to refute a suspicion, in milliseconds; default 1500.
+    pub suspicion_ms: u32,
+    /// Nodes that one node sends new configuration records on to; default 8.
+    pub fanout: u32,
+    /// Nodes of a failure domain that read the platform's log; default 1.
+    pub readers: u32,
+    /// Time that a dead node is remembered, in seconds; default 86400.
+    pub remember_s: u32,
+}
+
+impl Default for Gossip {
+    fn default() -> Self {
+        Self {
+            probe_ms: 500,
+            ack_ms: 200,
+            indirect: 3,
+            suspicion_ms: 1500,
+            fanout: 8,
+            readers: 1,
+            remember_s: 86_400,
+        }
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/settings/limits.rs
@@ -0,0 +1,91 @@
+//! Bounds of the call path.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// Bounds every buffer, queue and connection count of the call path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Bytes of one request head; default 16384.
+    pub header_bytes: u32,
+    /// Header fields of one request; default 100.
+    pub headers: u32,
+    /// Connections of callers, and again of peers, at once; default 4096.
+    pub connections: u32,
+    /// Requests that wait for a slot of the backend server; default 64.
+    pub queue: u32,
+    /// Longest wait for a slot, in milliseconds, for a request without a deadline; default 1000.
+    pub queue_ms: u32,
+    /// Longest time for a request head to arrive, in milliseconds; default 10000.
+    pub header_timeout_ms: u32,
+    /// Longest silence of a caller within its request's body, in milliseconds; default 30000.
+    pub body_timeout_ms: u32,
+    /// Longest time that an unused connection to a peer or backend server is kept, in
+    /// milliseconds; default 4000.
+    pub idle_timeout_ms: u32,
+    /// Longest time to open a connection, in milliseconds; default 500.
+    pub connect_timeout_ms: u32,
+    /// Unused connections kept to one peer; default 32.
+    pub idle_connections: u32,
+    /// Bytes of a request body kept so that the request can be sent to another peer;
+    /// default 65536. A request that has sent more is not retried.
+    pub replay_bytes: u32,
+    /// Bytes of the body of a request with an `Idempotency-Key`; default 1048576.
+    pub keyed_bytes: u32,
+    /// Bytes of answers kept for requests with an `Idempotency-Key`; default 67108864.
+    pub answer_store_bytes: u32,
+}
+
+impl Limits {
+    /// Returns the longest time for a request head to arrive.
+    #[must_use]
+    pub const fn header_timeout(&self) -> Duration {
+        Duration::from_millis(self.header_timeout_ms as u64)
+    }
+
+    /// Returns the longest silence of a caller within its request's body.
+    #[must_use]
+    pub const fn body_timeout(&self) -> Duration {
+        Duration::from_millis(self.body_timeout_ms as u64)
+    }
+
+    /// Returns the longest time that an unused connection is kept.
+    #[must_use]
+    pub const fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms as u64)
+    }
+
+    /// Returns the longest time to open a connection.
+    #[must_use]
+    pub const fn connect_timeout(&self) -> Duration {
+        Duration::from_millis(self.connect_timeout_ms as u64)
+    }
+
+    /// Returns the longest wait for a slot of a request without a deadline.
+    #[must_use]
+    pub const fn queue_timeout(&self) -> Duration {
+        Duration::from_millis(self.queue_ms as u64)
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16_384,
+            headers: 100,
+            connections: 4096,
+            queue: 64,
+            queue_ms: 1000,
+            header_timeout_ms: 10_000,
+            body_timeout_ms: 30_000,
+            idle_timeout_ms: 4000,
+            connect_timeout_ms: 500,
+            idle_connections: 32,
+            replay_bytes: 65_536,
+            keyed_bytes: 1 << 20,
+            answer_store_bytes: 64 << 20,
+        }
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/shared.rs
@@ -0,0 +1,133 @@
+//! What the parts of one node share: settings, routing view, state and the stop signal.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use slog::Logger;
+use swiftcart_core::{Backend, Digest, Member, NodeId, Offset, Table, Version};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::counters::Counters;
+use crate::settings::Settings;
+use crate::view::View;
+
+/// Tells whether a node takes callers' requests, and if not, why.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Phase {
+    /// No configuration was read yet.
+    #[default]
+    NoConfig,
+    /// The configuration is older than one that this node may have applied before.
+    BelowFloor,
+    /// The node takes requests.
+    Ready,
+    /// The node finishes what it has.
+    Stopping,
+}
+
+/// What the control edge knows of the configuration stream, for operators.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Progress {
+    /// The version in force.
+    pub version: Version,
+    /// The next offset to read.
+    pub position: Offset,
+    /// The hash of the folded state.
+    pub digest: Digest,
+    /// The greater rule number at which the reader stalled.
+    pub stalled_rule: Option<u16>,
+}
+
+/// Everything that the parts of one node share.
+///
+/// The control edge writes `view`, `progress`, `members` and moves `phase` up to
+/// [`Phase::Ready`]; the admin edge writes `backend`; the call path only reads.
+pub struct Shared {
+    /// The checked settings.
+    pub settings: Settings,
+    /// The node's name, the address of its datagrams.
+    pub id: NodeId,
+    /// Where events are logged.
+    pub logger: Logger,
+    /// The node's metrics.
+    pub counters: Counters,
+    /// The immutable routing view; a request loads it once.
+    pub view: ArcSwap<View>,
+    /// The table in force, from which `view` was built.
+    pub table: ArcSwap<Table>,
+    /// The state of the configuration stream.
+    pub progress: ArcSwap<Progress>,
+    /// Every member that is known, for `/v1/members`.
+    pub members: ArcSwap<Vec<Member>>,
+    /// Whether the node takes requests.
+    pub phase: watch::Sender<Phase>,
+    /// The backend server beside this node, while its announcement is valid.
+    pub backend: watch::Sender<Option<Backend>>,
+    /// When the announcement ends unless it is renewed.
+    pub expiry: watch::Sender<Option<tokio::time::Instant>>,
+    /// Cancelled when the node is asked to stop.
+    pub stopping: CancellationToken,
+    /// When the process started.
+    pub started: Instant,
+}
+
+impl Phase {
+    /// Returns the name used in answers and logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no-config",
+            Self::BelowFloor => "below-floor",
+            Self::Ready => "ready",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
+impl Shared {
+    /// Creates the shared state of a node that has read nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, logger: Logger) -> Arc<Self> {
+        let id = NodeId(settings.listen.gossip);
+        Arc::new(Self {
+            settings,
+            id,
+            logger,
+            counters: Counters::new(),
+            view: ArcSwap::default(),
+            table: ArcSwap::default(),
+            progress: ArcSwap::default(),
+            members: ArcSwap::default(),
+            phase: watch::Sender::new(Phase::default()),
+            backend: watch::Sender::new(None),
+            expiry: watch::Sender::new(None),
+            stopping: CancellationToken::new(),
+            started: Instant::now(),
+        })
+    }
+
+    /// Moves to `phase`; a node that stops never moves again.
+    ///
+    /// Returns whether the phase changed.
+    pub fn enter(&self, phase: Phase) -> bool {
+        self.phase.send_if_modified(|now| match *now {
+            Phase::Stopping => false,
+            old if old == phase => false,
+            _ => {
+                *now = phase;
+                true
+            }
+        })
+    }
+}
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
+}
