--- a/crates/swiftcart-core/src/config/record.rs
+++ b/crates/swiftcart-core/src/config/record.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Row, RowKey, Version};
+use super::{Offset, Row, RowKey, Version};
 
 /// The number of the acceptance rule that this release knows.
 ///
@@ -71,3 +71,14 @@
     /// The changes, one for each row.
     pub edits: Vec<Edit>,
 }
+
+/// One record as it stands in a stream of the platform's log.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its place in the stream.
+    pub offset: Offset,
+    /// When the platform took it, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// What was appended.
+    pub body: String,
+}
