Fold the configuration stream into one table on every reader

Cause: nothing judged a publish yet, and tools, readers and joiners need one acceptance rule in one place.

Ruled out: an author kept with each row (a winner that a base at or above the horizon can lose to is always still among the remembered decisions); separate horizons for ids and removed rows (one oldest base covers both); a checkpoint in plain JSON (a table at its bound would not fit into one record).

Change: Envelope, Checkpoint, Fold, Verdict, Rejection, check and diff. Whatever is forgotten raises one horizon, never past the version, so that a repeat of a forgotten id has a stale base and a flood of rejected publishes locks nobody out. A checkpoint's state must be canonical, hash to its digest and keep every bound. Digests are hexadecimal in JSON.

--- a/crates/swiftcart-core/src/config.rs
+++ b/crates/swiftcart-core/src/config.rs
@@ -1,9 +1,24 @@
 //! Configuration: the table, the edits that operators publish, and their acceptance.
 
+mod check;
+mod checkpoint;
+mod diff;
+mod envelope;
+mod fold;
+mod image;
+mod recent;
 mod record;
+mod removed;
 mod table;
+mod verdict;
 mod version;
 
+pub use check::*;
+pub use checkpoint::*;
+pub use diff::*;
+pub use envelope::*;
+pub use fold::*;
 pub use record::*;
 pub use table::*;
+pub use verdict::*;
 pub use version::*;
--- /dev/null
+++ b/crates/swiftcart-core/src/config/check.rs
@@ -0,0 +1,216 @@
+//! The rules that a whole table must keep before it is accepted.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use super::{Limits, Row, RowKey, ServiceName, Table};
+
+/// Most rows of a table.
+pub const MAX_ROWS: usize = 4096;
+/// Most bytes of a table by [`row_cost`], so that a checkpoint fits into one record.
+pub const MAX_TABLE_BYTES: usize = 120 * 1024;
+/// Longest name of a service, in bytes.
+pub const MAX_NAME: usize = 63;
+/// Longest path prefix, in bytes.
+pub const MAX_PREFIX: usize = 256;
+/// Greatest weight of a route.
+pub const MAX_WEIGHT: u32 = 1000;
+/// Greatest rate limit, in requests a second.
+pub const MAX_RATE: u32 = 1_000_000;
+/// Greatest concurrency limit, in requests.
+pub const MAX_CONCURRENCY: u32 = 10_000;
+/// Shortest timeout that can be asked for, in milliseconds.
+pub const MIN_TIMEOUT_MS: u32 = 10;
+/// Longest timeout that can be asked for, in milliseconds.
+pub const MAX_TIMEOUT_MS: u32 = 600_000;
+/// Bytes that a row takes in a checkpoint apart from its key's text, at most.
+const ROW_BYTES: usize = 24;
+
+quick_error! {
+    /// Names one rule that a table or a publish breaks, and where.
+    #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum Violation {
+        /// The service's name is not well formed.
+        Name(name: ServiceName) {
+            display("service {name:?}: a name has 1 to {MAX_NAME} characters of a-z, 0-9 and -")
+        }
+        /// The route's prefix is not well formed.
+        Prefix(prefix: String) {
+            display("route {prefix:?}: a prefix starts with / and has at most {MAX_PREFIX} visible ASCII characters without ? and #")
+        }
+        /// The route leads to a service that the table lacks.
+        UnknownService(prefix: String, service: ServiceName) {
+            display("route {prefix} -> {service}: add the service {service} or remove the route")
+        }
+        /// The route's weight is out of range.
+        Weight(prefix: String, service: ServiceName, weight: u32) {
+            display("route {prefix} -> {service}: weight {weight} is over {MAX_WEIGHT}")
+        }
+        /// No route of the prefix has a positive weight.
+        NoWeight(prefix: String) {
+            display("route {prefix}: give at least one service a weight above 0")
+        }
+        /// The service's rate limit is out of range.
+        Rate(service: ServiceName, rate: u32) {
+            display("service {service}: rate {rate} is over {MAX_RATE}")
+        }
+        /// The service's concurrency limit is out of range.
+        Concurrency(service: ServiceName, concurrency: u32) {
+            display("service {service}: concurrency {concurrency} is over {MAX_CONCURRENCY}")
+        }
+        /// The service's timeout is out of range.
+        Timeout(service: ServiceName, timeout_ms: u32) {
+            display("service {service}: timeout_ms {timeout_ms} is neither 0 nor in {MIN_TIMEOUT_MS}..={MAX_TIMEOUT_MS}")
+        }
+        /// The row's content belongs to another kind of key.
+        Kind(key: RowKey) {
+            display("{key}: limits belong to a service and a weight to a route")
+        }
+        /// The table has too many rows.
+        Rows(rows: usize) {
+            display("{rows} rows are over {MAX_ROWS}; remove unused rows")
+        }
+        /// The table is too large for a checkpoint.
+        Bytes(bytes: usize) {
+            display("rows of {bytes} bytes are over {MAX_TABLE_BYTES}; remove rows or shorten prefixes")
+        }
+        /// The publish edits the row twice.
+        Twice(key: RowKey) {
+            display("{key}: edit a row only once in a publish")
+        }
+        /// The author is not well formed.
+        Author(author: String) {
+            display("author {author:?}: 1 to {} bytes without control characters", super::MAX_AUTHOR)
+        }
+    }
+}
+
+/// Returns every rule that `table` breaks, in row order; empty when it can be accepted.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{ServiceName, Table, Violation, check};
+///
+/// let table = Table::new().with_route("/book", "booking", 1);
+/// let expected = Violation::UnknownService("/book".into(), ServiceName::new("booking"));
+/// assert_eq!(check(&table), [expected]);
+/// ```
+#[must_use]
+pub fn check(table: &Table) -> Vec<Violation> {
+    let size = check_size(table);
+    let rows = table
+        .0
+        .iter()
+        .flat_map(|(key, row)| check_row(table, key, row));
+    size.into_iter()
+        .chain(rows)
+        .chain(check_weights(table))
+        .collect()
+}
+
+/// Returns the bytes that a row counts for under [`MAX_TABLE_BYTES`].
+#[must_use]
+pub const fn row_cost(key: &RowKey) -> usize {
+    match key {
+        RowKey::Service(name) => name.0.len() + ROW_BYTES,
+        RowKey::Route(prefix, name) => prefix.len() + name.0.len() + ROW_BYTES,
+    }
+}
+
+fn check_size(table: &Table) -> Vec<Violation> {
+    let rows = table.0.len();
+    let bytes = table.0.keys().map(row_cost).sum();
+    let mut found = Vec::new();
+    if rows > MAX_ROWS {
+        found.push(Violation::Rows(rows));
+    }
+    if bytes > MAX_TABLE_BYTES {
+        found.push(Violation::Bytes(bytes));
+    }
+    found
+}
+
+fn check_row(table: &Table, key: &RowKey, row: &Row) -> Vec<Violation> {
+    match (key, row) {
+        (RowKey::Service(name), Row::Service(limits)) => check_service(name, *limits),
+        (RowKey::Route(prefix, name), Row::Route(weight)) => {
+            check_route(table, prefix, name, *weight)
+        }
+        _ => vec![Violation::Kind(key.clone())],
+    }
+}
+
+fn check_service(name: &ServiceName, limits: Limits) -> Vec<Violation> {
+    let timeouts = MIN_TIMEOUT_MS..=MAX_TIMEOUT_MS;
+    let mut found = Vec::new();
+    if !is_name(name.as_str()) {
+        found.push(Violation::Name(name.clone()));
+    }
+    if limits.rate > MAX_RATE {
+        found.push(Violation::Rate(name.clone(), limits.rate));
+    }
+    if limits.concurrency > MAX_CONCURRENCY {
+        found.push(Violation::Concurrency(name.clone(), limits.concurrency));
+    }
+    if limits.timeout_ms != 0 && !timeouts.contains(&limits.timeout_ms) {
+        found.push(Violation::Timeout(name.clone(), limits.timeout_ms));
+    }
+    found
+}
+
+fn check_route(table: &Table, prefix: &str, name: &ServiceName, weight: u32) -> Vec<Violation> {
+    let mut found = Vec::new();
+    if !is_prefix(prefix) {
+        found.push(Violation::Prefix(prefix.to_owned()));
+    }
+    if table.limits(name).is_none() {
+        found.push(Violation::UnknownService(prefix.to_owned(), name.clone()));
+    }
+    if weight > MAX_WEIGHT {
+        let (prefix, name) = (prefix.to_owned(), name.clone());
+        found.push(Violation::Weight(prefix, name, weight));
+    }
+    found
+}
+
+fn check_weights(table: &Table) -> Vec<Violation> {
+    let mut heaviest = BTreeMap::new();
+    for (prefix, _, weight) in table.routes() {
+        let greatest = heaviest.entry(prefix).or_insert(0);
+        *greatest = weight.max(*greatest);
+    }
+    let without = heaviest.into_iter().filter(|(_, weight)| *weight == 0);
+    without
+        .map(|(prefix, _)| Violation::NoWeight(prefix.to_owned()))
+        .collect()
+}
+
+pub(super) fn check_publish(publish: &super::Publish) -> Vec<Violation> {
+    let mut seen = BTreeSet::new();
+    let twice = publish.edits.iter().filter(|edit| !seen.insert(&edit.key));
+    let mut found: Vec<_> = twice
+        .map(|edit| Violation::Twice(edit.key.clone()))
+        .collect();
+    if !is_author(&publish.author) {
+        found.push(Violation::Author(publish.author.clone()));
+    }
+    found
+}
+
+pub(super) fn is_author(author: &str) -> bool {
+    (1..=super::MAX_AUTHOR).contains(&author.len()) && !author.chars().any(char::is_control)
+}
+
+fn is_name(name: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    (1..=MAX_NAME).contains(&name.len()) && name.bytes().all(allowed)
+}
+
+fn is_prefix(prefix: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_graphic() && b != b'?' && b != b'#';
+    prefix.starts_with('/') && prefix.len() <= MAX_PREFIX && prefix.bytes().all(allowed)
+}
--- a/crates/swiftcart-core/src/config/version.rs
+++ b/crates/swiftcart-core/src/config/version.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
 /// Names a record's place in one stream of the platform's log, counted from 0.
 #[derive(
@@ -62,8 +62,9 @@
 }
 
 /// A 32-byte BLAKE3 hash of a state's canonical (`postcard`) encoding.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+///
+/// In JSON it is written as 64 hexadecimal digits.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Digest(pub [u8; 32]);
 
 impl Digest {
@@ -86,3 +87,25 @@
         self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
     }
 }
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, ser: S) -> Result<S::Ok, S::Error> {
+        if ser.is_human_readable() {
+            ser.collect_str(self)
+        } else {
+            self.0.serialize(ser)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(de: D) -> Result<Self, D::Error> {
+        if de.is_human_readable() {
+            let text = String::deserialize(de)?;
+            let hash = blake3::Hash::from_hex(text).map_err(de::Error::custom)?;
+            Ok(Self(*hash.as_bytes()))
+        } else {
+            <[u8; 32]>::deserialize(de).map(Self)
+        }
+    }
+}
