Add the call policies: balancer, admission, rate share, retries, deadline

Cause: the node's call path needs its decisions as plain state machines.

Change: Balancer picks the own backend server, else the better of two random candidates, with spill-over, slow start and ejection with a floor. Admission runs at most min(slots, concurrency, adaptive limit), lets a short queue wait and refuses the rest at once. RateShare gives a guard its part of a rate from the membership alone. RetryBudget and Tries bound the retries of a node and of a call over its levels. Deadline carries the time left.

Ruled out: a baseline of the lowest latency seen for the adaptive limit; with a mix of short and long requests it takes the mix for overload. The limit compares samples taken at a low and at a high number in flight instead.

--- /dev/null
+++ b/crates/swiftcart-core/src/admission.rs
@@ -0,0 +1,383 @@
+//! Admission at the guard of one backend server: how much runs, waits or is refused.
+
+mod limit;
+mod queue;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::rate::Promises;
+use crate::{CallResult, Deadline, Instant, Limits, Load, Reason, Refusal, Sample};
+use limit::AdaptiveLimit;
+pub use limit::{LimitRule, LimitSettings};
+pub use queue::Order;
+use queue::{Queue, Waiting};
+
+/// The slots that are believed at most, so that no announcement grows the state without bound.
+const MOST_SLOTS: u32 = 4096;
+
+/// The weight of one sample in the mean time that a call runs.
+const TIME_WEIGHT: f64 = 1.0 / 32.0;
+
+/// The share by which the shortest time seen grows with each sample.
+const SHORTEST_DRIFT: f64 = 0.001;
+
+/// The time to come back after, when another backend server has to be found.
+const ELSEWHERE: Duration = Duration::from_millis(500);
+
+/// Names one request inside one [`Admission`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
+
+/// Tells what becomes of an offered request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Admit {
+    /// It is handed over now.
+    Run(Ticket),
+    /// It waits until its ticket is returned as started or as refused.
+    Queue(Ticket),
+    /// It is answered at once.
+    Refuse(Refusal),
+}
+
+/// Names a waiting request that is refused after all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Refused {
+    /// The request.
+    pub ticket: Ticket,
+    /// What it is answered.
+    pub refusal: Refusal,
+}
+
+/// Tells whether new work is taken.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Gate {
+    /// New work is taken.
+    #[default]
+    Open,
+    /// The backend server is starting.
+    Warming,
+    /// The backend server takes no new work; what waits is refused, since it is new to it.
+    Draining,
+    /// The node is stopping; what waits was accepted and is still run.
+    Stopping,
+}
+
+/// Sets how much may wait.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionSettings {
+    /// Requests that wait at most.
+    pub queue: u32,
+    /// Requests that wait at most for each one that may run.
+    pub depth: f64,
+    /// The longest wait.
+    pub wait: Duration,
+    /// Which waiting request goes next.
+    pub order: Order,
+    /// How the limit follows the latency.
+    pub limit: LimitSettings,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            queue: 128,
+            depth: 1.0,
+            wait: Duration::from_millis(500),
+            order: Order::default(),
+            limit: LimitSettings::default(),
+        }
+    }
+}
+
+/// Decides at a guard what its backend server is given.
+///
+/// At most `min(announced slots, the table's concurrency, the adaptive limit)`
+/// requests run. A short queue takes what is expected to start in time; all else
+/// is refused at once, with a time to come back that follows from the expected
+/// drain of the queue and of those refused before, so that callers do not come
+/// back in step.
+///
+/// Every ticket ends in exactly one way: by [`Admission::done`], by
+/// [`Admission::cancel`], or by being returned as [`Refused`].
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use rand::{SeedableRng, rngs::SmallRng};
+/// use swiftcart_core::{
+///     Admission, AdmissionSettings, Admit, CallResult, Deadline, Instant, Sample,
+/// };
+///
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let now = Instant::from_millis(0);
+/// let due = Deadline::new(now, Duration::from_secs(1));
+/// let mut guard = Admission::new(now, AdmissionSettings::default()).with_slots(1);
+/// let Admit::Run(first) = guard.offer(now, due, &mut rng) else { unreachable!() };
+/// let Admit::Queue(second) = guard.offer(now, due, &mut rng) else { unreachable!() };
+/// assert!(matches!(guard.offer(now, due, &mut rng), Admit::Refuse(_)));
+///
+/// let later = Instant::from_millis(20);
+/// let sample = Sample::new(later.since(now), CallResult::Success);
+/// assert_eq!(guard.done(first, later, &sample), [second]);
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    gate: Gate,
+    /// The announced slots, cut to the table's concurrency.
+    slots: u32,
+    limit: AdaptiveLimit,
+    /// The running requests with the number that ran when each started.
+    running: HashMap<Ticket, u32>,
+    queue: Queue,
+    next: u64,
+    /// The mean and the shortest time that a call runs, in seconds.
+    mean: Option<f64>,
+    shortest: Option<f64>,
+    promises: Promises,
+}
+
+impl Admission {
+    /// Creates an admission without slots.
+    #[must_use]
+    pub fn new(now: Instant, settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            gate: Gate::Open,
+            slots: 0,
+            limit: AdaptiveLimit::new(0, settings.limit),
+            running: HashMap::new(),
+            queue: Queue::default(),
+            next: 0,
+            mean: None,
+            shortest: None,
+            promises: Promises::new(now),
+        }
+    }
+
+    /// Sets the slots that the backend server announces.
+    #[must_use]
+    pub fn with_slots(mut self, slots: u32) -> Self {
+        self.resize(slots, Limits::default());
+        self
+    }
+
+    /// Takes over an announcement and the table's limits; returns the requests to start.
+    pub fn set_slots(&mut self, now: Instant, slots: u32, limits: Limits) -> Vec<Ticket> {
+        self.resize(slots, limits);
+        self.start(now)
+    }
+
+    /// Opens or closes for new work; returns the waiting requests that are refused for it.
+    ///
+    /// What runs goes on in any case.
+    pub fn set_gate(&mut self, gate: Gate) -> Vec<Refused> {
+        self.gate = gate;
+        let reason = match gate {
+            Gate::Open | Gate::Stopping => return Vec::new(),
+            Gate::Warming => Reason::Warming,
+            Gate::Draining => Reason::Draining,
+        };
+        let refusal = Refusal::new(reason).with_retry(ELSEWHERE);
+        let refuse = |ticket| Refused { ticket, refusal };
+        self.queue.drain().into_iter().map(refuse).collect()
+    }
+
+    /// Decides on a new request whose answer is due by `due`.
+    pub fn offer<R: Rng + ?Sized>(&mut self, now: Instant, due: Deadline, rng: &mut R) -> Admit {
+        let wait = self.expected_wait();
+        match self.gate {
+            Gate::Warming => self.elsewhere(Reason::Warming, rng),
+            Gate::Draining => self.elsewhere(Reason::Draining, rng),
+            Gate::Stopping => self.elsewhere(Reason::Stopping, rng),
+            Gate::Open if self.limit() == 0 => self.elsewhere(Reason::NotReady, rng),
+            Gate::Open if due.misses(now, self.quickest()) => {
+                Admit::Refuse(Refusal::new(Reason::DeadlinePassed))
+            }
+            // What waits was started as long as there was a place; the rest has expired.
+            Gate::Open if self.running() < self.limit() => Admit::Run(self.run()),
+            Gate::Open if self.queue.len() >= self.capacity() => {
+                Admit::Refuse(self.later(Reason::QueueFull, now, rng))
+            }
+            Gate::Open if wait > self.settings.wait || due.misses(now, wait + self.quickest()) => {
+                Admit::Refuse(self.later(Reason::Overloaded, now, rng))
+            }
+            Gate::Open => Admit::Queue(self.enqueue(now, due)),
+        }
+    }
+
+    /// Takes in a finished request; returns the waiting requests to start.
+    pub fn done(&mut self, ticket: Ticket, now: Instant, sample: &Sample) -> Vec<Ticket> {
+        if let Some(running) = self.running.remove(&ticket) {
+            self.learn(sample, running);
+        }
+        self.start(now)
+    }
+
+    /// Takes out a request whose caller went away; returns the waiting requests to start.
+    pub fn cancel(&mut self, ticket: Ticket, now: Instant) -> Vec<Ticket> {
+        if self.running.remove(&ticket).is_none() {
+            self.queue.remove(ticket);
+        }
+        self.start(now)
+    }
+
+    /// Returns the waiting requests that are refused, since they cannot be answered in time.
+    pub fn expire<R: Rng + ?Sized>(&mut self, now: Instant, rng: &mut R) -> Vec<Refused> {
+        let late = self.queue.expire(now);
+        let refuse = |w: Waiting| Refused {
+            ticket: w.ticket,
+            refusal: match w.reason {
+                Reason::DeadlinePassed => Refusal::new(w.reason),
+                reason => self.later(reason, now, rng),
+            },
+        };
+        late.into_iter().map(refuse).collect()
+    }
+
+    /// Returns when [`Admission::expire`] has to be called next.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Instant> {
+        self.queue.next_expiry()
+    }
+
+    /// Returns the requests that may run at once.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit.value().min(self.slots)
+    }
+
+    /// Returns the requests that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        to_u32(self.running.len())
+    }
+
+    /// Returns the requests that wait.
+    #[must_use]
+    pub fn queued(&self) -> u32 {
+        to_u32(self.queue.len())
+    }
+
+    /// Returns the load to carry back on an answer.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.running(),
+            queued: self.queued(),
+            limit: self.limit(),
+        }
+    }
+
+    fn resize(&mut self, slots: u32, limits: Limits) {
+        let concurrency = match limits.concurrency {
+            0 => u32::MAX,
+            n => n,
+        };
+        self.slots = slots.min(concurrency).min(MOST_SLOTS);
+        self.limit.set_ceiling(self.slots);
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.next += 1;
+        Ticket(self.next)
+    }
+
+    fn run(&mut self) -> Ticket {
+        let ticket = self.ticket();
+        self.hand_over(ticket);
+        ticket
+    }
+
+    fn hand_over(&mut self, ticket: Ticket) {
+        let running = self.running() + 1;
+        self.running.insert(ticket, running);
+    }
+
+    fn enqueue(&mut self, now: Instant, due: Deadline) -> Ticket {
+        let ticket = self.ticket();
+        let latest = due.less(self.quickest()).at();
+        let patience = now + self.settings.wait;
+        let reason = match patience < latest {
+            true => Reason::Overloaded,
+            false => Reason::DeadlinePassed,
+        };
+        self.queue.push(Waiting {
+            ticket,
+            until: latest.min(patience),
+            reason,
+        });
+        ticket
+    }
+
+    /// Starts waiting requests while there is a place.
+    fn start(&mut self, now: Instant) -> Vec<Ticket> {
+        let mut started = Vec::new();
+        while self.running() < self.limit() {
+            let capacity = self.capacity();
+            let Some(ticket) = self.queue.pop(now, self.settings.order, capacity) else {
+                break;
+            };
+            self.hand_over(ticket);
+            started.push(ticket);
+        }
+        started
+    }
+
+    fn learn(&mut self, sample: &Sample, running: u32) {
+        if sample.result != CallResult::Success {
+            return;
+        }
+        let secs = sample.latency.as_secs_f64();
+        let mean = self.mean.get_or_insert(secs);
+        *mean += TIME_WEIGHT * (secs - *mean);
+        let shortest = self.shortest.get_or_insert(secs);
+        *shortest = secs.min(*shortest * (1.0 + SHORTEST_DRIFT));
+        self.limit.learn(sample.latency, running);
+    }
+
+    /// Returns the requests that may wait.
+    fn capacity(&self) -> usize {
+        let most = f64::from(self.limit()) * self.settings.depth;
+        (most.ceil() as usize).min(self.settings.queue as usize)
+    }
+
+    /// Returns the calls that the backend server finishes in a second.
+    fn throughput(&self) -> Option<f64> {
+        let mean = self.mean?.max(f64::MIN_POSITIVE);
+        Some(f64::from(self.limit()) / mean)
+    }
+
+    /// Returns the wait to expect for a request that joins the queue now.
+    fn expected_wait(&self) -> Duration {
+        let ahead = f64::from(self.queued() + 1);
+        let secs = self.throughput().map_or(0.0, |rate| ahead / rate);
+        Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
+    }
+
+    /// Returns the shortest time in which a call can be answered.
+    fn quickest(&self) -> Duration {
+        let secs = self.shortest.unwrap_or(0.0);
+        Duration::try_from_secs_f64(secs).unwrap_or(Duration::ZERO)
+    }
+
+    fn elsewhere<R: Rng + ?Sized>(&self, reason: Reason, rng: &mut R) -> Admit {
+        let after = ELSEWHERE.mul_f64(1.0 + rng.random::<f64>());
+        Admit::Refuse(Refusal::new(reason).with_retry(after))
+    }
+
+    fn later<R: Rng + ?Sized>(&mut self, reason: Reason, now: Instant, rng: &mut R) -> Refusal {
+        let wait = self.expected_wait();
+        let rate = self.throughput().unwrap_or(1.0);
+        let after = self.promises.next(now, wait, rate, rng);
+        Refusal::new(reason).with_retry(after)
+    }
+}
+
+fn to_u32(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/swiftcart-core/src/balance.rs
@@ -0,0 +1,355 @@
+//! The choice of a backend server for a call.
+
+mod peer;
+mod sample;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::{Candidate, Instant, NodeId, ServiceEntry, View};
+use peer::Peer;
+pub use sample::*;
+
+/// The random draws for one choice before the candidates are gone through in order.
+const DRAWS: usize = 8;
+
+/// Sets how a node chooses among backend servers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BalanceSettings {
+    /// The age at which a latency counts 1/e.
+    pub memory: Duration,
+    /// The age at which a reported load counts 1/e.
+    pub load_age: Duration,
+    /// How much a usage of 1 raises the score.
+    pub load_cost: f64,
+    /// The time over which a newly seen backend server gets its full share.
+    pub slow_start: Duration,
+    /// The failures in a row that eject a backend server.
+    pub failures: u32,
+    /// The time of the first ejection; it doubles with each further one.
+    pub ejection: Duration,
+    /// The longest ejection, and the time without one after which they are forgotten.
+    pub longest: Duration,
+    /// The greatest share of a service's candidates that is ejected at once.
+    pub ejected: f64,
+}
+
+impl Default for BalanceSettings {
+    fn default() -> Self {
+        Self {
+            memory: Duration::from_secs(5),
+            load_age: Duration::from_millis(500),
+            load_cost: 1.0,
+            slow_start: Duration::from_secs(10),
+            failures: 5,
+            ejection: Duration::from_secs(1),
+            longest: Duration::from_secs(60),
+            ejected: 0.5,
+        }
+    }
+}
+
+/// Tells by which rule a backend server was chosen, for counters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum PickRule {
+    /// The node's own backend server had a place.
+    Own,
+    /// One of the own failure domain.
+    Near,
+    /// One of another failure domain; the own one is absent, ejected or full.
+    Spill,
+    /// Every candidate is ejected; one of them is tried rather than none.
+    Ejected,
+}
+
+/// Names the chosen backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Pick {
+    /// The node beside it.
+    pub id: NodeId,
+    /// Where that node takes requests for it.
+    pub peer: SocketAddr,
+    /// The rule that chose it.
+    pub rule: PickRule,
+}
+
+/// Chooses backend servers by what this node measures and by the load that answers carry back.
+///
+/// The own backend server is taken when it has a place. Otherwise two random
+/// candidates of the own failure domain are compared by
+/// `(running + 1) * latency * (1 + usage) * (1 + failure rate)`; a reported load
+/// can only raise that score, so a backend server that claims to be idle gains
+/// nothing over one that reports nothing. Other failure domains are used when the
+/// own one is absent, ejected or full.
+///
+/// The state is one entry for each candidate of the view last given to
+/// [`Balancer::adopt`], and for departed ones with calls still running. Each
+/// method but `adopt` takes a time that does not grow with the candidates, unless
+/// most of them are ejected, and none blocks: a node holds the balancer behind one
+/// mutex, locked for each call of a method and never across an await.
+///
+/// # Examples
+///
+/// ```
+/// use rand::{SeedableRng, rngs::SmallRng};
+/// use swiftcart_core::{BalanceSettings, Balancer, Instant, NodeId};
+/// # use swiftcart_core::{Backend, FailureDomain, Incarnation, Limits, Liveness, Member};
+/// # use swiftcart_core::{Readiness, ServiceName, Table, Version, View};
+/// # let me = NodeId("127.0.0.1:1".parse()?);
+/// # let domain = FailureDomain::new("sur");
+/// # let addr = "127.0.0.1:2".parse()?;
+/// # let backend = Backend {
+/// #     service: ServiceName::new("sensor"), addr, slots: 10, connections: 130,
+/// #     readiness: Readiness::Ready,
+/// # };
+/// # let member = Member {
+/// #     id: NodeId(addr), sync: addr, peer: addr, admin: addr, domain: domain.clone(),
+/// #     incarnation: Incarnation(1), liveness: Liveness::Alive, backend: Some(backend),
+/// # };
+/// # let table = Table::new().with_service("sensor", Limits::default());
+/// # let view = View::new(Version(1), &table, [&member].into_iter(), me, &domain);
+/// let now = Instant::from_millis(0);
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let mut balancer = Balancer::new(me, BalanceSettings::default());
+/// balancer.adopt(now, &view);
+/// let service = view.service("sensor").expect("the table has it");
+/// let pick = balancer.pick(now, service, &[], &mut rng).expect("one candidate");
+/// assert_eq!(pick.id, member.id);
+/// assert_eq!(balancer.pick(now, service, &[member.id], &mut rng), None);
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct Balancer {
+    me: NodeId,
+    settings: BalanceSettings,
+    peers: HashMap<NodeId, Peer>,
+    /// The candidates of each service of the view.
+    groups: Vec<Vec<NodeId>>,
+}
+
+impl Balancer {
+    /// Creates a balancer that has seen nothing.
+    #[must_use]
+    pub fn new(me: NodeId, settings: BalanceSettings) -> Self {
+        Self {
+            me,
+            settings,
+            peers: HashMap::new(),
+            groups: Vec::new(),
+        }
+    }
+
+    /// Takes over the candidates of a new view and forgets those that left.
+    ///
+    /// Newly seen ones start slowly, unless none of their service was known.
+    pub fn adopt(&mut self, now: Instant, view: &View) {
+        self.peers.values_mut().for_each(|p| p.departed = true);
+        self.groups.clear();
+        for (service, entry) in view.services().iter().enumerate() {
+            let ids: Vec<_> = entry.candidates().iter().map(|c| c.id).collect();
+            let known = ids.iter().any(|id| self.peers.contains_key(id));
+            let since = known.then_some(now);
+            for id in &ids {
+                let peer = self.peers.entry(*id);
+                let peer = peer.or_insert_with(|| Peer::new(now, service, since));
+                peer.service = service;
+                peer.departed = false;
+            }
+            self.groups.push(ids);
+        }
+        self.peers.retain(|_, p| !p.departed || p.running > 0);
+    }
+
+    /// Chooses a candidate of `entry` that is not in `exclude`; `None` when there is none.
+    pub fn pick<R: Rng + ?Sized>(
+        &self,
+        now: Instant,
+        entry: &ServiceEntry,
+        exclude: &[NodeId],
+        rng: &mut R,
+    ) -> Option<Pick> {
+        let choice = Choice {
+            balancer: self,
+            now,
+            exclude,
+        };
+        let own = entry.own().filter(|c| choice.usable(c) && !choice.full(c));
+        if let Some(own) = own {
+            return Some(Pick::new(&own, PickRule::Own));
+        }
+        let near = choice.best(entry.near(), rng);
+        if let Some(near) = near.filter(|c| !choice.full(c)) {
+            return Some(Pick::new(near, PickRule::Near));
+        }
+        let far = choice.best(entry.far(), rng);
+        match (near, far) {
+            (_, Some(far)) if !choice.full(far) => Some(Pick::new(far, PickRule::Spill)),
+            (Some(near), _) => Some(Pick::new(near, PickRule::Near)),
+            (None, Some(far)) => Some(Pick::new(far, PickRule::Spill)),
+            (None, None) => choice.any(entry.candidates(), rng),
+        }
+    }
+
+    /// Counts a call that was given to `id`.
+    pub fn started(&mut self, id: NodeId) {
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.running = peer.running.saturating_add(1);
+        }
+    }
+
+    /// Takes in a finished call; returns whether `id` was ejected for it.
+    pub fn finished(&mut self, id: NodeId, now: Instant, sample: &Sample) -> bool {
+        let Some(peer) = self.peers.get_mut(&id) else {
+            return false;
+        };
+        let failed = peer.finish(now, sample, &self.settings);
+        if peer.departed && peer.running == 0 {
+            self.peers.remove(&id);
+            return false;
+        }
+        failed && self.eject(id, now)
+    }
+
+    /// Returns the number of backend servers that the balancer remembers.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Tells whether the balancer remembers no backend server.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Tells whether `id` is ejected.
+    #[must_use]
+    pub fn ejected(&self, id: NodeId, now: Instant) -> bool {
+        self.peers.get(&id).is_some_and(|p| p.ejected(now))
+    }
+
+    fn eject(&mut self, id: NodeId, now: Instant) -> bool {
+        let group = self.peers.get(&id).and_then(|p| self.groups.get(p.service));
+        let group = group.map_or(&[][..], Vec::as_slice);
+        let ejected = group.iter().filter(|id| self.ejected(**id, now)).count();
+        let allowed = (group.len() as f64 * self.settings.ejected).floor();
+        match self.peers.get_mut(&id) {
+            Some(peer) if ((ejected + 1) as f64) <= allowed => {
+                peer.eject(now, &self.settings);
+                true
+            }
+            Some(peer) => {
+                peer.spare();
+                false
+            }
+            None => false,
+        }
+    }
+}
+
+impl Pick {
+    const fn new(candidate: &Candidate, rule: PickRule) -> Self {
+        Self {
+            id: candidate.id,
+            peer: candidate.peer,
+            rule,
+        }
+    }
+}
+
+/// One choice: what is fixed while it is made.
+struct Choice<'a> {
+    balancer: &'a Balancer,
+    now: Instant,
+    exclude: &'a [NodeId],
+}
+
+impl Choice<'_> {
+    fn peer(&self, c: &Candidate) -> Option<&Peer> {
+        self.balancer.peers.get(&c.id)
+    }
+
+    fn usable(&self, c: &Candidate) -> bool {
+        let failures = self.balancer.settings.failures;
+        let peer = self.peer(c);
+        !self.exclude.contains(&c.id) && peer.is_none_or(|p| p.usable(self.now, failures))
+    }
+
+    fn full(&self, c: &Candidate) -> bool {
+        let age = self.balancer.settings.load_age;
+        self.peer(c)
+            .is_some_and(|p| p.running >= c.slots || p.usage(self.now, age) >= 1.0)
+    }
+
+    /// Returns the better of two random candidates.
+    ///
+    /// Each draw meets a newly seen one with its share only, so that a small group
+    /// does not give it more than that.
+    fn best<'c, R: Rng + ?Sized>(
+        &self,
+        all: &'c [Candidate],
+        rng: &mut R,
+    ) -> Option<&'c Candidate> {
+        let mut first = self.draw(all, None, rng)?;
+        for _ in 0..DRAWS {
+            if self.warm(first, rng) {
+                break;
+            }
+            first = self.draw(all, None, rng)?;
+        }
+        match self.draw(all, Some(first.id), rng) {
+            Some(second) if self.warm(second, rng) && self.better(second, first) => Some(second),
+            _ => Some(first),
+        }
+    }
+
+    /// Returns a random usable candidate other than `not`.
+    fn draw<'c, R: Rng + ?Sized>(
+        &self,
+        all: &'c [Candidate],
+        not: Option<NodeId>,
+        rng: &mut R,
+    ) -> Option<&'c Candidate> {
+        if all.is_empty() {
+            return None;
+        }
+        let fits = |c: &&Candidate| Some(c.id) != not && self.usable(c);
+        let drawn = (0..DRAWS).map(|_| &all[rng.random_range(0..all.len())]);
+        if let Some(c) = drawn.take(all.len()).find(fits) {
+            return Some(c);
+        }
+        let (head, tail) = all.split_at(rng.random_range(0..all.len()));
+        tail.iter().chain(head).find(fits)
+    }
+
+    fn warm<R: Rng + ?Sized>(&self, c: &Candidate, rng: &mut R) -> bool {
+        let slow_start = self.balancer.settings.slow_start;
+        let warmth = self.peer(c).map_or(1.0, |p| p.warmth(self.now, slow_start));
+        warmth >= 1.0 || rng.random::<f64>() < warmth
+    }
+
+    fn better(&self, a: &Candidate, b: &Candidate) -> bool {
+        let s = &self.balancer.settings;
+        match (self.peer(a), self.peer(b)) {
+            (Some(a), Some(b)) => {
+                let (la, lb) = (a.latency(self.now, s), b.latency(self.now, s));
+                a.score(self.now, lb, s) < b.score(self.now, la, s)
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns a random candidate, ejected or not.
+    fn any<R: Rng + ?Sized>(&self, all: &[Candidate], rng: &mut R) -> Option<Pick> {
+        if all.is_empty() {
+            return None;
+        }
+        let (head, tail) = all.split_at(rng.random_range(0..all.len()));
+        let left = |c: &&Candidate| !self.exclude.contains(&c.id);
+        let c = tail.iter().chain(head).find(left)?;
+        Some(Pick::new(c, PickRule::Ejected))
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -0,0 +1,163 @@
+//! What a node has seen of one backend server.
+
+use std::time::Duration;
+
+use super::{BalanceSettings, CallResult, Sample};
+use crate::Instant;
+
+/// The lowest share of its picks that a newly seen backend server gets.
+const SLOW_FLOOR: f64 = 0.1;
+
+/// The weight of one result in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// How much a failure rate of 1 raises the score.
+const FAILURE_COST: f64 = 10.0;
+
+/// The usage that a refusal stands for: its guard has no place and no queue left.
+const REFUSED_USAGE: f64 = 1.5;
+
+/// The doublings of the ejection time that are counted.
+const MOST_DOUBLINGS: u32 = 16;
+
+/// Holds what a node has seen of one backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Peer {
+    pub(super) service: usize,
+    pub(super) running: u32,
+    /// Whether it has left the view while calls to it are still running.
+    pub(super) departed: bool,
+    /// When it was first seen; `None` for those that were there from the start.
+    since: Option<Instant>,
+    latency: Option<f64>,
+    heard: Instant,
+    usage: f64,
+    loaded: Instant,
+    failing: f64,
+    streak: u32,
+    ejections: u32,
+    until: Option<Instant>,
+}
+
+impl Peer {
+    pub(super) const fn new(now: Instant, service: usize, since: Option<Instant>) -> Self {
+        Self {
+            service,
+            running: 0,
+            departed: false,
+            since,
+            latency: None,
+            heard: now,
+            usage: 0.0,
+            loaded: now,
+            failing: 0.0,
+            streak: 0,
+            ejections: 0,
+            until: None,
+        }
+    }
+
+    /// Takes in one finished call; returns whether its failures call for an ejection.
+    pub(super) fn finish(&mut self, now: Instant, sample: &Sample, s: &BalanceSettings) -> bool {
+        self.running = self.running.saturating_sub(1);
+        if let Some(load) = sample.load {
+            self.usage = load.usage();
+            self.loaded = now;
+        }
+        match sample.result {
+            CallResult::Success => {
+                self.learn(now, sample.latency, s.memory);
+                self.failing -= FAILURE_WEIGHT * self.failing;
+                self.recover(now, s.longest);
+                false
+            }
+            CallResult::Failure => {
+                self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+                self.streak = self.streak.saturating_add(1);
+                self.streak >= s.failures && !self.ejected(now)
+            }
+            CallResult::Refused => {
+                self.usage = self.usage(now, s.load_age).max(REFUSED_USAGE);
+                self.loaded = now;
+                false
+            }
+            CallResult::Cancelled => false,
+        }
+    }
+
+    /// Takes it out of the choice, for twice as long as the last time.
+    pub(super) fn eject(&mut self, now: Instant, s: &BalanceSettings) {
+        let factor = 1 << self.ejections.min(MOST_DOUBLINGS);
+        let time = s.ejection.saturating_mul(factor).min(s.longest);
+        self.ejections = self.ejections.saturating_add(1);
+        self.until = Some(now + time);
+    }
+
+    /// Leaves it in the choice, since too many are out already; its failures count anew.
+    pub(super) const fn spare(&mut self) {
+        self.streak = 0;
+    }
+
+    pub(super) fn ejected(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// Tells whether it may be picked: after an ejection, one call at a time until one succeeds.
+    pub(super) fn usable(&self, now: Instant, failures: u32) -> bool {
+        let trial = self.until.is_some() && self.streak >= failures;
+        !self.ejected(now) && (!trial || self.running == 0)
+    }
+
+    /// Returns the share of its picks that it gets, rising over the slow start.
+    pub(super) fn warmth(&self, now: Instant, slow_start: Duration) -> f64 {
+        match self.since {
+            Some(since) if now.since(since) < slow_start => {
+                let share = now.since(since).as_secs_f64() / slow_start.as_secs_f64();
+                share.max(SLOW_FLOOR)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Returns the last usage heard of, decayed by its age.
+    pub(super) fn usage(&self, now: Instant, age: Duration) -> f64 {
+        self.usage * decay(now.since(self.loaded), age)
+    }
+
+    /// Returns the latency, decayed so that a slow one is looked at again.
+    pub(super) fn latency(&self, now: Instant, s: &BalanceSettings) -> Option<f64> {
+        let fresh = decay(now.since(self.heard), s.memory);
+        self.latency.map(|latency| latency * fresh)
+    }
+
+    /// Returns the cost of one more call; `other` stands in for an unknown latency.
+    pub(super) fn score(&self, now: Instant, other: Option<f64>, s: &BalanceSettings) -> f64 {
+        let latency = self.latency(now, s).or(other).unwrap_or(1.0);
+        let waiting = f64::from(self.running) + 1.0;
+        let usage = 1.0 + s.load_cost * self.usage(now, s.load_age);
+        let failing = 1.0 + FAILURE_COST * self.failing;
+        waiting * latency * usage * failing
+    }
+
+    fn learn(&mut self, now: Instant, latency: Duration, memory: Duration) {
+        let new = latency.as_secs_f64();
+        let old = self.latency.unwrap_or(new);
+        let keep = decay(now.since(self.heard), memory).min(1.0 - FAILURE_WEIGHT);
+        self.latency = Some(old * keep + new * (1.0 - keep));
+        self.heard = now;
+    }
+
+    fn recover(&mut self, now: Instant, longest: Duration) {
+        self.streak = 0;
+        if self.until.is_some_and(|until| now.since(until) >= longest) {
+            self.until = None;
+            self.ejections = 0;
+        }
+    }
+}
+
+/// Returns what is left of 1 after `age`, when `constant` leaves 1/e.
+fn decay(age: Duration, constant: Duration) -> f64 {
+    let constant = constant.as_secs_f64().max(f64::MIN_POSITIVE);
+    (-age.as_secs_f64() / constant).exp()
+}
--- /dev/null
+++ b/crates/swiftcart-core/src/balance/sample.rs
@@ -0,0 +1,75 @@
+//! What one finished call tells of a backend server.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Holds a guard's load, as its answers carry it back.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that the backend server runs.
+    pub running: u32,
+    /// Requests that wait at the guard.
+    pub queued: u32,
+    /// Requests that the guard lets run at once.
+    pub limit: u32,
+}
+
+impl Load {
+    /// Returns the requests per place; 1 and above means that a new one waits.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let load = swiftcart_core::Load { running: 10, queued: 5, limit: 10 };
+    /// assert_eq!(load.usage(), 1.5);
+    /// ```
+    #[must_use]
+    pub fn usage(&self) -> f64 {
+        let all = f64::from(self.running) + f64::from(self.queued);
+        all / f64::from(self.limit.max(1))
+    }
+}
+
+/// Tells how one call at a backend server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CallResult {
+    /// A whole answer came.
+    Success,
+    /// No connection, a broken answer, or none in time.
+    Failure,
+    /// The guard did not take the call; the backend server is not to blame.
+    Refused,
+    /// The caller went away, or the call was given up; nothing is learnt.
+    Cancelled,
+}
+
+/// Holds what one finished call tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Sample {
+    /// The time from the hand-over to the end of the answer.
+    pub latency: Duration,
+    /// How it ended.
+    pub result: CallResult,
+    /// The load that the answer carried.
+    pub load: Option<Load>,
+}
+
+impl Sample {
+    /// Creates a sample without a load.
+    #[must_use]
+    pub const fn new(latency: Duration, result: CallResult) -> Self {
+        Self {
+            latency,
+            result,
+            load: None,
+        }
+    }
+
+    /// Adds the load that the answer carried.
+    #[must_use]
+    pub const fn with_load(mut self, load: Load) -> Self {
+        self.load = Some(load);
+        self
+    }
+}
--- a/crates/swiftcart-core/src/lib.rs
+++ b/crates/swiftcart-core/src/lib.rs
@@ -4,16 +4,26 @@
 //! and typed actions come out. There are no sockets, clocks or runtimes here, so
 //! that tests drive the machines in virtual time and other programs embed them.
 
+mod admission;
+mod balance;
 mod config;
+mod deadline;
 mod member;
 mod outcome;
+mod rate;
+mod retry;
 mod time;
 mod view;
 mod wire;
 
+pub use admission::*;
+pub use balance::*;
 pub use config::*;
+pub use deadline::*;
 pub use member::*;
 pub use outcome::*;
+pub use rate::*;
+pub use retry::*;
 pub use time::*;
 pub use view::*;
 pub use wire::*;
