Rename the state pull's Admission to SyncAdmit

Cause: two modules of the core exported the name Admission, so neither could be used from the crate root; the admission at a guard keeps it.

--- a/crates/swiftcart-core/src/member/gate.rs
+++ b/crates/swiftcart-core/src/member/gate.rs
@@ -8,7 +8,7 @@
 
 /// Tells whether a pull is served now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Admission {
+pub enum SyncAdmit {
     /// Serve it, and call [`SyncGate::done`] afterwards.
     Serve,
     /// Answer that the node is busy.
@@ -23,14 +23,14 @@
 /// # Examples
 ///
 /// ```
-/// use swiftcart_core::{Admission, Instant, SyncGate};
+/// use swiftcart_core::{SyncAdmit, Instant, SyncGate};
 ///
 /// let mut gate = SyncGate::new(1, 100);
 /// let now = Instant::default();
-/// assert_eq!(gate.admit(now), Admission::Serve);
-/// assert!(matches!(gate.admit(now), Admission::Busy { .. }));
+/// assert_eq!(gate.admit(now), SyncAdmit::Serve);
+/// assert!(matches!(gate.admit(now), SyncAdmit::Busy { .. }));
 /// gate.done();
-/// assert_eq!(gate.admit(now), Admission::Serve);
+/// assert_eq!(gate.admit(now), SyncAdmit::Serve);
 /// ```
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SyncGate {
@@ -60,7 +60,7 @@
     /// Asks to serve one pull.
     ///
     /// The wait grows with the number already refused, so that a herd comes back spread out.
-    pub fn admit(&mut self, now: Instant) -> Admission {
+    pub fn admit(&mut self, now: Instant) -> SyncAdmit {
         if now.since(self.second) >= Duration::from_secs(1) {
             self.second = now;
             self.served = 0;
@@ -70,11 +70,11 @@
             true => {
                 self.open += 1;
                 self.served += 1;
-                Admission::Serve
+                SyncAdmit::Serve
             }
             false => {
                 self.refused = self.refused.saturating_add(1);
-                Admission::Busy {
+                SyncAdmit::Busy {
                     retry_after: self.wait(),
                 }
             }
