Add claims: at most one hand-over for each idempotency key

Cause: with a key, a non-idempotent request may be retried, and only the platform's log can say which attempt runs it.

Change: records of a claim stream, the fold that says which claim won, and the claimant that batches claims, follows past its own one and checks its age right before the hand-over. A claim that is given up while its fate is unknown is abandoned by a record of its holder, which frees the key.

Losing claims block their key until their holders abandon them. Ruled out: ignoring losers, since a reader that no longer sees the winner takes the loser for it and dates the key's next life differently.

--- /dev/null
+++ b/crates/swiftcart-core/src/claim/place.rs
@@ -0,0 +1,57 @@
+//! Where a key's claims stand, and which guards should take its requests.
+
+use std::cmp::Reverse;
+
+use crate::{ClaimKey, NodeId, ServiceName};
+
+impl ClaimKey {
+    /// Returns the key's partition among `partitions` of its service.
+    #[must_use]
+    pub const fn partition(self, partitions: u16) -> u16 {
+        (self.0 % partitions as u128) as u16
+    }
+}
+
+/// Returns the name of the stream that holds a partition's claims.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{ServiceName, claim_stream};
+///
+/// assert_eq!(claim_stream(&ServiceName::new("booking"), 3), "claims-booking-3");
+/// ```
+#[must_use]
+pub fn claim_stream(service: &ServiceName, partition: u16) -> String {
+    format!("claims-{service}-{partition}")
+}
+
+/// Orders `guards` by rendezvous hash of the partition, the preferred one first.
+///
+/// All keys of a partition prefer the same guards, so that few nodes follow its
+/// stream. The order is advice: any guard may claim, and safety never rests on it.
+/// A guard that joins or leaves moves only the partitions that it ranks first in.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{NodeId, ServiceName, prefer};
+///
+/// let guards = [1, 2, 3].map(|p| NodeId(([127, 0, 0, 1], p).into()));
+/// let order = prefer(&ServiceName::new("booking"), 0, &guards);
+/// let others: Vec<_> = guards.into_iter().filter(|g| *g != order[0]).collect();
+/// assert_eq!(prefer(&ServiceName::new("booking"), 0, &others), order[1..]);
+/// ```
+#[must_use]
+pub fn prefer(service: &ServiceName, partition: u16, guards: &[NodeId]) -> Vec<NodeId> {
+    let stream = claim_stream(service, partition);
+    let mut order = guards.to_vec();
+    order.sort_by_cached_key(|guard| (Reverse(weight(&stream, *guard)), *guard));
+    order
+}
+
+fn weight(stream: &str, guard: NodeId) -> u64 {
+    let hash = blake3::hash(format!("{stream} {guard}").as_bytes());
+    let [a, b, c, d, e, f, g, h, ..] = *hash.as_bytes();
+    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+}
--- a/crates/swiftcart-core/src/lib.rs
+++ b/crates/swiftcart-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod balance;
+mod claim;
 mod config;
 mod deadline;
 mod member;
@@ -18,6 +19,7 @@
 
 pub use admission::*;
 pub use balance::*;
+pub use claim::*;
 pub use config::*;
 pub use deadline::*;
 pub use member::*;
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -123,10 +123,18 @@
     KeyInProgress, "key-in-progress", 409, Unknown;
     /// A request with the same idempotency key was handed over and its answer is lost.
     KeyUnknown, "key-unknown", 502, Unknown;
+    /// The node has not read the claims of the key's partition to their end yet.
+    CatchingUp, "catching-up", 503, NotRun;
+    /// No more idempotency keys can be remembered until some expire.
+    LedgerFull, "ledger-full", 503, NotRun;
+    /// A newer release wrote claims that this one cannot judge.
+    ClaimRule, "claim-rule", 503, NotRun;
     /// The claim's time was over before the hand-over.
     ClaimLapsed, "claim-lapsed", 503, NotRun;
     /// The answer is larger than a node keeps for an idempotency key.
     AnswerTooLarge, "answer-too-large", 502, Unknown;
+    /// The answer did not fit this node's memory for answers.
+    AnswerDropped, "answer-dropped", 502, Unknown;
     /// The request is malformed.
     BadRequest, "bad-request", 400, NotRun;
     /// The request's header is larger than a node takes.
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -195,6 +195,10 @@
         | Reason::Warming
         | Reason::Stopping
         | Reason::ClaimLapsed
+        | Reason::CatchingUp
+        | Reason::LedgerFull
+        | Reason::ClaimRule
+        | Reason::AnswerDropped
         | Reason::Misdirected
         | Reason::TooManyConnections
         | Reason::ConnectFailed
--- a/crates/swiftcart-core/src/time.rs
+++ b/crates/swiftcart-core/src/time.rs
@@ -56,3 +56,55 @@
         Self(self.0.saturating_add(rhs))
     }
 }
+
+/// A point on the platform's own clock, in Unix milliseconds.
+///
+/// The platform stamps each record with it; it never decreases along a stream. No
+/// node's clock is compared with it.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use swiftcart_core::PlatformTime;
+///
+/// let at = PlatformTime(5_000) + Duration::from_secs(1);
+/// assert_eq!(at.before(Duration::from_secs(2)), PlatformTime(4_000));
+/// ```
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct PlatformTime(pub u64);
+
+impl PlatformTime {
+    /// Returns the point that lies `d` before this one, or the epoch.
+    #[must_use]
+    pub const fn before(self, d: Duration) -> Self {
+        Self(self.0.saturating_sub(millis(d)))
+    }
+
+    /// Returns the time passed since `earlier`, or zero when `earlier` lies ahead.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for PlatformTime {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(millis(rhs)))
+    }
+}
+
+/// Returns whole milliseconds; no configured duration comes near the limit.
+const fn millis(d: Duration) -> u64 {
+    let ms = d.as_millis();
+    if ms > u64::MAX as u128 {
+        u64::MAX
+    } else {
+        ms as u64
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-core/tests/claim.rs
@@ -0,0 +1,157 @@
+//! The claimant and its ledger, event by event.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use swiftcart_core::*;
+
+const HOUR: Duration = Duration::from_secs(3600);
+
+/// A platform stream that the test holds in its hands.
+#[derive(Default)]
+struct Log(Vec<Entry>);
+
+impl Log {
+    fn append(&mut self, at_ms: u64, body: &str) -> Offset {
+        let offset = Offset(self.0.len() as u64);
+        let body = body.to_owned();
+        self.0.push(Entry {
+            offset,
+            at_ms,
+            body,
+        });
+        offset
+    }
+
+    fn page(&self, from: Offset, now: u64) -> ClaimPage<'_> {
+        let next = Offset(self.0.len() as u64);
+        let entries = &self.0[from.0 as usize..];
+        let (first, now) = (Offset(0), PlatformTime(now));
+        ClaimPage {
+            first,
+            next,
+            now,
+            entries,
+        }
+    }
+
+    fn follow(&self, claimant: &mut Claimant, now: u64) {
+        let from = claimant.ledger().next();
+        claimant.followed(t(now), &self.page(from, now));
+    }
+}
+
+fn claimant(log: &Log) -> Claimant {
+    let settings = ClaimSettings::new(HOUR).with_rate(1000.0, Duration::ZERO);
+    let mut claimant = Claimant::new(settings, 1);
+    log.follow(&mut claimant, 0);
+    claimant
+}
+
+fn claim(attempt: u128, body: &[u8]) -> Claim {
+    Claim {
+        key: ClaimKey(7),
+        hash: RequestHash::new("POST", "/book", body),
+        attempt: AttemptId(attempt),
+        deadline: Instant::from_millis(10_000),
+    }
+}
+
+fn t(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn wait(decision: &Decision) -> ClaimTicket {
+    match decision {
+        Decision::Wait(ticket) => *ticket,
+        other => panic!("expected to wait, got {other:?}"),
+    }
+}
+
+/// Polls for the append that is due.
+fn sent(claimant: &mut Claimant, now: u64) -> String {
+    match claimant.poll(t(now)).as_slice() {
+        [ClaimAction::Append(body)] => body.clone(),
+        other => panic!("expected one append, got {other:?}"),
+    }
+}
+
+/// Offers `claim`, appends it and follows the log.
+fn run(
+    log: &mut Log,
+    claimant: &mut Claimant,
+    now: u64,
+    c: Claim,
+) -> (ClaimTicket, Vec<ClaimAction>) {
+    let ticket = wait(&claimant.offer(t(now), c));
+    let offset = log.append(now, &sent(claimant, now));
+    claimant.appended(t(now), Appended::Done(offset));
+    log.follow(claimant, now);
+    (ticket, claimant.poll(t(now)))
+}
+
+fn answer(body: &[u8]) -> Answer {
+    let headers = vec![("etag".into(), "1".into())];
+    Answer {
+        status: 422,
+        headers,
+        body: body.to_vec(),
+    }
+}
+
+#[rstest]
+#[case::same_request_is_replayed_with_its_status(
+    b"a",
+    Finish::Whole(answer(b"no")),
+    Decision::Replay(Arc::new(answer(b"no")))
+)]
+#[case::other_request_conflicts_before_any_replay(
+    b"b",
+    Finish::Whole(answer(b"no")),
+    Decision::Conflict
+)]
+#[case::large_answer_is_unknown(b"a", Finish::Whole(answer(&[0; 70_000])),
+    Decision::Unknown(Reason::AnswerTooLarge))]
+#[case::broken_answer_is_unknown(b"a", Finish::Broken, Decision::Unknown(Reason::AnswerBroken))]
+#[case::not_run_frees_the_key(b"b", Finish::NotRun, Decision::Wait(ClaimTicket(1)))]
+fn later_attempt_after_the_end(
+    #[case] body: &[u8],
+    #[case] finish: Finish,
+    #[case] expected: Decision,
+) {
+    let mut log = Log::default();
+    let (mut a, mut b) = (claimant(&log), claimant(&log));
+    let (ticket, actions) = run(&mut log, &mut a, 10, claim(1, b"a"));
+    assert_eq!(actions, [ClaimAction::Run(ticket)]);
+    let until = t(10_000);
+    assert_eq!(a.may_start(ticket, t(20)), Ok(Start { until }));
+    assert!(a.may_start(ticket, t(20)).is_err(), "handed over once");
+    log.follow(&mut b, 20);
+    let held = Decision::InProgress {
+        retry_after: Duration::from_secs(1),
+    };
+    assert_eq!(b.offer(t(20), claim(2, b"a")), held);
+    a.finished(t(30), ticket, finish);
+    log.append(30, &sent(&mut a, 30));
+    log.follow(&mut b, 30);
+    assert_eq!(b.offer(t(40), claim(3, body)), expected);
+}
+
+#[rstest]
+#[case::holder_that_dies_is_unknown_after_patience(31_000, Decision::Unknown(Reason::KeyUnknown))]
+#[case::holder_may_still_run(29_000,
+    Decision::InProgress { retry_after: Duration::from_secs(1) })]
+fn claim_without_an_answer(#[case] now: u64, #[case] expected: Decision) {
+    let mut log = Log::default();
+    let mut a = claimant(&log);
+    run(&mut log, &mut a, 0, claim(1, b"a"));
+    let mut b = claimant(&log);
+    log.follow(&mut b, now);
+    let deadline = t(now + 1000);
+    let late = Claim {
+        deadline,
+        ..claim(2, b"a")
+    };
+    assert_eq!(b.offer(t(now), late), expected);
+}
