Add stand-ins for the platform's log, backend servers and callers

Change: `Log`, `BackendServer` and `Load` run inside a test or as one of three programs. The log follows docs/design.md and plays outages, stalls, lost and late answers. The backend server bounds slots and connections, counts every execution by request id and key, and announces itself. The load is open loop, measures from the intended time and checks that each answer is whole and the caller's own.

--- /dev/null
+++ b/crates/swiftcart-standin/src/backend/onward.rs
@@ -0,0 +1,87 @@
+//! The calls that a backend server makes through its own node, level by level.
+
+use axum::body::Body;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::BodyExt;
+use quick_error::quick_error;
+use tokio::time::Instant;
+
+use super::work::{KEY, Work, text};
+use crate::client::{Client, Failure};
+
+const ATTEMPT: &str = "swiftcart-attempt";
+const DEADLINE_LEFT: &str = "swiftcart-deadline-ms";
+const CALLER_ID: &str = "x-request-id";
+
+quick_error! {
+    /// Tells why a call on a deeper level failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The path makes no request.
+        Request(err: http::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// No answer came.
+        Call(err: Failure) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The answer's body broke off.
+        Body(err: hyper::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The answer was no success.
+        Status(status: http::StatusCode) {
+            display("status {}", status)
+        }
+    }
+}
+
+/// Calls every path in turn and reads the answers to their ends.
+///
+/// The attempt, the time left and a key of the path's own go with each call.
+pub(super) async fn call_all(
+    client: &Client,
+    node: std::net::SocketAddr,
+    paths: &[String],
+    work: &Work,
+    method: &Method,
+    headers: &HeaderMap,
+) -> Result<(), Error> {
+    for path in paths {
+        let uri = Uri::builder()
+            .scheme("http")
+            .authority(node.to_string())
+            .path_and_query(path.as_str())
+            .build()?;
+        let mut request = Request::builder().method(method).uri(uri);
+        if let Some(attempt) = text(headers, ATTEMPT) {
+            request = request.header(ATTEMPT, attempt);
+        }
+        if let Some(deadline) = work.deadline {
+            let left = deadline.saturating_duration_since(Instant::now());
+            request = request.header(DEADLINE_LEFT, left.as_millis().to_string());
+        }
+        if let Some(key) = work.key() {
+            request = request.header(KEY, format!("{key}{path}"));
+        }
+        if method != Method::GET {
+            request = request.header(CONTENT_LENGTH, 0);
+        }
+        let request = request.header(CALLER_ID, work.id()).body(Body::empty())?;
+        let mut answer = client.request(request).await?;
+        while let Some(frame) = answer.body_mut().frame().await {
+            frame?;
+        }
+        if !answer.status().is_success() {
+            return Err(Error::Status(answer.status()));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/swiftcart-standin/src/backend/routes.rs
@@ -0,0 +1,194 @@
+//! A backend server's HTTP side.
+
+use std::sync::Arc;
+
+use axum::body::Body;
+use axum::extract::{Query, Request, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, put};
+use axum::{Json, Router};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::{HeaderValue, Method, StatusCode};
+use http_body_util::BodyExt;
+use serde::{Deserialize, Serialize};
+
+use super::onward;
+use super::state::Shared;
+use super::work::Work;
+use super::{BackendFaults, BackendStats};
+use crate::client::{self, Client};
+use crate::content::{Content, DIGEST, Stream};
+use crate::serve::broken;
+
+const LOAD: &str = "swiftcart-load";
+const REASON: &str = "x-standin-reason";
+const DEFAULT_BYTES: u64 = 64;
+
+#[derive(Debug, Clone)]
+struct App {
+    shared: Arc<Shared>,
+    client: Client,
+}
+
+pub(super) fn router(shared: Arc<Shared>) -> Router {
+    let client = client::new(shared.settings.slots as usize);
+    Router::new()
+        .route("/health", get(health))
+        .route("/load", get(load))
+        .route("/standin/executions", get(executions))
+        .route("/standin/faults", put(set_faults).get(faults))
+        .route("/standin/stats", get(stats))
+        .fallback(any)
+        .with_state(App { shared, client })
+}
+
+/// The answer to a body that was taken whole.
+#[derive(Debug, Serialize)]
+struct Taken {
+    id: String,
+    bytes: u64,
+    digest: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Size {
+    bytes: Option<u64>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Which {
+    id: Option<String>,
+    key: Option<String>,
+}
+
+async fn any(State(app): State<App>, request: Request) -> Response {
+    let mut answer = match Work::start(&app.shared, request.headers()).await {
+        Ok(work) => run(&app, work, request).await,
+        Err(refusal) => {
+            app.shared.count_refusal(refusal);
+            fail(StatusCode::SERVICE_UNAVAILABLE, refusal.as_str())
+        }
+    };
+    let load = HeaderValue::from(u16::from(app.shared.load()));
+    answer.headers_mut().insert(LOAD, load);
+    answer
+}
+
+async fn run(app: &App, work: Work, request: Request) -> Response {
+    let (head, body) = request.into_parts();
+    let Some(taken) = take(app, &work, body).await else {
+        return fail(StatusCode::BAD_REQUEST, "body");
+    };
+    if !work.run().await {
+        return fail(StatusCode::GATEWAY_TIMEOUT, "deadline");
+    }
+    let settings = &app.shared.settings;
+    if let Some(node) = settings.node {
+        let paths = &settings.downstream;
+        let calls = onward::call_all(&app.client, node, paths, &work, &head.method, &head.headers);
+        if let Err(err) = calls.await {
+            return fail(StatusCode::BAD_GATEWAY, &err.to_string());
+        }
+    }
+    let faults = app.shared.faults();
+    let status = faults
+        .fail_status
+        .and_then(|s| StatusCode::from_u16(s).ok());
+    match status {
+        _ if app.shared.lose_answer() => {
+            work.finish();
+            broken()
+        }
+        Some(status) => {
+            work.finish();
+            fail(status, "fault")
+        }
+        None if matches!(head.method, Method::GET | Method::HEAD) => {
+            let size = Query::<Size>::try_from_uri(&head.uri).unwrap_or_default();
+            let len = size.bytes.unwrap_or(DEFAULT_BYTES);
+            let body = Content::new(work.id(), len);
+            content(work, body, faults.break_body)
+        }
+        None => receipt(work, &taken, faults.break_body),
+    }
+}
+
+/// Reads a request's body to its end, or returns `None` when it breaks off.
+async fn take(app: &App, work: &Work, mut body: Body) -> Option<Taken> {
+    let mut hasher = blake3::Hasher::new();
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return None;
+        };
+        if let Some(data) = frame.data_ref() {
+            hasher.update(data);
+            bytes += data.len() as u64;
+            app.shared.count_bytes(data.len() as u64);
+        }
+    }
+    Some(Taken {
+        id: work.id().to_owned(),
+        bytes,
+        digest: hasher.finalize().to_hex().to_string(),
+    })
+}
+
+/// Answers with `content`; the work is finished when its last byte is handed over.
+fn content(work: Work, content: Content, cut: Option<u64>) -> Response {
+    let headers = [
+        (DIGEST, content.digest()),
+        (CONTENT_LENGTH.as_str(), content.len().to_string()),
+    ];
+    let stream = Stream::new(content, cut, move || work.finish());
+    (headers, Body::new(stream)).into_response()
+}
+
+/// Answers what became of a body; the work's effect does not wait for the answer.
+fn receipt(work: Work, taken: &Taken, cut: Option<u64>) -> Response {
+    work.finish();
+    let json = serde_json::to_vec(taken).unwrap_or_default();
+    let content = Content::from(json);
+    let length = [(CONTENT_LENGTH, content.len())];
+    let json = [(CONTENT_TYPE, "application/json")];
+    let stream = Stream::new(content, cut, || {});
+    (length, json, Body::new(stream)).into_response()
+}
+
+async fn health(State(app): State<App>) -> Response {
+    match app.shared.lagging_health() {
+        true => (StatusCode::OK, "ok\n").into_response(),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response(),
+    }
+}
+
+async fn load(State(app): State<App>) -> String {
+    format!("{}\n", app.shared.lagging_load())
+}
+
+async fn executions(State(app): State<App>, Query(which): Query<Which>) -> Response {
+    match (which.id, which.key) {
+        (Some(id), _) => Json(app.shared.with_ledger(|l| l.by_id(&id))).into_response(),
+        (None, Some(key)) => Json(app.shared.with_ledger(|l| l.by_key(&key))).into_response(),
+        (None, None) => Json(app.shared.with_ledger(Clone::clone)).into_response(),
+    }
+}
+
+async fn set_faults(State(app): State<App>, Json(faults): Json<BackendFaults>) -> StatusCode {
+    app.shared.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
+
+async fn faults(State(app): State<App>) -> Json<BackendFaults> {
+    Json(app.shared.faults())
+}
+
+async fn stats(State(app): State<App>) -> Json<BackendStats> {
+    Json(app.shared.stats())
+}
+
+fn fail(status: StatusCode, reason: &str) -> Response {
+    let value = HeaderValue::from_str(reason).unwrap_or(HeaderValue::from_static("error"));
+    (status, [(REASON, value)], format!("{reason}\n")).into_response()
+}
--- /dev/null
+++ b/crates/swiftcart-standin/src/bin/swiftcart-standin-backend.rs
@@ -0,0 +1,28 @@
+//! Runs the stand-in for a backend server.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use swiftcart_standin::{Args, BackendServer, Error, exit, stop_signal};
+
+const SUMMARY: &str = "swiftcart-standin-backend: a backend server for tests";
+
+/// Time that nodes have to learn of the drain before the backend server stops.
+const GRACE: Duration = Duration::from_secs(3);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    exit(run().await)
+}
+
+async fn run() -> Result<(), Error> {
+    let Some(args) = Args::parse(SUMMARY)? else {
+        return Ok(());
+    };
+    let stop = stop_signal()?;
+    let backend = BackendServer::start(args.addr()?, args.settings()?).await?;
+    println!("listening addr={}", backend.addr());
+    stop.await;
+    backend.stop(GRACE).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/swiftcart-standin/tests/backend.rs
@@ -0,0 +1,302 @@
+//! A backend server bounds its slots, counts its executions and plays its faults.
+
+mod http;
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use self::http::{ANY, fetch, send, until};
+use ::http::{HeaderMap, Method, Request};
+use axum::Router;
+use axum::body::{Body, to_bytes};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use rstest::rstest;
+use serde_json::{Value, json};
+use swiftcart_standin::{
+    BackendFaults, BackendServer, BackendSettings, Readiness, Runs, ServiceTime,
+};
+
+async fn start(settings: BackendSettings) -> BackendServer {
+    BackendServer::start(ANY, settings).await.expect("a port")
+}
+
+const fn runs(started: u64, finished: u64, cancelled: u64) -> Runs {
+    Runs {
+        started,
+        finished,
+        cancelled,
+    }
+}
+
+/// Collects what a fake node is sent: method, path, headers and body.
+type Seen = Arc<Mutex<Vec<(Method, String, HeaderMap, Bytes)>>>;
+
+async fn node() -> (std::net::SocketAddr, Seen) {
+    let seen = Seen::default();
+    let log = seen.clone();
+    let record = async move |request: Request<Body>| -> Response {
+        let (head, body) = request.into_parts();
+        let body = to_bytes(body, 1024).await.expect("a body");
+        let entry = (head.method, head.uri.path().to_owned(), head.headers, body);
+        log.lock().expect("no panic").push(entry);
+        ().into_response()
+    };
+    let listener = tokio::net::TcpListener::bind(ANY).await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let router = Router::new().fallback(record);
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    (addr, seen)
+}
+
+#[rstest]
+#[case::without_queue_the_rest_is_shed(0, 4)]
+#[case::queue_takes_some(3, 1)]
+#[tokio::test]
+async fn slots_bound_the_work(#[case] queue: u32, #[case] shed: u64) {
+    let settings = BackendSettings::new("booking")
+        .with_slots(2)
+        .with_queue(queue);
+    let backend = start(settings).await;
+    backend.set_faults(BackendFaults::new().with_hang(true));
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..6 {
+        let addr = backend.addr();
+        calls.spawn(async move { fetch(addr, "/").await });
+    }
+    for _ in 0..shed {
+        let answer = calls.join_next().await.unwrap().unwrap().unwrap();
+        assert_eq!(answer.status.as_u16(), 503);
+    }
+    let stats = || backend.stats();
+    until(|| stats().active + stats().queued + shed == 6).await;
+    assert_eq!((stats().max_active, stats().runs), (2, runs(2, 0, 0)));
+    assert_eq!(
+        (stats().queued, stats().refused["slots"]),
+        (u64::from(queue), shed)
+    );
+    calls.shutdown().await;
+    until(|| stats().active == 0).await;
+    assert_eq!(stats().max_active, 2);
+}
+
+#[rstest]
+#[case::finished(BackendFaults::new(), Some(200), runs(1, 1, 0))]
+#[case::failed_after_the_work(BackendFaults::new().with_fail_status(500), Some(500), runs(1, 1, 0))]
+#[case::answer_lost_after_the_work(BackendFaults::new().with_lose_answers(1), None, runs(1, 1, 0))]
+#[case::answer_broken_after_the_work(BackendFaults::new().with_break_body(5), None, runs(1, 1, 0))]
+#[tokio::test]
+async fn execution_is_counted_by_id_and_key(
+    #[case] faults: BackendFaults,
+    #[case] status: Option<u16>,
+    #[case] counted: Runs,
+) {
+    let backend = start(BackendSettings::default()).await;
+    backend.set_faults(faults);
+    let names = [
+        ("swiftcart-request-id", "n1"),
+        ("x-request-id", "c1"),
+        ("idempotency-key", "k1"),
+    ];
+    let answer = send(Method::POST, backend.addr(), "/booking", &names, "body").await;
+    assert_eq!(answer.map(|a| a.status.as_u16()), status);
+    for path in ["?id=n1", "?id=c1", "?key=k1"] {
+        let path = format!("/standin/executions{path}");
+        let found = fetch(backend.addr(), &path).await.unwrap().body;
+        assert_eq!(serde_json::from_slice::<Runs>(&found).unwrap(), counted);
+    }
+    assert_eq!(
+        (backend.stats().runs, backend.runs_by_key("k2")),
+        (counted, Runs::default())
+    );
+}
+
+#[rstest]
+#[case::past_is_refused_without_a_run(-1000, 503, runs(0, 0, 0))]
+#[case::passing_stops_the_work(60, 504, runs(1, 0, 1))]
+#[case::far_is_no_hindrance(60_000, 200, runs(1, 1, 0))]
+#[tokio::test]
+async fn deadline_is_honoured(#[case] left: i64, #[case] status: u16, #[case] counted: Runs) {
+    let time = ServiceTime::Fixed(if left == 60 { 10_000.0 } else { 0.0 });
+    let backend = start(BackendSettings::default().with_service_time(time)).await;
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis();
+    let deadline = (i64::try_from(now).unwrap() + left).to_string();
+    let header = [("swiftcart-deadline", deadline.as_str())];
+    let answer = send(Method::GET, backend.addr(), "/", &header, Body::empty())
+        .await
+        .unwrap();
+    assert_eq!(
+        (answer.status.as_u16(), backend.stats().runs),
+        (status, counted)
+    );
+}
+
+#[tokio::test]
+async fn disconnect_cancels_the_work() {
+    let backend = start(BackendSettings::default()).await;
+    backend.set_faults(BackendFaults::new().with_hang(true));
+    let addr = backend.addr();
+    let call = tokio::spawn(async move { fetch(addr, "/").await });
+    until(|| backend.stats().active == 1).await;
+    call.abort();
+    until(|| backend.stats().runs == runs(1, 0, 1)).await;
+}
+
+#[rstest]
+#[case::short(1, 8)]
+#[case::long(300_000, 300_000)]
+#[tokio::test]
+async fn answer_is_whole_and_names_its_request(#[case] asked: u64, #[case] len: usize) {
+    let backend = start(BackendSettings::default()).await;
+    let path = format!("/report?bytes={asked}");
+    let id = [("x-request-id", "abcd")];
+    let answer = send(Method::GET, backend.addr(), &path, &id, Body::empty())
+        .await
+        .unwrap();
+    let digest = blake3::hash(&answer.body).to_hex().to_string();
+    assert_eq!(
+        (answer.body.len(), &answer.body[..8]),
+        (len, &b"id=abcd\n"[..])
+    );
+    assert_eq!(answer.headers["x-standin-digest"], digest.as_str());
+}
+
+#[tokio::test]
+async fn broken_body_is_seen_by_the_caller() {
+    let backend = start(BackendSettings::default()).await;
+    backend.set_faults(BackendFaults::new().with_break_body(1000));
+    assert!(fetch(backend.addr(), "/?bytes=100000").await.is_none());
+    assert_eq!(backend.stats().runs, runs(1, 0, 1));
+}
+
+#[tokio::test]
+async fn upload_is_counted_and_hashed() {
+    let backend = start(BackendSettings::default()).await;
+    let body = vec![7; 3_000_000];
+    let digest = blake3::hash(&body).to_hex().to_string();
+    let id = [("x-request-id", "u1")];
+    let answer = send(Method::PUT, backend.addr(), "/footage", &id, body)
+        .await
+        .unwrap();
+    let receipt: Value = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!(
+        receipt,
+        json!({"id": "u1", "bytes": 3_000_000, "digest": digest})
+    );
+}
+
+#[tokio::test]
+async fn load_is_the_share_of_busy_slots_unless_a_fault_lies() {
+    let backend = start(BackendSettings::default().with_slots(4)).await;
+    backend.set_faults(BackendFaults::new().with_hang(true));
+    let addr = backend.addr();
+    let call = tokio::spawn(async move { fetch(addr, "/").await });
+    until(|| backend.stats().active == 1).await;
+    let load = async || fetch(addr, "/load").await.unwrap().body;
+    let honest = load().await;
+    backend.set_faults(BackendFaults::new().with_lie_load(3).with_lie_health(false));
+    let health = fetch(addr, "/health").await.unwrap().status.as_u16();
+    assert_eq!(
+        (&honest[..], &load().await[..], health),
+        (&b"25\n"[..], &b"3\n"[..], 503)
+    );
+    call.abort();
+}
+
+#[tokio::test]
+async fn connections_beyond_the_bound_are_closed() {
+    let backend = start(BackendSettings::default().with_connections(1)).await;
+    let first = tokio::net::TcpStream::connect(backend.addr())
+        .await
+        .unwrap();
+    until(|| backend.stats().connections == 1).await;
+    assert!(fetch(backend.addr(), "/").await.is_none());
+    assert_eq!(
+        (
+            backend.stats().max_connections,
+            backend.stats().refused_connections
+        ),
+        (1, 1)
+    );
+    drop(first);
+}
+
+#[tokio::test]
+async fn announcements_tell_cold_start_drain_and_end() {
+    let (admin, seen) = node().await;
+    let settings = BackendSettings::new("booking").with_warming(50, 1.0);
+    let backend = start(settings.with_admin(admin).with_ttl_ms(60_000)).await;
+    let addr = backend.addr();
+    let count = || seen.lock().unwrap().len();
+    until(|| count() == 2).await;
+    backend.set_faults(BackendFaults::new().with_readiness(Readiness::Warming));
+    until(|| count() == 3).await;
+    backend.set_faults(BackendFaults::new());
+    until(|| count() == 4).await;
+    backend.stop(Duration::from_millis(100)).await;
+    let told = |(method, path, _, body): &(Method, String, HeaderMap, Bytes)| {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        (method.to_string(), path.clone(), body)
+    };
+    let told: Vec<_> = seen.lock().unwrap().iter().map(told).collect();
+    let put = |readiness: &str| {
+        let body = json!({"service": "booking", "addr": addr, "slots": 10, "connections": 130,
+            "readiness": readiness, "ttl_ms": 60_000});
+        ("PUT".to_owned(), "/v1/backend".to_owned(), body)
+    };
+    let end = ("DELETE".to_owned(), "/v1/backend".to_owned(), Value::Null);
+    let puts = ["warming", "ready", "warming", "ready", "draining"];
+    let expected: Vec<_> = puts.into_iter().map(put).chain([end]).collect();
+    assert_eq!(told, expected);
+}
+
+#[tokio::test]
+async fn stop_finishes_the_work_in_flight() {
+    let time = ServiceTime::Fixed(100.0);
+    let backend = start(BackendSettings::default().with_service_time(time)).await;
+    let addr = backend.addr();
+    let call = tokio::spawn(async move { fetch(addr, "/").await });
+    until(|| backend.stats().active == 1).await;
+    backend.stop(Duration::ZERO).await;
+    assert_eq!(call.await.unwrap().unwrap().status.as_u16(), 200);
+}
+
+#[tokio::test]
+async fn deeper_call_carries_attempt_key_and_time_left() {
+    let (ingress, seen) = node().await;
+    let settings = BackendSettings::default()
+        .with_downstream(ingress, "/b")
+        .with_downstream(ingress, "/c");
+    let backend = start(settings).await;
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis();
+    let deadline = (now + 60_000).to_string();
+    let headers = [
+        ("swiftcart-attempt", "2"),
+        ("idempotency-key", "k"),
+        ("x-request-id", "c1"),
+        ("swiftcart-deadline", deadline.as_str()),
+    ];
+    let answer = send(Method::POST, backend.addr(), "/a", &headers, "body")
+        .await
+        .unwrap();
+    assert_eq!(answer.status.as_u16(), 200);
+    let text = |h: &HeaderMap, name: &str| h[name].to_str().unwrap().to_owned();
+    let sent = |(method, path, h, _): &(Method, String, HeaderMap, Bytes)| {
+        let left: u64 = text(h, "swiftcart-deadline-ms").parse().unwrap();
+        assert!((1..=60_000).contains(&left));
+        let names = ["swiftcart-attempt", "idempotency-key", "x-request-id"];
+        (method.clone(), path.clone(), names.map(|n| text(h, n)))
+    };
+    let sent: Vec<_> = seen.lock().unwrap().iter().map(sent).collect();
+    let call = |path: &str| {
+        let names = ["2".to_owned(), format!("k{path}"), "c1".to_owned()];
+        (Method::POST, path.to_owned(), names)
+    };
+    assert_eq!(sent, [call("/b"), call("/c")]);
+}
