Name the service itself in the message about its name

The message showed the type's debug form, ServiceName("Booking"), to operators. It now shows the name in quotes; the tool's table of bad sheets compares it whole.

--- a/crates/swiftcart-core/src/config/check.rs
+++ b/crates/swiftcart-core/src/config/check.rs
@@ -35,7 +35,7 @@
     pub enum Violation {
         /// The service's name is not well formed.
         Name(name: ServiceName) {
-            display("service {name:?}: a name has 1 to {MAX_NAME} characters of a-z, 0-9 and -")
+            display("service {:?}: a name has 1 to {MAX_NAME} characters of a-z, 0-9 and -", name.as_str())
         }
         /// The route's prefix is not well formed.
         Prefix(prefix: String) {
