Add the operators' tool: sheets, publish, history and status

Operators need to edit the table in a spreadsheet and publish it without a lock, with lost answers and outages of the platform in between.

A sheet carries its base version in a row of kind base, so that sorted rows and columns, quotes, CRLF, a byte order mark, semicolons, tabs and empty trailing cells do no harm. Ruled out: a comment line, which sorting moves, and the file's name, which people change.

A publish draws an id, appends, and reads the log until the id's decision is there; after a lost answer it looks for the id and appends the same record again within its time. Exit codes tell rejected, surely not published, outcome unknown and accepted with stragglers apart.

--- /dev/null
+++ b/crates/swiftcart-cli/src/error.rs
@@ -0,0 +1,155 @@
+//! Every failure of a command, and the exit code that it leads to.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use quick_error::quick_error;
+use swiftcart_core::{Offset, PublishId, ServiceName, Version};
+use swiftcart_platform::PlatformError;
+
+use crate::{Exit, Fault, SettingsError};
+
+/// Faults of a sheet that a message names before it only counts the rest.
+const NAMED: usize = 50;
+
+quick_error! {
+    /// Tells why a command failed and what to do.
+    #[derive(Debug)]
+    pub enum Error {
+        /// An option is unknown, incomplete or given twice.
+        Option(e: getopts::Fail) {
+            from()
+            display("{e}; see swiftcart --help")
+            source(e)
+        }
+        /// The command is unknown.
+        Command(words: String) {
+            display("there is no command {words:?}; see swiftcart --help")
+        }
+        /// An argument is missing.
+        Missing(what: &'static str) {
+            display("{what} is missing; see --help of the command")
+        }
+        /// There are more arguments than the command takes.
+        Extra(argument: String) {
+            display("the argument {argument:?} is one too many; see --help of the command")
+        }
+        /// An option's value cannot be understood.
+        Value(option: &'static str, value: String, cure: &'static str) {
+            display("--{option}: {value:?} is not valid; {cure}")
+        }
+        /// A needed setting is neither on the command line nor in the settings.
+        Unset(what: &'static str, cure: &'static str) {
+            display("{what} is not set; {cure}")
+        }
+        /// The settings file is wrong.
+        Settings(e: SettingsError) {
+            from()
+            display("{e}")
+            source(e)
+        }
+        /// A file cannot be read or written.
+        File(path: PathBuf, e: io::Error) {
+            display("{}: {e}", path.display())
+            source(e)
+        }
+        /// The file to write exists.
+        Exists(path: PathBuf) {
+            display("{} exists; give --force to overwrite it", path.display())
+        }
+        /// The file is too large to be a sheet.
+        Large(path: PathBuf, limit: u64) {
+            display("{}: over {limit} bytes, which no valid table needs", path.display())
+        }
+        /// Cells of the sheet are wrong.
+        Sheet(path: PathBuf, faults: Vec<Fault>) {
+            display("{}", list(path, faults))
+        }
+        /// The sheet does not say which version it was made from.
+        NoBase(path: PathBuf) {
+            display("{}: no row of kind base; pull the table again or give --base N", path.display())
+        }
+        /// A service given by `--only` is in neither the sheet nor the base.
+        NoService(name: ServiceName) {
+            display("--only: neither the sheet nor the table has a service {name:?}; correct the name", name = name.as_str())
+        }
+        /// The version was never accepted, or the log no longer keeps it.
+        NoVersion(version: Version, current: Version) {
+            display("version {version} was not accepted or is no longer kept; the current version is {current}")
+        }
+        /// The platform cannot be read; nothing was published.
+        Platform(addr: SocketAddr, e: PlatformError) {
+            display("platform {addr}: {e}; nothing was published, try again later")
+            source(e)
+        }
+        /// The oldest records are gone and no checkpoint replaces them.
+        NoCheckpoint(first: Offset) {
+            display("records before offset {first} have expired and no checkpoint covers them")
+        }
+        /// Records expired faster than they were read.
+        Expired {
+            display("records expire faster than they can be read; try again")
+        }
+        /// The log follows a later rule.
+        Rule(rule: u16) {
+            display("the log has records of rule {rule}, which this release does not know; upgrade swiftcart")
+        }
+        /// The publish does not fit into one record.
+        Record(bytes: usize, limit: usize) {
+            display("the publish has {bytes} bytes, over {limit}; publish fewer services at once with --only")
+        }
+        /// No one knows yet whether the publish was taken.
+        Unsettled(id: PublishId, e: PlatformError) {
+            display("outcome unknown ({e}): run the same command again with --id {id} to settle it; that publishes at most once")
+            source(e)
+        }
+        /// The id was used for other edits.
+        Reused(id: PublishId) {
+            display("--id {id} was used for a publish with other edits; leave --id out for a new publish")
+        }
+        /// The operating system gives no random numbers.
+        Random(e: rand::rand_core::OsError) {
+            from()
+            display("no random id could be drawn ({e}); choose one with --id HEX")
+            source(e)
+        }
+        /// No node told its members.
+        NoNode(tried: Vec<SocketAddr>) {
+            display("none of the nodes {tried:?} answers; give another one by --node IP:PORT")
+        }
+        /// The runtime did not start.
+        Runtime(e: io::Error) {
+            display("the runtime did not start: {e}")
+            source(e)
+        }
+    }
+}
+
+impl Error {
+    /// Returns the exit code for this failure.
+    #[must_use]
+    pub const fn exit(&self) -> Exit {
+        match self {
+            Self::Option(_) | Self::Command(_) | Self::Missing(_) | Self::Extra(_) => Exit::Usage,
+            Self::Value(..) | Self::Unset(..) | Self::Settings(_) => Exit::Usage,
+            Self::Large(..) | Self::Sheet(..) | Self::NoBase(_) => Exit::Usage,
+            Self::NoService(_) | Self::NoVersion(..) | Self::Reused(_) => Exit::Usage,
+            Self::Record(..) | Self::Exists(_) => Exit::Usage,
+            Self::Platform(..) => Exit::Unreachable,
+            Self::Unsettled(..) => Exit::Unknown,
+            Self::File(..) | Self::NoCheckpoint(_) | Self::Expired | Self::Rule(_) => Exit::Failed,
+            Self::Random(_) | Self::NoNode(_) | Self::Runtime(_) => Exit::Failed,
+        }
+    }
+}
+
+fn list(path: &std::path::Path, faults: &[Fault]) -> String {
+    let line = |fault: &Fault| format!("{}:{fault}", path.display());
+    let mut lines: Vec<_> = faults.iter().take(NAMED).map(line).collect();
+    match faults.len().saturating_sub(NAMED) {
+        0 => {}
+        more => lines.push(format!("{}: and {more} more faults", path.display())),
+    }
+    lines.join("\n")
+}
--- a/crates/swiftcart-cli/src/lib.rs
+++ b/crates/swiftcart-cli/src/lib.rs
@@ -1,1 +1,35 @@
-//! Placeholder.
+//! The operators' command-line tool of swiftcart.
+//!
+//! Operators pull the table as a sheet, edit it in a spreadsheet, check and publish
+//! it, and see who published what and which nodes have it. The platform's log is the
+//! only judge: this tool folds the same records as every node.
+
+mod admin;
+mod args;
+mod error;
+mod exit;
+mod fleet;
+mod journal;
+mod plan;
+mod publish;
+mod render;
+mod report;
+mod retry;
+mod run;
+mod settings;
+mod sheet;
+
+pub use admin::*;
+pub use args::*;
+pub use error::*;
+pub use exit::*;
+pub use fleet::*;
+pub use journal::*;
+pub use plan::*;
+pub use publish::*;
+pub use render::*;
+pub use report::*;
+pub use retry::*;
+pub use run::*;
+pub use settings::*;
+pub use sheet::*;
--- /dev/null
+++ b/crates/swiftcart-cli/src/plan.rs
@@ -0,0 +1,62 @@
+//! What publishing a sheet would change.
+
+use std::collections::BTreeSet;
+
+use swiftcart_core::{Edit, Row, RowKey, ServiceName, Table};
+
+use crate::{Error, Line, Scope, Sheet, service_of};
+
+/// Returns the edits that lead from `base` to what `sheet` asks for, in key order.
+///
+/// Rows that the sheet lacks stay as they are, so that an operator can move one
+/// service at a time; only [`Scope::prune`] removes them.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_cli::{Scope, Sheet, plan, write};
+/// use swiftcart_core::{Limits, Table, Version};
+///
+/// let sensor = Table::new().with_service("sensor", Limits::default());
+/// let both = sensor.clone().with_service("booking", Limits::default());
+/// let sheet = Sheet::parse(write(&sensor, Version(1)).as_bytes()).unwrap_or_default();
+/// assert_eq!(plan(&sheet, &both, &Scope::default()).unwrap_or_default(), []);
+/// assert_eq!(plan(&sheet, &Table::new(), &Scope::default()).unwrap_or_default().len(), 1);
+/// ```
+///
+/// # Errors
+///
+/// [`Error::NoService`] for a service of the scope that neither side has.
+pub fn plan(sheet: &Sheet, base: &Table, scope: &Scope) -> Result<Vec<Edit>, Error> {
+    let named: BTreeSet<_> = sheet.lines.keys().map(service_of).collect();
+    let held: BTreeSet<_> = base.0.keys().map(service_of).collect();
+    let known = |name: &&ServiceName| named.contains(name) || held.contains(name);
+    if let Some(name) = scope.only.iter().find(|name| !known(name)) {
+        return Err(Error::NoService(name.clone()));
+    }
+    let counts = |key: &RowKey| match scope.only.is_empty() {
+        true => named.contains(service_of(key)),
+        false => scope.only.contains(service_of(key)),
+    };
+    let asked = sheet.lines.iter().filter(|(key, _)| counts(key));
+    let asked = asked.map(|(key, Line { row, .. })| (key, row.as_ref()));
+    let absent = base
+        .0
+        .keys()
+        .filter(|key| scope.prune && !sheet.lines.contains_key(key));
+    let absent = absent.filter(|key| counts(key)).map(|key| (key, None));
+    let mut edits: Vec<_> = asked
+        .chain(absent)
+        .filter(|(key, row)| base.0.get(key) != *row)
+        .map(|(key, row)| edit(key, row))
+        .collect();
+    edits.sort_by(|a, b| a.key.cmp(&b.key));
+    Ok(edits)
+}
+
+fn edit(key: &RowKey, row: Option<&Row>) -> Edit {
+    Edit {
+        key: key.clone(),
+        row: row.cloned(),
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-cli/src/render.rs
@@ -0,0 +1,121 @@
+//! Tables for people, and rows and times as text.
+
+use comfy_table::{ContentArrangement, Table as Grid, presets};
+use serde_json::{Value, json};
+use swiftcart_core::{Edit, Limits, Row, RowKey, Table};
+
+const DAY_MS: u64 = 86_400_000;
+
+/// Lays `rows` out below `headings`, without lines around the cells.
+#[must_use]
+pub fn grid<const N: usize>(headings: [&str; N], rows: Vec<[String; N]>) -> String {
+    let mut grid = Grid::new();
+    grid.load_preset(presets::NOTHING)
+        .set_content_arrangement(ContentArrangement::Disabled)
+        .set_header(headings)
+        .add_rows(rows);
+    let lines: Vec<_> = grid.lines().map(|line| line.trim().to_owned()).collect();
+    lines.join("\n")
+}
+
+/// Returns a row's content as a person reads it.
+#[must_use]
+pub fn content(row: Option<&Row>) -> String {
+    match row {
+        None => "-".into(),
+        Some(Row::Route(weight)) => format!("weight {weight}"),
+        Some(Row::Service(Limits {
+            rate,
+            concurrency,
+            timeout_ms,
+        })) => format!("rate {rate}, concurrency {concurrency}, timeout_ms {timeout_ms}"),
+    }
+}
+
+/// Returns the rows that `edits` change in `base`, one a line.
+#[must_use]
+pub fn changes(base: &Table, edits: &[Edit]) -> String {
+    let rows = edits.iter().map(|edit| {
+        let before = base.0.get(&edit.key);
+        [
+            change(before, edit.row.as_ref()).into(),
+            edit.key.to_string(),
+            content(before),
+            content(edit.row.as_ref()),
+        ]
+    });
+    grid(["change", "row", "before", "after"], rows.collect())
+}
+
+/// Returns the rows that `edits` change in `base`, for scripts.
+#[must_use]
+pub fn changes_json(base: &Table, edits: &[Edit]) -> Vec<Value> {
+    let rows = edits.iter().map(|edit| {
+        let before = base.0.get(&edit.key);
+        let mut json = row_json(&edit.key, None);
+        json["change"] = json!(change(before, edit.row.as_ref()));
+        json["before"] = json!(before.map(cells));
+        json["after"] = json!(edit.row.as_ref().map(cells));
+        json
+    });
+    rows.collect()
+}
+
+/// Returns a row as a flat object with the sheet's headings as keys.
+#[must_use]
+pub fn row_json(key: &RowKey, row: Option<&Row>) -> Value {
+    let mut json = match key {
+        RowKey::Service(name) => json!({"kind": "service", "service": name}),
+        RowKey::Route(prefix, name) => {
+            json!({"kind": "route", "service": name, "prefix": prefix})
+        }
+    };
+    if let (Some(object), Some(Value::Object(cells))) = (json.as_object_mut(), row.map(cells)) {
+        object.extend(cells);
+    }
+    json
+}
+
+/// Returns a time in milliseconds since the Unix epoch as UTC, `2026-12-02 14:30:05`.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(swiftcart_cli::utc(1_709_210_096_000), "2024-02-29 12:34:56");
+/// ```
+#[must_use]
+pub fn utc(ms: u64) -> String {
+    let (year, month, day) = date(ms / DAY_MS);
+    let secs = ms % DAY_MS / 1000;
+    let (h, m, s) = (secs / 3600, secs / 60 % 60, secs % 60);
+    format!("{year:04}-{month:02}-{day:02} {h:02}:{m:02}:{s:02}")
+}
+
+/// Returns year, month and day of a day since the epoch (Hinnant's `civil_from_days`).
+const fn date(days: u64) -> (u64, u64, u64) {
+    let shifted = days + 719_468;
+    let era = shifted / 146_097;
+    let doe = shifted % 146_097;
+    let yoe = (doe - doe / 1460 + doe / 36_524 - doe / 146_096) / 365;
+    let doy = doe - (365 * yoe + yoe / 4 - yoe / 100);
+    let mp = (5 * doy + 2) / 153;
+    let day = doy - (153 * mp + 2) / 5 + 1;
+    let month = if mp < 10 { mp + 3 } else { mp - 9 };
+    let year = yoe + era * 400 + (month <= 2) as u64;
+    (year, month, day)
+}
+
+const fn change(before: Option<&Row>, after: Option<&Row>) -> &'static str {
+    match (before, after) {
+        (None, _) => "added",
+        (Some(_), Some(_)) => "changed",
+        (Some(_), None) => "removed",
+    }
+}
+
+fn cells(row: &Row) -> Value {
+    match row {
+        Row::Route(weight) => json!({"weight": weight}),
+        Row::Service(limits) => json!(limits),
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-cli/src/report.rs
@@ -0,0 +1,52 @@
+//! What a command prints: text for people or JSON for scripts.
+
+use serde_json::{Value, json};
+
+use crate::{Error, Exit};
+
+/// Holds what a command prints and its exit code.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct Report {
+    /// For people.
+    pub text: String,
+    /// For scripts.
+    pub json: Value,
+    /// How the command ended.
+    pub exit: Exit,
+}
+
+impl Report {
+    /// Creates the report of a command that did what it was asked.
+    #[must_use]
+    pub const fn new(text: String, json: Value) -> Self {
+        Self {
+            text,
+            json,
+            exit: Exit::Done,
+        }
+    }
+
+    /// Sets the exit code.
+    #[must_use]
+    pub const fn with_exit(mut self, exit: Exit) -> Self {
+        self.exit = exit;
+        self
+    }
+}
+
+impl From<&Error> for Report {
+    fn from(error: &Error) -> Self {
+        let exit = error.exit();
+        let mut json = json!({
+            "result": "error",
+            "exit": exit.code(),
+            "message": error.to_string(),
+        });
+        match error {
+            Error::Sheet(_, faults) => json["faults"] = json!(faults),
+            Error::Unsettled(id, _) => json["id"] = json!(id),
+            _ => {}
+        }
+        Self::new(format!("swiftcart: {error}"), json).with_exit(exit)
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-cli/src/retry.rs
@@ -0,0 +1,44 @@
+//! When to try the platform again, within the time that the operator gives.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use tokio::time::{Instant, sleep};
+
+const FIRST_DELAY: Duration = Duration::from_millis(100);
+const MAX_DELAY: Duration = Duration::from_secs(2);
+
+/// Spaces attempts out, with jitter, until a deadline.
+#[derive(Debug)]
+pub struct Retry {
+    deadline: Instant,
+    delay: Duration,
+    rng: SmallRng,
+}
+
+impl Retry {
+    /// Creates the schedule of attempts within `limit` from now.
+    #[must_use]
+    pub fn new(limit: Duration, rng: SmallRng) -> Self {
+        Self {
+            deadline: Instant::now() + limit,
+            delay: FIRST_DELAY,
+            rng,
+        }
+    }
+
+    /// Waits for the next attempt, at least `asked`; false when the deadline comes first.
+    pub async fn wait(&mut self, asked: Option<Duration>) -> bool {
+        let jittered = self.delay.mul_f64(self.rng.random_range(0.5..1.0));
+        let delay = jittered.max(asked.unwrap_or_default());
+        self.delay = MAX_DELAY.min(self.delay * 2);
+        match self.deadline.saturating_duration_since(Instant::now()) {
+            left if left < delay => false,
+            _ => {
+                sleep(delay).await;
+                true
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-cli/src/run.rs
@@ -0,0 +1,238 @@
+//! Runs a command.
+
+mod publishing;
+mod table;
+
+use std::io::Write;
+use std::path::Path;
+use std::{fs, io};
+
+use rand::SeedableRng;
+use rand::rngs::{OsRng, SmallRng};
+use serde_json::json;
+use swiftcart_core::Version;
+use swiftcart_platform::Platform;
+
+use crate::{
+    Admin, Answer, Command, Decided, Error, Fleet, Invocation, Journal, Keep, Node, Report, Retry,
+    Settings, Sheet, render,
+};
+
+/// The largest sheet that is read, in bytes.
+pub const MAX_SHEET: u64 = 4 * 1024 * 1024;
+
+const NO_PLATFORM: &str = "give --platform IP:PORT or a settings file with platform";
+const NO_NODES: &str = "give --node IP:PORT or a settings file with nodes";
+
+/// Runs the command and returns what to print.
+///
+/// # Errors
+///
+/// The command failed; [`Error::exit`] tells how.
+pub async fn run(invocation: &Invocation) -> Result<Report, Error> {
+    let settings = &invocation.settings;
+    match &invocation.command {
+        Command::Help(text) => Ok(Report::new(text.clone(), json!({ "help": text }))),
+        Command::About => Ok(about()),
+        Command::Pull(pull) => table::pull(settings, pull, invocation.json).await,
+        Command::Check(file) => table::check(file),
+        Command::Diff(diff) => table::diff(settings, diff).await,
+        Command::Publish(wanted) => publishing::publish(settings, wanted).await,
+        Command::History(limit) => history(settings, *limit).await,
+        Command::Status => status(settings).await,
+    }
+}
+
+fn about() -> Report {
+    let version = env!("CARGO_PKG_VERSION");
+    Report::new(
+        format!("swiftcart {version}"),
+        json!({ "version": version }),
+    )
+}
+
+async fn history(settings: &Settings, limit: usize) -> Result<Report, Error> {
+    let keep = Keep {
+        decided: limit,
+        ..Keep::default()
+    };
+    let platform = platform(settings)?;
+    let journal = Journal::open(&platform, keep, &mut retry(settings)?).await?;
+    let rows = journal.decided().rev().map(history_row);
+    let headings = ["version", "time (UTC)", "author", "verdict", "rows"];
+    let text = render::grid(headings, rows.collect());
+    let list: Vec<_> = journal.decided().rev().map(history_json).collect();
+    Ok(Report::new(text, json!({ "publishes": list })))
+}
+
+fn history_row(decided: &Decided) -> [String; 5] {
+    let publish = &decided.publish;
+    let (version, verdict) = match decided.rejection() {
+        None => (Version::at(decided.offset).to_string(), "accepted".into()),
+        Some(rejection) => ("-".into(), format!("rejected: {rejection}")),
+    };
+    let rows: Vec<_> = publish.edits.iter().map(|e| e.key.to_string()).collect();
+    [
+        version,
+        render::utc(decided.at_ms),
+        publish.author.clone(),
+        verdict,
+        rows.join("; "),
+    ]
+}
+
+fn history_json(decided: &Decided) -> serde_json::Value {
+    let publish = &decided.publish;
+    let edits = publish.edits.iter();
+    let edits = edits.map(|e| {
+        let mut json = render::row_json(&e.key, e.row.as_ref());
+        json["removed"] = json!(e.row.is_none());
+        json
+    });
+    let accepted = decided.rejection().is_none();
+    json!({
+        "version": accepted.then(|| Version::at(decided.offset)),
+        "offset": decided.offset,
+        "at_ms": decided.at_ms,
+        "id": publish.id,
+        "author": publish.author,
+        "base": publish.base,
+        "verdict": decided.verdict,
+        "edits": edits.collect::<Vec<_>>(),
+    })
+}
+
+async fn status(settings: &Settings) -> Result<Report, Error> {
+    let nodes = nodes(settings)?;
+    let fleet = Fleet::ask(&Admin::new(), nodes).await?;
+    let log = match settings.platform {
+        Some(_) => log_head(settings).await.map_err(|e| e.to_string()),
+        None => Err("no platform is given".into()),
+    };
+    let head = log
+        .as_ref()
+        .map_or(fleet.head(), |log| fleet.head().max(*log));
+    let behind = fleet.stragglers(head);
+    let live = fleet.live().count();
+    let rows = fleet.nodes.iter().map(node_row).collect();
+    let headings = [
+        "node", "domain", "service", "liveness", "version", "ready", "note",
+    ];
+    let mut text = render::grid(headings, rows);
+    let at_head = live - behind.len();
+    text += &format!("\n\n{at_head} of {live} live nodes are at version {head}");
+    if let Err(reason) = &log {
+        text += &format!("\nthe head is the greatest version of a node: {reason}");
+    }
+    if !behind.is_empty() {
+        let names: Vec<_> = behind.iter().map(publishing::describe).collect();
+        text += &format!("\nstragglers: {}", names.join("; "));
+    }
+    let json = json!({
+        "head": head,
+        "head_from_platform": log.is_ok(),
+        "live": live,
+        "at_head": at_head,
+        "stragglers": behind,
+        "nodes": fleet.nodes.iter().map(node_json).collect::<Vec<_>>(),
+    });
+    Ok(Report::new(text, json))
+}
+
+async fn log_head(settings: &Settings) -> Result<Version, Error> {
+    let platform = platform(settings)?;
+    let mut retry = retry(settings)?;
+    let journal = Journal::open(&platform, Keep::default(), &mut retry).await?;
+    Ok(journal.fold().version())
+}
+
+fn node_row(node: &Node) -> [String; 7] {
+    let member = &node.member;
+    let service = member.backend.as_ref().map(|b| b.service.to_string());
+    let version = node.version().map(|version| version.to_string());
+    let (ready, note) = match &node.answer {
+        Answer::Gone => ("-", String::new()),
+        Answer::Failed(e) => ("-", e.to_string()),
+        Answer::State(state) => (
+            if state.ready { "yes" } else { "no" },
+            match (state.stalled_rule, &state.reason) {
+                (Some(rule), _) => format!("stalled: the log has rule {rule}, upgrade the node"),
+                (None, reason) => reason.clone().unwrap_or_default(),
+            },
+        ),
+    };
+    [
+        member.id.to_string(),
+        member.domain.to_string(),
+        service.unwrap_or_else(|| "-".into()),
+        liveness(node),
+        version.unwrap_or_else(|| "-".into()),
+        ready.into(),
+        note,
+    ]
+}
+
+fn node_json(node: &Node) -> serde_json::Value {
+    let member = &node.member;
+    let (state, error) = match &node.answer {
+        Answer::Gone => (None, None),
+        Answer::Failed(e) => (None, Some(e.to_string())),
+        Answer::State(state) => (Some(state), None),
+    };
+    json!({
+        "node": member.id,
+        "domain": member.domain,
+        "service": member.backend.as_ref().map(|b| &b.service),
+        "liveness": member.liveness,
+        "version": node.version(),
+        "ready": state.map(|state| state.ready),
+        "reason": state.and_then(|state| state.reason.as_ref()),
+        "stalled_rule": state.and_then(|state| state.stalled_rule),
+        "error": error,
+    })
+}
+
+fn liveness(node: &Node) -> String {
+    let text = format!("{:?}", node.member.liveness);
+    text.to_lowercase()
+}
+
+fn platform(settings: &Settings) -> Result<Platform, Error> {
+    let addr = settings.platform;
+    let addr = addr.ok_or(Error::Unset("the platform", NO_PLATFORM))?;
+    let timeout = settings.timeout.min(swiftcart_platform::DEFAULT_TIMEOUT);
+    Ok(Platform::new(addr).with_timeout(timeout))
+}
+
+fn nodes(settings: &Settings) -> Result<&[std::net::SocketAddr], Error> {
+    match &settings.nodes[..] {
+        [] => Err(Error::Unset("no node", NO_NODES)),
+        nodes => Ok(nodes),
+    }
+}
+
+fn rng() -> Result<SmallRng, Error> {
+    Ok(SmallRng::try_from_rng(&mut OsRng)?)
+}
+
+fn retry(settings: &Settings) -> Result<Retry, Error> {
+    Ok(Retry::new(settings.timeout, rng()?))
+}
+
+/// Reads a sheet of bounded size.
+fn sheet(file: &Path) -> Result<Sheet, Error> {
+    let wrong = |e: io::Error| Error::File(file.into(), e);
+    let mut bytes = Vec::new();
+    let opened = fs::File::open(file).map_err(wrong)?;
+    let mut bounded = io::Read::take(opened, MAX_SHEET + 1);
+    io::Read::read_to_end(&mut bounded, &mut bytes).map_err(wrong)?;
+    match bytes.len() as u64 > MAX_SHEET {
+        true => Err(Error::Large(file.into(), MAX_SHEET)),
+        false => Sheet::parse(&bytes).map_err(|faults| Error::Sheet(file.into(), faults)),
+    }
+}
+
+/// Writes a line of progress; a closed standard error is no reason to stop.
+fn progress(line: &str) {
+    writeln!(io::stderr(), "{line}").ok();
+}
--- /dev/null
+++ b/crates/swiftcart-cli/src/run/publishing.rs
@@ -0,0 +1,149 @@
+//! Runs the publish command and tells what became of it.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use swiftcart_core::{Rejection, Version};
+
+use super::{nodes, platform, progress, retry, rng, sheet};
+use crate::{
+    Admin, Decision, Error, Exit, Fault, Published, Publishing, Report, Settings, Sheet, Straggler,
+    publish as publish_sheet, wait_for,
+};
+
+/// Stragglers that a line of progress names.
+const NAMED: usize = 5;
+
+const NO_AUTHOR: &str = "give --author NAME or a settings file with author";
+
+/// Publishes a sheet and, if asked, waits until it is in force everywhere.
+pub(super) async fn publish(settings: &Settings, wanted: &Publishing) -> Result<Report, Error> {
+    let user = || std::env::var("USER").ok().filter(|user| !user.is_empty());
+    let author = settings.author.clone().or_else(user);
+    let author = author.ok_or(Error::Unset("the author", NO_AUTHOR))?;
+    if wanted.wait.is_some() {
+        nodes(settings)?;
+    }
+    let platform = platform(settings)?;
+    let sheet = sheet(&wanted.file)?;
+    let (mut retry, mut rng) = (retry(settings)?, rng()?);
+    let tools = (&mut retry, &mut rng);
+    let published = publish_sheet(&platform, &sheet, &author, wanted, tools).await?;
+    let report = tell(&published, &sheet, wanted);
+    match (published.decision.version(), wanted.wait) {
+        (Some(version), Some(limit)) => wait(settings, version, limit, report).await,
+        _ => Ok(report),
+    }
+}
+
+/// Describes a straggler in a few words.
+pub(super) fn describe(straggler: &Straggler) -> String {
+    let Straggler { node, domain, .. } = straggler;
+    match (straggler.version, straggler.error) {
+        (Some(version), _) => format!("{node} ({domain}) has version {version}"),
+        (None, Some(error)) => format!("{node} ({domain}) {error}"),
+        (None, None) => format!("{node} ({domain}) is gone"),
+    }
+}
+
+fn tell(published: &Published, sheet: &Sheet, wanted: &Publishing) -> Report {
+    let Published { id, edits, .. } = published;
+    let rows = edits.len();
+    let file = wanted.file.display();
+    match &published.decision {
+        Decision::Unchanged(version) => Report::new(
+            format!("nothing to change: the table reads so already as of version {version}"),
+            json!({ "result": "unchanged", "version": version }),
+        ),
+        Decision::Accepted(version) => Report::new(
+            format!("accepted as version {version}: {rows} rows, id {id}"),
+            json!({ "result": "accepted", "version": version, "rows": rows, "id": id }),
+        ),
+        Decision::Rejected(rejection) => {
+            let lines = rejected(rejection, sheet, &file.to_string());
+            let json = json!({
+                "result": "rejected",
+                "reason": rejection.kind(),
+                "rejection": rejection,
+                "message": rejection.to_string(),
+                "id": id,
+            });
+            Report::new(format!("rejected, nothing changed: {lines}"), json)
+                .with_exit(Exit::Rejected)
+        }
+    }
+}
+
+/// Names what each lost row lost to, or the cell of each fault.
+fn rejected(rejection: &Rejection, sheet: &Sheet, file: &str) -> String {
+    let lines: Vec<_> = match rejection {
+        Rejection::Conflict(lost) => {
+            let rows = lost.iter().map(|lost| format!("\n  {lost}"));
+            let cure = "\npull the table again and repeat your edits of these rows";
+            rows.chain([cure.into()]).collect()
+        }
+        Rejection::Invalid(violations) => {
+            let faults = violations.iter().map(|v| Fault::of(v, sheet));
+            faults.map(|fault| format!("\n  {file}:{fault}")).collect()
+        }
+        other => vec![other.to_string()],
+    };
+    lines.concat()
+}
+
+async fn wait(
+    settings: &Settings,
+    version: Version,
+    limit: Duration,
+    report: Report,
+) -> Result<Report, Error> {
+    let mut shown = None;
+    let show = |live: usize, behind: &[Straggler]| {
+        let now = (live, behind.len());
+        if shown.replace(now) != Some(now) {
+            progress(&step(version, live, behind));
+        }
+    };
+    let nodes = nodes(settings)?;
+    let behind = wait_for(&Admin::new(), nodes, version, limit, show).await;
+    Ok(conclude(report, version, behind.as_deref()))
+}
+
+fn conclude(report: Report, version: Version, behind: Option<&[Straggler]>) -> Report {
+    let Report { text, mut json, .. } = report;
+    json["stragglers"] = json!(behind);
+    json["in_force"] = Value::Bool(behind.is_some_and(<[_]>::is_empty));
+    let (line, exit) = match behind {
+        Some([]) => (
+            format!("version {version} is in force on all live nodes"),
+            Exit::Done,
+        ),
+        Some(behind) => {
+            let names: Vec<_> = behind.iter().map(describe).collect();
+            let names = names.join("\n  ");
+            (
+                format!("version {version} is not yet in force on:\n  {names}"),
+                Exit::Stragglers,
+            )
+        }
+        None => (
+            format!("no node answered; see status for who has version {version}"),
+            Exit::Stragglers,
+        ),
+    };
+    Report::new(format!("{text}\n{line}"), json).with_exit(exit)
+}
+
+fn step(version: Version, live: usize, behind: &[Straggler]) -> String {
+    let done = live - behind.len();
+    let names: Vec<_> = behind.iter().take(NAMED).map(describe).collect();
+    let more = match behind.len().saturating_sub(NAMED) {
+        0 => String::new(),
+        n => format!("; and {n} more"),
+    };
+    let waiting = match names.is_empty() {
+        true => String::new(),
+        false => format!(", waiting for {}{more}", names.join("; ")),
+    };
+    format!("version {version}: {done} of {live} live nodes{waiting}")
+}
--- /dev/null
+++ b/crates/swiftcart-cli/src/run/table.rs
@@ -0,0 +1,121 @@
+//! Runs the commands that read tables and sheets: pull, check and diff.
+
+use std::fs::OpenOptions;
+use std::io::{ErrorKind, Write};
+use std::path::Path;
+
+use serde_json::json;
+use swiftcart_core::{Table, Version};
+
+use super::{platform, retry, sheet};
+use crate::{
+    Diff, Error, Exit, Fault, Format, Journal, Keep, Pull, Report, Settings, plan, render, write,
+};
+
+/// Writes the table of a version as a sheet or as JSON.
+pub(super) async fn pull(settings: &Settings, pull: &Pull, as_json: bool) -> Result<Report, Error> {
+    let keep = Keep {
+        version: pull.version,
+        ..Keep::default()
+    };
+    let platform = platform(settings)?;
+    let journal = Journal::open(&platform, keep, &mut retry(settings)?).await?;
+    let (table, version) = chosen(&journal, pull.version)?;
+    let rows = table.0.iter();
+    let rows: Vec<_> = rows
+        .map(|(key, row)| render::row_json(key, Some(row)))
+        .collect();
+    let json = json!({ "base": version, "rows": rows });
+    let text = match pull.format {
+        Format::Csv => write(table, version),
+        Format::Json => format!("{json:#}\n"),
+    };
+    let Some(path) = &pull.output else {
+        // What asks for a form gets it, also with --json.
+        let json = match pull.format {
+            Format::Csv if as_json => json!({ "base": version, "csv": text }),
+            Format::Csv | Format::Json => json,
+        };
+        return Ok(Report::new(text.trim_end().into(), json));
+    };
+    save(path, &text, pull.force)?;
+    let rows = table.0.len();
+    let text = format!(
+        "wrote version {version}, {rows} rows, to {}",
+        path.display()
+    );
+    let json = json!({ "version": version, "rows": rows, "file": path });
+    Ok(Report::new(text, json))
+}
+
+/// Checks a sheet without the platform.
+pub(super) fn check(file: &Path) -> Result<Report, Error> {
+    let sheet = sheet(file)?;
+    let (faults, notes) = sheet.check();
+    if !faults.is_empty() {
+        return Err(Error::Sheet(file.into(), faults));
+    }
+    let rows = sheet.lines.len();
+    let note = |fault: &Fault| {
+        let path = file.display();
+        format!(
+            "{path}:{fault}\n  only if the current table does not have it: publish checks that\n"
+        )
+    };
+    let notes_text: String = notes.iter().map(note).collect();
+    let base = match sheet.base {
+        Some(version) => format!("made from version {version}"),
+        None => "without a base row: publish needs --base N".into(),
+    };
+    let text = format!("{notes_text}{}: {rows} rows, {base}", file.display());
+    let json = json!({ "result": "valid", "rows": rows, "base": sheet.base, "notes": notes });
+    Ok(Report::new(text, json).with_exit(Exit::Done))
+}
+
+/// Shows what publishing a sheet would change.
+pub(super) async fn diff(settings: &Settings, diff: &Diff) -> Result<Report, Error> {
+    let sheet = sheet(&diff.file)?;
+    let keep = Keep {
+        version: diff.against,
+        ..Keep::default()
+    };
+    let platform = platform(settings)?;
+    let journal = Journal::open(&platform, keep, &mut retry(settings)?).await?;
+    let (table, version) = chosen(&journal, diff.against)?;
+    let edits = plan(&sheet, table, &diff.scope)?;
+    let text = match edits.len() {
+        0 => format!("no changes against version {version}"),
+        n => format!(
+            "{}\n\n{n} rows against version {version}",
+            render::changes(table, &edits)
+        ),
+    };
+    let json = json!({ "against": version, "changes": render::changes_json(table, &edits) });
+    Ok(Report::new(text, json))
+}
+
+/// Returns the table of `version`, or the current one.
+fn chosen<'a>(
+    journal: &'a Journal<'_>,
+    version: Option<Version>,
+) -> Result<(&'a Table, Version), Error> {
+    let current = journal.fold().version();
+    match (version, journal.kept()) {
+        (None, _) => Ok((journal.fold().table(), current)),
+        (Some(version), Some(table)) => Ok((table, version)),
+        (Some(version), None) => Err(Error::NoVersion(version, current)),
+    }
+}
+
+/// Writes a file; an operator's edits are not overwritten by accident.
+fn save(path: &Path, text: &str, force: bool) -> Result<(), Error> {
+    let mut options = OpenOptions::new();
+    options.write(true).create(true).truncate(true);
+    options.create_new(!force);
+    let mut file = options.open(path).map_err(|e| match e.kind() {
+        ErrorKind::AlreadyExists => Error::Exists(path.into()),
+        _ => Error::File(path.into(), e),
+    })?;
+    file.write_all(text.as_bytes())
+        .map_err(|e| Error::File(path.into(), e))
+}
--- /dev/null
+++ b/crates/swiftcart-cli/src/settings.rs
@@ -0,0 +1,173 @@
+//! The settings file: where the platform and the nodes are, and who publishes.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use quick_error::quick_error;
+use serde_json::{Map, Value};
+
+/// The time for a command's dealings with the platform unless it is set.
+pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The most nodes that the settings or the command line may name.
+pub const MAX_NODES: usize = 64;
+
+const MAX_BYTES: usize = 64 * 1024;
+const MAX_TIMEOUT_MS: u64 = 3_600_000;
+const KEYS: &str = "platform, nodes, author or timeout_ms";
+const ADDR: &str = "write IP:PORT, for example \"127.0.0.1:7000\"";
+const NODES: &str = "write a list of at most 64 IP:PORT, for example [\"127.0.0.1:7002\"]";
+const AUTHOR: &str = "write your name in quotes, for example \"rosa\"";
+const TIMEOUT: &str = "write milliseconds from 1 to 3600000, for example 15000";
+
+/// Says where the platform and the nodes are, and who publishes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// The platform's log.
+    pub platform: Option<SocketAddr>,
+    /// Admin addresses of some nodes; each knows all others.
+    pub nodes: Vec<SocketAddr>,
+    /// Who publishes, for the history.
+    pub author: Option<String>,
+    /// The time for a command's dealings with the platform.
+    pub timeout: Duration,
+}
+
+quick_error! {
+    /// Tells what is wrong with a settings file.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum SettingsError {
+        /// The file cannot be read.
+        Read(path: PathBuf, detail: String) {
+            display("{}: {detail}", path.display())
+        }
+        /// The file is larger than settings can be.
+        Large(path: PathBuf) {
+            display("{}: over {MAX_BYTES} bytes; give a settings file", path.display())
+        }
+        /// The file is not a JSON object.
+        Syntax(path: PathBuf, detail: String) {
+            display("{}: {detail}; write a JSON object", path.display())
+        }
+        /// The key is unknown.
+        Key(path: PathBuf, key: String) {
+            display("{}: {key}: unknown key; use {KEYS}", path.display())
+        }
+        /// The value is wrong for its key.
+        Value(path: PathBuf, key: &'static str, value: String, cure: &'static str) {
+            display("{}: {key}: {value} is not valid; {cure}", path.display())
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            platform: None,
+            nodes: Vec::new(),
+            author: None,
+            timeout: DEFAULT_TIMEOUT,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, or any error of [`parse`](Self::parse).
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        match fs::read(path) {
+            Ok(bytes) => Self::parse(path, &bytes),
+            Err(e) => Err(SettingsError::Read(path.into(), e.to_string())),
+        }
+    }
+
+    /// Checks the content of the file at `path`; the path only goes into errors.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::path::Path;
+    /// use swiftcart_cli::Settings;
+    ///
+    /// let json = br#"{"platform": "localhost"}"#;
+    /// let error = Settings::parse(Path::new("swiftcart.json"), json).unwrap_err();
+    /// assert_eq!(
+    ///     error.to_string(),
+    ///     "swiftcart.json: platform: \"localhost\" is not valid; \
+    ///      write IP:PORT, for example \"127.0.0.1:7000\""
+    /// );
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// The first key or value that is not valid, and its cure.
+    pub fn parse(path: &Path, bytes: &[u8]) -> Result<Self, SettingsError> {
+        if bytes.len() > MAX_BYTES {
+            return Err(SettingsError::Large(path.into()));
+        }
+        let object: Map<String, Value> = serde_json::from_slice(bytes)
+            .map_err(|e| SettingsError::Syntax(path.into(), e.to_string()))?;
+        let mut settings = Self::default();
+        for (key, value) in &object {
+            settings
+                .set(key, value)
+                .map_err(|wrong| wrong.at(path, key, value))?;
+        }
+        Ok(settings)
+    }
+
+    fn set(&mut self, key: &str, value: &Value) -> Result<(), Wrong> {
+        match key {
+            "platform" => self.platform = Some(addr(value).ok_or(Wrong::Value("platform", ADDR))?),
+            "nodes" => self.nodes = addrs(value).ok_or(Wrong::Value("nodes", NODES))?,
+            "author" => self.author = Some(text(value).ok_or(Wrong::Value("author", AUTHOR))?),
+            "timeout_ms" => {
+                self.timeout = millis(value).ok_or(Wrong::Value("timeout_ms", TIMEOUT))?;
+            }
+            _ => return Err(Wrong::Key),
+        }
+        Ok(())
+    }
+}
+
+/// What is wrong, before it is known where.
+enum Wrong {
+    Key,
+    Value(&'static str, &'static str),
+}
+
+impl Wrong {
+    fn at(self, path: &Path, key: &str, value: &Value) -> SettingsError {
+        match self {
+            Self::Key => SettingsError::Key(path.into(), key.into()),
+            Self::Value(key, cure) => {
+                SettingsError::Value(path.into(), key, value.to_string(), cure)
+            }
+        }
+    }
+}
+
+fn addr(value: &Value) -> Option<SocketAddr> {
+    value.as_str()?.parse().ok()
+}
+
+fn addrs(value: &Value) -> Option<Vec<SocketAddr>> {
+    let list = value.as_array().filter(|list| list.len() <= MAX_NODES)?;
+    list.iter().map(addr).collect()
+}
+
+fn text(value: &Value) -> Option<String> {
+    let text = value.as_str().filter(|text| !text.trim().is_empty())?;
+    Some(text.into())
+}
+
+fn millis(value: &Value) -> Option<Duration> {
+    let range = 1..=MAX_TIMEOUT_MS;
+    let ms = value.as_u64().filter(|ms| range.contains(ms))?;
+    Some(Duration::from_millis(ms))
+}
--- /dev/null
+++ b/crates/swiftcart-cli/src/sheet/fault.rs
@@ -0,0 +1,162 @@
+//! What is wrong with a cell, where it is, and how to mend it.
+
+use quick_error::quick_error;
+use serde::{Serialize, Serializer};
+use swiftcart_core::{RowKey, ServiceName, Violation};
+
+use super::Sheet;
+
+quick_error! {
+    /// Tells what is wrong with a cell.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Problem {
+        /// The file is not UTF-8 text.
+        Encoding {
+            display("is not UTF-8; save the sheet as CSV UTF-8")
+        }
+        /// A quoted cell does not end on its line.
+        Quote {
+            display("has a line break or an unclosed quote; remove it")
+        }
+        /// No row holds the headings.
+        NoHeadings {
+            display("no row has all headings; start the sheet with {}", super::HEADINGS.join(","))
+        }
+        /// A heading stands twice.
+        HeadingTwice {
+            display("stands twice; remove one of the columns")
+        }
+        /// A heading is not known.
+        Heading {
+            display("is no heading; clear the column or use {}", super::HEADINGS.join(","))
+        }
+        /// A filled cell has no heading above it.
+        NoHeading {
+            display("has no heading; clear the cell")
+        }
+        /// The first cell names no kind.
+        Kind {
+            display("is no kind; write base, service, route, remove-service or remove-route")
+        }
+        /// A needed cell is empty.
+        Empty(cure: &'static str) {
+            display("is empty; {cure}")
+        }
+        /// A cell is filled that does not belong to the row's kind.
+        Filled(kind: &'static str) {
+            display("does not belong to a row of kind {kind}; clear the cell")
+        }
+        /// A number is not plain digits.
+        Number {
+            display("is not a whole number up to 4294967295; write digits only, for example 1000")
+        }
+        /// A version is not plain digits.
+        Version {
+            display("is not a version; pull the table again to get the right one")
+        }
+        /// The row stands twice.
+        Twice(line: usize) {
+            display("names a row that line {line} names too; remove one of them")
+        }
+        /// The row breaks a rule of the table.
+        Rule(violation: Violation) {
+            display("is not valid: {violation}")
+        }
+    }
+}
+
+/// Names a wrong cell by line and heading.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Fault {
+    /// The line in the file, counted from 1; 0 is the file as a whole.
+    pub line: usize,
+    /// The heading of the cell's column, or its number.
+    pub column: String,
+    /// What the cell holds.
+    pub value: String,
+    /// What is wrong and how to mend it.
+    #[serde(serialize_with = "as_text")]
+    pub problem: Problem,
+}
+
+impl Fault {
+    /// Creates a fault.
+    #[must_use]
+    pub fn new(line: usize, column: &str, value: &str, problem: Problem) -> Self {
+        Self {
+            line,
+            column: column.into(),
+            value: value.into(),
+            problem,
+        }
+    }
+
+    /// Finds the cell of `sheet` that breaks a rule; 0 is its line when it stands in no cell.
+    #[must_use]
+    pub fn of(violation: &Violation, sheet: &Sheet) -> Self {
+        let (key, column, value) = cell(violation);
+        let line = match key {
+            Some(key) => sheet.lines.get(&key).map_or(0, |line| line.number),
+            None => first(violation, sheet),
+        };
+        Self::new(line, column, &value, Problem::Rule(violation.clone()))
+    }
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            line,
+            column,
+            value,
+            problem,
+        } = self;
+        match column.as_str() {
+            "" => write!(f, "{line}: {problem}"),
+            _ => write!(f, "{line}: {column}: {value:?} {problem}"),
+        }
+    }
+}
+
+fn as_text<S: Serializer>(problem: &Problem, ser: S) -> Result<S::Ok, S::Error> {
+    ser.collect_str(problem)
+}
+
+/// Returns the row, the heading and the content of the cell that breaks the rule.
+fn cell(violation: &Violation) -> (Option<RowKey>, &'static str, String) {
+    let service = |name: &ServiceName| Some(RowKey::Service(name.clone()));
+    let route = |prefix: &String, name: &ServiceName| {
+        let key = RowKey::Route(prefix.clone(), name.clone());
+        Some(key)
+    };
+    match violation {
+        Violation::Name(name) => (service(name), "service", name.to_string()),
+        Violation::Prefix(prefix) => (None, "prefix", prefix.clone()),
+        Violation::UnknownService(prefix, name) => {
+            (route(prefix, name), "service", name.to_string())
+        }
+        Violation::Weight(prefix, name, n) => (route(prefix, name), "weight", n.to_string()),
+        Violation::NoWeight(_) => (None, "weight", "0".into()),
+        Violation::Rate(name, n) => (service(name), "rate", n.to_string()),
+        Violation::Concurrency(name, n) => (service(name), "concurrency", n.to_string()),
+        Violation::Timeout(name, n) => (service(name), "timeout_ms", n.to_string()),
+        Violation::Kind(key) | Violation::Twice(key) => {
+            (Some(key.clone()), "kind", key.to_string())
+        }
+        Violation::Rows(_) | Violation::Bytes(_) | Violation::Author(_) => {
+            (None, "", String::new())
+        }
+    }
+}
+
+/// Returns the first line with the prefix that the violation names.
+fn first(violation: &Violation, sheet: &Sheet) -> usize {
+    let (Violation::Prefix(wanted) | Violation::NoWeight(wanted)) = violation else {
+        return 0;
+    };
+    let lines = sheet.lines.iter().filter_map(|(key, line)| match key {
+        RowKey::Route(prefix, _) if prefix == wanted => Some(line.number),
+        _ => None,
+    });
+    lines.min().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/swiftcart-cli/src/sheet/write.rs
@@ -0,0 +1,77 @@
+//! Writes a table as a sheet.
+
+use swiftcart_core::{Limits, Row, RowKey, Table, Version};
+
+use super::{HEADINGS, Kind};
+
+/// Returns `table` as CSV with the headings first and its version in a row of kind `base`.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_cli::write;
+/// use swiftcart_core::{Limits, Table, Version};
+///
+/// let table = Table::new()
+///     .with_service("booking", Limits::default())
+///     .with_route("/book", "booking", 100);
+/// let csv = "kind,service,prefix,weight,rate,concurrency,timeout_ms\n\
+///     base,7,,,,,\n\
+///     service,booking,,,0,0,0\n\
+///     route,booking,/book,100,,,\n";
+/// assert_eq!(write(&table, Version(7)), csv);
+/// ```
+#[must_use]
+pub fn write(table: &Table, version: Version) -> String {
+    let rows = table.0.iter().map(|(key, row)| cells(key, row));
+    let base = record(Kind::Base, &version.to_string());
+    let head = HEADINGS.map(String::from);
+    let lines: Vec<_> = [head, base]
+        .into_iter()
+        .chain(rows)
+        .map(|cells| line(&cells))
+        .collect();
+    lines.concat()
+}
+
+fn cells(key: &RowKey, row: &Row) -> [String; 7] {
+    let mut cells = match key {
+        RowKey::Service(name) => record(Kind::Service, name.as_str()),
+        RowKey::Route(_, name) => record(Kind::Route, name.as_str()),
+    };
+    if let RowKey::Route(prefix, _) = key {
+        cells[2].clone_from(prefix);
+    }
+    match row {
+        Row::Route(weight) => cells[3] = weight.to_string(),
+        Row::Service(Limits {
+            rate,
+            concurrency,
+            timeout_ms,
+        }) => {
+            cells[4] = rate.to_string();
+            cells[5] = concurrency.to_string();
+            cells[6] = timeout_ms.to_string();
+        }
+    }
+    cells
+}
+
+fn record(kind: Kind, service: &str) -> [String; 7] {
+    let mut cells = <[String; 7]>::default();
+    cells[0] = kind.as_str().into();
+    cells[1] = service.into();
+    cells
+}
+
+/// Joins cells, quoted where CSV asks for it.
+fn line(cells: &[String; 7]) -> String {
+    let quoted =
+        cells.each_ref().map(
+            |cell| match cell.contains([',', ';', '\t', '"', '\n', '\r']) {
+                true => format!("\"{}\"", cell.replace('"', "\"\"")),
+                false => cell.clone(),
+            },
+        );
+    quoted.join(",") + "\n"
+}
