Carry calls through ingress and guard

Cause: the node had no call path. A request now goes caller -> ingress -> guard -> backend server over hyper, with one task for each caller's connection: it drives the upstream connection itself, so that no hand-over between tasks is paid and dropping the request closes the upstream connection at once. Ruled out: hyper-util's pooled client, whose connections live in tasks of their own and which does not tell whether anything was written. Verified: settings and command line tests (18). Not run yet: a whole path.

--- /dev/null
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -0,0 +1,207 @@
+//! Admission around one backend server: the core's decisions, and those who wait for them.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use swiftcart_core::{
+    Admission, AdmissionSettings, Admit, CallResult, Deadline, Gate, Instant, Limits, Load,
+    RateShare, Reason, Refusal, Refused, Sample, Ticket,
+};
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+use super::answer::End;
+use super::rng::with_rng;
+use crate::clock::Clock;
+
+/// What a waiting request is told.
+type News = Result<(), Refusal>;
+
+/// Decides what one backend server is given, for many requests at once.
+#[derive(Debug)]
+pub struct Admissions {
+    clock: Clock,
+    wait: std::time::Duration,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    admission: Admission,
+    rate: RateShare,
+    waiting: HashMap<Ticket, oneshot::Sender<News>>,
+}
+
+/// The right to run one request; given back when it is dropped.
+#[derive(Debug)]
+pub struct Slot {
+    admissions: Arc<Admissions>,
+    ticket: Ticket,
+    start: Instant,
+    open: bool,
+}
+
+impl Admissions {
+    /// Creates admissions that lets nothing run before [`resize`](Self::resize).
+    #[must_use]
+    pub fn new(clock: Clock, settings: AdmissionSettings) -> Self {
+        let now = clock.now();
+        Self {
+            clock,
+            wait: settings.wait,
+            state: Mutex::new(State {
+                admission: Admission::new(now, settings),
+                rate: RateShare::new(now),
+                waiting: HashMap::new(),
+            }),
+        }
+    }
+
+    /// Takes over an announcement, the table's limits and the number of the service's guards.
+    pub fn resize(&self, slots: u32, limits: Limits, guards: usize) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.rate.split(now, limits.rate, guards);
+        let started = state.admission.set_slots(now, slots, limits);
+        state.wake(started);
+    }
+
+    /// Opens or closes for new work.
+    pub fn set_gate(&self, gate: Gate) {
+        let mut state = self.lock();
+        let refused = state.admission.set_gate(gate);
+        state.refuse(refused);
+    }
+
+    /// Returns the load to carry back on an answer.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.lock().admission.load()
+    }
+
+    /// Waits for the right to run a request whose answer is due by `due`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not run.
+    pub async fn enter(self: &Arc<Self>, due: Deadline) -> Result<Slot, Refusal> {
+        let now = self.clock.now();
+        let (mut slot, waiter) = self.offer(now, due)?;
+        let Some(mut waiter) = waiter else {
+            return Ok(slot);
+        };
+        let until = self.clock.tokio(due.within(now, self.wait).at());
+        let news = match timeout_at(until, &mut waiter).await {
+            Ok(news) => news.ok(),
+            Err(_) => {
+                self.expire();
+                waiter.try_recv().ok()
+            }
+        };
+        slot.start = self.clock.now();
+        match news {
+            Some(Ok(())) => Ok(slot),
+            Some(Err(refusal)) => Err(refusal),
+            None => Err(Reason::DeadlinePassed.into()),
+        }
+    }
+
+    /// Returns the slot, and whom to wait for when it is not free yet.
+    fn offer(
+        self: &Arc<Self>,
+        now: Instant,
+        due: Deadline,
+    ) -> Result<(Slot, Option<oneshot::Receiver<News>>), Refusal> {
+        let mut state = self.lock();
+        let (ticket, waits) = match with_rng(|rng| state.admission.offer(now, due, rng)) {
+            Admit::Run(ticket) => (ticket, false),
+            Admit::Queue(ticket) => (ticket, true),
+            Admit::Refuse(refusal) => return Err(refusal),
+        };
+        if let Err(refusal) = with_rng(|rng| state.rate.take(now, rng)) {
+            let started = state.admission.cancel(ticket, now);
+            state.wake(started);
+            return Err(refusal);
+        }
+        let slot = Slot {
+            admissions: Arc::clone(self),
+            ticket,
+            start: now,
+            open: true,
+        };
+        let waiter = waits.then(|| {
+            let (tx, rx) = oneshot::channel();
+            state.waiting.insert(ticket, tx);
+            rx
+        });
+        Ok((slot, waiter))
+    }
+
+    /// Refuses those whose time to wait is over.
+    fn expire(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let refused = with_rng(|rng| state.admission.expire(now, rng));
+        state.refuse(refused);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn wake(&mut self, started: Vec<Ticket>) {
+        for ticket in started {
+            self.tell(ticket, Ok(()));
+        }
+    }
+
+    fn refuse(&mut self, refused: Vec<Refused>) {
+        for Refused { ticket, refusal } in refused {
+            self.tell(ticket, Err(refusal));
+        }
+    }
+
+    fn tell(&mut self, ticket: Ticket, news: News) {
+        if let Some(waiter) = self.waiting.remove(&ticket) {
+            // Whoever no longer waits gives its ticket back by itself.
+            let _ = waiter.send(news);
+        }
+    }
+}
+
+impl Slot {
+    /// Returns when the request was let in.
+    #[must_use]
+    pub const fn start(&self) -> Instant {
+        self.start
+    }
+
+    /// Gives the slot back after the answer ended.
+    pub fn close(self, end: End) {
+        self.finish(end.result());
+    }
+
+    /// Gives the slot back after the request ended as `result`.
+    pub fn finish(mut self, result: CallResult) {
+        self.open = false;
+        let now = self.admissions.clock.now();
+        let sample = Sample::new(now.since(self.start), result);
+        let mut state = self.admissions.lock();
+        let started = state.admission.done(self.ticket, now, &sample);
+        state.wake(started);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if self.open {
+            let now = self.admissions.clock.now();
+            let mut state = self.admissions.lock();
+            state.waiting.remove(&self.ticket);
+            let started = state.admission.cancel(self.ticket, now);
+            state.wake(started);
+        }
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -0,0 +1,277 @@
+//! Answers: those that a node makes itself, and those that stream through it.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use quick_error::quick_error;
+use swiftcart_core::{CallResult, Outcome, Reason, Refusal};
+
+use super::admissions::Slot;
+use super::headers::{OUTCOME, REASON, RETRIED};
+use super::in_flight::InFlight;
+use super::pool::Pooled;
+
+quick_error! {
+    /// Tells why an answer broke off; the caller's connection is broken off with it.
+    #[derive(Debug)]
+    pub enum AnswerError {
+        /// The other side's connection failed or its framing is wrong.
+        Broken(err: hyper::Error) {
+            source(err)
+            display("the answer broke off: {err}")
+        }
+    }
+}
+
+/// Tells how an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum End {
+    /// All of it was passed on.
+    Whole,
+    /// The other side broke it off.
+    Broken,
+    /// The caller went away.
+    Gone,
+}
+
+impl End {
+    /// Returns what became of the call.
+    #[must_use]
+    pub const fn outcome(self) -> Outcome {
+        match self {
+            Self::Whole => Outcome::Done,
+            Self::Broken | Self::Gone => Outcome::Unknown,
+        }
+    }
+
+    /// Returns what the call tells of the backend server.
+    #[must_use]
+    pub const fn result(self) -> CallResult {
+        match self {
+            Self::Whole => CallResult::Success,
+            Self::Broken => CallResult::Failure,
+            Self::Gone => CallResult::Cancelled,
+        }
+    }
+}
+
+/// Who is told when an answer has ended.
+#[derive(Debug, Default)]
+struct Ending {
+    slot: Option<Slot>,
+    call: Option<InFlight>,
+}
+
+impl Ending {
+    fn close(self, end: End) {
+        if let Some(slot) = self.slot {
+            slot.close(end);
+        }
+        if let Some(call) = self.call {
+            call.close(end);
+        }
+    }
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Answer {
+    /// A text that the node made.
+    Text(Option<Bytes>),
+    /// A body that streams through.
+    Stream(Box<Streaming>),
+}
+
+/// An answer's body on its way from a peer or backend server.
+#[derive(Debug)]
+pub struct Streaming {
+    body: Incoming,
+    pooled: Option<Pooled>,
+    ending: Ending,
+    ended: Option<End>,
+}
+
+impl Answer {
+    /// Creates the answer that `text` makes up.
+    #[must_use]
+    pub fn text(text: impl Into<Bytes>) -> Self {
+        let text = text.into();
+        Self::Text((!text.is_empty()).then_some(text))
+    }
+
+    /// Passes `body` on from the connection of `pooled`.
+    #[must_use]
+    pub fn stream(body: Incoming, pooled: Pooled) -> Self {
+        let mut streaming = Streaming {
+            body,
+            pooled: Some(pooled),
+            ending: Ending::default(),
+            ended: None,
+        };
+        if streaming.body.is_end_stream() {
+            streaming.finish(End::Whole);
+        }
+        Self::Stream(Box::new(streaming))
+    }
+}
+
+impl Answer {
+    /// Has `slot` given back when the answer has ended.
+    #[must_use]
+    pub fn with_slot(mut self, slot: Slot) -> Self {
+        self.attach(|ending| ending.slot = Some(slot));
+        self
+    }
+
+    /// Has `call` told how the answer ended.
+    #[must_use]
+    pub fn with_in_flight(mut self, call: InFlight) -> Self {
+        self.attach(|ending| ending.call = Some(call));
+        self
+    }
+
+    /// Reads what has come already, so that the connection of a short answer is kept.
+    pub fn discard(mut self) {
+        let mut cx = Context::from_waker(Waker::noop());
+        let mut body = Pin::new(&mut self);
+        while let Poll::Ready(Some(Ok(_))) = body.as_mut().poll_frame(&mut cx) {}
+    }
+
+    fn attach(&mut self, f: impl FnOnce(&mut Ending)) {
+        let mut ending = Ending::default();
+        match self {
+            Self::Text(_) => {
+                f(&mut ending);
+                ending.close(End::Whole);
+            }
+            Self::Stream(streaming) => match streaming.ended {
+                Some(end) => {
+                    f(&mut ending);
+                    ending.close(end);
+                }
+                None => f(&mut streaming.ending),
+            },
+        }
+    }
+}
+
+impl Streaming {
+    fn finish(&mut self, end: End) {
+        match (self.pooled.take(), end) {
+            (Some(pooled), End::Whole) => pooled.finish(),
+            (pooled, _) => drop(pooled),
+        }
+        if self.ended.is_none() {
+            self.ended = Some(end);
+            std::mem::take(&mut self.ending).close(end);
+        }
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        let mut frame = Pin::new(&mut self.body).poll_frame(cx);
+        if frame.is_pending() {
+            // The body moves only when its connection does; look again right after.
+            if let Some(pooled) = &mut self.pooled {
+                pooled.conn().drive(cx);
+            }
+            frame = Pin::new(&mut self.body).poll_frame(cx);
+        }
+        match frame {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(frame))) => {
+                if self.body.is_end_stream() {
+                    self.finish(End::Whole);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(None) => {
+                self.finish(End::Whole);
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Err(err))) => {
+                self.finish(End::Broken);
+                Poll::Ready(Some(Err(AnswerError::Broken(err))))
+            }
+        }
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        match &mut *self {
+            Self::Text(text) => Poll::Ready(text.take().map(|text| Ok(Frame::data(text)))),
+            Self::Stream(streaming) => streaming.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Text(text) => text.is_none(),
+            Self::Stream(streaming) => streaming.body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Text(text) => SizeHint::with_exact(text.as_ref().map_or(0, |t| t.len() as u64)),
+            Self::Stream(streaming) => streaming.body.size_hint(),
+        }
+    }
+}
+
+impl Drop for Streaming {
+    fn drop(&mut self) {
+        self.finish(End::Gone);
+    }
+}
+
+/// Makes the answer to a request that is refused or was given up on.
+#[must_use]
+pub fn refuse(refusal: Refusal, retried: bool) -> Response<Answer> {
+    let reason = refusal.reason;
+    let outcome = reason.outcome();
+    let text = format!("{outcome}: {reason}\n");
+    let mut response = Response::new(Answer::text(text));
+    *response.status_mut() = status(reason);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome.as_str()));
+    headers.insert(REASON, HeaderValue::from_static(reason.as_str()));
+    if retried {
+        headers.insert(RETRIED, HeaderValue::from_static("1"));
+    }
+    if let Some(after) = refusal.retry_after {
+        // Whole seconds, rounded up: coming back early does not help.
+        let secs = after.as_millis().div_ceil(1000).max(1);
+        headers.insert(
+            RETRY_AFTER,
+            HeaderValue::from(u64::try_from(secs).unwrap_or(u64::MAX)),
+        );
+    }
+    response
+}
+
+/// Tells whether the end of an answer can be told from a connection that broke.
+#[must_use]
+pub fn is_framed(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+}
+
+fn status(reason: Reason) -> StatusCode {
+    StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY)
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/in_flight.rs
@@ -0,0 +1,78 @@
+//! One try of a call, as the ingress accounts for it.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use swiftcart_core::{Balancer, CallResult, Instant, Load, NodeId, Outcome, Sample};
+
+use super::answer::End;
+use crate::shared::Shared;
+
+/// A try that runs at one node; the balancer learns how it ended, also when it is dropped.
+#[derive(Debug)]
+pub struct InFlight {
+    shared: Arc<Shared>,
+    balancer: Arc<Mutex<Balancer>>,
+    id: NodeId,
+    start: Instant,
+    load: Option<Load>,
+    open: bool,
+}
+
+impl InFlight {
+    /// Counts a try that starts at `id` now.
+    #[must_use]
+    pub fn new(shared: &Arc<Shared>, balancer: &Arc<Mutex<Balancer>>, id: NodeId) -> Self {
+        balancer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .started(id);
+        Self {
+            shared: Arc::clone(shared),
+            balancer: Arc::clone(balancer),
+            id,
+            start: shared.clock.now(),
+            load: None,
+            open: true,
+        }
+    }
+
+    /// Adds the load that the answer carried.
+    pub const fn set_load(&mut self, load: Option<Load>) {
+        self.load = load;
+    }
+
+    /// Accounts for the end of the answer that the caller got.
+    pub fn close(mut self, end: End) {
+        self.shared.counters.call(end.outcome());
+        self.learn(end.result());
+    }
+
+    /// Accounts for a try without an answer.
+    pub fn fail(mut self, result: CallResult) {
+        self.learn(result);
+    }
+
+    fn learn(&mut self, result: CallResult) {
+        self.open = false;
+        let now = self.shared.clock.now();
+        let mut sample = Sample::new(now.since(self.start), result);
+        sample.load = self.load;
+        let mut balancer = self.balancer.lock().unwrap_or_else(PoisonError::into_inner);
+        let ejected = balancer.finished(self.id, now, &sample);
+        drop(balancer);
+        if ejected {
+            let counters = &self.shared.counters;
+            counters.count("swiftcart_ejections_total", "reason", "failures");
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if self.open {
+            // The caller went away before there was an answer.
+            self.shared.counters.call(Outcome::Unknown);
+            self.learn(CallResult::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -0,0 +1,122 @@
+//! The two services of the call path as `tower` sees them.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response};
+use hyper::body::{Body, Incoming};
+use swiftcart_core::Refusal;
+use tower::Service;
+
+use super::answer::{Answer, refuse};
+use super::body::{Outgoing, Source};
+use super::guard::Guard;
+use super::headers::LOAD;
+use super::ingress::Ingress;
+use super::request::Call;
+use super::serve::Answering;
+use crate::shared::{Phase, Shared};
+
+/// Answers callers.
+#[derive(Debug, Clone)]
+pub struct IngressService {
+    shared: Arc<Shared>,
+    ingress: Arc<Ingress>,
+}
+
+/// Answers other nodes, which hand on requests for the backend server beside this one.
+#[derive(Debug, Clone)]
+pub struct GuardService {
+    shared: Arc<Shared>,
+    guard: Arc<Guard>,
+}
+
+impl IngressService {
+    /// Creates the service around `ingress`.
+    #[must_use]
+    pub fn new(shared: &Arc<Shared>, ingress: &Arc<Ingress>) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            ingress: Arc::clone(ingress),
+        }
+    }
+}
+
+impl GuardService {
+    /// Creates the service around `guard`.
+    #[must_use]
+    pub fn new(shared: &Arc<Shared>, guard: &Arc<Guard>) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            guard: Arc::clone(guard),
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
+        let result = self.run(request).await;
+        let mut response = result.unwrap_or_else(|refusal| refuse(refusal, false));
+        if let Some(load) = self.guard.load() {
+            response.headers_mut().insert(LOAD, load);
+        }
+        retire(&self.shared, &mut response);
+        response
+    }
+
+    async fn run(&self, request: Request<Incoming>) -> Result<Response<Answer>, Refusal> {
+        let limits = &self.shared.settings.limits;
+        let now = self.shared.clock.now();
+        let (mut head, body) = request.into_parts();
+        let (call, service) = Call::from_peer(&mut head, limits, now)?;
+        let body = match body.is_end_stream() {
+            true => Outgoing::Empty,
+            false => Source::new(body, 0, limits.body_timeout()).start(None),
+        };
+        let service = service.to_str().unwrap_or_default();
+        let request = Request::from_parts(head, body);
+        self.guard.run(&call, service, request).await
+    }
+}
+
+/// Has the other side give the connection up when the node is stopping.
+fn retire(shared: &Shared, response: &mut Response<Answer>) {
+    if *shared.phase.borrow() == Phase::Stopping {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+}
+
+impl Service<Request<Incoming>> for IngressService {
+    type Response = Response<Answer>;
+    type Error = Infallible;
+    type Future = Answering;
+
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Answering {
+        let service = self.clone();
+        Box::pin(async move {
+            let mut response = service.ingress.answer(request).await;
+            retire(&service.shared, &mut response);
+            Ok(response)
+        })
+    }
+}
+
+impl Service<Request<Incoming>> for GuardService {
+    type Response = Response<Answer>;
+    type Error = Infallible;
+    type Future = Answering;
+
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Answering {
+        let service = self.clone();
+        Box::pin(async move { Ok(service.answer(request).await) })
+    }
+}
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -6,15 +6,17 @@
 
 mod admin;
 mod args;
+mod calls;
+mod clock;
 mod control;
 mod counters;
 mod logging;
 mod node;
 mod settings;
 mod shared;
-mod view;
 
 pub use args::{Args, ArgsError};
+pub use clock::Clock;
 pub use counters::{Counters, Stage};
 pub use logging::{Event, open as open_log, silent as silent_log};
 pub use node::{Node, NodeError};
--- a/crates/swiftcart-node/src/node.rs
+++ b/crates/swiftcart-node/src/node.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::calls::Calls;
 use crate::logging::Event;
 use crate::settings::Settings;
 use crate::shared::{Phase, Shared};
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 pub struct Node {
     shared: Arc<Shared>,
+    calls: Calls,
     background: Vec<JoinHandle<()>>,
 }
 
@@ -47,7 +49,10 @@
     pub async fn start(settings: Settings, logger: Logger) -> Result<Self, NodeError> {
         let listen = settings.listen;
         let admin = bind("listen.admin", listen.admin).await?;
+        let callers = bind("listen.calls", listen.calls).await?;
+        let peers = bind("listen.peer", listen.peer).await?;
         let shared = Shared::new(settings, logger);
+        let calls = Calls::start(&shared, callers, peers);
         let background = vec![
             tokio::spawn(admin::run(Arc::clone(&shared), admin)),
             tokio::spawn(control::run(Arc::clone(&shared))),
@@ -55,7 +60,11 @@
         ];
         info!(shared.logger, ""; "event" => Event::Started, "id" => %shared.id,
             "calls" => %listen.calls, "release" => env!("CARGO_PKG_VERSION"));
-        Ok(Self { shared, background })
+        Ok(Self {
+            shared,
+            calls,
+            background,
+        })
     }
 
     /// Returns what the node's parts share.
@@ -69,6 +78,7 @@
         self.shared.enter(Phase::Stopping);
         self.shared.stopping.cancel();
         info!(self.shared.logger, ""; "event" => Event::Stopping);
+        self.calls.finish().await;
         for task in self.background {
             task.abort();
         }
--- a/crates/swiftcart-node/src/settings/check.rs
+++ b/crates/swiftcart-node/src/settings/check.rs
@@ -58,6 +58,18 @@
             10,
             600_000,
         ),
+        (
+            "limits.peer_idle_ms",
+            limits.peer_idle_ms.into(),
+            10,
+            600_000,
+        ),
+        (
+            "limits.longest_ms",
+            limits.longest_ms.into(),
+            1000,
+            604_800_000,
+        ),
         (
             "limits.connect_timeout_ms",
             limits.connect_timeout_ms.into(),
--- a/crates/swiftcart-node/src/settings/error.rs
+++ b/crates/swiftcart-node/src/settings/error.rs
@@ -25,7 +25,7 @@
         /// A key is unknown, missing or has a value of another type.
         Shape(file: String, path: String, value: String, err: serde_json::Error) {
             source(err)
-            display("{file}: {path}: {value} is refused: {err}")
+            display("{file}: {path}: {value} is refused: {err}: add, mend or remove this key")
         }
         /// A number is out of range.
         Range(file: String, path: &'static str, value: u64, min: u64, max: u64) {
--- a/crates/swiftcart-node/src/settings/limits.rs
+++ b/crates/swiftcart-node/src/settings/limits.rs
@@ -22,11 +22,16 @@
     pub header_timeout_ms: u32,
     /// Longest silence of a caller within its request's body, in milliseconds; default 30000.
     pub body_timeout_ms: u32,
-    /// Longest time that an unused connection to a peer or backend server is kept, in
-    /// milliseconds; default 4000.
+    /// Longest time that an unused connection to the backend server is kept, in
+    /// milliseconds; default 4000. Keep it below the backend server's own.
     pub idle_timeout_ms: u32,
     /// Longest time to open a connection, in milliseconds; default 500.
     pub connect_timeout_ms: u32,
+    /// The same for a connection to a peer, in milliseconds; default 30000. Peers keep
+    /// their end open for twice that time, so that it is never closed under a request.
+    pub peer_idle_ms: u32,
+    /// Longest time for a request without a deadline, in milliseconds; default 86400000.
+    pub longest_ms: u32,
     /// Unused connections kept to one peer; default 32.
     pub idle_connections: u32,
     /// Bytes of a request body kept so that the request can be sent to another peer;
@@ -57,6 +62,18 @@
         Duration::from_millis(self.idle_timeout_ms as u64)
     }
 
+    /// Returns the longest time that an unused connection to a peer is kept.
+    #[must_use]
+    pub const fn peer_idle(&self) -> Duration {
+        Duration::from_millis(self.peer_idle_ms as u64)
+    }
+
+    /// Returns the longest time for a request without a deadline.
+    #[must_use]
+    pub const fn longest(&self) -> Duration {
+        Duration::from_millis(self.longest_ms as u64)
+    }
+
     /// Returns the longest time to open a connection.
     #[must_use]
     pub const fn connect_timeout(&self) -> Duration {
@@ -81,6 +98,8 @@
             header_timeout_ms: 10_000,
             body_timeout_ms: 30_000,
             idle_timeout_ms: 4000,
+            peer_idle_ms: 30_000,
+            longest_ms: 86_400_000,
             connect_timeout_ms: 500,
             idle_connections: 32,
             replay_bytes: 65_536,
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -6,13 +6,13 @@
 
 use arc_swap::ArcSwap;
 use slog::Logger;
-use swiftcart_core::{Backend, Digest, Member, NodeId, Offset, Table, Version};
+use swiftcart_core::{Backend, Digest, Member, NodeId, Offset, Table, Version, View};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::settings::Settings;
-use crate::view::View;
 
 /// Tells whether a node takes callers' requests, and if not, why.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
@@ -56,6 +56,10 @@
     pub counters: Counters,
     /// The immutable routing view; a request loads it once.
     pub view: ArcSwap<View>,
+    /// Changes whenever another view is in force.
+    pub views: watch::Sender<()>,
+    /// The process's clock.
+    pub clock: Clock,
     /// The table in force, from which `view` was built.
     pub table: ArcSwap<Table>,
     /// The state of the configuration stream.
@@ -92,12 +96,16 @@
     #[must_use]
     pub fn new(settings: Settings, logger: Logger) -> Arc<Self> {
         let id = NodeId(settings.listen.gossip);
+        let table = Table::new();
+        let view = View::new(Version::NONE, &table, [].into_iter(), id, &settings.domain);
         Arc::new(Self {
             settings,
             id,
             logger,
             counters: Counters::new(),
-            view: ArcSwap::default(),
+            view: ArcSwap::from_pointee(view),
+            views: watch::Sender::new(()),
+            clock: Clock::new(),
             table: ArcSwap::default(),
             progress: ArcSwap::default(),
             members: ArcSwap::default(),
@@ -109,6 +117,13 @@
         })
     }
 
+    /// Puts `table` and the `view` built from it in force.
+    pub fn adopt(&self, table: Arc<Table>, view: View) {
+        self.table.store(table);
+        self.view.store(Arc::new(view));
+        self.views.send_replace(());
+    }
+
     /// Moves to `phase`; a node that stops never moves again.
     ///
     /// Returns whether the phase changed.
--- /dev/null
+++ b/crates/swiftcart-node/tests/settings.rs
@@ -0,0 +1,148 @@
+//! Settings and the command line: what is refused, and with which words.
+
+use std::process::Command;
+
+use rstest::rstest;
+use swiftcart_node::{Gossip, Limits, LogLevel, Settings};
+
+const GOOD: &str = r#"{
+  "domain": "norte",
+  "listen": {"calls": "127.0.0.1:1", "peer": "127.0.0.1:2", "admin": "127.0.0.1:3",
+             "gossip": "127.0.0.1:4", "sync": "127.0.0.1:5"},
+  "seeds": ["127.0.0.1:6"],
+  "platform": {"addr": "127.0.0.1:7"},
+  "mesh_key": "0123456789abcdef0123456789abcdef"
+}"#;
+
+#[test]
+fn what_is_left_out_has_the_documented_default() {
+    let settings = Settings::parse("f", GOOD.as_bytes()).unwrap();
+    assert_eq!(settings.limits, Limits::default());
+    assert_eq!(settings.gossip, Gossip::default());
+    assert_eq!(settings.log.level, LogLevel::Info);
+    let platform = settings.platform;
+    assert_eq!((platform.timeout_ms, platform.retention_s), (2000, 86_400));
+}
+
+#[rstest]
+#[case::unknown_key(
+    r#""domain": "norte","#,
+    r#""domain": "norte", "colour": 1,"#,
+    "f: colour: 1 is refused: unknown field `colour`, expected one of `domain`, `listen`, \
+     `seeds`, `platform`, `mesh_key`, `limits`, `gossip`, `log` at line 2 column 29: add, mend or remove this key"
+)]
+#[case::unknown_key_inside(
+    r#""addr": "127.0.0.1:7""#,
+    r#""adr": "127.0.0.1:7""#,
+    "f: platform.adr: \"127.0.0.1:7\" is refused: unknown field `adr`, expected one of `addr`, \
+     `timeout_ms`, `retention_s` at line 6 column 20: add, mend or remove this key"
+)]
+#[case::missing_key(
+    r#""domain": "norte","#,
+    "",
+    "f: .: the object is refused: missing field `domain` at line 8 column 1: add, mend or remove this key"
+)]
+#[case::wrong_type(
+    r#"["127.0.0.1:6"]"#,
+    r#"["127.0.0.1:6", "here"]"#,
+    "f: seeds[1]: \"here\" is refused: invalid socket address syntax at line 5 column 33: add, mend or remove this key"
+)]
+#[case::negative_number(
+    r#""domain": "norte","#,
+    r#""domain": "norte", "limits": {"queue": -1},"#,
+    "f: limits.queue: -1 is refused: invalid value: integer `-1`, expected u32 at line 2 column 43: add, mend or remove this key"
+)]
+#[case::number_out_of_range(
+    r#""domain": "norte","#,
+    r#""domain": "norte", "limits": {"header_bytes": 1},"#,
+    "f: limits.header_bytes: 1 is refused: use a whole number from 8192 to 1048576"
+)]
+#[case::ack_after_the_next_probe(
+    r#""domain": "norte","#,
+    r#""domain": "norte", "gossip": {"ack_ms": 501},"#,
+    "f: gossip.ack_ms: 501 is refused: use a whole number from 1 to 500"
+)]
+#[case::domain_with_a_space(
+    "norte",
+    "nor te",
+    "f: domain: \"nor te\" is refused: use 1 to 63 of the characters a-z, 0-9 and -"
+)]
+#[case::short_key_is_not_shown(
+    "0123456789abcdef0123456789abcdef",
+    "secret",
+    "f: mesh_key: a text of 6 characters is refused: use at least 32 characters, the same on \
+     every node"
+)]
+#[case::key_of_another_type_is_not_shown(
+    r#""0123456789abcdef0123456789abcdef""#,
+    "[4711]",
+    "f: mesh_key: the value is refused: invalid type: sequence, expected a string at line 7 \
+     column 14: add, mend or remove this key"
+)]
+#[case::address_that_no_peer_reaches(
+    "127.0.0.1:2",
+    "0.0.0.0:2",
+    "f: listen.peer: 0.0.0.0:2 is refused: use an address and port that other processes reach, \
+     neither 0.0.0.0 nor port 0"
+)]
+#[case::two_listeners_on_one_port(
+    "127.0.0.1:3",
+    "127.0.0.1:2",
+    "f: listen.admin: 127.0.0.1:2 is refused: give each listener a port of its own"
+)]
+#[case::cut_off(
+    "\n}",
+    "",
+    "f: no valid JSON: EOF while parsing an object at line 7 column 48: mend the text at this \
+     line and column"
+)]
+fn refusals_name_file_path_value_and_cure(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] message: &str,
+) {
+    let text = GOOD.replacen(from, to, 1);
+    let err = Settings::parse("f", text.as_bytes()).unwrap_err();
+    assert_eq!(err.to_string(), message);
+}
+
+#[rstest]
+#[case::checked(&["--check"], GOOD, 0, "")]
+#[case::refused(
+    &["--check"],
+    "{}",
+    2,
+    "swiftcartd: FILE: .: the object is refused: missing field `domain` at line 1 column 2: add, mend or \
+     remove this key\n"
+)]
+#[case::refused_without_check(
+    &[],
+    "{}",
+    2,
+    "swiftcartd: FILE: .: the object is refused: missing field `domain` at line 1 column 2: add, mend or \
+     remove this key\n"
+)]
+#[case::unknown_option(
+    &["--chek"],
+    GOOD,
+    2,
+    "swiftcartd: Unrecognized option: 'chek': see swiftcartd --help\n"
+)]
+fn the_command_line_checks_and_ends(
+    #[case] options: &[&str],
+    #[case] text: &str,
+    #[case] code: i32,
+    #[case] stderr: &str,
+) {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), text).unwrap();
+    let path = file.path().to_str().unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_swiftcartd"))
+        .args(["--settings", path])
+        .args(options)
+        .output()
+        .unwrap();
+    let found = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(code));
+    assert_eq!(found.replace(path, "FILE"), stderr);
+}
