--- a/crates/swiftcart-core/src/config/fold.rs
+++ b/crates/swiftcart-core/src/config/fold.rs
@@ -161,7 +161,10 @@
             std::cmp::Ordering::Equal if checkpoint.digest == self.digest() => Agreement::Same,
             _ => Agreement::Different,
         };
-        Verdict::Checkpoint { agreement }
+        Verdict::Checkpoint {
+            position: checkpoint.position,
+            agreement,
+        }
     }
 
     fn decide(&mut self, publish: Publish) -> Verdict {
--- a/crates/swiftcart-core/src/config/image.rs
+++ b/crates/swiftcart-core/src/config/image.rs
@@ -7,7 +7,9 @@
 
 use super::recent::Recent;
 use super::removed::Removed;
-use super::{Checkpoint, CheckpointError, Digest, Offset, Row, RowKey, Table, Version, check};
+use super::{
+    Checkpoint, CheckpointError, Digest, Offset, RULE, Row, RowKey, Table, Version, check,
+};
 
 /// Greatest position that is believed; it keeps the arithmetic far from overflow.
 const MAX_POSITION: Offset = Offset(1 << 49);
@@ -28,6 +30,7 @@
 
 #[derive(Serialize)]
 struct ImageRef<'a> {
+    rule: u16,
     position: Offset,
     version: Version,
     horizon: Version,
@@ -38,6 +41,8 @@
 
 #[derive(Deserialize)]
 struct Image {
+    #[serde(rename = "rule")]
+    _rule: u16,
     position: Offset,
     version: Version,
     horizon: Version,
@@ -54,6 +59,7 @@
             (key, row, version)
         });
         let image = ImageRef {
+            rule: RULE,
             position: self.position,
             version: self.version,
             horizon: self.horizon,
@@ -71,6 +77,11 @@
         if Digest::of(&checkpoint.state) != checkpoint.digest {
             return Err(CheckpointError::Damaged(position));
         }
+        // The rule comes first, so that a state of a later form can still be told.
+        match postcard::take_from_bytes::<u16>(&checkpoint.state) {
+            Ok((rule, _)) if rule > RULE => return Err(CheckpointError::UnknownRule(rule)),
+            _ => {}
+        }
         let malformed = CheckpointError::Malformed(position);
         let Ok(image) = postcard::from_bytes::<Image>(&checkpoint.state) else {
             return Err(malformed);
--- a/crates/swiftcart-core/src/config/verdict.rs
+++ b/crates/swiftcart-core/src/config/verdict.rs
@@ -22,6 +22,8 @@
     Malformed,
     /// The record is a checkpoint; the table stays.
     Checkpoint {
+        /// The offset of the first record that the copy lacks.
+        position: Offset,
         /// How the copy compares with this reader's state.
         agreement: Agreement,
     },
--- /dev/null
+++ b/crates/swiftcart-core/src/feed/action.rs
@@ -0,0 +1,90 @@
+//! What the feed asks its node to do, and what nodes hand each other.
+
+use serde::{Deserialize, Serialize};
+
+use super::Anchor;
+use crate::{Checkpoint, Entry, NodeId, Offset, Version};
+
+/// Where records came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// The platform's log.
+    Platform,
+    /// Another node.
+    Peer(NodeId),
+}
+
+/// Asks the node to do something on behalf of the feed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FeedAction {
+    /// Send the records to this node's children in the tree of `origin`.
+    Push {
+        /// The reader at the root of the tree.
+        origin: NodeId,
+        /// The records, without gaps.
+        entries: Vec<Entry>,
+    },
+    /// Ask `peer` for the records from `from` on; see [`PullAnswer`].
+    Pull {
+        /// The node that is ahead.
+        peer: NodeId,
+        /// The offset of the next record to fold.
+        from: Offset,
+    },
+    /// The fold now has this greater version.
+    Applied(Version),
+    /// The next record follows this later rule; the version stays.
+    Stalled(u16),
+    /// The source has another state at the same position; nothing changed.
+    Diverged(Source),
+    /// The log neither starts at 0 nor holds a usable checkpoint; ask peers.
+    NoStart(Offset),
+    /// Append this checkpoint to the log.
+    AppendCheckpoint(Checkpoint),
+}
+
+/// Answers a pull.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PullAnswer {
+    /// The asker is as far as this node.
+    Current,
+    /// Records from the asker's position on.
+    Entries {
+        /// The records, without gaps.
+        entries: Vec<Entry>,
+        /// This node's position; the asker pulls again when it is still behind.
+        next: Offset,
+    },
+    /// A state with the records that follow it.
+    State {
+        /// The state.
+        checkpoint: Checkpoint,
+        /// The oldest record that the log's readers need, when it is known.
+        anchor: Option<Anchor>,
+        /// The records, without gaps.
+        entries: Vec<Entry>,
+        /// This node's position.
+        next: Offset,
+    },
+}
+
+/// Counts what the feed met, for metrics.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct FeedCounts {
+    /// Records folded.
+    pub folded: u64,
+    /// Records that were known already.
+    pub repeated: u64,
+    /// Batches that began after the next record.
+    pub gaps: u64,
+    /// Checkpoints adopted.
+    pub adopted: u64,
+    /// Checkpoints refused, because they are damaged or would move back.
+    pub refused: u64,
+    /// Sources that had another state at the same position.
+    pub diverged: u64,
+    /// Records that are no envelope.
+    pub malformed: u64,
+    /// Publishes rejected.
+    pub rejected: u64,
+}
--- a/crates/swiftcart-core/tests/config.rs
+++ b/crates/swiftcart-core/tests/config.rs
@@ -224,11 +224,16 @@
     let copies = [fold.checkpoint(), wrong, old];
     let verdicts =
         copies.map(|copy| put(&mut fold, Envelope::new(Body::Checkpoint(copy)).encode()));
-    let expected = [Agreement::Same, Agreement::Different, Agreement::Earlier];
-    assert_eq!(
-        verdicts,
-        expected.map(|agreement| Verdict::Checkpoint { agreement })
-    );
+    let of = |position, agreement| Verdict::Checkpoint {
+        position: Offset(position),
+        agreement,
+    };
+    let expected = [
+        of(3, Agreement::Same),
+        of(4, Agreement::Different),
+        of(0, Agreement::Earlier),
+    ];
+    assert_eq!(verdicts, expected);
 }
 
 #[rstest]
@@ -242,7 +247,8 @@
     Checkpoint { position: Offset(9), ..history().checkpoint() },
     Err(CheckpointError::Malformed(Offset(9)))
 )]
-#[case::version_ahead(resealed(|state| state[1] = 4), Err(CheckpointError::Malformed(Offset(3))))]
+#[case::later_rule(resealed(|state| state[0] = 2), Err(CheckpointError::UnknownRule(2)))]
+#[case::version_ahead(resealed(|state| state[2] = 4), Err(CheckpointError::Malformed(Offset(3))))]
 fn a_checkpoint_is_adopted(
     #[case] checkpoint: Checkpoint,
     #[case] expected: Result<Fold, CheckpointError>,
