Test the call policies; mend the adaptive limit and the failure memory

Cause: the first tests found three faults in the first version. - The adaptive limit told samples apart by the calls that ran at their start only; calls that started alone and ended in a crowd spoiled the unloaded latency, and a backend server with a quarter of its announced slots kept the limit at 16 of 16. The number at the end counts too now, and the unloaded latency follows windows instead of one long average. - The gradient rule added the root of the limit, which at 16 slots cancels the whole gradient; it adds one now. - A failure rate never faded without new calls, so a recovered backend server with one equal beside it was not picked again; it fades with age, and scores within a tenth count as equal.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -212,8 +212,9 @@
 
     /// Takes in a finished request; returns the waiting requests to start.
     pub fn done(&mut self, ticket: Ticket, now: Instant, sample: &Sample) -> Vec<Ticket> {
-        if let Some(running) = self.running.remove(&ticket) {
-            self.learn(sample, running);
+        let ending = self.running();
+        if let Some(started) = self.running.remove(&ticket) {
+            self.learn(sample, started.max(ending));
         }
         self.start(now)
     }
--- a/crates/swiftcart-core/src/admission/limit.rs
+++ b/crates/swiftcart-core/src/admission/limit.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-/// The weight of one sample in the unloaded latency.
-const BASE_WEIGHT: f64 = 1.0 / 64.0;
+/// The weight of the latest unloaded window in the unloaded latency.
+const FRESH: f64 = 0.5;
 
 /// The standard errors by which a slow window has to stand out.
 const SURE: f64 = 1.0;
@@ -22,7 +22,7 @@
     /// A slow window takes a tenth off the limit, another one adds one.
     #[default]
     Aimd,
-    /// The limit is scaled by unloaded over loaded latency, plus its square root.
+    /// The limit is scaled by unloaded over loaded latency, plus one.
     Gradient,
 }
 
@@ -37,7 +37,7 @@
     pub window: u32,
     /// The loaded samples without an unloaded one after which the load is lowered for a moment.
     pub patience: u32,
-    /// The unloaded samples that end such a moment.
+    /// The unloaded samples of one window, which also end such a moment.
     pub probe: u32,
 }
 
@@ -47,7 +47,7 @@
             rule: LimitRule::default(),
             tolerance: 1.5,
             window: 32,
-            patience: 1024,
+            patience: 512,
             probe: 16,
         }
     }
@@ -57,7 +57,7 @@
 ///
 /// A backend server that announces more slots than it has answers slower the
 /// more it is given. Samples are told apart by the requests that ran when they
-/// started: up to half of the limit they are unloaded, above it loaded. The
+/// started and ended: up to half of the limit they are unloaded, above it loaded. The
 /// comparison holds whatever the mix of short and long requests is, since the mix
 /// does not depend on the load; a latency's lowest value would not.
 ///
@@ -68,8 +68,10 @@
     settings: LimitSettings,
     ceiling: u32,
     limit: f64,
+    /// The unloaded latency in seconds.
     base: Option<f64>,
-    window: Window,
+    unloaded: Window,
+    loaded: Window,
     /// Loaded samples since the last unloaded one.
     dry: u32,
     /// Unloaded samples still wanted while the limit is halved.
@@ -90,7 +92,8 @@
             ceiling,
             limit: f64::from(ceiling),
             base: None,
-            window: Window::default(),
+            unloaded: Window::default(),
+            loaded: Window::default(),
             dry: 0,
             probing: 0,
         }
@@ -112,7 +115,7 @@
         }
     }
 
-    /// Takes in a call that started with `running` calls in flight, itself among them.
+    /// Takes in a call during which up to `running` calls were in flight, itself among them.
     pub(super) fn learn(&mut self, latency: Duration, running: u32) {
         if self.settings.rule == LimitRule::Fixed {
             return;
@@ -126,21 +129,25 @@
     }
 
     fn learn_unloaded(&mut self, secs: f64) {
-        let base = self.base.get_or_insert(secs);
-        *base += BASE_WEIGHT * (secs - *base);
+        self.unloaded.add(secs);
         self.dry = 0;
         self.probing = self.probing.saturating_sub(1);
+        if self.unloaded.count >= self.settings.probe {
+            let latest = std::mem::take(&mut self.unloaded).mean();
+            let base = self.base.get_or_insert(latest);
+            *base += FRESH * (latest - *base);
+        }
     }
 
     fn learn_loaded(&mut self, secs: f64) {
-        self.window.add(secs);
+        self.loaded.add(secs);
         self.dry += 1;
         if self.dry >= self.settings.patience {
             self.dry = 0;
             self.probing = self.settings.probe;
         }
-        if self.window.count >= self.settings.window {
-            let window = std::mem::take(&mut self.window);
+        if self.loaded.count >= self.settings.window {
+            let window = std::mem::take(&mut self.loaded);
             if let Some(base) = self.base {
                 self.adjust(window, base);
             }
@@ -156,7 +163,7 @@
             LimitRule::Aimd => self.limit + 1.0,
             LimitRule::Gradient => {
                 let gradient = (bound / window.mean().max(f64::MIN_POSITIVE)).clamp(0.5, 1.0);
-                let aim = self.limit * gradient + self.limit.sqrt();
+                let aim = self.limit * gradient + 1.0;
                 self.limit + SMOOTH * (aim - self.limit)
             }
         };
--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -16,6 +16,9 @@
 /// The random draws for one choice before the candidates are gone through in order.
 const DRAWS: usize = 8;
 
+/// The part of another score below which a score counts as better; nearer ones are left to chance.
+const CLEARLY: f64 = 0.9;
+
 /// Sets how a node chooses among backend servers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BalanceSettings {
@@ -336,7 +339,7 @@
         match (self.peer(a), self.peer(b)) {
             (Some(a), Some(b)) => {
                 let (la, lb) = (a.latency(self.now, s), b.latency(self.now, s));
-                a.score(self.now, lb, s) < b.score(self.now, la, s)
+                a.score(self.now, lb, s) < CLEARLY * b.score(self.now, la, s)
             }
             _ => false,
         }
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -34,6 +34,7 @@
     usage: f64,
     loaded: Instant,
     failing: f64,
+    judged: Instant,
     streak: u32,
     ejections: u32,
     until: Option<Instant>,
@@ -51,6 +52,7 @@
             usage: 0.0,
             loaded: now,
             failing: 0.0,
+            judged: now,
             streak: 0,
             ejections: 0,
             until: None,
@@ -67,12 +69,12 @@
         match sample.result {
             CallResult::Success => {
                 self.learn(now, sample.latency, s.memory);
-                self.failing -= FAILURE_WEIGHT * self.failing;
+                self.judge(now, 0.0, s.memory);
                 self.recover(now, s.longest);
                 false
             }
             CallResult::Failure => {
-                self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+                self.judge(now, 1.0, s.memory);
                 self.streak = self.streak.saturating_add(1);
                 self.streak >= s.failures && !self.ejected(now)
             }
@@ -135,10 +137,21 @@
         let latency = self.latency(now, s).or(other).unwrap_or(1.0);
         let waiting = f64::from(self.running) + 1.0;
         let usage = 1.0 + s.load_cost * self.usage(now, s.load_age);
-        let failing = 1.0 + FAILURE_COST * self.failing;
+        let failing = 1.0 + FAILURE_COST * self.failing(now, s.memory);
         waiting * latency * usage * failing
     }
 
+    /// Returns the share of failed calls, decayed so that a failing one is tried again.
+    fn failing(&self, now: Instant, memory: Duration) -> f64 {
+        self.failing * decay(now.since(self.judged), memory)
+    }
+
+    fn judge(&mut self, now: Instant, failed: f64, memory: Duration) {
+        let old = self.failing(now, memory);
+        self.failing = old + FAILURE_WEIGHT * (failed - old);
+        self.judged = now;
+    }
+
     fn learn(&mut self, now: Instant, latency: Duration, memory: Duration) {
         let new = latency.as_secs_f64();
         let old = self.latency.unwrap_or(new);
--- /dev/null
+++ b/crates/swiftcart-core/tests/admission.rs
@@ -0,0 +1,368 @@
+//! A guard never gives its backend server too much, and every request ends in one way.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::{SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use swiftcart_core::*;
+
+const START: Instant = Instant::from_millis(0);
+
+fn success(ms: u64) -> Sample {
+    Sample::new(Duration::from_millis(ms), CallResult::Success)
+}
+
+fn due(now: Instant, ms: u64) -> Deadline {
+    Deadline::new(now, Duration::from_millis(ms))
+}
+
+/// A guard of two slots that has learnt that calls take 100 ms.
+fn guard() -> (Admission, SmallRng) {
+    let mut guard = Admission::new(START, AdmissionSettings::default()).with_slots(2);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let Admit::Run(ticket) = guard.offer(START, due(START, 1000), &mut rng) else {
+        panic!("a free slot runs")
+    };
+    guard.done(ticket, START, &success(100));
+    (guard, rng)
+}
+
+fn name(admit: Admit) -> &'static str {
+    match admit {
+        Admit::Run(_) => "run",
+        Admit::Queue(_) => "queue",
+        Admit::Refuse(refusal) => refusal.reason.as_str(),
+    }
+}
+
+#[rstest]
+#[case::free(0, 1000, Gate::Open, "run")]
+#[case::busy(2, 1000, Gate::Open, "queue")]
+#[case::queue_is_full(4, 1000, Gate::Open, "queue-full")]
+#[case::wait_is_too_long(3, 199, Gate::Open, "overloaded")]
+#[case::deadline_cannot_be_met(0, 99, Gate::Open, "deadline-passed")]
+#[case::draining(0, 1000, Gate::Draining, "draining")]
+#[case::warming(0, 1000, Gate::Warming, "warming")]
+#[case::stopping(0, 1000, Gate::Stopping, "stopping")]
+fn an_offer_after(
+    #[case] earlier: u32,
+    #[case] left: u64,
+    #[case] gate: Gate,
+    #[case] expected: &str,
+) {
+    let (mut guard, mut rng) = guard();
+    for _ in 0..earlier {
+        guard.offer(START, due(START, 1000), &mut rng);
+    }
+    guard.set_gate(gate);
+    let admit = guard.offer(START, due(START, left), &mut rng);
+    assert_eq!(name(admit), expected);
+}
+
+#[rstest]
+#[case::of_the_announcement(3, 0, 3)]
+#[case::of_the_table(10, 4, 4)]
+#[case::none(0, 0, 0)]
+#[case::beyond_belief(u32::MAX, 0, 4096)]
+fn the_limit_is_the_least(#[case] slots: u32, #[case] concurrency: u32, #[case] expected: u32) {
+    let (mut guard, _) = guard();
+    let limits = Limits {
+        concurrency,
+        ..Limits::default()
+    };
+    guard.set_slots(START, slots, limits);
+    assert_eq!(guard.limit(), expected);
+}
+
+#[rstest]
+#[case::draining_refuses_what_waits(Gate::Draining, 2, 0)]
+#[case::stopping_keeps_what_waits(Gate::Stopping, 0, 1)]
+fn closing_the_gate(#[case] gate: Gate, #[case] refused: usize, #[case] started: usize) {
+    let (mut guard, mut rng) = guard();
+    let offers: Vec<_> = (0..4)
+        .map(|_| guard.offer(START, due(START, 1000), &mut rng))
+        .collect();
+    let Admit::Run(first) = offers[0] else {
+        panic!("a free slot runs")
+    };
+    assert_eq!(guard.set_gate(gate).len(), refused);
+    assert_eq!(guard.running(), 2, "what runs goes on");
+    assert_eq!(guard.done(first, START, &success(100)).len(), started);
+}
+
+#[rstest]
+fn refused_callers_come_back_no_faster_than_they_can_be_served() {
+    let (mut guard, mut rng) = guard();
+    let mut offer = || guard.offer(START, due(START, 5000), &mut rng);
+    let mut after: Vec<_> = (0..104)
+        .filter_map(|_| match offer() {
+            Admit::Refuse(refusal) => refusal.retry_after,
+            _ => None,
+        })
+        .collect();
+    after.sort_unstable();
+    assert_eq!(after.len(), 100);
+    // Two slots of 100 ms serve 20 a second; the 100 come back over at least 5 s.
+    let in_second = |from: &Duration| {
+        let to = *from + Duration::from_secs(1);
+        after.iter().filter(|a| (*from..to).contains(*a)).count()
+    };
+    assert!(after.iter().map(in_second).max() <= Some(30));
+    assert!(
+        after[0] >= Duration::from_millis(100),
+        "the queue drains first"
+    );
+}
+
+/// Keeps a guard full whose backend server takes 10 ms up to `knee` calls, and longer above it.
+///
+/// Returns the greatest limit of the last 100 calls; a lowered one may be a probe.
+fn steer(guard: &mut Admission, rng: &mut SmallRng, knee: u32, calls: u32) -> u32 {
+    let mut now = START;
+    let mut last = 0;
+    let mut running = std::collections::VecDeque::new();
+    for left in (0..calls).rev() {
+        last = if left < 100 {
+            last.max(guard.limit())
+        } else {
+            0
+        };
+        while guard.running() < guard.limit() {
+            match guard.offer(now, due(now, 60_000), rng) {
+                Admit::Run(ticket) => running.push_back(ticket),
+                other => panic!("{other:?}"),
+            }
+        }
+        now = now + Duration::from_millis(1);
+        let ms = 10 * u64::from(guard.running().max(knee)) / u64::from(knee);
+        if let Some(ticket) = running.pop_front() {
+            guard.done(ticket, now, &success(ms));
+        }
+    }
+    for ticket in running {
+        guard.cancel(ticket, now);
+    }
+    last
+}
+
+#[rstest]
+#[case::aimd_shrinks(LimitRule::Aimd, 4, 4..=8)]
+#[case::gradient_shrinks(LimitRule::Gradient, 4, 4..=8)]
+#[case::fixed_believes(LimitRule::Fixed, 4, 16..=16)]
+#[case::aimd_leaves_an_honest_one_alone(LimitRule::Aimd, 16, 16..=16)]
+#[case::gradient_leaves_an_honest_one_alone(LimitRule::Gradient, 16, 16..=16)]
+fn announced_slots_that_lie(
+    #[case] rule: LimitRule,
+    #[case] knee: u32,
+    #[case] expected: std::ops::RangeInclusive<u32>,
+) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let limit = LimitSettings {
+        rule,
+        ..LimitSettings::default()
+    };
+    let settings = AdmissionSettings {
+        limit,
+        ..AdmissionSettings::default()
+    };
+    let mut guard = Admission::new(START, settings).with_slots(16);
+    // Always full: unloaded latencies are only seen where the guard lowers the load itself.
+    let limit = steer(&mut guard, &mut rng, knee, 10_000);
+    assert!(expected.contains(&limit), "{limit}");
+    let limit = steer(&mut guard, &mut rng, 16, 20_000);
+    assert!(limit >= 14, "recovers once the latency is good: {limit}");
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Offer(u64),
+    Done(usize, u64, CallResult),
+    Cancel(usize),
+    Expire,
+    Slots(u32, u32),
+    Gate(Gate),
+    Wait(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let result = prop_oneof![
+        4 => Just(CallResult::Success),
+        1 => Just(CallResult::Failure),
+    ];
+    let gate = prop_oneof![
+        3 => Just(Gate::Open),
+        1 => Just(Gate::Warming),
+        1 => Just(Gate::Draining),
+        1 => Just(Gate::Stopping),
+    ];
+    prop_oneof![
+        20 => (0..400_u64).prop_map(Event::Offer),
+        12 => (any::<usize>(), 1..200_u64, result).prop_map(|(i, ms, r)| Event::Done(i, ms, r)),
+        3 => any::<usize>().prop_map(Event::Cancel),
+        3 => Just(Event::Expire),
+        1 => (0..6_u32, 0..4_u32).prop_map(|(slots, most)| Event::Slots(slots, most)),
+        1 => gate.prop_map(Event::Gate),
+        8 => (0..40_u64).prop_map(Event::Wait),
+    ]
+}
+
+/// What the test knows of each open request: whether it runs, and what it was promised.
+struct Model {
+    guard: Admission,
+    rng: SmallRng,
+    settings: AdmissionSettings,
+    now: Instant,
+    gate: Gate,
+    most: u32,
+    running: Vec<Ticket>,
+    waiting: BTreeMap<Ticket, (Instant, Deadline)>,
+}
+
+impl Model {
+    fn start(&mut self, tickets: &[Ticket]) -> Result<(), TestCaseError> {
+        for ticket in tickets {
+            let Some((_, due)) = self.waiting.remove(ticket) else {
+                return Err(TestCaseError::fail("started what did not wait"));
+            };
+            prop_assert!(!due.misses(self.now, Duration::ZERO), "started too late");
+            self.running.push(*ticket);
+        }
+        prop_assert!(tickets.is_empty() || self.guard.running() <= self.guard.limit());
+        Ok(())
+    }
+
+    fn refuse(&mut self, refused: &[Refused]) -> Result<(), TestCaseError> {
+        for one in refused {
+            prop_assert!(
+                self.waiting.remove(&one.ticket).is_some(),
+                "refused what did not wait"
+            );
+        }
+        Ok(())
+    }
+
+    fn offer(&mut self, left: u64) -> Result<(), TestCaseError> {
+        let due = due(self.now, left);
+        let admit = self.guard.offer(self.now, due, &mut self.rng);
+        match admit {
+            Admit::Run(ticket) => {
+                self.running.push(ticket);
+                prop_assert!(self.guard.running() <= self.guard.limit());
+            }
+            Admit::Queue(ticket) => {
+                let fresh = self.waiting.insert(ticket, (self.now, due)).is_none();
+                prop_assert!(fresh && !self.running.contains(&ticket));
+                let most = f64::from(self.guard.limit()) * self.settings.depth;
+                prop_assert!(f64::from(self.guard.queued()) <= most.ceil());
+                prop_assert!(self.guard.queued() <= self.settings.queue);
+                prop_assert!(self.guard.wake_at().is_some_and(|at| at <= due.at()));
+            }
+            Admit::Refuse(refusal) => {
+                let helps = refusal.reason != Reason::DeadlinePassed;
+                prop_assert_eq!(refusal.retry_after.is_some(), helps);
+            }
+        }
+        let refused = matches!(admit, Admit::Refuse(_));
+        prop_assert!(
+            self.gate == Gate::Open || refused,
+            "a closed gate took work"
+        );
+        Ok(())
+    }
+
+    fn step(&mut self, event: Event) -> Result<(), TestCaseError> {
+        match event {
+            Event::Offer(left) => self.offer(left)?,
+            Event::Done(i, ms, result) if !self.running.is_empty() => {
+                let ticket = self.running.swap_remove(i % self.running.len());
+                let sample = Sample::new(Duration::from_millis(ms), result);
+                let started = self.guard.done(ticket, self.now, &sample);
+                self.start(&started)?;
+            }
+            Event::Cancel(i) if !self.waiting.is_empty() => {
+                let mut tickets = self.waiting.keys().copied();
+                let ticket = tickets.nth(i % self.waiting.len()).expect("one waits");
+                self.waiting.remove(&ticket);
+                let started = self.guard.cancel(ticket, self.now);
+                self.start(&started)?;
+            }
+            Event::Cancel(i) if !self.running.is_empty() => {
+                let ticket = self.running.swap_remove(i % self.running.len());
+                let started = self.guard.cancel(ticket, self.now);
+                self.start(&started)?;
+            }
+            Event::Done(..) | Event::Cancel(_) => {}
+            Event::Expire => {
+                let refused = self.guard.expire(self.now, &mut self.rng);
+                self.refuse(&refused)?;
+                let held = |(since, due): &(Instant, Deadline)| {
+                    due.misses(self.now, Duration::ZERO)
+                        || self.now.since(*since) >= self.settings.wait
+                };
+                prop_assert!(!self.waiting.values().any(held), "held back too long");
+            }
+            Event::Slots(slots, concurrency) => {
+                let limits = Limits {
+                    concurrency,
+                    ..Limits::default()
+                };
+                self.most = if concurrency == 0 {
+                    slots
+                } else {
+                    slots.min(concurrency)
+                };
+                let started = self.guard.set_slots(self.now, slots, limits);
+                self.start(&started)?;
+            }
+            Event::Gate(gate) => {
+                self.gate = gate;
+                let refused = self.guard.set_gate(gate);
+                self.refuse(&refused)?;
+            }
+            Event::Wait(ms) => self.now = self.now + Duration::from_millis(ms),
+        }
+        self.agree()
+    }
+
+    fn agree(&self) -> Result<(), TestCaseError> {
+        prop_assert_eq!(self.guard.running() as usize, self.running.len());
+        prop_assert_eq!(self.guard.queued() as usize, self.waiting.len());
+        prop_assert!(self.guard.limit() <= self.most);
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::with_cases(400) })]
+
+    #[test]
+    fn whatever_happens_each_request_ends_in_one_way(
+        order in prop_oneof![Just(Order::Fifo), Just(Order::AdaptiveLifo)],
+        events in prop::collection::vec(event(), 1..300),
+    ) {
+        let limit = LimitSettings { window: 4, patience: 16, probe: 2, ..LimitSettings::default() };
+        let settings = AdmissionSettings { order, limit, queue: 5, ..AdmissionSettings::default() };
+        let mut model = Model {
+            guard: Admission::new(START, settings).with_slots(3),
+            rng: SmallRng::seed_from_u64(1),
+            settings,
+            now: START,
+            gate: Gate::Open,
+            most: 3,
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+        };
+        for event in events {
+            model.step(event)?;
+        }
+        while !model.running.is_empty() {
+            model.step(Event::Done(0, 10, CallResult::Success))?;
+        }
+        model.step(Event::Wait(60_000))?;
+        model.step(Event::Expire)?;
+        prop_assert_eq!((model.guard.running(), model.guard.queued()), (0, 0));
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-core/tests/balance.rs
@@ -0,0 +1,247 @@
+//! Calls go to known, healthy, near backend servers, and some backend server is always left.
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::{SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use support::{member, node, view};
+use swiftcart_core::*;
+
+const START: Instant = Instant::from_millis(0);
+
+/// A balancer of node 1 and the view that it has adopted.
+struct Rig {
+    balancer: Balancer,
+    view: View,
+    rng: SmallRng,
+}
+
+/// Node `n` is in `norte` when odd; node 1 has the own backend server.
+fn rig(nodes: &[u16]) -> Rig {
+    let mut rig = Rig {
+        balancer: Balancer::new(node(1), BalanceSettings::default()),
+        view: view(&Table::new(), &[]),
+        rng: SmallRng::seed_from_u64(1),
+    };
+    rig.adopt(START, nodes);
+    rig
+}
+
+impl Rig {
+    fn adopt(&mut self, now: Instant, nodes: &[u16]) {
+        let domain = |n| if n % 2 == 1 { "norte" } else { "sur" };
+        let members: Vec<_> = nodes.iter().map(|n| member(*n, "a", domain(*n))).collect();
+        let table = Table::new().with_service("a", Limits::default());
+        self.view = view(&table, &members);
+        self.balancer.adopt(now, &self.view);
+    }
+
+    fn pick(&mut self, now: Instant, exclude: &[NodeId]) -> Option<Pick> {
+        let entry = self.view.service("a").expect("the table has it");
+        self.balancer.pick(now, entry, exclude, &mut self.rng)
+    }
+
+    fn feed(&mut self, n: u16, now: Instant, sample: Sample, count: u32) {
+        for _ in 0..count {
+            self.balancer.started(node(n));
+            self.balancer.finished(node(n), now, &sample);
+        }
+    }
+
+    /// Returns how many of 1000 picks go to node `n`, no call staying open.
+    fn share(&mut self, now: Instant, n: u16) -> usize {
+        let picks = (0..1000).filter_map(|_| self.pick(now, &[]));
+        picks.filter(|p| p.id == node(n)).count()
+    }
+}
+
+fn took(ms: u64) -> Sample {
+    Sample::new(Duration::from_millis(ms), CallResult::Success)
+}
+
+fn failed() -> Sample {
+    Sample::new(Duration::ZERO, CallResult::Failure)
+}
+
+fn loaded(running: u32) -> Sample {
+    let load = Load {
+        running,
+        queued: 0,
+        limit: 10,
+    };
+    took(10).with_load(load)
+}
+
+#[rstest]
+#[case::own_first(&[1, 2, 3], |_: &mut Rig| (), Some((1, PickRule::Own)))]
+#[case::near_when_own_is_full(&[1, 2, 3], |r: &mut Rig| (0..10).for_each(|_| r.balancer.started(node(1))), Some((3, PickRule::Near)))]
+#[case::near_when_own_is_ejected(&[1, 2, 3], |r: &mut Rig| r.feed(1, START, failed(), 5), Some((3, PickRule::Near)))]
+#[case::spill_when_near_is_absent(&[2], |_: &mut Rig| (), Some((2, PickRule::Spill)))]
+#[case::spill_when_near_is_ejected(&[2, 3], |r: &mut Rig| r.feed(3, START, failed(), 5), Some((2, PickRule::Spill)))]
+#[case::spill_when_near_reports_full(&[2, 3], |r: &mut Rig| r.feed(3, START, loaded(10), 1), Some((2, PickRule::Spill)))]
+#[case::spill_when_near_refuses(&[2, 3], |r: &mut Rig| r.feed(3, START, Sample::new(Duration::ZERO, CallResult::Refused), 1), Some((2, PickRule::Spill)))]
+#[case::near_when_all_are_full(&[2, 3], |r: &mut Rig| [2, 3].into_iter().for_each(|n| r.feed(n, START, loaded(10), 1)), Some((3, PickRule::Near)))]
+#[case::the_only_one_is_never_ejected(&[2], |r: &mut Rig| r.feed(2, START, failed(), 50), Some((2, PickRule::Spill)))]
+#[case::none_without_candidates(&[], |_: &mut Rig| (), None)]
+fn the_choice_is(
+    #[case] nodes: &[u16],
+    #[case] before: fn(&mut Rig),
+    #[case] expected: Option<(u16, PickRule)>,
+) {
+    let mut rig = rig(nodes);
+    before(&mut rig);
+    let pick = rig.pick(START, &[]).map(|p| (p.id, p.rule));
+    assert_eq!(pick, expected.map(|(n, rule)| (node(n), rule)));
+}
+
+#[rstest]
+fn an_ejected_one_is_picked_rather_than_none() {
+    let mut rig = rig(&[2, 4]);
+    rig.feed(2, START, failed(), 5);
+    let pick = rig.pick(START, &[node(4)]).map(|p| (p.id, p.rule));
+    assert_eq!(pick, Some((node(2), PickRule::Ejected)));
+    assert_eq!(rig.pick(START, &[node(2), node(4)]), None);
+}
+
+#[rstest]
+#[case::slower_gets_less(took(10), took(30), 0..=300)]
+#[case::loaded_gets_less(loaded(0), loaded(9), 0..=300)]
+#[case::a_claim_to_be_idle_gains_nothing(took(10), loaded(0), 400..=600)]
+fn of_two_the_second_gets(
+    #[case] first: Sample,
+    #[case] second: Sample,
+    #[case] expected: std::ops::RangeInclusive<usize>,
+) {
+    let mut rig = rig(&[3, 5, 7, 9]);
+    for n in [3, 7, 9] {
+        rig.feed(n, START, first, 10);
+    }
+    rig.feed(5, START, second, 10);
+    let share = rig.share(START, 5) * 2;
+    assert!(expected.contains(&share), "{share}");
+}
+
+#[rstest]
+fn a_reported_load_loses_its_weight_with_age() {
+    let mut rig = rig(&[2, 3]);
+    rig.feed(3, START, loaded(10), 1);
+    let rules = [0, 100, 2000].map(|ms| rig.pick(Instant::from_millis(ms), &[]).unwrap().rule);
+    assert_eq!(rules, [PickRule::Spill, PickRule::Near, PickRule::Near]);
+}
+
+#[rstest]
+#[case::at_first(0, 0..=60)]
+#[case::halfway(5_000, 80..=180)]
+#[case::after_the_slow_start(10_000, 210..=290)]
+fn a_newly_seen_one_gets(#[case] ms: u64, #[case] expected: std::ops::RangeInclusive<usize>) {
+    let mut rig = rig(&[3, 5, 7]);
+    rig.adopt(START, &[3, 5, 7, 9]);
+    let share = rig.share(Instant::from_millis(ms), 9);
+    assert!(expected.contains(&share), "{share}");
+}
+
+#[rstest]
+fn ejections_double_and_a_single_call_tries_again() {
+    let mut rig = rig(&[3, 5]);
+    let mut now = START;
+    let mut times = Vec::new();
+    for round in 0..8 {
+        rig.feed(3, now, failed(), if round == 0 { 5 } else { 1 });
+        let end = (0..).map(|s| now + Duration::from_secs(s));
+        let end = end
+            .take(100)
+            .find(|t| !rig.balancer.ejected(node(3), *t))
+            .unwrap();
+        times.push(end.since(now).as_secs());
+        now = end;
+    }
+    assert_eq!(times, [1, 2, 4, 8, 16, 32, 60, 60]);
+
+    rig.balancer.started(node(3));
+    assert_eq!(rig.share(now, 3), 0, "one trial is on its way");
+    rig.balancer.finished(node(3), now, &took(10));
+    let share = rig.share(now + Duration::from_secs(60), 3);
+    assert!(share >= 400, "failures are forgotten: {share}");
+}
+
+#[rstest]
+fn a_departed_one_is_forgotten_once_its_calls_have_ended() {
+    let mut rig = rig(&[3, 5]);
+    rig.balancer.started(node(5));
+    rig.adopt(START, &[3]);
+    assert_eq!(rig.balancer.len(), 2);
+    rig.balancer.finished(node(5), START, &took(1));
+    assert_eq!(rig.balancer.len(), 1);
+    rig.balancer.finished(node(5), START, &took(1));
+    rig.balancer.started(node(9));
+    assert_eq!(rig.balancer.len(), 1);
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Members(Vec<u16>),
+    Call { exclude: Vec<u16> },
+    End { call: usize, result: CallResult },
+    Wait(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let result = prop_oneof![
+        1 => Just(CallResult::Success),
+        4 => Just(CallResult::Failure),
+        1 => Just(CallResult::Refused),
+        1 => Just(CallResult::Cancelled),
+    ];
+    prop_oneof![
+        1 => prop::collection::vec(1..12_u16, 0..8).prop_map(Event::Members),
+        8 => prop::collection::vec(1..12_u16, 0..3).prop_map(|exclude| Event::Call { exclude }),
+        8 => (any::<usize>(), result).prop_map(|(call, result)| Event::End { call, result }),
+        2 => (0..3000_u64).prop_map(Event::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::with_cases(400) })]
+
+    #[test]
+    fn whatever_happens_picks_are_known_and_half_stays_in(events in prop::collection::vec(event(), 1..300)) {
+        let mut rig = rig(&[1, 2, 3, 4]);
+        let (mut now, mut open) = (START, Vec::new());
+        for event in events {
+            match event {
+                Event::Members(mut nodes) => {
+                    nodes.sort_unstable();
+                    nodes.dedup();
+                    rig.adopt(now, &nodes);
+                }
+                Event::Call { exclude } => {
+                    let exclude: Vec<_> = exclude.into_iter().map(node).collect();
+                    let pick = rig.pick(now, &exclude);
+                    let entry = rig.view.service("a").unwrap();
+                    let left = entry.candidates().iter().filter(|c| !exclude.contains(&c.id)).count();
+                    prop_assert_eq!(pick.is_some(), left > 0);
+                    if let Some(pick) = pick {
+                        prop_assert!(rig.view.has_candidate(pick.id));
+                        prop_assert!(!exclude.contains(&pick.id));
+                        rig.balancer.started(pick.id);
+                        open.push(pick.id);
+                    }
+                }
+                Event::End { call, result } if !open.is_empty() => {
+                    let id = open.swap_remove(call % open.len());
+                    rig.balancer.finished(id, now, &Sample::new(Duration::from_millis(3), result));
+                }
+                Event::End { .. } => {}
+                Event::Wait(ms) => now = now + Duration::from_millis(ms),
+            }
+            let all = rig.view.service("a").unwrap().candidates();
+            let ejected = all.iter().filter(|c| rig.balancer.ejected(c.id, now)).count();
+            prop_assert!(all.len() < 2 || ejected < all.len(), "{} of {} ejected", ejected, all.len());
+            prop_assert!(rig.balancer.len() <= all.len() + open.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-core/tests/support/mod.rs
@@ -0,0 +1,37 @@
+//! Members and views for the tests of the call policies.
+
+use std::net::SocketAddr;
+
+use swiftcart_core::*;
+
+/// Names the node number `n`.
+pub fn node(n: u16) -> NodeId {
+    NodeId(SocketAddr::from(([127, 0, 0, 1], n)))
+}
+
+/// Describes node `n` with a ready backend server of ten slots.
+pub fn member(n: u16, service: &str, domain: &str) -> Member {
+    let NodeId(addr) = node(n);
+    Member {
+        id: node(n),
+        sync: addr,
+        peer: addr,
+        admin: addr,
+        domain: FailureDomain::new(domain),
+        incarnation: Incarnation(1),
+        liveness: Liveness::Alive,
+        backend: Some(Backend {
+            service: ServiceName::new(service),
+            addr,
+            slots: 10,
+            connections: 130,
+            readiness: Readiness::Ready,
+        }),
+    }
+}
+
+/// Builds the view that node 1 in `norte` has.
+pub fn view(table: &Table, members: &[Member]) -> View {
+    let domain = FailureDomain::new("norte");
+    View::new(Version(1), table, members.iter(), node(1), &domain)
+}
