Drive membership and the configuration stream from the node

Cause: the node read the platform by itself and knew nobody; at 970 nodes that is 970 pollers, and no call could leave its own node. Ruled out: a lock-guarded state shared by several tasks; one task that owns all control state needs no lock and takes events in one order. Change: one control loop feeds datagrams, nng state pulls, platform pages and announcements to the core's machines and carries out their actions. One reader a failure domain long-polls the platform, four more look in now and then, and records go on by push tree or, when too long for a datagram, by offer and pull. A version is served only after a witness knows it and the joiner has seen the log's end. Pulls are sealed under a tag of their own kind. A fault switch (feature `faults` only) cuts a node off from chosen addresses. Convergence and control bytes are measured next.

--- a/crates/swiftcart-core/src/feed/action.rs
+++ b/crates/swiftcart-core/src/feed/action.rs
@@ -14,6 +14,17 @@
     Peer(NodeId),
 }
 
+impl Source {
+    /// Returns the name used in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Platform => "platform",
+            Self::Peer(_) => "peer",
+        }
+    }
+}
+
 /// Asks the node to do something on behalf of the feed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FeedAction {
--- a/crates/swiftcart-core/src/feed/follow.rs
+++ b/crates/swiftcart-core/src/feed/follow.rs
@@ -159,6 +159,21 @@
         }
     }
 
+    /// Takes the place in the stream that `peer` offers in the tree of `origin`, in
+    /// place of records that are too long to push.
+    pub fn on_offer(
+        &mut self,
+        now: Instant,
+        peer: NodeId,
+        origin: NodeId,
+        head: Head,
+    ) -> Vec<FeedAction> {
+        match head.position > self.fold.position().0 {
+            true => self.pull(now, peer, Some(origin)),
+            false => Vec::new(),
+        }
+    }
+
     /// Takes the answer to a pull.
     pub fn on_pull_reply(
         &mut self,
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -153,6 +153,7 @@
             }
             Datagram::Leave { incarnation } => self.on_leave(now, from, incarnation),
             Datagram::Push { .. }
+            | Datagram::Offer { .. }
             | Datagram::Report { .. }
             | Datagram::ReportAck { .. }
             | Datagram::FloorAsk
--- a/crates/swiftcart-core/src/wire.rs
+++ b/crates/swiftcart-core/src/wire.rs
@@ -1,7 +1,9 @@
-//! Datagrams between nodes: the messages, and the sealed form in which they travel.
+//! Messages between nodes: datagrams, state pulls, and the sealed form in which they travel.
 
 mod datagram;
 mod seal;
+mod sync;
 
 pub use datagram::*;
-pub use seal::*;
+pub use seal::{FORMAT, MAX_DATAGRAM, MeshKey, SEAL_LEN, WireError, open, seal};
+pub use sync::*;
--- a/crates/swiftcart-core/src/wire/datagram.rs
+++ b/crates/swiftcart-core/src/wire/datagram.rs
@@ -126,6 +126,13 @@
         /// The incarnation that ends.
         incarnation: Incarnation,
     },
+    /// Stands in a [`Datagram::Push`]'s place when the records are too long for a datagram.
+    Offer {
+        /// The reader that read them from the platform.
+        origin: NodeId,
+        /// The sender's place in the configuration stream; the receiver pulls up to it.
+        head: Head,
+    },
 }
 
 impl Datagram {
--- a/crates/swiftcart-core/src/wire/seal.rs
+++ b/crates/swiftcart-core/src/wire/seal.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use quick_error::quick_error;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::Datagram;
@@ -41,8 +42,8 @@
             display("datagram's body cannot be read: check the sender's release")
         }
         /// The datagram is longer than any that a node sends.
-        Oversize(len: usize) {
-            display("datagram of {len} bytes, at most {MAX_DATAGRAM}: send less in one message")
+        Oversize(len: usize, max: usize) {
+            display("message of {len} bytes, at most {max}: send less in one message")
         }
     }
 }
@@ -56,7 +57,7 @@
             Self::Forged => "forged",
             Self::NewerFormat(_) => "newer-format",
             Self::Malformed => "malformed",
-            Self::Oversize(_) => "oversize",
+            Self::Oversize(..) => "oversize",
         }
     }
 }
@@ -78,9 +79,9 @@
         Self(blake3::derive_key(KEY_CONTEXT, secret.as_bytes()))
     }
 
-    fn tag(&self, format: u8, body: &[u8]) -> [u8; TAG_LEN] {
+    fn tag(&self, kind: Kind, body: &[u8]) -> [u8; TAG_LEN] {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
-        hasher.update(&[format]);
+        hasher.update(kind.prefix());
         hasher.update(body);
         let mut tag = [0; TAG_LEN];
         hasher.finalize_xof().fill(&mut tag);
@@ -95,16 +96,86 @@
     }
 }
 
+/// Separates the tags of datagrams and pulls, so that neither passes for the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Kind {
+    Datagram,
+    Sync,
+}
+
+impl Kind {
+    const fn prefix(self) -> &'static [u8] {
+        match self {
+            Self::Datagram => &[FORMAT],
+            Self::Sync => &[FORMAT, b's'],
+        }
+    }
+}
+
+/// Seals and opens messages of one kind up to a length.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Frame {
+    kind: Kind,
+    max: usize,
+}
+
 #[derive(Serialize)]
-struct BodyRef<'a> {
+struct BodyRef<'a, T> {
     from: NodeId,
-    datagram: &'a Datagram,
+    message: &'a T,
 }
 
 #[derive(Deserialize)]
-struct Body {
+struct Body<T> {
     from: NodeId,
-    datagram: Datagram,
+    message: T,
+}
+
+impl Frame {
+    pub const fn new(kind: Kind, max: usize) -> Self {
+        Self { kind, max }
+    }
+
+    pub fn seal<T: Serialize>(
+        self,
+        message: &T,
+        from: NodeId,
+        key: &MeshKey,
+    ) -> Result<Vec<u8>, WireError> {
+        let body = BodyRef { from, message };
+        let mut sealed =
+            postcard::to_extend(&body, vec![0; SEAL_LEN]).map_err(|_| WireError::Malformed)?;
+        match sealed.len() {
+            len if len > self.max => Err(WireError::Oversize(len, self.max)),
+            _ => {
+                let (head, body) = sealed.split_at_mut(SEAL_LEN);
+                head[0] = FORMAT;
+                head[1..].copy_from_slice(&key.tag(self.kind, body));
+                Ok(sealed)
+            }
+        }
+    }
+
+    pub fn open<T: DeserializeOwned>(
+        self,
+        sealed: &[u8],
+        key: &MeshKey,
+    ) -> Result<(NodeId, T), WireError> {
+        let len = sealed.len();
+        match sealed {
+            _ if len > self.max => Err(WireError::Oversize(len, self.max)),
+            [format, ..] if *format > FORMAT => Err(WireError::NewerFormat(*format)),
+            [format, ..] if *format < FORMAT => Err(WireError::Forged),
+            [_, rest @ ..] if rest.len() >= TAG_LEN => {
+                let (tag, body) = rest.split_at(TAG_LEN);
+                match same(tag, &key.tag(self.kind, body)) {
+                    true => decode(body),
+                    false => Err(WireError::Forged),
+                }
+            }
+            _ => Err(WireError::Truncated(len)),
+        }
+    }
 }
 
 /// Encodes and authenticates a datagram.
@@ -125,18 +196,7 @@
 ///
 /// Returns [`WireError::Oversize`] when the result is longer than [`MAX_DATAGRAM`].
 pub fn seal(datagram: &Datagram, from: NodeId, key: &MeshKey) -> Result<Vec<u8>, WireError> {
-    let body = BodyRef { from, datagram };
-    let mut sealed =
-        postcard::to_extend(&body, vec![0; SEAL_LEN]).map_err(|_| WireError::Malformed)?;
-    match sealed.len() {
-        len if len > MAX_DATAGRAM => Err(WireError::Oversize(len)),
-        _ => {
-            let (head, body) = sealed.split_at_mut(SEAL_LEN);
-            head[0] = FORMAT;
-            head[1..].copy_from_slice(&key.tag(FORMAT, body));
-            Ok(sealed)
-        }
-    }
+    Frame::new(Kind::Datagram, MAX_DATAGRAM).seal(datagram, from, key)
 }
 
 /// Checks and decodes a datagram and returns its sender.
@@ -148,24 +208,12 @@
 ///
 /// Returns a [`WireError`] for every input that [`seal`] cannot have made with `key`.
 pub fn open(sealed: &[u8], key: &MeshKey) -> Result<(NodeId, Datagram), WireError> {
-    let len = sealed.len();
-    match sealed {
-        _ if len > MAX_DATAGRAM => Err(WireError::Oversize(len)),
-        [format, ..] if *format > FORMAT => Err(WireError::NewerFormat(*format)),
-        [format, rest @ ..] if rest.len() >= TAG_LEN => {
-            let (tag, body) = rest.split_at(TAG_LEN);
-            match same(tag, &key.tag(*format, body)) {
-                true => decode(body),
-                false => Err(WireError::Forged),
-            }
-        }
-        _ => Err(WireError::Truncated(len)),
-    }
+    Frame::new(Kind::Datagram, MAX_DATAGRAM).open(sealed, key)
 }
 
-fn decode(body: &[u8]) -> Result<(NodeId, Datagram), WireError> {
-    match postcard::take_from_bytes::<Body>(body) {
-        Ok((body, [])) => Ok((body.from, body.datagram)),
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<(NodeId, T), WireError> {
+    match postcard::take_from_bytes::<Body<T>>(body) {
+        Ok((body, [])) => Ok((body.from, body.message)),
         Ok(_) | Err(_) => Err(WireError::Malformed),
     }
 }
--- a/crates/swiftcart-core/tests/wire.rs
+++ b/crates/swiftcart-core/tests/wire.rs
@@ -60,6 +60,7 @@
 #[case::report_ack(Datagram::ReportAck { version: Version(3) })]
 #[case::floor_ask(Datagram::FloorAsk)]
 #[case::floor_reply(Datagram::FloorReply { version: Version::NONE })]
+#[case::offer(Datagram::Offer { origin: node(1), head: beat().head })]
 #[case::leave(Datagram::Leave { incarnation: Incarnation(5) })]
 fn a_sealed_datagram_opens_to_itself(#[case] datagram: Datagram) {
     let sealed = seal(&datagram, node(1), &key()).unwrap();
@@ -74,7 +75,7 @@
 #[case::tag_flipped(|s: &mut Vec<u8>| { s[16] ^= 128; s.clone() }, WireError::Forged)]
 #[case::older_format(|s: &mut Vec<u8>| { s[0] = 0; s.clone() }, WireError::Forged)]
 #[case::newer_format(|s: &mut Vec<u8>| { s[0] = 2; s.clone() }, WireError::NewerFormat(2))]
-#[case::too_long(|s: &mut Vec<u8>| { s.resize(1201, 0); s.clone() }, WireError::Oversize(1201))]
+#[case::too_long(|s: &mut Vec<u8>| { s.resize(1201, 0); s.clone() }, WireError::Oversize(1201, MAX_DATAGRAM))]
 fn a_damaged_datagram_is_refused_with_its_reason(
     #[case] damage: fn(&mut Vec<u8>) -> Vec<u8>,
     #[case] reason: WireError,
@@ -97,7 +98,7 @@
         entries: vec![0; 1200],
     };
     let sealed = seal(&push, node(1), &key());
-    assert!(matches!(sealed, Err(WireError::Oversize(len)) if len > MAX_DATAGRAM));
+    assert!(matches!(sealed, Err(WireError::Oversize(len, MAX_DATAGRAM)) if len > MAX_DATAGRAM));
 }
 
 /// Seals any body under the mesh key, as a faulty or newer peer may.
@@ -137,3 +138,14 @@
         }
     }
 }
+
+#[test]
+fn a_pull_opens_to_itself_and_never_passes_for_a_datagram() {
+    let ask = SyncRequest::Feed { from: Offset(7) };
+    let sealed = seal_sync(&ask, node(1), &key()).unwrap();
+    assert_eq!(open_sync(&sealed, &key()), Ok((node(1), ask)));
+    assert_eq!(open(&sealed, &key()), Err(WireError::Forged));
+    let datagram = seal(&Datagram::FloorAsk, node(1), &key()).unwrap();
+    let opened = open_sync::<SyncRequest>(&datagram, &key());
+    assert_eq!(opened, Err(WireError::Forged));
+}
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -1,105 +1,64 @@
 //! Follows configuration and members for the other parts of the node.
 //!
-//! First version: reads the platform's log directly and knows the members that
-//! it is given; the membership protocol replaces it.
+//! One task owns all state and takes one event after the other: datagrams, pulls,
+//! pages of the platform's log, announcements and the passing of time. The
+//! decisions are `swiftcart-core`'s; this module carries them out.
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use slog::{info, warn};
-use swiftcart_core::{Fold, Incarnation, Liveness, Member, Verdict, View};
-use swiftcart_platform::Platform;
-use tokio::time::sleep;
-
-use crate::logging::{Event, unix_ms};
-use crate::shared::{Phase, Progress, Shared};
+mod control_loop;
+mod error;
+mod net;
+mod publish;
+mod pulls;
+mod reader;
+mod roster;
+mod stream;
+mod sync_client;
+mod sync_server;
 
-/// The stream that operators publish to.
-const STREAM: &str = "config";
+use std::net::SocketAddr;
+use std::sync::Arc;
 
-/// The longest wait for new records, after which the view is built anew in any case.
-const WAIT: Duration = Duration::from_secs(1);
+use slog::error;
+use swiftcart_platform::{Page, PlatformError};
 
-/// The pause after the platform could not be read.
-const PAUSE: Duration = Duration::from_secs(1);
+pub use error::ControlError;
 
-/// Records read at once.
-const BATCH: u32 = 100;
+use self::control_loop::Control;
+use self::pulls::Pulled;
+use crate::logging::Event;
+use crate::shared::Shared;
 
-/// Keeps the routing view of `shared` until the node has stopped.
-pub async fn run(shared: Arc<Shared>) {
-    let platform = Platform::new(shared.settings.platform.addr)
-        .with_timeout(shared.settings.platform.timeout());
-    let mut fold = Fold::new();
-    let mut backend = shared.backend.subscribe();
-    loop {
-        backend.borrow_and_update();
-        join(&shared, &fold);
-        tokio::select! {
-            () = shared.stopping.cancelled() => return,
-            _ = backend.changed() => {}
-            () = read(&shared, &platform, &mut fold) => {}
-        }
-    }
+/// An event from outside that the control loop takes.
+#[derive(Debug)]
+enum Input {
+    Pulled(Box<Pulled>),
+    Page(Box<Result<Page, PlatformError>>),
+    Appended(Result<(), PlatformError>),
 }
 
-async fn read(shared: &Shared, platform: &Platform, fold: &mut Fold) {
-    let page = platform.read(STREAM, fold.position(), BATCH, WAIT).await;
-    let page = match page {
-        Ok(page) => page,
-        Err(err) => {
-            warn!(shared.logger, ""; "event" => Event::PlatformDown, "error" => %err);
-            sleep(PAUSE).await;
-            return;
-        }
-    };
-    let mut stalled_rule = None;
-    for entry in &page.entries {
-        match fold.apply(entry) {
-            Ok(Verdict::UnknownRule(rule)) => stalled_rule = Some(rule),
-            Ok(Verdict::Accepted(version)) => {
-                info!(shared.logger, ""; "event" => Event::Applied, "version" => %version);
-            }
-            Ok(_) => {}
-            Err(err) => {
-                warn!(shared.logger, ""; "event" => Event::Stalled, "error" => %err);
-                break;
-            }
-        }
-    }
-    shared.progress.store(Arc::new(Progress {
-        version: fold.version(),
-        position: fold.position(),
-        digest: fold.digest(),
-        stalled_rule,
-    }));
-    if fold.position() >= page.next && shared.enter(Phase::Ready) {
-        info!(shared.logger, ""; "event" => Event::Phase, "phase" => Phase::Ready.as_str());
-    }
+/// Opens the control sockets; [`Opened::run`] then keeps the routing view of `shared`.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn open(shared: Arc<Shared>) -> Result<Opened, ControlError> {
+    Control::open(shared).await.map(Opened)
 }
 
-/// Puts the table and the members in force.
-fn join(shared: &Shared, fold: &Fold) {
-    let mut members = shared.members.load().as_ref().clone();
-    members.retain(|member| member.id != shared.id);
-    members.push(own(shared));
-    let domain = &shared.settings.domain;
-    let table = Arc::clone(fold.table());
-    let view = View::new(fold.version(), &table, members.iter(), shared.id, domain);
-    shared.members.store(Arc::new(members));
-    shared.adopt(table, view);
-}
+/// A control edge whose sockets are open.
+#[derive(Debug)]
+pub struct Opened(Control);
 
-fn own(shared: &Shared) -> Member {
-    let listen = &shared.settings.listen;
-    Member {
-        id: shared.id,
-        sync: listen.sync,
-        peer: listen.peer,
-        admin: listen.admin,
-        domain: shared.settings.domain.clone(),
-        incarnation: Incarnation(unix_ms()),
-        liveness: Liveness::Alive,
-        backend: shared.backend.borrow().clone(),
+impl Opened {
+    /// Follows configuration and members until the task is ended.
+    pub async fn run(self) {
+        let logger = self.0.shared().logger.clone();
+        self.0.run().await;
+        error!(logger, ""; "event" => Event::Failed, "part" => "control");
     }
 }
+
+/// Tells whether the fault switch lets packets to and from `addr` pass.
+fn reachable(shared: &Shared, addr: SocketAddr) -> bool {
+    shared.faults.reaches(addr)
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/control/error.rs
@@ -0,0 +1,54 @@
+//! Why the control edge cannot start, or one of its exchanges failed.
+
+use std::io;
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+use swiftcart_core::WireError;
+
+quick_error! {
+    /// Tells why the control edge cannot start, or why a pull failed.
+    #[derive(Debug)]
+    pub enum ControlError {
+        /// The datagram socket cannot be opened.
+        Datagrams(addr: SocketAddr, err: io::Error) {
+            source(err)
+            display("listen.gossip: {addr} cannot be bound: {err}: free the port or choose another")
+        }
+        /// The socket for state pulls cannot be opened.
+        Pulls(addr: SocketAddr, err: nng::Error) {
+            source(err)
+            display("listen.sync: {addr} cannot be listened on: {err}: free the port or choose another")
+        }
+        /// A pull failed on the way.
+        Sync(err: nng::Error) {
+            from()
+            source(err)
+            display("state pull failed: {err}")
+        }
+        /// A message of a pull could not be sealed or opened.
+        Wire(err: WireError) {
+            from()
+            source(err)
+            display("state pull refused: {err}")
+        }
+        /// The peer's address for pulls is not known.
+        Unknown {
+            display("the peer's address for state pulls is not known")
+        }
+    }
+}
+
+impl ControlError {
+    /// Returns the name used in metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Datagrams(..) | Self::Pulls(..) => "listen",
+            Self::Sync(nng::Error::TimedOut) => "timeout",
+            Self::Sync(_) => "connection",
+            Self::Wire(e) => e.as_str(),
+            Self::Unknown => "unknown-address",
+        }
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/control/net.rs
@@ -0,0 +1,110 @@
+//! Sends and receives sealed datagrams, and counts what goes over the wire.
+
+use std::sync::Arc;
+
+use swiftcart_core::{Datagram, MAX_DATAGRAM, MeshKey, NodeId, open, seal};
+use tokio::net::UdpSocket;
+
+use super::{ControlError, reachable};
+use crate::shared::Shared;
+
+/// Bytes that IP and UDP put in front of each datagram.
+const UDP_HEADERS: u64 = 28;
+
+/// The node's datagram socket.
+#[derive(Debug)]
+pub(super) struct Net {
+    socket: UdpSocket,
+    key: MeshKey,
+    shared: Arc<Shared>,
+}
+
+/// Directions and kinds of control traffic, as they appear in metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Traffic {
+    DatagramsSent,
+    DatagramsReceived,
+    PullsSent,
+    PullsReceived,
+    PlatformRead,
+}
+
+impl Traffic {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::DatagramsSent => "datagrams-sent",
+            Self::DatagramsReceived => "datagrams-received",
+            Self::PullsSent => "pulls-sent",
+            Self::PullsReceived => "pulls-received",
+            Self::PlatformRead => "platform-read",
+        }
+    }
+}
+
+impl Net {
+    /// Binds the datagram socket of `shared`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub(super) async fn bind(shared: Arc<Shared>, key: MeshKey) -> Result<Self, ControlError> {
+        let addr = shared.settings.listen.gossip;
+        let socket = UdpSocket::bind(addr)
+            .await
+            .map_err(|e| ControlError::Datagrams(addr, e))?;
+        Ok(Self {
+            socket,
+            key,
+            shared,
+        })
+    }
+
+    /// Sends a datagram; a full socket buffer loses it, as the network may.
+    pub(super) fn send(&self, to: NodeId, datagram: &Datagram) {
+        if !reachable(&self.shared, to.0) {
+            return;
+        }
+        match seal(datagram, self.shared.id, &self.key) {
+            Ok(sealed) => match self.socket.try_send_to(&sealed, to.0) {
+                Ok(_) => count(&self.shared, Traffic::DatagramsSent, sealed.len()),
+                Err(_) => self.drop("send"),
+            },
+            Err(e) => self.drop(e.as_str()),
+        }
+    }
+
+    /// Waits for the next datagram that holds against its tag.
+    pub(super) async fn receive(&self) -> (NodeId, Datagram) {
+        let mut buf = [0; MAX_DATAGRAM + 1];
+        loop {
+            // Errors here are ICMP answers to earlier sends, which probes notice anyway.
+            let Ok((len, from)) = self.socket.recv_from(&mut buf).await else {
+                continue;
+            };
+            if !reachable(&self.shared, from) {
+                continue;
+            }
+            count(&self.shared, Traffic::DatagramsReceived, len);
+            match open(&buf[..len], &self.key) {
+                Ok(received) => return received,
+                Err(e) => self.drop(e.as_str()),
+            }
+        }
+    }
+
+    fn drop(&self, reason: &'static str) {
+        let counters = &self.shared.counters;
+        counters.count("swiftcart_datagrams_dropped_total", "reason", reason);
+    }
+}
+
+/// Counts control traffic; datagrams include their IP and UDP headers.
+pub(super) fn count(shared: &Shared, traffic: Traffic, len: usize) {
+    let headers = match traffic {
+        Traffic::DatagramsSent | Traffic::DatagramsReceived => UDP_HEADERS,
+        Traffic::PullsSent | Traffic::PullsReceived | Traffic::PlatformRead => 0,
+    };
+    let name = "swiftcart_control_bytes_total";
+    let bytes = headers + len as u64;
+    shared.counters.add(name, "kind", traffic.as_str(), bytes);
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/control/publish.rs
@@ -0,0 +1,62 @@
+//! Shows the other parts of the node what the control loop knows.
+
+use std::sync::Arc;
+
+use slog::info;
+use swiftcart_core::{Instant, Member, NotReady, View};
+
+use super::control_loop::{Control, progress};
+use crate::logging::Event;
+use crate::shared::Phase;
+
+/// Publishes the place in the stream and whether the node may serve.
+pub(super) fn progress_of(control: &mut Control, now: Instant) {
+    let shared = Arc::clone(&control.shared);
+    let served = control.stream.served(now).map(|(version, _)| version);
+    let (version, phase) = match served {
+        Ok(version) => (version, Phase::Ready),
+        Err(e) => (shared.progress.load().version, waiting(e)),
+    };
+    let new = progress(&control.stream, version);
+    if **shared.progress.load() != new {
+        shared.progress.store(Arc::new(new));
+    }
+    if shared.enter(phase) {
+        control.stale = true;
+        let reason = served.err().map(|e| e.to_string()).unwrap_or_default();
+        info!(shared.logger, ""; "event" => Event::Phase, "phase" => phase.as_str(), "reason" => reason);
+    }
+}
+
+/// Builds and swaps the routing view.
+pub(super) fn view(control: &mut Control, now: Instant) {
+    let shared = Arc::clone(&control.shared);
+    let members: Vec<Member> = control.membership.members().cloned().collect();
+    shared.members.store(Arc::new(members));
+    let Ok((version, table)) = control.stream.served(now) else {
+        return;
+    };
+    let table = Arc::clone(table);
+    let membership = &control.membership;
+    let routable = membership.members().filter(|m| membership.routable(m.id));
+    let old = shared.view.load();
+    let view = View::new(
+        version,
+        &table,
+        routable,
+        shared.id,
+        &shared.settings.domain,
+    );
+    if old.version() != version {
+        info!(shared.logger, ""; "event" => Event::Applied, "version" => version.0,
+            "digest" => %control.stream.feed.fold().digest());
+    }
+    shared.adopt(table, view);
+}
+
+const fn waiting(reason: NotReady) -> Phase {
+    match reason {
+        NotReady::Below(..) => Phase::BelowFloor,
+        _ => Phase::NoConfig,
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -0,0 +1,192 @@
+//! Decides when this node reads the platform's log, and reads it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use swiftcart_core::{Instant, Offset};
+use swiftcart_platform::{Page, Platform, PlatformError};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::{Input, reachable};
+use crate::shared::Shared;
+
+/// The stream that holds publishes and checkpoints.
+pub(super) const STREAM: &str = "config";
+
+/// Records asked for in one read, unless a page was too large.
+const PAGE: u32 = 256;
+/// How long the platform holds a read that has nothing to tell.
+const LONG_POLL: Duration = Duration::from_secs(10);
+/// Wait after a failed read; each further failure doubles it up to the longest.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
+/// The first stand-in reads this often, and each further one half as often.
+const STANDBY: Duration = Duration::from_secs(5);
+/// Nodes behind the readers that read now and then, in case the readers cannot.
+const STANDBYS: usize = 4;
+/// Joiners spread their first read over this time for each node that is known.
+const JOIN_SPREAD: Duration = Duration::from_millis(5);
+
+/// Reads the platform's log for one node, one read at a time.
+#[derive(Debug)]
+pub(super) struct Reader {
+    shared: Arc<Shared>,
+    platform: Platform,
+    inputs: mpsc::Sender<Input>,
+    rng: SmallRng,
+    readers: usize,
+    page: u32,
+    task: Option<JoinHandle<()>>,
+    long: bool,
+    next: Instant,
+    /// When this node found out how many others there are and drew its turn.
+    turn: Option<Instant>,
+    failures: u32,
+}
+
+/// What the reader knows of the node's part at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Duty {
+    /// The node's rank among the live nodes of its failure domain.
+    pub(super) rank: usize,
+    /// Whether the node has to see the end of the log before it may serve.
+    pub(super) joining: bool,
+    /// How many nodes are known.
+    pub(super) known: usize,
+}
+
+impl Reader {
+    pub(super) fn new(shared: Arc<Shared>, inputs: mpsc::Sender<Input>, rng: SmallRng) -> Self {
+        let settings = &shared.settings;
+        let platform =
+            Platform::new(settings.platform.addr).with_timeout(settings.platform.timeout());
+        let readers = usize::try_from(settings.gossip.readers).unwrap_or(1);
+        Self {
+            shared,
+            platform,
+            inputs,
+            rng,
+            readers,
+            page: PAGE,
+            task: None,
+            long: false,
+            next: Instant::default(),
+            turn: None,
+            failures: 0,
+        }
+    }
+
+    /// Starts a read when this node's duty asks for one, and ends one that it no longer has.
+    pub(super) fn tick(&mut self, now: Instant, duty: Duty, from: Offset) {
+        let is_reader = duty.rank < self.readers;
+        match self.task.take_if(|_| self.long && !is_reader) {
+            Some(task) => {
+                task.abort();
+                self.next = now + self.standby(duty.rank);
+            }
+            None if self.task.is_some() || now < self.next => {}
+            None if self.is_due(now, duty) => self.start(from, is_reader && !duty.joining),
+            None => {}
+        }
+    }
+
+    /// Notes the end of a read; the next one waits when it failed or was a stand-in's.
+    pub(super) fn done(&mut self, now: Instant, duty: Duty, result: &Result<Page, PlatformError>) {
+        self.task = None;
+        let wait = match result {
+            Ok(_) => {
+                self.failures = 0;
+                self.page = self.page.saturating_mul(2).min(PAGE);
+                match duty.rank < self.readers || duty.joining {
+                    true => Duration::ZERO,
+                    false => self.standby(duty.rank),
+                }
+            }
+            Err(PlatformError::TooLarge) if self.page > 1 => {
+                self.page /= 4;
+                self.page = self.page.max(1);
+                Duration::ZERO
+            }
+            Err(e) => {
+                self.failures = self.failures.saturating_add(1);
+                e.retry_after().unwrap_or_default().max(self.backoff())
+            }
+        };
+        self.next = now + wait;
+    }
+
+    /// Returns how many nodes of a failure domain read the log all the time.
+    pub(super) const fn readers(&self) -> usize {
+        self.readers
+    }
+
+    /// Returns the platform's client.
+    pub(super) const fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    fn is_due(&mut self, now: Instant, duty: Duty) -> bool {
+        match duty.joining {
+            true => now >= self.turn(now, duty.known),
+            false => duty.rank < self.readers + STANDBYS,
+        }
+    }
+
+    /// Draws when this joiner reads, so that a herd of them spreads its reads.
+    fn turn(&mut self, now: Instant, known: usize) -> Instant {
+        let known = u32::try_from(known).unwrap_or(u32::MAX);
+        let spread = JOIN_SPREAD.saturating_mul(known);
+        let share = self.rng.random_range(0.0..1.0);
+        *self.turn.get_or_insert_with(|| now + spread.mul_f64(share))
+    }
+
+    fn start(&mut self, from: Offset, long: bool) {
+        let wait = match long {
+            true => LONG_POLL,
+            false => Duration::ZERO,
+        };
+        let (platform, inputs) = (self.platform.clone(), self.inputs.clone());
+        let (shared, limit) = (Arc::clone(&self.shared), self.page);
+        let name = "swiftcart_platform_reads_total";
+        let kind = if long { "long-poll" } else { "once" };
+        self.shared.counters.count(name, "kind", kind);
+        self.long = long;
+        self.task = Some(tokio::spawn(async move {
+            let page = match reachable(&shared, platform.addr()) {
+                true => platform.read(STREAM, from, limit, wait).await,
+                false => unreachable(&shared).await,
+            };
+            // The control loop is gone when the node has stopped.
+            drop(inputs.send(Input::Page(Box::new(page))).await);
+        }));
+    }
+
+    fn standby(&mut self, rank: usize) -> Duration {
+        let behind = u32::try_from(rank.saturating_sub(self.readers)).unwrap_or(u32::MAX);
+        let wait = STANDBY.saturating_mul(1 << behind.min(8));
+        wait.mul_f64(self.rng.random_range(0.8..1.2))
+    }
+
+    fn backoff(&mut self) -> Duration {
+        let doubled = BACKOFF.0.saturating_mul(1 << self.failures.min(8));
+        doubled
+            .min(BACKOFF.1)
+            .mul_f64(self.rng.random_range(0.5..1.0))
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        if let Some(task) = &self.task {
+            task.abort();
+        }
+    }
+}
+
+/// Behaves as a platform whose packets are lost on the way.
+async fn unreachable(shared: &Shared) -> Result<Page, PlatformError> {
+    tokio::time::sleep(shared.settings.platform.timeout()).await;
+    Err(PlatformError::Timeout)
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/control/stream.rs
@@ -0,0 +1,169 @@
+//! Follows the configuration stream: the feed, the floor and the way to being ready.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use swiftcart_core::{
+    Entry, Feed, FeedAction, FeedSettings, Floor, FloorAction, Instant, Join, NodeId, NotReady,
+    Offset, Table, Version, Witness,
+};
+use swiftcart_platform::Page;
+
+use crate::settings::Settings;
+
+/// Holds what a node knows of the stream and what it has put in force.
+#[derive(Debug)]
+pub(super) struct Stream {
+    pub(super) feed: Feed,
+    pub(super) witness: Witness,
+    pub(super) join: Join,
+    floor: Floor,
+    /// The tables that wait for a witness.
+    waiting: BTreeMap<Version, Arc<Table>>,
+    /// The table that the floor has let through.
+    enforced: (Version, Arc<Table>),
+    /// The platform's clock at a time of ours.
+    clock: Option<(Instant, u64)>,
+}
+
+/// What the control loop has to do after an event.
+#[derive(Debug, Default)]
+pub(super) struct Todo {
+    /// Actions of the feed, other than applying.
+    pub(super) feed: Vec<FeedAction>,
+    /// A version to report, and to whom.
+    pub(super) reports: Vec<(Version, Vec<NodeId>)>,
+    /// Whether another version may be put in force now.
+    pub(super) enforced: bool,
+}
+
+impl Stream {
+    pub(super) fn new(me: NodeId, settings: &Settings) -> Self {
+        let retention = std::time::Duration::from_secs(settings.platform.retention_s);
+        Self {
+            feed: Feed::new(me, FeedSettings::new(retention)),
+            witness: Witness::new(),
+            join: Join::new(),
+            floor: Floor::new(),
+            waiting: BTreeMap::new(),
+            enforced: (Version::NONE, Arc::default()),
+            clock: None,
+        }
+    }
+
+    /// Takes a page of the platform's log.
+    pub(super) fn on_page(&mut self, now: Instant, page: Page, witnesses: &[NodeId]) -> Todo {
+        self.clock = Some((now, page.now_ms));
+        self.join.on_platform(page.next);
+        let actions = self.feed.on_page(page.first, page.next, page.entries);
+        self.after(now, actions, witnesses)
+    }
+
+    /// Takes records pushed by another node.
+    pub(super) fn on_push(
+        &mut self,
+        now: Instant,
+        peer: NodeId,
+        origin: NodeId,
+        entries: Vec<Entry>,
+        witnesses: &[NodeId],
+    ) -> Todo {
+        let actions = self.feed.on_push(now, peer, origin, entries);
+        self.after(now, actions, witnesses)
+    }
+
+    /// Sorts the feed's actions; a greater version goes to the floor first.
+    pub(super) fn after(
+        &mut self,
+        now: Instant,
+        actions: Vec<FeedAction>,
+        witnesses: &[NodeId],
+    ) -> Todo {
+        let is_applied = |action: &FeedAction| matches!(action, FeedAction::Applied(_));
+        let (applied, feed): (Vec<_>, Vec<_>) = actions.into_iter().partition(is_applied);
+        let mut todo = match applied.is_empty() {
+            true => Todo::default(),
+            false => self.advance(now, witnesses),
+        };
+        todo.feed = feed;
+        todo
+    }
+
+    /// Takes a witness's acknowledgement.
+    pub(super) fn on_ack(
+        &mut self,
+        now: Instant,
+        peer: NodeId,
+        version: Version,
+        witnesses: &[NodeId],
+    ) -> Todo {
+        let actions = self.floor.on_ack(now, peer, version, witnesses);
+        self.enforce(actions)
+    }
+
+    /// Puts versions in force whose witnesses did not answer in time.
+    pub(super) fn on_tick(&mut self, now: Instant, witnesses: &[NodeId]) -> Todo {
+        let actions = self.floor.on_tick(now, witnesses);
+        self.enforce(actions)
+    }
+
+    /// Returns the checkpoint to append, when one is due for a reader of this rank.
+    pub(super) fn checkpoint(&mut self, now: Instant, rank: usize) -> Option<FeedAction> {
+        let (at, ms) = self.clock?;
+        let passed = u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        self.feed.on_tick(ms.saturating_add(passed), rank)
+    }
+
+    /// Returns the offset from which to read the platform's log.
+    pub(super) fn from(&self) -> Offset {
+        self.feed.from()
+    }
+
+    /// Returns the version that may be served, with its table.
+    ///
+    /// # Errors
+    ///
+    /// What a node that has just started still waits for.
+    pub(super) fn served(&mut self, now: Instant) -> Result<(Version, &Arc<Table>), NotReady> {
+        let (version, table) = &self.enforced;
+        let position = match *version == self.feed.fold().version() {
+            true => self.feed.fold().position(),
+            // A version still waits for its witness; the node is not yet that far.
+            false => Offset(version.0),
+        };
+        self.join.ready(now, position, *version)?;
+        Ok((*version, table))
+    }
+
+    /// Returns the version that answers a joiner: none while this node is joining itself.
+    pub(super) fn vouched(&mut self, now: Instant) -> Version {
+        self.served(now)
+            .map_or(Version::NONE, |(version, _)| version)
+    }
+
+    fn advance(&mut self, now: Instant, witnesses: &[NodeId]) -> Todo {
+        let fold = self.feed.fold();
+        let version = fold.version();
+        self.waiting.insert(version, Arc::clone(fold.table()));
+        let actions = self.floor.on_version(now, version, witnesses);
+        self.enforce(actions)
+    }
+
+    fn enforce(&mut self, actions: Vec<FloorAction>) -> Todo {
+        let mut todo = Todo::default();
+        for action in actions {
+            match action {
+                FloorAction::Report { version, to } => todo.reports.push((version, to)),
+                FloorAction::Enforce(version) => {
+                    let later = self.waiting.split_off(&Version(version.0 + 1));
+                    let ready = std::mem::replace(&mut self.waiting, later);
+                    if let Some(latest) = ready.into_iter().next_back() {
+                        self.enforced = latest;
+                        todo.enforced = true;
+                    }
+                }
+            }
+        }
+        todo
+    }
+}
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod control;
 mod counters;
+mod faults;
 mod logging;
 mod node;
 mod settings;
@@ -17,7 +18,9 @@
 
 pub use args::{Args, ArgsError};
 pub use clock::Clock;
+pub use control::ControlError;
 pub use counters::{Counters, Stage};
+pub use faults::Faults;
 pub use logging::{Event, open as open_log, silent as silent_log};
 pub use node::{Node, NodeError};
 pub use settings::{
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -38,6 +38,16 @@
     Stalled,
     /// A member changed.
     Member,
+    /// A failure domain cannot be reached any more.
+    DomainCut,
+    /// A failure domain is reached again.
+    DomainBack,
+    /// A checkpoint was appended to the log, or could not be.
+    Checkpoint,
+    /// A source has another state at the same place in the stream.
+    Diverged,
+    /// The log holds no place from which to start reading.
+    NoStart,
     /// A datagram or pull was refused.
     Dropped,
     /// The backend server announced itself, changed or left.
@@ -64,6 +74,11 @@
             Self::PlatformUp => "platform-up",
             Self::Stalled => "stalled",
             Self::Member => "member",
+            Self::DomainCut => "domain-cut",
+            Self::DomainBack => "domain-back",
+            Self::Checkpoint => "checkpoint",
+            Self::Diverged => "diverged",
+            Self::NoStart => "no-start",
             Self::Dropped => "dropped",
             Self::Backend => "backend",
             Self::Expired => "expired",
--- a/crates/swiftcart-node/src/node.rs
+++ b/crates/swiftcart-node/src/node.rs
@@ -12,6 +12,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::calls::Calls;
+use crate::control::ControlError;
 use crate::logging::Event;
 use crate::settings::Settings;
 use crate::shared::{Phase, Shared};
@@ -24,6 +25,12 @@
     /// Tells why a node cannot start.
     #[derive(Debug)]
     pub enum NodeError {
+        /// The control edge cannot start.
+        Control(err: ControlError) {
+            from()
+            source(err)
+            display("{err}")
+        }
         /// A listener cannot be opened.
         Listen(path: &'static str, addr: SocketAddr, err: io::Error) {
             source(err)
@@ -52,10 +59,11 @@
         let callers = bind("listen.calls", listen.calls).await?;
         let peers = bind("listen.peer", listen.peer).await?;
         let shared = Shared::new(settings, logger);
+        let control = control::open(Arc::clone(&shared)).await?;
         let calls = Calls::start(&shared, callers, peers);
         let background = vec![
             tokio::spawn(admin::run(Arc::clone(&shared), admin)),
-            tokio::spawn(control::run(Arc::clone(&shared))),
+            tokio::spawn(control.run()),
             tokio::spawn(upkeep(Arc::clone(&shared))),
         ];
         info!(shared.logger, ""; "event" => Event::Started, "id" => %shared.id,
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -129,10 +129,10 @@
         Self(key.into())
     }
 
-    /// Returns the key's bytes.
+    /// Returns the key's text.
     #[must_use]
-    pub fn as_bytes(&self) -> &[u8] {
-        self.0.as_bytes()
+    pub fn as_str(&self) -> &str {
+        &self.0
     }
 }
 
--- a/crates/swiftcart-node/src/settings/check.rs
+++ b/crates/swiftcart-node/src/settings/check.rs
@@ -129,7 +129,7 @@
 }
 
 fn mesh_key(file: &str, key: &MeshKey) -> Result<(), SettingsError> {
-    match key.as_bytes().len() {
+    match key.as_str().len() {
         MeshKey::MIN_LEN.. => Ok(()),
         len => Err(SettingsError::Rule(
             file.into(),
--- a/crates/swiftcart-node/src/settings/gossip.rs
+++ b/crates/swiftcart-node/src/settings/gossip.rs
@@ -1,6 +1,9 @@
 //! Timing of the membership protocol.
 
+use std::time::Duration;
+
 use serde::Deserialize;
+use swiftcart_core::Gossip as Timing;
 
 /// Timing and sizes of membership; the same values belong on every node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -35,3 +38,19 @@
         }
     }
 }
+
+impl Gossip {
+    /// Returns the membership's settings; what operators cannot set keeps its default.
+    #[must_use]
+    pub fn timing(&self) -> Timing {
+        let ms = |ms: u32| Duration::from_millis(ms.into());
+        Timing {
+            probe_interval: ms(self.probe_ms),
+            ack_timeout: ms(self.ack_ms),
+            suspicion: ms(self.suspicion_ms),
+            indirect: usize::try_from(self.indirect).unwrap_or(usize::MAX),
+            dead_memory: Duration::from_secs(self.remember_s.into()),
+            ..Timing::new()
+        }
+    }
+}
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::faults::Faults;
 use crate::settings::Settings;
 
 /// Tells whether a node takes callers' requests, and if not, why.
@@ -72,6 +73,8 @@
     pub backend: watch::Sender<Option<Backend>>,
     /// When the announcement ends unless it is renewed.
     pub expiry: watch::Sender<Option<tokio::time::Instant>>,
+    /// What this node is cut off from, in builds for failure tests.
+    pub faults: Faults,
     /// Cancelled when the node is asked to stop.
     pub stopping: CancellationToken,
     /// When the process started.
@@ -112,6 +115,7 @@
             phase: watch::Sender::new(Phase::default()),
             backend: watch::Sender::new(None),
             expiry: watch::Sender::new(None),
+            faults: Faults::default(),
             stopping: CancellationToken::new(),
             started: Instant::now(),
         })
