Prove the tool's publishes, history and status by its binary

The real binary runs against the log's stand-in and against admin addresses in the test: two racing operators with a lost answer, an effect after the timeout, unknown outcomes settled by the same id, outages, partial and pruned tables, an expired start of the stream, stragglers and nodes out of reach.

Found on the way: a call may take only a third of the command's time, or a timeout left none to look for the id; a checkpoint ahead of its own record or of a later rule is not adopted, as on the node. The option values moved to a module of their own.

--- a/crates/swiftcart-cli/src/args.rs
+++ b/crates/swiftcart-cli/src/args.rs
@@ -1,17 +1,18 @@
 //! The command line.
 
 mod help;
+mod value;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::str::FromStr;
 use std::time::Duration;
 
 use getopts::{Matches, Options, ParsingStyle};
 use swiftcart_core::{PublishId, ServiceName, Version};
 
 use crate::{Error, MAX_NODES, Settings};
+use value::{ADDR, FORMAT, NODE, file, limit, publish_id, seconds, value, version};
 
 /// The time that `--wait` waits unless it is given a number of seconds.
 pub const DEFAULT_WAIT: Duration = Duration::from_secs(30);
@@ -22,14 +23,6 @@
 /// The most publishes that `history` shows.
 pub const MAX_LIMIT: usize = 10_000;
 
-const ADDR: &str = "write IP:PORT, for example 127.0.0.1:7000";
-const NODE: &str = "name at most 64 nodes as IP:PORT, for example 127.0.0.1:7002";
-const VERSION: &str = "write a version's number, for example 12";
-const LIMIT: &str = "write a number from 1 to 10000";
-const ID: &str = "write 1 to 32 hexadecimal digits, as an earlier publish printed them";
-const SECONDS: &str = "write seconds from 1 to 3600";
-const FORMAT: &str = "write csv or json";
-
 /// Holds the whole command line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Invocation {
@@ -265,46 +258,6 @@
     }
 }
 
-fn limit(own: &Matches) -> Result<usize, Error> {
-    match own.opt_str("limit") {
-        None => Ok(DEFAULT_LIMIT),
-        Some(text) => match value("limit", &text, LIMIT)? {
-            n if (1..=MAX_LIMIT).contains(&n) => Ok(n),
-            _ => Err(Error::Value("limit", text, LIMIT)),
-        },
-    }
-}
-
-fn file(own: &Matches) -> Result<PathBuf, Error> {
-    let file = own.free.first().ok_or(Error::Missing("the file"))?;
-    Ok(PathBuf::from(file))
-}
-
-fn version(own: &Matches, name: &'static str) -> Result<Option<Version>, Error> {
-    let text = own.opt_str(name);
-    let version = text.map(|text| value(name, &text, VERSION).map(Version));
-    version.transpose()
-}
-
-fn publish_id(text: &str) -> Result<PublishId, Error> {
-    match text.bytes().all(|b| b.is_ascii_hexdigit()) {
-        true => value("id", text, ID),
-        false => Err(Error::Value("id", text.into(), ID)),
-    }
-}
-
-fn seconds(option: &'static str, text: &str) -> Result<Duration, Error> {
-    match value(option, text, SECONDS)? {
-        secs @ 1..=3600 => Ok(Duration::from_secs(secs)),
-        _ => Err(Error::Value(option, text.into(), SECONDS)),
-    }
-}
-
-fn value<T: FromStr>(option: &'static str, text: &str, cure: &'static str) -> Result<T, Error> {
-    text.parse()
-        .map_err(|_| Error::Value(option, text.into(), cure))
-}
-
 /// Adds the options that every command has.
 fn add_globals(options: &mut Options) -> &mut Options {
     options
--- a/crates/swiftcart-cli/src/journal.rs
+++ b/crates/swiftcart-cli/src/journal.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use swiftcart_core::{
-    Body, Entry, Envelope, Fold, Offset, Publish, PublishId, Rejection, Table, Verdict, Version,
+    Body, CheckpointError, Entry, Envelope, Fold, Offset, Publish, PublishId, RecordError,
+    Rejection, Table, Verdict, Version,
 };
 use swiftcart_platform::{Page, Platform, PlatformError};
 
@@ -161,10 +162,11 @@
             return Ok(());
         }
         loop {
-            let mut found = page.entries.iter().filter_map(|e| adoptable(e, first));
-            if let Some(fold) = found.next() {
-                self.fold = fold;
-                return Ok(());
+            for entry in &page.entries {
+                if let Some(fold) = adoptable(entry, first)? {
+                    self.fold = fold;
+                    return Ok(());
+                }
             }
             match page.entries.last().map(|entry| entry.offset.next()) {
                 Some(next) if next < page.next => page = self.page(next, Duration::ZERO).await?,
@@ -235,11 +237,20 @@
     }
 }
 
-fn adoptable(entry: &Entry, first: Offset) -> Option<Fold> {
-    match Envelope::decode(&entry.body).ok()?.body {
-        Body::Checkpoint(checkpoint) if checkpoint.position >= first => {
-            Fold::from_checkpoint(&checkpoint).ok()
-        }
-        _ => None,
+/// Returns the state of a checkpoint whose later records are all kept.
+fn adoptable(entry: &Entry, first: Offset) -> Result<Option<Fold>, Stop> {
+    let rule = |rule| Err(Stop::Final(Error::Rule(rule)));
+    let checkpoint = match Envelope::decode(&entry.body).map(|envelope| envelope.body) {
+        Ok(Body::Checkpoint(checkpoint)) => checkpoint,
+        Ok(Body::Publish(_)) | Err(RecordError::Malformed(_)) => return Ok(None),
+        Err(RecordError::UnknownRule(found)) => return rule(found),
+    };
+    if !(first..=entry.offset).contains(&checkpoint.position) {
+        return Ok(None);
+    }
+    match Fold::from_checkpoint(&checkpoint) {
+        Ok(fold) => Ok(Some(fold)),
+        Err(CheckpointError::UnknownRule(found)) => rule(found),
+        Err(_) => Ok(None),
     }
 }
--- a/crates/swiftcart-cli/src/run.rs
+++ b/crates/swiftcart-cli/src/run.rs
@@ -11,7 +11,7 @@
 use rand::rngs::{OsRng, SmallRng};
 use serde_json::json;
 use swiftcart_core::Version;
-use swiftcart_platform::Platform;
+use swiftcart_platform::{DEFAULT_TIMEOUT, Platform};
 
 use crate::{
     Admin, Answer, Command, Decided, Error, Fleet, Invocation, Journal, Keep, Node, Report, Retry,
@@ -21,6 +21,9 @@
 /// The largest sheet that is read, in bytes.
 pub const MAX_SHEET: u64 = 4 * 1024 * 1024;
 
+/// Calls without an answer that fit into the time for a command, at least.
+const CALLS: u32 = 3;
+
 const NO_PLATFORM: &str = "give --platform IP:PORT or a settings file with platform";
 const NO_NODES: &str = "give --node IP:PORT or a settings file with nodes";
 
@@ -200,13 +203,14 @@
 fn platform(settings: &Settings) -> Result<Platform, Error> {
     let addr = settings.platform;
     let addr = addr.ok_or(Error::Unset("the platform", NO_PLATFORM))?;
-    let timeout = settings.timeout.min(swiftcart_platform::DEFAULT_TIMEOUT);
+    // One call without an answer leaves time to look for what became of it.
+    let timeout = DEFAULT_TIMEOUT.min(settings.timeout / CALLS);
     Ok(Platform::new(addr).with_timeout(timeout))
 }
 
 fn nodes(settings: &Settings) -> Result<&[std::net::SocketAddr], Error> {
     match &settings.nodes[..] {
-        [] => Err(Error::Unset("no node", NO_NODES)),
+        [] => Err(Error::Unset("a node", NO_NODES)),
         nodes => Ok(nodes),
     }
 }
--- /dev/null
+++ b/crates/swiftcart-cli/tests/publish.rs
@@ -0,0 +1,377 @@
+//! Publishing: racing operators, lost and late answers, outages, and partial tables.
+
+mod common;
+
+use std::fs;
+use std::time::Duration;
+
+use common::{Shell, Told, masked, wait};
+use rstest::rstest;
+use swiftcart_core::{Body, Entry, Envelope, Fold, Offset};
+use swiftcart_standin::{LogFaults, LogSettings, Outage};
+
+const BOOKING: &str = "service,booking,,,50,10,2000\nroute,booking,/book,100,,,\n";
+const SENSOR: &str = "service,sensor,,,0,10,500\nroute,sensor,/moisture,100,,,\n";
+
+fn done(out: &str) -> Told {
+    Told {
+        code: Some(0),
+        out: format!("{out}\n"),
+        err: String::new(),
+    }
+}
+
+fn failed(code: i32, err: &str) -> Told {
+    Told {
+        code: Some(code),
+        out: String::new(),
+        err: format!("{err}\n"),
+    }
+}
+
+fn mask(told: &Told) -> Told {
+    Told {
+        code: told.code,
+        out: masked(&told.out),
+        err: masked(&told.err),
+    }
+}
+
+async fn shell(rows: &str) -> Shell {
+    let shell = Shell::new().await;
+    shell.sheet("first.csv", 0, rows);
+    let told = shell.run("table publish first.csv --author ana");
+    assert_eq!(told.code, Some(0), "{told:?}");
+    shell
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_published_sheet_is_pulled_as_it_was_and_publishing_it_again_does_nothing() {
+    let shell = Shell::new().await;
+    shell.sheet("table.csv", 0, BOOKING);
+    let told = shell.run("table publish table.csv");
+    assert_eq!(mask(&told), done("accepted as version 1: 2 rows, id ID"));
+    let told = shell.run("table pull -o table.csv");
+    let exists = "swiftcart: table.csv exists; give --force to overwrite it";
+    assert_eq!(told, failed(2, exists));
+    let told = shell.run("table pull -o table.csv --force");
+    assert_eq!(told, done("wrote version 1, 2 rows, to table.csv"));
+    let text = fs::read_to_string(shell.path("table.csv")).expect("a file");
+    assert_eq!(text, format!("{}base,1,,,,,\n{BOOKING}", common::HEAD));
+    let told = shell.run("table publish table.csv");
+    let unchanged = "nothing to change: the table reads so already as of version 1";
+    assert_eq!(told, done(unchanged));
+    assert_eq!(shell.records(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sheet_of_one_service_leaves_the_others_alone() {
+    let shell = shell(BOOKING).await;
+    shell.sheet("sensor.csv", 1, SENSOR);
+    let told = shell.run("table diff sensor.csv");
+    let diff = "change  row                          before  after\n\
+        added   service sensor               -       rate 0, concurrency 10, timeout_ms 500\n\
+        added   route /moisture -> sensor    -       weight 100\n\n2 rows against version 1";
+    let squeezed = |text: &str| text.split_whitespace().collect::<Vec<_>>().join(" ");
+    assert_eq!((told.code, squeezed(&told.out)), (Some(0), squeezed(diff)));
+    let told = shell.run("table publish sensor.csv");
+    assert_eq!(mask(&told), done("accepted as version 2: 2 rows, id ID"));
+    let told = shell.run("table pull");
+    let rows = "service,booking,,,50,10,2000\nservice,sensor,,,0,10,500\n\
+        route,booking,/book,100,,,\nroute,sensor,/moisture,100,,,";
+    assert_eq!(told, done(&format!("{}base,2,,,,,\n{rows}", common::HEAD)));
+}
+
+#[rstest]
+#[case::nothing_is_removed_by_default("route,sensor,/moisture,100,,,\n", "", "unchanged", "[]")]
+#[case::prune_removes_what_the_named_services_lack(
+    "service,sensor,,,0,10,500\n",
+    "--prune",
+    "accepted",
+    r#"["removed route /moisture"]"#
+)]
+#[case::remove_rows_remove(
+    "remove-route,sensor,/moisture,,,,\nremove-service,sensor,,,,,\n",
+    "",
+    "accepted",
+    r#"["removed service", "removed route /moisture"]"#
+)]
+#[case::prune_of_one_service_removes_it_whole(
+    "service,booking,,,50,10,2000\n",
+    "--prune --only sensor",
+    "accepted",
+    r#"["removed service", "removed route /moisture"]"#
+)]
+#[tokio::test(flavor = "multi_thread")]
+async fn only_what_is_asked_for_is_removed(
+    #[case] rows: &str,
+    #[case] options: &str,
+    #[case] result: &str,
+    #[case] changes: &str,
+) {
+    let shell = shell(&format!("{BOOKING}{SENSOR}")).await;
+    shell.sheet("edit.csv", 1, rows);
+    let words = format!("edit.csv {options}");
+    let diff = shell.json(&format!("table diff {}", words.trim()));
+    let list = diff["changes"].as_array().expect("a list").iter();
+    let named = list.map(|change| {
+        let text = |key: &str| change[key].as_str().unwrap_or_default().to_owned();
+        let name = [text("change"), text("kind"), text("prefix")].join(" ");
+        serde_json::Value::from(name.trim())
+    });
+    let named: Vec<_> = named.collect();
+    let expected: Vec<serde_json::Value> = serde_json::from_str(changes).expect("JSON");
+    assert_eq!(named, expected);
+    let published = shell.json(&format!("table publish {}", words.trim()));
+    assert_eq!(published["result"], result);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_second_of_two_operators_is_told_which_rows_lost_to_whom() {
+    let shell = shell(BOOKING).await;
+    shell.sheet(
+        "rosa.csv",
+        1,
+        "service,booking,,,60,10,2000\nroute,booking,/book,90,,,\n",
+    );
+    shell.sheet(
+        "luis.csv",
+        1,
+        "service,booking,,,70,10,2000\nroute,booking,/book,100,,,\n",
+    );
+    let told = shell.run("table publish luis.csv --author luis");
+    assert_eq!(mask(&told), done("accepted as version 2: 1 rows, id ID"));
+    let told = shell.run("table publish rosa.csv --author rosa");
+    let lost = "rejected, nothing changed: \
+        \n  service booking was changed by luis in version 2\
+        \npull the table again and repeat your edits of these rows";
+    assert_eq!(told, failed(3, lost));
+}
+
+/// The effect of both appends is late, so that both operators judge from version 1;
+/// the first answer is lost after it took effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_racing_operators_one_is_accepted_also_when_an_answer_is_lost() {
+    let shell = shell(BOOKING).await;
+    shell.sheet("rosa.csv", 1, "service,booking,,,60,10,2000\n");
+    shell.sheet("luis.csv", 1, "service,booking,,,70,10,2000\n");
+    let late = LogFaults::new().with_late_ms(700).with_lose_answers(1);
+    shell.log.set_faults(late);
+    let rosa = shell.spawn("table publish rosa.csv --author rosa");
+    let luis = shell.spawn("table publish luis.csv --author luis");
+    let (rosa, luis) = (mask(&wait(rosa)), mask(&wait(luis)));
+    let (winner, loser, author) = match rosa.code {
+        Some(0) => (rosa, luis, "rosa"),
+        _ => (luis, rosa, "luis"),
+    };
+    assert_eq!(winner, done("accepted as version 2: 1 rows, id ID"));
+    let lost = format!(
+        "rejected, nothing changed: \
+        \n  service booking was changed by {author} in version 2\
+        \npull the table again and repeat your edits of these rows"
+    );
+    assert_eq!(loser, failed(3, &lost));
+    assert_eq!(shell.log.faults().lose_answers, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_settled_without_a_second_record() {
+    let shell = Shell::new().await;
+    shell.log.set_faults(LogFaults::new().with_lose_answers(1));
+    shell.sheet("table.csv", 0, BOOKING);
+    let told = shell.run("table publish table.csv");
+    assert_eq!(mask(&told), done("accepted as version 1: 2 rows, id ID"));
+    assert_eq!(shell.records(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_append_that_takes_effect_after_its_timeout_is_accepted_once() {
+    let shell = Shell::new().await;
+    shell.log.set_faults(LogFaults::new().with_late_ms(1500));
+    shell.sheet("table.csv", 0, BOOKING);
+    let told = shell.run("table publish table.csv --timeout 3");
+    assert_eq!(mask(&told), done("accepted as version 1: 2 rows, id ID"));
+    while shell.records() < 2 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let verdicts = shell.json("history");
+    let list = verdicts["publishes"].as_array().expect("a list").iter();
+    let versions: Vec<_> = list.map(|publish| publish["version"].clone()).collect();
+    assert_eq!(versions, [serde_json::Value::Null, 1.into()]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_outcome_is_settled_by_the_same_id() {
+    let shell = Shell::new().await;
+    shell.log.set_faults(LogFaults::new().with_late_ms(60_000));
+    shell.sheet("table.csv", 0, BOOKING);
+    let told = shell.run("table publish table.csv --timeout 1 --id 5ca1ab1e");
+    let unknown = "swiftcart: outcome unknown (the platform did not answer in time): run the same \
+        command again with --id 0000000000000000000000005ca1ab1e to settle it; that publishes at \
+        most once";
+    assert_eq!(told, failed(5, unknown));
+    shell.log.set_faults(LogFaults::new());
+    let accepted = "accepted as version 1: 2 rows, id 0000000000000000000000005ca1ab1e";
+    for _ in 0..2 {
+        let told = shell.run("table publish table.csv --id 5ca1ab1e");
+        assert_eq!(told, done(accepted));
+    }
+    assert_eq!(shell.records(), 1);
+    shell.sheet("table.csv", 0, SENSOR);
+    let told = shell.run("table publish table.csv --id 5ca1ab1e");
+    let reused = "swiftcart: --id 0000000000000000000000005ca1ab1e was used for a publish with \
+        other edits; leave --id out for a new publish";
+    assert_eq!(told, failed(2, reused));
+}
+
+#[rstest]
+#[case::it_says_so(Outage::Unavailable, "the platform has an outage")]
+#[case::it_hangs_up(
+    Outage::Closed,
+    "the connection to the platform ended before its answer"
+)]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_publishes_nothing_and_says_so(#[case] outage: Outage, #[case] cause: &str) {
+    let shell = Shell::new().await;
+    shell.log.set_faults(LogFaults::new().with_outage(outage));
+    shell.sheet("table.csv", 0, BOOKING);
+    let told = shell.run("table publish table.csv --timeout 1");
+    let addr = shell.log.addr();
+    let err =
+        format!("swiftcart: platform {addr}: {cause}; nothing was published, try again later");
+    assert_eq!(told, failed(4, &err));
+    assert_eq!(shell.records(), 0);
+}
+
+#[rstest]
+#[case::a_route_to_nowhere(
+    0,
+    "route,nobody,/x,1,,,\n",
+    3,
+    "rejected, nothing changed: \n  edit.csv:3: service: \"nobody\" is not valid: route /x -> \
+     nobody: add the service nobody or remove the route"
+)]
+#[case::a_base_that_never_was(
+    5,
+    BOOKING,
+    2,
+    "swiftcart: version 5 was not accepted or is no longer kept; the current version is 0"
+)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_publish_that_cannot_be_accepted_costs_no_append(
+    #[case] base: u64,
+    #[case] rows: &str,
+    #[case] code: i32,
+    #[case] err: &str,
+) {
+    let shell = Shell::new().await;
+    shell.sheet("edit.csv", base, rows);
+    assert_eq!(shell.run("table publish edit.csv"), failed(code, err));
+    assert_eq!(shell.records(), 0);
+}
+
+/// Folds the records from `offset` on, as a reader that stayed at the head did.
+fn follow(fold: &mut Fold, shell: &Shell, offset: u64) {
+    let page = shell.log.read("config", offset).expect("a stream");
+    for record in page.records {
+        let entry = Entry {
+            offset: Offset(record.offset),
+            at_ms: 0,
+            body: record.body.to_string(),
+        };
+        fold.apply(&entry).expect("the next record");
+    }
+}
+
+fn checkpoint(shell: &Shell, fold: &Fold) {
+    let checkpoint = Envelope::new(Body::Checkpoint(fold.checkpoint()));
+    shell
+        .log
+        .append("config", &checkpoint.encode())
+        .expect("room");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_start_expired_is_read_from_its_checkpoint() {
+    let shell = Shell::with(LogSettings::default().with_records(4)).await;
+    let mut fold = Fold::new();
+    for base in 0..3 {
+        shell.sheet(
+            "table.csv",
+            base,
+            &format!("service,booking,,,{},10,2000\n", base + 1),
+        );
+        let told = shell.run("table publish table.csv");
+        assert_eq!(told.code, Some(0), "{told:?}");
+    }
+    // The records after the first checkpoint are not all kept, so that it starts no reader.
+    checkpoint(&shell, &fold);
+    follow(&mut fold, &shell, 0);
+    checkpoint(&shell, &fold);
+    shell.sheet("table.csv", 3, "service,booking,,,9,10,2000\n");
+    let told = shell.run("table publish table.csv");
+    assert_eq!(mask(&told), done("accepted as version 6: 1 rows, id ID"));
+    let told = shell.run("table pull --version 3");
+    let pulled = format!("{}base,3,,,,,\nservice,booking,,,3,10,2000", common::HEAD);
+    assert_eq!(told, done(&pulled));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_start_and_checkpoint_is_no_table() {
+    let shell = Shell::with(LogSettings::default().with_records(1)).await;
+    for _ in 0..2 {
+        shell.log.append("config", "hello").expect("room");
+    }
+    let told = shell.run("table pull");
+    let err = "swiftcart: records before offset 1 have expired and no checkpoint covers them";
+    assert_eq!(told, failed(1, err));
+}
+
+#[rstest]
+#[case::foreign_records_are_skipped("hello", done("wrote version 1, 2 rows, to table.csv"))]
+#[case::a_later_rule_stops_the_tool(
+    r#"{"rule":2}"#,
+    failed(
+        1,
+        "swiftcart: the log has records of rule 2, which this release does not know; upgrade swiftcart"
+    )
+)]
+#[tokio::test(flavor = "multi_thread")]
+async fn records_that_are_not_ours(#[case] body: &str, #[case] expected: Told) {
+    let shell = shell(BOOKING).await;
+    shell.log.append("config", body).expect("room");
+    assert_eq!(shell.run("table pull -o table.csv"), expected);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn history_shows_versions_authors_and_rejections() {
+    let shell = shell(BOOKING).await;
+    shell.sheet("rosa.csv", 1, "service,booking,,,60,10,2000\n");
+    let publish = shell.json("table publish rosa.csv");
+    // A publish that another tool appended without looking first.
+    let lost = Envelope::decode(&shell.log.read("config", 1).expect("a stream").records[0].body);
+    let Ok(Body::Publish(mut lost)) = lost.map(|envelope| envelope.body) else {
+        panic!("the tool appends publishes");
+    };
+    assert_eq!(publish["id"], lost.id.to_string());
+    lost.id.0 ^= 1;
+    lost.author = "luis".into();
+    let body = Envelope::new(Body::Publish(lost)).encode();
+    shell.log.append("config", &body).expect("room");
+    let told = shell.run("history --limit 2");
+    let cells = |line: &str| {
+        let (version, rest) = line.split_at(9);
+        format!(
+            "{} {}",
+            version.trim(),
+            rest[20..].split_whitespace().collect::<Vec<_>>().join(" ")
+        )
+    };
+    let lines: Vec<_> = told.out.lines().skip(1).map(cells).collect();
+    let expected = [
+        "- luis rejected: service booking was changed by rosa in version 2; pull and edit again \
+         service booking",
+        "2 rosa accepted service booking",
+    ];
+    assert_eq!(lines, expected, "{}", told.out);
+}
--- /dev/null
+++ b/crates/swiftcart-cli/tests/status.rs
@@ -0,0 +1,193 @@
+//! Status and waiting, against nodes that only have an admin address.
+
+mod common;
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use axum::routing::get;
+use axum::{Json, Router};
+use common::{Shell, Told, masked, wait};
+use serde_json::{Value, json};
+use swiftcart_core::{
+    Backend, FailureDomain, Incarnation, Liveness, Member, NodeId, Readiness, ServiceName,
+};
+use tokio::net::TcpListener;
+
+const NORTE: &str = "127.0.0.1:7101";
+const SUR: &str = "127.0.0.1:7102";
+const DEAD: &str = "127.0.0.1:7103";
+
+/// Serves the admin address of the node `id`, whose version can be moved.
+async fn node(id: &str, version: u64, others: Vec<Member>) -> (Member, Arc<AtomicU64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let me = member(id, listener.local_addr().expect("a bound port"));
+    let current = Arc::new(AtomicU64::new(version));
+    let (shown, told) = (current.clone(), me.clone());
+    let state = move || {
+        let version = shown.load(Ordering::SeqCst);
+        std::future::ready(Json(state(&told, version)))
+    };
+    let members: Vec<_> = others.into_iter().chain([me.clone()]).collect();
+    let router = Router::new()
+        .route("/v1/members", get(|| std::future::ready(Json(members))))
+        .route("/v1/state", get(state));
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    (me, current)
+}
+
+fn state(member: &Member, version: u64) -> Value {
+    json!({
+        "id": member.id, "domain": member.domain, "version": version, "position": version,
+        "digest": "00", "ready": version > 0, "reason": (version == 0).then_some("no table yet"),
+        "stalled_rule": null, "backend": member.backend, "uptime_ms": 5, "later_field": 1,
+    })
+}
+
+fn member(id: &str, admin: SocketAddr) -> Member {
+    let id: SocketAddr = id.parse().expect("an address");
+    let domain = if id.port() == 7101 { "norte" } else { "sur" };
+    Member {
+        id: NodeId(id),
+        sync: id,
+        peer: id,
+        admin,
+        domain: FailureDomain::new(domain),
+        incarnation: Incarnation(1),
+        liveness: Liveness::Alive,
+        backend: Some(Backend {
+            service: ServiceName::new("booking"),
+            addr: id,
+            slots: 10,
+            connections: 130,
+            readiness: Readiness::Ready,
+        }),
+    }
+}
+
+/// Returns an address on which nothing listens.
+async fn nowhere() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    listener.local_addr().expect("a bound port")
+}
+
+async fn published() -> Shell {
+    let shell = Shell::new().await;
+    shell.sheet("first.csv", 0, "service,booking,,,50,10,2000\n");
+    assert_eq!(shell.run("table publish first.csv").code, Some(0));
+    shell
+}
+
+fn squeezed(text: &str) -> Vec<String> {
+    let words = |line: &str| line.split_whitespace().collect::<Vec<_>>().join(" ");
+    text.lines().map(words).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_names_versions_stragglers_and_nodes_out_of_reach() {
+    let shell = published().await;
+    let cut = member(SUR, nowhere().await);
+    let mut dead = member(DEAD, nowhere().await);
+    dead.liveness = Liveness::Dead;
+    dead.backend = None;
+    let (norte, version) = node(NORTE, 1, vec![cut, dead]).await;
+    let words = format!("--node {} --node {} status", nowhere().await, norte.admin);
+    let expected = [
+        "node domain service liveness version ready note",
+        "127.0.0.1:7101 norte booking alive 1 yes",
+        "127.0.0.1:7102 sur booking alive - - unreachable",
+        "127.0.0.1:7103 sur - dead - -",
+        "",
+        "1 of 2 live nodes are at version 1",
+        "stragglers: 127.0.0.1:7102 (sur) unreachable",
+    ];
+    let told = shell.run(&words);
+    assert_eq!(
+        (told.code, squeezed(&told.out)),
+        (Some(0), expected.map(String::from).to_vec())
+    );
+    version.store(0, Ordering::SeqCst);
+    let json = shell.json(&words);
+    let stragglers = json!([
+        {"node": NORTE, "domain": "norte", "version": 0},
+        {"node": SUR, "domain": "sur", "version": null, "error": "unreachable"},
+    ]);
+    assert_eq!(
+        (&json["head"], &json["stragglers"]),
+        (&json!(1), &stragglers)
+    );
+    assert_eq!(json["nodes"][0]["reason"], "no table yet");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_of_another_node_is_not_taken_for_the_members_own() {
+    let shell = published().await;
+    let (sur, _) = node(SUR, 1, Vec::new()).await;
+    let replaced = member(DEAD, sur.admin);
+    let (norte, _) = node(NORTE, 1, vec![sur, replaced]).await;
+    let json = shell.json(&format!("--node {} status", norte.admin));
+    let error = "answers otherwise than a node of this release";
+    let stragglers = json!([{"node": DEAD, "domain": "sur", "version": null, "error": error}]);
+    assert_eq!(json["stragglers"], stragglers);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_ends_when_the_last_live_node_has_the_version() {
+    let shell = published().await;
+    let (sur, version) = node(SUR, 0, Vec::new()).await;
+    let (norte, _) = node(NORTE, 1, vec![sur]).await;
+    let words = format!("--node {} table publish first.csv --wait", norte.admin);
+    let mut child = shell.spawn(&words);
+    let mut err = BufReader::new(child.stderr.take().expect("a pipe"));
+    let mut line = String::new();
+    err.read_line(&mut line).expect("a line of progress");
+    let waiting = "version 1: 1 of 2 live nodes, waiting for 127.0.0.1:7102 (sur) has version 0\n";
+    assert_eq!(line, waiting);
+    version.store(1, Ordering::SeqCst);
+    let told = wait(child);
+    let out = "nothing to change: the table reads so already as of version 1\n\
+        version 1 is in force on all live nodes\n";
+    assert_eq!((told.code, told.out.as_str()), (Some(0), out));
+    line.clear();
+    err.read_line(&mut line).expect("a line of progress");
+    assert_eq!(line, "version 1: 2 of 2 live nodes\n");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wait_that_times_out_names_the_stragglers() {
+    let shell = published().await;
+    let cut = member(SUR, nowhere().await);
+    let (norte, _) = node(NORTE, 0, vec![cut]).await;
+    shell.sheet("edit.csv", 1, "service,booking,,,60,10,2000\n");
+    let words = format!("--node {} table publish edit.csv --wait=1", norte.admin);
+    let told = shell.run(&words);
+    let expected = Told {
+        code: Some(6),
+        out: "accepted as version 2: 1 rows, id ID\nversion 2 is not yet in force on:\n  \
+            127.0.0.1:7101 (norte) has version 0\n  127.0.0.1:7102 (sur) unreachable\n"
+            .into(),
+        err: "version 2: 0 of 2 live nodes, waiting for 127.0.0.1:7101 (norte) has version 0; \
+            127.0.0.1:7102 (sur) unreachable\n"
+            .into(),
+    };
+    let masked = Told {
+        out: masked(&told.out),
+        ..told
+    };
+    assert_eq!(masked, expected);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wait_that_no_node_answers_is_not_called_done() {
+    let shell = published().await;
+    let words = format!(
+        "--node {} table publish first.csv --wait=1",
+        nowhere().await
+    );
+    let told = shell.run(&words);
+    assert_eq!(told.code, Some(6), "{told:?}");
+    let told = shell.run(&format!("--node {} status", nowhere().await));
+    assert_eq!(told.code, Some(1), "{told:?}");
+}
