Add the demo and the bench harness

Every child ends with its handle: SIGTERM, then SIGKILL by its id. The program that holds them replaces the one that built it, so that a signal reaches it. Ports come from below the range that the system hands out, since a port found free in that range can be taken before it is bound.

Not run yet: the node's call path and control plane have not landed. What is tested here are the parts that need no node (children, ports, parsing, comparison).

--- /dev/null
+++ b/xtask/src/fleet.rs
@@ -0,0 +1,227 @@
+//! A mesh of real processes on this machine: the platform's log, nodes, backend servers.
+
+mod instance;
+mod wait;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+use swiftcart_core::Version;
+
+use crate::child::{Child, end_all, fresh_dir};
+use crate::command::root;
+use crate::http::Client;
+use crate::ports::Ports;
+use crate::prom::Scrape;
+use crate::{Error, Usage};
+
+pub use instance::{Addresses, Instance, Role};
+
+/// What a node says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct State {
+    /// The version in force.
+    pub version: Version,
+    /// Whether it takes callers' requests.
+    pub ready: bool,
+}
+
+/// Holds the processes of one run; dropping it ends them all.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Talks to every process of the run.
+    pub client: Client,
+    /// Where the platform's log is.
+    pub platform: SocketAddr,
+    /// Every instance, in the order of their numbers.
+    pub instances: Vec<Instance>,
+    log: Child,
+    dir: PathBuf,
+    settings: Value,
+}
+
+impl Fleet {
+    /// Starts a platform with `platform` as its settings and an instance for each role.
+    ///
+    /// Settings and logs lie in `target/xtask/NAME` afterwards. `settings` is merged
+    /// into the settings of each node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when a process cannot be started.
+    pub async fn start(
+        name: &str,
+        platform: &Value,
+        roles: Vec<Role>,
+        settings: Value,
+    ) -> Result<Self, Error> {
+        let dir = root().join("target/xtask").join(name);
+        fresh_dir(&dir)?;
+        let mut ports = Ports::new();
+        let addr = ports.pick(Ports::instance(0))?;
+        let mut command = Command::new(program("swiftcart-standin-platform"));
+        command.args(["--addr", &addr.to_string()]);
+        command.args(["--settings", &platform.to_string()]);
+        let log = Child::spawn("platform", &dir, command)?;
+        let mut fleet = Self {
+            client: Client::new(),
+            platform: addr,
+            instances: Vec::new(),
+            log,
+            dir,
+            settings,
+        };
+        fleet.wait_platform().await?;
+        fleet.instances = roles
+            .into_iter()
+            .enumerate()
+            .map(|(i, role)| Instance::new(&mut ports, i + 1, role))
+            .collect::<Result<_, _>>()?;
+        for i in 0..fleet.instances.len() {
+            fleet.write_settings(i)?;
+            fleet.start_node(i)?;
+            fleet.start_backend(i)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Returns the folder of the run's settings and logs.
+    #[must_use]
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Returns the platform's process.
+    #[must_use]
+    pub const fn log(&self) -> &Child {
+        &self.log
+    }
+
+    /// Starts the node of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the process cannot be started.
+    pub fn start_node(&mut self, i: usize) -> Result<(), Error> {
+        let instance = &mut self.instances[i];
+        let mut command = Command::new(program("swiftcartd"));
+        let file = self.dir.join(format!("{}.json", instance.name));
+        command.arg("--settings").arg(file);
+        let name = format!("{}-node", instance.name);
+        instance.node = Some(Child::spawn(&name, &self.dir, command)?);
+        Ok(())
+    }
+
+    /// Starts the backend server of an instance, if its role has one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the process cannot be started.
+    pub fn start_backend(&mut self, i: usize) -> Result<(), Error> {
+        let instance = &mut self.instances[i];
+        let Some(mut settings) = instance.role.backend.clone() else {
+            return Ok(());
+        };
+        settings["admin"] = json!(instance.addrs.admin);
+        let mut command = Command::new(program("swiftcart-standin-backend"));
+        command.args(["--addr", &instance.addrs.backend.to_string()]);
+        command.args(["--settings", &settings.to_string()]);
+        let name = format!("{}-backend", instance.name);
+        instance.backend = Some(Child::spawn(&name, &self.dir, command)?);
+        Ok(())
+    }
+
+    /// Kills the node and the backend server of an instance at once.
+    pub fn kill(&mut self, i: usize) {
+        let instance = &mut self.instances[i];
+        let children = [instance.node.take(), instance.backend.take()];
+        children
+            .into_iter()
+            .flatten()
+            .for_each(|mut child| child.kill());
+    }
+
+    /// Returns what a node says of itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the node does not answer.
+    pub async fn state(&self, i: usize) -> Result<State, Error> {
+        let admin = self.instances[i].addrs.admin;
+        self.client.json(admin, "/v1/state").await
+    }
+
+    /// Returns the metrics of a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the node does not answer.
+    pub async fn scrape(&self, i: usize) -> Result<Scrape, Error> {
+        let admin = self.instances[i].addrs.admin;
+        let text = self.client.text(admin, "/metrics").await?;
+        Ok(Scrape::parse(&text))
+    }
+
+    /// Returns what the node of an instance has used, if it runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the system does not tell.
+    pub fn usage(&self, i: usize) -> Result<Option<Usage>, Error> {
+        let node = self.instances[i].node.as_ref();
+        node.map(|node| Usage::of(node.id())).transpose()
+    }
+
+    /// Returns the numbers of the instances whose node is meant to run.
+    #[must_use]
+    pub fn running(&self) -> Vec<usize> {
+        let numbers = 0..self.instances.len();
+        numbers
+            .filter(|&i| self.instances[i].node.is_some())
+            .collect()
+    }
+
+    fn write_settings(&self, i: usize) -> Result<(), Error> {
+        let instance = &self.instances[i];
+        let settings = instance.settings(&self.seeds(), self.platform, &self.settings);
+        let file = self.dir.join(format!("{}.json", instance.name));
+        let text = format!("{settings:#}\n");
+        fs::write(&file, text).map_err(|e| Error::File(file, e))
+    }
+
+    /// Returns the first two nodes of each failure domain.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let before = |i: usize| {
+            let domain = &self.instances[i].role.domain;
+            let earlier = self.instances[..i].iter();
+            earlier.filter(|other| other.role.domain == *domain).count()
+        };
+        let numbers = 0..self.instances.len();
+        let seeds = numbers.filter(|&i| before(i) < 2);
+        seeds.map(|i| self.instances[i].addrs.gossip).collect()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let children = |i: &'_ mut Instance| [i.node.take(), i.backend.take()];
+        let mut owned: Vec<_> = self
+            .instances
+            .iter_mut()
+            .flat_map(children)
+            .flatten()
+            .collect();
+        let mut all: Vec<_> = owned.iter_mut().chain([&mut self.log]).collect();
+        end_all(&mut all);
+    }
+}
+
+/// Returns the path of a release build of `name`.
+#[must_use]
+pub fn program(name: &str) -> PathBuf {
+    root().join("target/release").join(name)
+}
--- /dev/null
+++ b/xtask/src/fleet/wait.rs
@@ -0,0 +1,118 @@
+//! Waiting for conditions that a whole fleet has to meet.
+
+use std::time::{Duration, Instant};
+
+use swiftcart_core::Version;
+use tokio::time::sleep;
+
+use super::{Fleet, State};
+use crate::{Child, Error};
+
+/// Gap between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Longest time for the platform to listen.
+const LISTEN: Duration = Duration::from_secs(10);
+
+impl Fleet {
+    /// Waits until every running node takes callers' requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Late`] when it takes longer than `limit`.
+    pub async fn wait_ready(&mut self, limit: Duration) -> Result<Duration, Error> {
+        self.wait("every node to be ready", limit, |state| state.ready)
+            .await
+    }
+
+    /// Waits until `version` is in force on every running node.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Late`] when it takes longer than `limit`.
+    pub async fn wait_version(
+        &mut self,
+        version: Version,
+        limit: Duration,
+    ) -> Result<Duration, Error> {
+        let what = format!("version {version} to be in force on every node");
+        self.wait(&what, limit, |state| state.version >= version)
+            .await
+    }
+
+    /// Waits until a `GET` of `path` succeeds through every running node.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Late`] when it takes longer than `limit`.
+    pub async fn wait_served(&self, path: &str, limit: Duration) -> Result<Duration, Error> {
+        let start = Instant::now();
+        for i in self.running() {
+            let instance = &self.instances[i];
+            while let Err(e) = self.client.text(instance.addrs.calls, path).await {
+                if start.elapsed() > limit {
+                    return Err(Error::Late(
+                        format!("{path} to be served: {e}"),
+                        instance.name.clone(),
+                    ));
+                }
+                sleep(LOOK).await;
+            }
+        }
+        Ok(start.elapsed())
+    }
+
+    /// Waits until each running node's state satisfies `holds`.
+    async fn wait(
+        &mut self,
+        what: &str,
+        limit: Duration,
+        holds: impl Fn(&State) -> bool,
+    ) -> Result<Duration, Error> {
+        let start = Instant::now();
+        let mut left = self.running();
+        while let Some(&i) = left.last() {
+            match self.state(i).await {
+                Ok(state) if holds(&state) => {
+                    left.pop();
+                    continue;
+                }
+                _ if start.elapsed() > limit => {
+                    let names = left.iter().map(|&i| self.instances[i].name.as_str());
+                    let names: Vec<_> = names.collect();
+                    return Err(Error::Late(what.to_owned(), names.join(" ")));
+                }
+                _ => self.check(i)?,
+            }
+            sleep(LOOK).await;
+        }
+        Ok(start.elapsed())
+    }
+
+    pub(super) async fn wait_platform(&mut self) -> Result<(), Error> {
+        let start = Instant::now();
+        while self
+            .client
+            .text(self.platform, "/standin/stats")
+            .await
+            .is_err()
+        {
+            self.log.check()?;
+            if start.elapsed() > LISTEN {
+                return Err(Error::Late(
+                    "the platform to listen".to_owned(),
+                    "platform".to_owned(),
+                ));
+            }
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// Fails when a process of an instance has ended by itself.
+    fn check(&mut self, i: usize) -> Result<(), Error> {
+        let instance = &mut self.instances[i];
+        let children = [&mut instance.node, &mut instance.backend];
+        children.into_iter().flatten().try_for_each(Child::check)
+    }
+}
--- /dev/null
+++ b/xtask/src/http.rs
@@ -0,0 +1,117 @@
+//! A small HTTP client for admin addresses and stand-ins.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::Error;
+
+/// Longest time for one request.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Talks to one process at a time; a clone shares its connections.
+#[derive(Debug, Clone)]
+pub struct Client {
+    inner: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Creates a client without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let builder = hyper_util::client::legacy::Client::builder(TokioExecutor::new());
+        Self {
+            inner: builder.build(connector),
+        }
+    }
+
+    /// Returns the body of a successful `GET`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Http`] when there is no answer or no success.
+    pub async fn text(&self, addr: SocketAddr, path: &str) -> Result<String, Error> {
+        let (status, body) = self.call(Method::GET, addr, path, Bytes::new()).await?;
+        match status.is_success() {
+            true => Ok(String::from_utf8_lossy(&body).into_owned()),
+            false => Err(Error::Http(addr, path.to_owned(), status.to_string())),
+        }
+    }
+
+    /// Returns the body of a successful `GET` as a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Http`] when there is no such answer.
+    pub async fn json<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+    ) -> Result<T, Error> {
+        let text = self.text(addr, path).await?;
+        let failed = |e: serde_json::Error| Error::Http(addr, path.to_owned(), e.to_string());
+        serde_json::from_str(&text).map_err(failed)
+    }
+
+    /// Sends `value` by `PUT`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Http`] when there is no answer or no success.
+    pub async fn put<T: Serialize>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        value: &T,
+    ) -> Result<(), Error> {
+        let failed = |cause: String| Error::Http(addr, path.to_owned(), cause);
+        let body = serde_json::to_vec(value).map_err(|e| failed(e.to_string()))?;
+        let (status, _) = self.call(Method::PUT, addr, path, body.into()).await?;
+        match status.is_success() {
+            true => Ok(()),
+            false => Err(failed(status.to_string())),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let failed = |cause: String| Error::Http(addr, path.to_owned(), cause);
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"))
+            .header("content-type", "application/json")
+            .body(Full::new(body))
+            .map_err(|e| failed(e.to_string()))?;
+        let answer = async {
+            let answer = self.inner.request(request).await;
+            let answer = answer.map_err(|e| failed(e.to_string()))?;
+            let status = answer.status();
+            let body = answer.into_body().collect().await;
+            let body = body.map_err(|e| failed(e.to_string()))?;
+            Ok((status, body.to_bytes()))
+        };
+        let late = |_| failed(format!("no answer within {TIMEOUT:?}"));
+        timeout(TIMEOUT, answer).await.map_err(late)?
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -1,16 +1,34 @@
 //! Chores of the repository, each behind one command of `cargo xtask`.
 
+pub mod bench;
 mod check;
+mod child;
 mod command;
+mod demo;
 mod error;
+mod events;
+mod fleet;
+mod http;
+mod live;
+mod mesh;
 mod packages;
+mod ports;
+mod proc;
+mod prom;
 mod red;
 mod spec;
 mod summary;
 mod test;
 mod verdict;
 
+pub use child::Child;
 pub use error::Error;
+pub use events::applied_at;
+pub use fleet::{Addresses, Fleet, Instance, Role, State};
+pub use mesh::{Kind, Mesh, Service};
+pub use ports::Ports;
+pub use proc::Usage;
+pub use prom::Scrape;
 pub use red::{KnownRed, Ledger};
 pub use spec::{Model, SpecRun, read_models};
 pub use summary::Summary;
@@ -23,7 +41,9 @@
 
 Commands:
   test     everything that decides: packages, format, lint, docs, models, tests
+  demo     a whole mesh on this machine, with a report; `--mesh lima|bogota`
   check    format, lint and docs only
+  bench    measure against the baselines; `bench --help` lists the options
   spec     check the models in specs/, with each guard in place and taken out
   help     print this text
 
@@ -36,6 +56,9 @@
 /// Returns an [`Error`] when the chore could not run to a verdict.
 pub fn run(args: &[String]) -> Result<Verdict, Error> {
     match args.split_first().map(|(name, rest)| (name.as_str(), rest)) {
+        Some(("demo", rest)) => live::run(rest, demo::run),
+        Some(("bench", rest)) => live::run(rest, bench::run),
+        Some(("poller", rest)) => live::poll(rest),
         Some(("test", [])) => test::run(),
         Some(("check", [])) => check::run(),
         Some(("spec", [])) => spec::run(),
