Prove the membership in virtual time and mend what the scenarios found

A small network of machines in virtual time (delay, loss, cuts, pauses, restarts) found these faults: - An agreeing peer cleared the note that lists differ, so two camps of equal size never compared lists. Now only a gap in the differences clears it. - A cold start of 200 nodes had not agreed after 30 s, since news came in faster than probes carried it.

--- a/crates/swiftcart-core/src/member.rs
+++ b/crates/swiftcart-core/src/member.rs
@@ -14,6 +14,8 @@
 mod reach;
 mod settings;
 mod spread;
+mod verdict;
+mod view;
 
 pub use action::*;
 pub use entry::*;
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -1,15 +1,15 @@
 //! The membership of one node: its state, and the events that move it.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
+use super::spread::{Difference, status_of};
+use super::verdict::Watch;
 use super::{Action, Applied, Gossip, List, MemberCounts, NewsQueue, Probes, Reach, Relay};
-use crate::{
-    Backend, Beat, Datagram, FailureDomain, Head, Incarnation, Instant, Liveness, Member, News,
-    NodeId,
-};
+use crate::{Backend, Beat, Datagram, Head, Incarnation, Instant, Liveness, Member, News, NodeId};
 
 /// Decides whom a node takes for alive, and what it tells the others.
 ///
@@ -40,8 +40,8 @@
     pub(super) news: NewsQueue,
     pub(super) probes: Probes,
     pub(super) reach: Reach,
-    /// When each suspected node of the own failure domain is declared dead.
-    pub(super) suspects: BTreeMap<NodeId, Instant>,
+    /// The suspected nodes of the own failure domain.
+    pub(super) suspects: BTreeMap<NodeId, Watch>,
     /// The rest of the current round over the own failure domain.
     pub(super) round: VecDeque<NodeId>,
     /// Whether there is news that should not wait for the next probe.
@@ -56,10 +56,9 @@
     pub(super) last_change: Instant,
     /// Nobody is accused before this.
     pub(super) grace_until: Instant,
-    /// Since when the list differs from a peer's, and from whose.
-    pub(super) differs: Option<(Instant, NodeId)>,
+    pub(super) differs: Option<Difference>,
     pub(super) synced: bool,
-    /// How badly this node's own probes fare, from 0 to [`super::prober::WORST_HEALTH`].
+    /// How badly this node's own probes fare, from 0 to [`super::verdict::WORST_HEALTH`].
     pub(super) health: u32,
     pub(super) counts: MemberCounts,
     pub(super) out: Vec<Action>,
@@ -142,7 +141,7 @@
             }
             Datagram::Ack { seq, beat } => {
                 let replies = self.hear(now, from, beat);
-                self.on_ack(now, seq, from);
+                self.on_ack(seq, from);
                 self.reply(from, replies);
             }
             Datagram::ProbeFor { seq, target } => self.on_probe_for(now, from, seq, target),
@@ -183,6 +182,12 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Notes that the peer was too busy to serve the pull, and for how long.
+    pub fn pull_busy(&mut self, now: Instant, retry_after: Duration) {
+        let spread = self.rng.random_range(1.0..1.5);
+        self.next_pull = now + retry_after.mul_f64(spread);
+    }
+
     /// Announces the backend server beside this node, its changes, or its absence.
     pub fn update_me(&mut self, now: Instant, backend: Option<Backend>) -> Vec<Action> {
         if self.me.backend != backend {
@@ -196,6 +201,7 @@
     pub fn leave(&mut self, now: Instant) -> Vec<Action> {
         self.me.liveness = Liveness::Left;
         self.list.put(now, self.me.clone());
+        self.news.push(status_of(&self.me));
         self.probes.clear();
         let incarnation = self.me.incarnation;
         for id in self.farewell() {
@@ -209,89 +215,6 @@
         self.head = head;
     }
 
-    /// Returns this node's own entry.
-    #[must_use]
-    pub const fn me(&self) -> &Member {
-        &self.me
-    }
-
-    /// Returns what is known of a node, also of a dead one that is remembered.
-    #[must_use]
-    pub fn member(&self, id: NodeId) -> Option<&Member> {
-        self.list.get(id)
-    }
-
-    /// Iterates over all entries, this node's and those of remembered dead ones included.
-    pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.list.iter()
-    }
-
-    /// Iterates over the live entries of a failure domain, suspected ones included.
-    pub fn live_in(&self, domain: &FailureDomain) -> impl Iterator<Item = &Member> {
-        let ring = self.list.ring(domain);
-        ring.iter().filter_map(|(_, id)| self.list.get(*id))
-    }
-
-    /// Iterates over the failure domains that have live entries.
-    pub fn domains(&self) -> impl Iterator<Item = &FailureDomain> {
-        self.list.domains()
-    }
-
-    /// Tells whether new work may go to a node: alive, not suspected, its domain reachable.
-    #[must_use]
-    pub fn routable(&self, id: NodeId) -> bool {
-        self.list
-            .get(id)
-            .is_some_and(|m| m.liveness == Liveness::Alive && !self.reach.is_cut(&m.domain))
-    }
-
-    /// Tells whether a failure domain is unreachable from this node.
-    #[must_use]
-    pub fn is_cut(&self, domain: &FailureDomain) -> bool {
-        self.reach.is_cut(domain)
-    }
-
-    /// Tells whether this node has taken over a list from another one, or has no seeds.
-    #[must_use]
-    pub const fn is_synced(&self) -> bool {
-        self.synced
-    }
-
-    /// Returns the hash over the live entries.
-    #[must_use]
-    pub fn hash(&self) -> u32 {
-        self.list.hash()
-    }
-
-    /// Returns the hashes of the list's parts, which a pull sends along.
-    #[must_use]
-    pub const fn buckets(&self) -> [u32; super::BUCKETS] {
-        self.list.buckets()
-    }
-
-    /// Returns the entries in which a peer with these hashes differs; this answers a pull.
-    ///
-    /// A list of another length counts as different everywhere.
-    #[must_use]
-    pub fn entries_for(&self, theirs: &[u32]) -> Vec<Member> {
-        let mine = self.list.buckets();
-        let differs = |i: &u8| theirs.get(usize::from(*i)) != mine.get(usize::from(*i));
-        let buckets: Vec<u8> = (0..super::BUCKETS as u8).filter(differs).collect();
-        self.list.entries_of(&buckets)
-    }
-
-    /// Returns what the membership has counted since its start.
-    #[must_use]
-    pub const fn counts(&self) -> MemberCounts {
-        self.counts
-    }
-
-    /// Returns the number of items still to be passed on.
-    #[must_use]
-    pub fn backlog(&self) -> usize {
-        self.news.len()
-    }
-
     fn on_probe_for(&mut self, now: Instant, asker: NodeId, seq: u32, target: NodeId) {
         if target == self.me.id {
             return self.send(asker, Datagram::AckFor { seq, target });
--- a/crates/swiftcart-core/src/member/prober.rs
+++ b/crates/swiftcart-core/src/member/prober.rs
@@ -1,4 +1,4 @@
-//! Whom a node probes, and what it concludes from silence.
+//! Whom a node probes, and when.
 
 use std::collections::VecDeque;
 
@@ -6,14 +6,9 @@
 use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
 
 use super::list::ring_key;
-use super::{Action, Kind, Member, Membership, Probe};
-use crate::{Datagram, FailureDomain, Instant, Liveness, News, NodeId, Seq, Status};
-
-/// The worst value of a node's health; timeouts double there.
-pub(super) const WORST_HEALTH: u32 = 4;
-
-/// A node that has heard nobody for this many suspicion times blames itself.
-const DEAF_AFTER: u32 = 1;
+use super::verdict::WORST_HEALTH;
+use super::{Kind, Member, Membership, Probe};
+use crate::{Datagram, FailureDomain, Instant, Liveness, News, NodeId, Seq};
 
 impl Membership {
     /// Sets the first times, with jitter, so that nodes started together spread out.
@@ -30,61 +25,6 @@
         self.next_pull = now;
     }
 
-    /// Starts afresh when the time since the last tick shows that the process was paused.
-    pub(super) fn notice_pause(&mut self, now: Instant) {
-        if now.since(self.last_tick) <= self.settings.pause {
-            return;
-        }
-        self.last_tick = now;
-        self.last_heard = now;
-        self.counts.pauses += 1;
-        self.grace_until = now + self.settings.grace;
-        self.probes.clear();
-        self.reach.forgive();
-        self.next_probe = now;
-        let deadline = self.grace_until + self.settings.suspicion;
-        for at in self.suspects.values_mut() {
-            *at = deadline;
-        }
-        if self.me.liveness.is_live() {
-            self.step_over(now, self.me.incarnation);
-        }
-    }
-
-    /// Gives up probes that nobody answered, and asks others where that helps.
-    pub(super) fn expire_probes(&mut self, now: Instant) {
-        for (seq, probe) in self.probes.expired(now) {
-            match probe.kind {
-                Kind::Own if !probe.asked => self.ask_others(now, seq, probe),
-                Kind::Own => self.miss_own(now, probe.target),
-                Kind::Cross => self.miss_cross(now, &probe),
-                Kind::Stray => {}
-            }
-        }
-    }
-
-    /// Declares those dead who did not refute in time.
-    pub(super) fn expire_suspects(&mut self, now: Instant) {
-        let due = self.suspects.iter().filter(|(_, at)| **at <= now);
-        let due: Vec<NodeId> = due.map(|(id, _)| *id).collect();
-        for id in due {
-            match self.may_accuse(now) {
-                true => self.declare(now, id, Liveness::Dead),
-                false => {
-                    let later = now + self.settings.suspicion;
-                    self.suspects.insert(id, later);
-                }
-            }
-        }
-    }
-
-    /// Gives up failure domains that have been silent for too long.
-    pub(super) fn expire_domains(&mut self, now: Instant) {
-        for domain in self.reach.cut(now, self.settings.cut_after) {
-            self.out.push(Action::Unreachable(domain));
-        }
-    }
-
     /// Sends the probes that are due.
     pub(super) fn send_probes(&mut self, now: Instant) {
         if now < self.next_probe {
@@ -128,24 +68,8 @@
         }
     }
 
-    /// Starts or ends the watch over a node whose entry has changed.
-    pub(super) fn watch(&mut self, now: Instant, id: NodeId) {
-        let entry = self.list.get(id);
-        let watched = entry.is_some_and(|m| self.is_own(m) && m.liveness == Liveness::Suspect);
-        match watched {
-            true => {
-                let slack = self.settings.suspicion * self.health / WORST_HEALTH;
-                let deadline = now.max(self.grace_until) + self.settings.suspicion + slack;
-                self.suspects.entry(id).or_insert(deadline);
-            }
-            false => {
-                self.suspects.remove(&id);
-            }
-        }
-    }
-
     /// Closes the probe that an answer belongs to.
-    pub(super) fn on_ack(&mut self, _now: Instant, seq: Seq, from: NodeId) {
+    pub(super) fn on_ack(&mut self, seq: Seq, from: NodeId) {
         if let Some(relay) = self.probes.close_relay(seq, from) {
             let (seq, target) = (relay.seq, relay.target);
             self.send(relay.asker, Datagram::AckFor { seq, target });
@@ -169,7 +93,7 @@
         self.probe_as(now, target, kind);
     }
 
-    fn probe_as(&mut self, now: Instant, target: NodeId, kind: Kind) {
+    pub(super) fn probe_as(&mut self, now: Instant, target: NodeId, kind: Kind) {
         let slack = self.settings.ack_timeout * self.health / WORST_HEALTH;
         let seq = self.probes.open(Probe {
             target,
@@ -187,73 +111,6 @@
         self.send(target, Datagram::Probe { seq, beat });
     }
 
-    fn ask_others(&mut self, now: Instant, seq: Seq, probe: Probe) {
-        let target = probe.target;
-        let others: Vec<NodeId> = self.own_peers().filter(|id| *id != target).collect();
-        let helpers = others
-            .into_iter()
-            .choose_multiple(&mut self.rng, self.settings.indirect);
-        let slack = self.settings.ack_timeout * self.health / WORST_HEALTH;
-        let probe = Probe {
-            asked: true,
-            deadline: now + self.settings.ack_timeout * 2 + slack,
-            ..probe
-        };
-        self.probes.put_back(seq, probe);
-        for id in helpers {
-            self.send(id, Datagram::ProbeFor { seq, target });
-        }
-    }
-
-    /// Suspects a node of the own failure domain, unless the fault may be on this side.
-    fn miss_own(&mut self, now: Instant, target: NodeId) {
-        self.counts.missed += 1;
-        self.health = (self.health + 1).min(WORST_HEALTH);
-        match self.list.get(target).map(|m| m.liveness) {
-            Some(Liveness::Alive) if self.may_accuse(now) => {
-                self.declare(now, target, Liveness::Suspect);
-                self.next_probe = now;
-            }
-            Some(Liveness::Alive) => self.counts.withheld += 1,
-            _ => {}
-        }
-    }
-
-    fn miss_cross(&mut self, now: Instant, probe: &Probe) {
-        self.counts.missed += 1;
-        let domain = self.list.get(probe.target).map(|m| m.domain.clone());
-        if let Some(domain) = domain.filter(|_| now >= self.grace_until) {
-            self.reach.missed(&domain, probe.sent, now);
-        }
-    }
-
-    fn declare(&mut self, now: Instant, id: NodeId, liveness: Liveness) {
-        let Some(member) = self.list.get(id) else {
-            self.suspects.remove(&id);
-            return;
-        };
-        match liveness {
-            Liveness::Suspect => self.counts.suspected += 1,
-            _ => self.counts.declared += 1,
-        }
-        let news = News::Status(Status {
-            id,
-            incarnation: member.incarnation,
-            liveness,
-        });
-        self.accept(now, news.clone());
-        if liveness == Liveness::Suspect {
-            let news = vec![news];
-            self.send(id, Datagram::Gossip { news });
-        }
-    }
-
-    /// Tells whether a missed answer says more of the other node than of this one.
-    fn may_accuse(&self, now: Instant) -> bool {
-        let deaf = now.since(self.last_heard) > self.settings.suspicion * DEAF_AFTER;
-        now >= self.grace_until && !deaf
-    }
-
     /// Alternates between the ring's successor, which bounds detection, and a random round.
     fn next_own(&mut self) -> Option<NodeId> {
         match self.slot.is_multiple_of(2) {
@@ -314,7 +171,7 @@
         }
     }
 
-    fn own_peers(&self) -> impl Iterator<Item = NodeId> {
+    pub(super) fn own_peers(&self) -> impl Iterator<Item = NodeId> {
         let ring = self.list.ring(&self.me.domain);
         ring.iter()
             .map(|(_, id)| *id)
@@ -326,7 +183,7 @@
         entry.is_some_and(|m| m.liveness == Liveness::Alive)
     }
 
-    fn is_own(&self, member: &Member) -> bool {
+    pub(super) fn is_own(&self, member: &Member) -> bool {
         member.domain == self.me.domain
     }
 }
--- a/crates/swiftcart-core/src/member/spread.rs
+++ b/crates/swiftcart-core/src/member/spread.rs
@@ -16,8 +16,19 @@
 /// The least time between two rounds of urgent news.
 const URGENT_EVERY: Duration = Duration::from_millis(100);
 
+/// The number of items beyond which news comes in faster than probes carry it on.
+const FLOOD: usize = 32;
+
 /// A list that differs this many times longer than allowed is pulled even while it changes.
-const PATIENCE: u32 = 5;
+const PATIENCE: u32 = 2;
+
+/// Tells how long, and last from whose, the member list has differed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Difference {
+    since: Instant,
+    last: Instant,
+    peer: NodeId,
+}
 
 impl Membership {
     /// Takes in news and returns what its sender should be told in turn.
@@ -46,8 +57,8 @@
                 self.urgent |= is_urgent(before, &news);
                 self.news.push(news);
             }
-            Applied::Known => self.news.known(id, self.limit()),
-            Applied::Older | Applied::Ignored | Applied::Full => {}
+            Applied::Known if self.is_flooded() => self.news.known(id, self.limit()),
+            Applied::Known | Applied::Older | Applied::Ignored | Applied::Full => {}
         }
         applied
     }
@@ -88,7 +99,7 @@
 
     /// Tells a few random nodes at once what should not wait for the next probe.
     pub(super) fn send_urgent(&mut self, now: Instant) {
-        if !self.urgent || now < self.next_urgent {
+        if now < self.next_urgent || !(self.urgent || self.is_flooded()) {
             return;
         }
         self.urgent = false;
@@ -117,12 +128,22 @@
     }
 
     /// Notes whether a peer's list differs from this node's.
-    pub(super) fn compare(&mut self, now: Instant, from: NodeId, hash: u32) {
-        self.differs = match self.differs {
-            _ if hash == self.list.hash() => None,
-            Some((since, _)) => Some((since, from)),
-            None => Some((now, from)),
+    ///
+    /// An agreeing peer says nothing: nodes may have fallen into two equal camps.
+    pub(super) fn compare(&mut self, now: Instant, peer: NodeId, hash: u32) {
+        if hash == self.list.hash() {
+            return;
+        }
+        let gap = self.settings.pull_after * 2;
+        let since = match self.differs {
+            Some(before) if now.since(before.last) <= gap => before.since,
+            Some(_) | None => now,
         };
+        self.differs = Some(Difference {
+            since,
+            last: now,
+            peer,
+        });
     }
 
     /// Asks for a pull when the list has differed for long enough, or is not there yet.
@@ -131,11 +152,11 @@
             return;
         }
         let after = self.settings.pull_after;
-        let quiet = now.since(self.last_change) >= after / 2;
+        let quiet = now.since(self.last_change) >= after / 2 || self.is_flooded();
         let peer = match self.differs {
             _ if !self.synced => self.random_peers(1).pop(),
-            Some((since, id)) if quiet && now.since(since) >= after => Some(id),
-            Some((since, id)) if now.since(since) >= after * PATIENCE => Some(id),
+            Some(d) if quiet && d.last.since(d.since) >= after => Some(d.peer),
+            Some(d) if d.last.since(d.since) >= after * PATIENCE => Some(d.peer),
             _ => None,
         };
         if let Some(id) = peer {
@@ -146,10 +167,10 @@
     }
 
     /// Sets the time before which no further pull is asked for.
-    pub(super) fn put_off_pull(&mut self, now: Instant) {
+    fn put_off_pull(&mut self, now: Instant) {
         let every = match self.synced {
-            true => self.settings.pull_every,
-            false => self.settings.pull_after,
+            true if !self.is_flooded() => self.settings.pull_every,
+            _ => self.settings.pull_after,
         };
         self.next_pull = now + every.mul_f64(self.rng.random_range(1.0..1.5));
     }
@@ -172,6 +193,11 @@
         log.saturating_mul(self.settings.news_factor).max(1)
     }
 
+    /// Tells whether so much has changed that lists are better compared as a whole.
+    fn is_flooded(&self) -> bool {
+        self.news.len() > FLOOD
+    }
+
     fn refute(&mut self, now: Instant, incarnation: Incarnation) {
         self.counts.refuted += 1;
         self.step_over(now, incarnation);
--- /dev/null
+++ b/crates/swiftcart-core/tests/member.rs
@@ -0,0 +1,270 @@
+//! The membership keeps its promises under death, pause, cut, loss and storm.
+
+#[path = "support/net.rs"]
+mod net;
+
+use std::time::Duration;
+
+use net::{Net, backend, domain, id};
+use rstest::rstest;
+use swiftcart_core::*;
+
+#[rstest]
+#[case::lima(&[5, 4, 4])]
+#[case::one_domain(&[13])]
+#[case::sixty(&[60, 20, 20])]
+#[case::hundred_and_thirty_nine(&[139, 20, 20])]
+fn a_dead_node_leaves_routing_within_five_seconds(#[case] sizes: &[usize]) {
+    let mut net = Net::settled(sizes, 1);
+    for at in [1, 2, 3] {
+        net.kill(at);
+        net.until("unrouted", 5_000, |net| net.none_routes(at));
+        net.run(3_000);
+    }
+    let all = net.nodes.len() - 3;
+    net.until("agreed", 10_000, Net::agree);
+    let live = |m: &Membership| m.domains().map(|d| m.live_in(d).count()).sum::<usize>();
+    assert!(net.running().all(|(_, m)| live(m) == all));
+}
+
+#[rstest]
+#[case::draining(Some(backend(2, Readiness::Draining)))]
+#[case::gone(None)]
+fn a_change_of_a_backend_server_is_known_everywhere_soon(#[case] news: Option<Backend>) {
+    let mut net = Net::settled(&[40, 40, 40], 2);
+    net.call(2, |m, now| m.update_me(now, news.clone()));
+    let known = |m: &Membership| m.member(id(2)).unwrap().backend == news;
+    net.until("known", 5_000, |net| net.running().all(|(_, m)| known(m)));
+}
+
+#[test]
+fn a_leaving_node_is_unrouted_within_two_seconds_and_is_no_death() {
+    let mut net = Net::settled(&[40, 40, 40], 3);
+    net.call(2, Membership::leave);
+    net.until("unrouted", 2_000, |net| net.none_routes(2));
+    net.run(10_000);
+    let liveness = |m: &Membership| m.member(id(2)).map(|m| m.liveness);
+    assert!(
+        net.running()
+            .all(|(_, m)| liveness(m) == Some(Liveness::Left))
+    );
+    assert_eq!(net.sum(|c| c.declared + c.suspected), 0);
+}
+
+#[rstest]
+#[case::a_small_domain(&[6, 6, 6])]
+#[case::a_large_domain(&[60, 20, 20])]
+fn a_resumed_node_accuses_nobody_and_brings_nobody_back(#[case] sizes: &[usize]) {
+    let mut net = Net::settled(sizes, 4);
+    net.pause(1);
+    net.run(2_000);
+    net.kill(2);
+    net.call(3, |m, now| {
+        m.update_me(now, Some(backend(3, Readiness::Draining)))
+    });
+    net.run(13_000);
+    net.resume(1);
+    for _ in 0..100 {
+        let stale = |(at, m): (usize, &Membership)| at != 1 && m.routable(id(2));
+        assert!(!net.running().any(stale), "a dead node came back");
+        net.run(100);
+    }
+    let counts = net.machine(1).counts();
+    assert_eq!(
+        (counts.suspected, counts.declared, counts.pauses),
+        (0, 0, 1)
+    );
+    assert!(net.all_route(1) && net.none_routes(2) && net.agree());
+}
+
+#[test]
+fn a_cut_domain_is_kept_unrouted_and_converges_on_healing() {
+    let mut net = Net::settled(&[8, 8, 8], 5);
+    net.cut_off(2);
+    let split = |net: &Net| {
+        net.running().all(|(at, m)| {
+            let far = |n: usize| (net.nodes[n].domain == 2) != (net.nodes[at].domain == 2);
+            (0..24).all(|n| m.routable(id(n)) != far(n))
+        })
+    };
+    net.until("told apart", 15_000, split);
+    net.call(20, |m, now| m.update_me(now, None));
+    net.kill(1);
+    net.run(60_000);
+    let kept = |(_, m): (usize, &Membership)| m.live_in(&domain(2)).count() == 8;
+    assert!(net.running().all(kept));
+    net.cuts.clear();
+    net.until("all routed", 15_000, |net| {
+        (2..24).all(|at| net.all_route(at))
+    });
+    net.until("agreed", 15_000, Net::agree);
+    assert_eq!(net.sum(|c| c.refuted), 0, "a working node was accused");
+    assert!(net.none_routes(1));
+}
+
+#[test]
+fn a_domain_that_dies_and_returns_as_a_herd_is_routed_again() {
+    let mut net = Net::settled(&[20, 20, 20], 6);
+    (20..40).for_each(|at| net.kill(at));
+    net.until("unrouted", 15_000, |net| {
+        (20..40).all(|at| net.none_routes(at))
+    });
+    net.run(30_000);
+    assert_eq!(net.sum(|c| c.declared), 0);
+    (20..40).for_each(|at| net.boot(at, 0));
+    net.until("all routed", 15_000, |net| {
+        (0..60).all(|at| net.all_route(at))
+    });
+    net.until("agreed", 15_000, Net::agree);
+}
+
+#[test]
+fn half_a_domain_dying_at_once_is_unrouted_within_ten_seconds() {
+    let mut net = Net::settled(&[60, 10], 7);
+    (0..60).step_by(2).for_each(|at| net.kill(at));
+    let gone = |net: &Net| (0..60).step_by(2).all(|at| net.none_routes(at));
+    net.until("unrouted", 10_000, gone);
+    net.until("agreed", 20_000, Net::agree);
+    assert_eq!(net.sum(|c| c.refuted), 0, "a survivor was accused");
+}
+
+#[test]
+fn ten_per_cent_loss_kills_nobody_in_four_minutes() {
+    let mut net = Net::settled(&[20, 20, 20], 8);
+    net.loss = 0.1;
+    net.run(240_000);
+    assert_eq!(net.sum(|c| c.declared), 0);
+}
+
+#[test]
+fn a_false_accusation_is_refuted() {
+    let mut net = Net::settled(&[20, 20], 9);
+    let incarnation = net.machine(3).me().incarnation;
+    let accused = Status {
+        id: id(3),
+        incarnation,
+        liveness: Liveness::Suspect,
+    };
+    let news = vec![News::Status(accused)];
+    net.call(1, |m, now| {
+        m.on_datagram(now, id(2), Datagram::Gossip { news })
+    });
+    net.run(10_000);
+    assert!(net.all_route(3) && net.agree());
+    assert!(net.machine(3).me().incarnation > incarnation);
+    assert_eq!(net.sum(|c| c.declared), 0);
+}
+
+#[rstest]
+#[case::after_its_death(20_000)]
+#[case::before_anybody_noticed(100)]
+fn a_restart_with_a_clock_set_back_steps_over_its_earlier_life(#[case] gap: u64) {
+    let mut net = Net::settled(&[12, 12], 10);
+    net.kill(3);
+    net.run(gap);
+    net.boot(3, 3_600_000);
+    net.until("routed", 10_000, |net| net.all_route(3) && net.agree());
+}
+
+#[test]
+fn a_node_that_hears_nobody_declares_nobody_dead() {
+    let mut net = Net::settled(&[1, 1, 10], 11);
+    net.cuts.insert((2, 2));
+    net.cut_off(2);
+    net.cuts.insert((2, 2));
+    net.run(30_000);
+    assert_eq!(net.sum(|c| c.declared), 0);
+    net.cuts.clear();
+    net.until("agreed", 20_000, |net| {
+        net.agree() && (0..12).all(|at| net.all_route(at))
+    });
+}
+
+#[test]
+fn a_storm_of_joins_is_served_in_bounded_turns() {
+    let mut net = Net::new(&[100, 100], 12);
+    (0..200).for_each(|at| net.boot(at, 0));
+    net.until("agreed", 15_000, Net::agree);
+    assert!((0..200).all(|at| net.all_route(at)));
+    assert!(net.nodes.iter().any(|n| n.busy > 0));
+}
+
+#[test]
+fn two_halves_that_declared_each_other_dead_find_each_other_again() {
+    let mut net = Net::settled(&[6, 6], 13);
+    let halves = |net: &mut Net| (0..3).for_each(|at| net.nodes[at].domain = 2);
+    halves(&mut net);
+    net.cuts.extend([(0, 2), (2, 0)]);
+    net.run(30_000);
+    assert!(net.sum(|c| c.declared) > 0);
+    net.cuts.clear();
+    net.until("agreed", 60_000, |net| {
+        net.agree() && (0..12).all(|at| net.all_route(at))
+    });
+}
+
+#[test]
+fn a_full_list_refuses_further_nodes_and_counts_them() {
+    let settings = Gossip {
+        bound: 3,
+        ..Gossip::new()
+    };
+    let me = Member::new(id(0), domain(0), Incarnation(1));
+    let mut machine = Membership::new(me, settings, Vec::new(), 1);
+    let others = (1..9).map(|at| Member::new(id(at), domain(0), Incarnation(1)));
+    machine.merge(Instant::from_millis(1), others.collect());
+    assert_eq!((machine.members().count(), machine.counts().full), (3, 6));
+}
+
+#[test]
+fn dead_nodes_are_remembered_for_the_set_time_and_up_to_the_bound() {
+    let settings = Gossip {
+        bound: 4,
+        ..Gossip::new()
+    };
+    let me = Member::new(id(0), domain(0), Incarnation(1));
+    let mut machine = Membership::new(me, settings, Vec::new(), 1);
+    let dead = |at| Member {
+        liveness: Liveness::Dead,
+        ..Member::new(id(at), domain(0), Incarnation(1))
+    };
+    machine.merge(Instant::from_millis(1), (1..9).map(dead).collect());
+    assert_eq!(machine.members().count(), 5);
+    let day = Duration::from_secs(24 * 60 * 60);
+    machine.tick(Instant::from_millis(60_000));
+    assert_eq!(machine.members().count(), 5);
+    machine.tick(Instant::from_millis(60_000) + day);
+    assert_eq!(machine.members().count(), 1);
+}
+
+#[rstest]
+#[case::same_lists(3, 3, 0)]
+#[case::one_more_there(3, 4, 1)]
+#[case::empty_here(0, 40, 40)]
+fn a_pull_brings_what_differs(#[case] mine: usize, #[case] theirs: usize, #[case] least: usize) {
+    let build = |count: usize| {
+        let me = Member::new(id(0), domain(0), Incarnation(1));
+        let mut machine = Membership::new(me, Gossip::new(), Vec::new(), 1);
+        let others = (1..=count).map(|at| Member::new(id(at), domain(1), Incarnation(1)));
+        machine.merge(Instant::from_millis(1), others.collect());
+        machine
+    };
+    let (mut a, b) = (build(mine), build(theirs));
+    let entries = b.entries_for(&a.buckets());
+    assert!(entries.len() >= least && (least > 0 || entries.is_empty()));
+    a.merge(Instant::from_millis(2), entries);
+    assert_eq!((a.hash(), a.buckets()), (b.hash(), b.buckets()));
+}
+
+#[test]
+fn a_gate_serves_its_rate_and_sends_the_rest_away_further_and_further() {
+    let mut gate = SyncGate::new(8, 2);
+    let now = Instant::from_millis(5_000);
+    let wait = |ms| SyncAdmit::Busy {
+        retry_after: Duration::from_millis(ms),
+    };
+    let answers: Vec<SyncAdmit> = (0..4).map(|_| gate.admit(now)).collect();
+    let served = SyncAdmit::Serve;
+    assert_eq!(answers, [served, served, wait(1_500), wait(2_000)]);
+    assert_eq!(gate.admit(Instant::from_millis(6_000)), served);
+}
