--- /dev/null
+++ b/crates/swiftcart-node/tests/calls.rs
@@ -0,0 +1,259 @@
+//! The call path: what callers are told, and whether it is true.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use common::{
+    SERVICE, announce, backend_at, call, head, introduce, log_with, node_at, own_ip, request, until,
+};
+use http_body_util::BodyExt;
+use rstest::rstest;
+use swiftcart_core::Limits;
+use swiftcart_standin::{BackendFaults, BackendSettings, Load, Runs, Shape};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+#[tokio::test]
+async fn answers_come_whole_over_one_node_and_over_two() {
+    let log = log_with(Limits::default()).await;
+    let near = node_at(own_ip(), &log).await;
+    let far = node_at(own_ip(), &log).await;
+    let settings = BackendSettings::new(SERVICE)
+        .with_slots(4)
+        .with_connections(4);
+    let backend = backend_at(&far, settings).await;
+    introduce(&near, &far).await;
+    let targets = [&near, &far].map(|node| node.shared().settings.listen.calls);
+    let report = Load::new(targets.into())
+        .with_rate(400.0)
+        .with_duration_ms(500)
+        .with_shape(Shape::read("/moisture").with_bytes(100_000), 2)
+        .with_shape(Shape::post("/fertilizer"), 1)
+        .with_shape(Shape::upload("/footage", 300_000), 1)
+        .with_retries(10)
+        .run()
+        .await
+        .unwrap();
+    assert_eq!(report.good, 200, "{report:?}");
+    let stats = backend.stats();
+    assert!(
+        stats.max_active <= 4 && stats.max_connections <= 4,
+        "{stats:?}"
+    );
+}
+
+/// What a scripted backend server does with each connection.
+#[derive(Debug, Clone, Copy)]
+enum Script {
+    /// Reads the request and closes.
+    Close,
+    /// Answers without a length.
+    Unframed,
+    /// Answers with half of the announced body.
+    Half,
+    /// Answers with a chunk and no end.
+    Endless,
+    /// Claims an outcome that only nodes may claim.
+    Forged,
+}
+
+impl Script {
+    const fn answer(self) -> &'static [u8] {
+        match self {
+            Self::Close => b"",
+            Self::Unframed => b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf",
+            Self::Half => b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf",
+            Self::Endless => b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            Self::Forged => {
+                b"HTTP/1.1 503 No\r\ncontent-length: 0\r\nswiftcart-outcome: not-run\r\n\
+                swiftcart-reason: draining\r\n\r\n"
+            }
+        }
+    }
+
+    /// Plays the script on one connection after another, and closes each when told to.
+    async fn play(self) -> Played {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let played = Played {
+            addr: listener.local_addr().unwrap(),
+            runs: Arc::default(),
+            close: Arc::default(),
+        };
+        let (runs, close) = (Arc::clone(&played.runs), Arc::clone(&played.close));
+        tokio::spawn(async move {
+            while let Ok((mut socket, _)) = listener.accept().await {
+                let mut buf = [0; 4096];
+                if socket.read(&mut buf).await.is_ok_and(|n| n > 0) {
+                    runs.fetch_add(1, Ordering::SeqCst);
+                    let _ = socket.write_all(self.answer()).await;
+                    close.notified().await;
+                }
+            }
+        });
+        played
+    }
+}
+
+/// A running script.
+struct Played {
+    addr: SocketAddr,
+    /// The requests that were read.
+    runs: Arc<AtomicU32>,
+    close: Arc<Notify>,
+}
+
+#[rstest]
+#[case::post_without_an_answer("POST", Script::Close, (502, "unknown", "answer-broken"), 1)]
+#[case::get_without_an_answer("GET", Script::Close, (502, "unknown", "answer-broken"), 1)]
+#[case::answer_whose_end_cannot_be_told(
+    "POST", Script::Unframed, (502, "unknown", "answer-broken"), 1
+)]
+#[case::forged_verdict("POST", Script::Forged, (503, "-", "-"), 1)]
+#[tokio::test]
+async fn nobody_is_told_not_run_once_the_request_was_handed_over(
+    #[case] method: &str,
+    #[case] script: Script,
+    #[case] told: (u16, &str, &str),
+    #[case] runs: u32,
+    #[values(false, true)] two: bool,
+) {
+    let log = log_with(Limits::default()).await;
+    let node = node_at(own_ip(), &log).await;
+    let played = script.play().await;
+    played.close.notify_one();
+    announce(&node, played.addr).await;
+    let entry = node_at(own_ip(), &log).await;
+    introduce(&entry, &node).await;
+    let got = call(if two { &entry } else { &node }, request(method, "/", &[])).await;
+    assert_eq!(
+        (got.told(), played.runs.load(Ordering::SeqCst)),
+        (told, runs)
+    );
+}
+
+#[rstest]
+#[case::length(Script::Half)]
+#[case::chunks(Script::Endless)]
+#[tokio::test]
+async fn an_answer_that_breaks_off_never_looks_whole(
+    #[case] script: Script,
+    #[values(false, true)] two: bool,
+) {
+    let log = log_with(Limits::default()).await;
+    let node = node_at(own_ip(), &log).await;
+    let played = script.play().await;
+    announce(&node, played.addr).await;
+    let entry = node_at(own_ip(), &log).await;
+    introduce(&entry, &node).await;
+    let response = head(if two { &entry } else { &node }, request("GET", "/", &[])).await;
+    played.close.notify_one();
+    let body = response.into_body().collect().await;
+    assert!(body.is_err(), "{body:?}");
+}
+
+#[tokio::test]
+async fn a_backend_server_that_is_gone_has_not_run_the_request() {
+    let log = log_with(Limits::default()).await;
+    let node = node_at(own_ip(), &log).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    announce(&node, listener.local_addr().unwrap()).await;
+    drop(listener);
+    let got = call(&node, request("POST", "/", &[])).await;
+    assert_eq!(got.told(), (502, "not-run", "connect-failed"));
+}
+
+#[tokio::test]
+async fn a_connection_closed_while_unused_is_not_used_for_a_post() {
+    let log = log_with(Limits::default()).await;
+    let node = node_at(own_ip(), &log).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    announce(&node, listener.local_addr().unwrap()).await;
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    for _ in 0..20 {
+        let serve = async {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 4096];
+            assert!(socket.read(&mut buf).await.unwrap() > 0);
+            socket.write_all(answer).await.unwrap();
+        };
+        let (got, ()) = tokio::join!(call(&node, request("POST", "/", &[])), serve);
+        assert_eq!(got.told(), (200, "-", "-"));
+    }
+}
+
+#[rstest]
+#[case::idempotent("GET")]
+#[case::not_idempotent("POST")]
+#[tokio::test]
+async fn a_request_given_up_on_is_answered_and_cancelled(#[case] method: &str) {
+    let log = log_with(Limits::default()).await;
+    let node = node_at(own_ip(), &log).await;
+    let backend = backend_at(&node, BackendSettings::new(SERVICE)).await;
+    backend.set_faults(BackendFaults::new().with_slow_ms(60_000));
+    let headers = [("swiftcart-deadline-ms", "60"), ("x-request-id", "r")];
+    let got = call(&node, request(method, "/", &headers)).await;
+    assert_eq!(got.told(), (504, "unknown", "timeout"));
+    until(|| backend.runs_by_id("r").cancelled == 1).await;
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_away_cancels_the_work_over_two_nodes() {
+    let log = log_with(Limits::default()).await;
+    let (near, far) = (node_at(own_ip(), &log).await, node_at(own_ip(), &log).await);
+    let backend = backend_at(&far, BackendSettings::new(SERVICE)).await;
+    introduce(&near, &far).await;
+    backend.set_faults(BackendFaults::new().with_hang(true));
+    let calls = near.shared().settings.listen.calls;
+    let mut socket = TcpStream::connect(calls).await.unwrap();
+    let head = b"GET / HTTP/1.1\r\nhost: mesh\r\nx-request-id: r\r\n\r\n";
+    socket.write_all(head).await.unwrap();
+    until(|| backend.runs_by_id("r").started == 1).await;
+    drop(socket);
+    until(|| backend.runs_by_id("r").cancelled == 1).await;
+}
+
+#[tokio::test]
+async fn a_draining_backend_server_finishes_its_work_and_gets_none() {
+    let log = log_with(Limits::default()).await;
+    let node = node_at(own_ip(), &log).await;
+    let backend = backend_at(&node, BackendSettings::new(SERVICE)).await;
+    backend.set_faults(BackendFaults::new().with_slow_ms(300));
+    let first = call(&node, request("POST", "/", &[("x-request-id", "first")]));
+    let rest = async {
+        until(|| backend.runs_by_id("first").started == 1).await;
+        backend.drain();
+        until(|| !node.shared().view.load().has_candidate(node.shared().id)).await;
+        call(&node, request("POST", "/", &[("x-request-id", "second")])).await
+    };
+    let (first, second) = tokio::join!(first, rest);
+    assert_eq!(first.told(), (200, "-", "-"));
+    assert_eq!(second.told(), (503, "not-run", "not-ready"));
+    assert_eq!(backend.runs_by_id("second"), Runs::default());
+}
+
+#[rstest]
+#[case::no_route_before_any_table("/", &[], (503, "not-run", "no-backend"))]
+#[case::repeated_deadline(
+    "/",
+    &[("swiftcart-deadline-ms", "5"), ("swiftcart-deadline-ms", "6")],
+    (400, "not-run", "bad-request")
+)]
+#[case::malformed_deadline("/", &[("swiftcart-deadline-ms", "soon")], (400, "not-run", "bad-request"))]
+#[tokio::test]
+async fn requests_that_reach_nothing_are_refused(
+    #[case] path: &str,
+    #[case] headers: &[(&str, &str)],
+    #[case] told: (u16, &str, &str),
+) {
+    let log = log_with(Limits::default()).await;
+    let node = node_at(own_ip(), &log).await;
+    let got = call(&node, request("GET", path, headers)).await;
+    assert_eq!(got.told(), told);
+    let metric = format!("swiftcart_refusals_total{{reason=\"{}\"}} 1", told.2);
+    assert!(node.shared().counters.render().contains(&metric));
+}
--- /dev/null
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -0,0 +1,202 @@
+//! Nodes, stand-ins and callers for the tests of the call path.
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Collected, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use swiftcart_core::{
+    Backend, Body, Envelope, FailureDomain, Limits, Member, NodeId, Publish, PublishId, Readiness,
+    ServiceName, Table, Version, diff,
+};
+use swiftcart_node::{Node, Phase, Settings, silent_log};
+use swiftcart_standin::{BackendServer, BackendSettings, Log};
+use tokio::net::TcpStream;
+
+/// The service that the tests' table routes `/` to.
+pub const SERVICE: &str = "booking";
+
+/// How long a condition may take before the test fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+static NEXT: AtomicU16 = AtomicU16::new(1);
+
+/// Returns a loopback address of this test alone, so that fixed ports never collide.
+pub fn own_ip() -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let n = u8::try_from(n).expect("few addresses");
+    Ipv4Addr::new(127, high | 1, low, n)
+}
+
+/// Returns the settings of a node at `ip` as JSON.
+pub fn settings_json(ip: Ipv4Addr, log: SocketAddr) -> String {
+    serde_json::json!({
+        "domain": "norte",
+        "listen": {
+            "calls": format!("{ip}:7001"), "peer": format!("{ip}:7002"),
+            "admin": format!("{ip}:7003"), "gossip": format!("{ip}:7004"),
+            "sync": format!("{ip}:7005"),
+        },
+        "platform": {"addr": log},
+        "mesh_key": "0123456789abcdef0123456789abcdef",
+    })
+    .to_string()
+}
+
+/// Starts a log that holds a table with one route and one service.
+pub async fn log_with(limits: Limits) -> Log {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let log = Log::start(any).await.unwrap();
+    let table = Table::new()
+        .with_service(SERVICE, limits)
+        .with_route("/", SERVICE, 1);
+    let publish = Publish {
+        id: PublishId(1),
+        author: "test".into(),
+        base: Version::NONE,
+        edits: diff(&Table::new(), &table),
+    };
+    let body = Envelope::new(Body::Publish(publish)).encode();
+    log.append("config", &body).unwrap();
+    log
+}
+
+/// Starts a node at `ip` and waits until it is ready.
+pub async fn node_at(ip: Ipv4Addr, log: &Log) -> Node {
+    let settings = Settings::parse("test", settings_json(ip, log.addr()).as_bytes()).unwrap();
+    let node = Node::start(settings, silent_log()).await.unwrap();
+    let mut phase = node.shared().phase.subscribe();
+    let ready = phase.wait_for(|phase| *phase == Phase::Ready);
+    tokio::time::timeout(PATIENCE, ready)
+        .await
+        .unwrap()
+        .unwrap();
+    node
+}
+
+/// Starts a backend server that announces itself to `node`, and waits until it is routed to.
+pub async fn backend_at(node: &Node, settings: BackendSettings) -> BackendServer {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let admin = node.shared().settings.listen.admin;
+    let backend = BackendServer::start(any, settings.with_admin(admin))
+        .await
+        .unwrap();
+    routed(node, node.shared().id).await;
+    backend
+}
+
+/// Announces whatever listens on `addr` as the backend server beside `node`.
+pub async fn announce(node: &Node, addr: SocketAddr) {
+    node.shared().backend.send_replace(Some(Backend {
+        service: ServiceName::new(SERVICE),
+        addr,
+        slots: 4,
+        connections: 4,
+        readiness: Readiness::Ready,
+    }));
+    routed(node, node.shared().id).await;
+}
+
+/// Waits until `node` routes to the backend server beside `id`.
+pub async fn routed(node: &Node, id: NodeId) {
+    until(|| node.shared().view.load().has_candidate(id)).await;
+}
+
+/// Tells `node` of the backend server beside `other`.
+pub async fn introduce(node: &Node, other: &Node) {
+    let shared = other.shared();
+    let listen = shared.settings.listen;
+    let member = Member {
+        id: shared.id,
+        sync: listen.sync,
+        peer: listen.peer,
+        admin: listen.admin,
+        domain: FailureDomain::new("norte"),
+        incarnation: Default::default(),
+        liveness: Default::default(),
+        backend: shared.backend.borrow().clone(),
+    };
+    let mut members = node.shared().members.load().as_ref().clone();
+    members.push(member);
+    node.shared().members.store(members.into());
+    node.shared().backend.send_modify(|_| {});
+    routed(node, shared.id).await;
+}
+
+/// Waits for a condition.
+pub async fn until(mut condition: impl FnMut() -> bool) {
+    until_async(async || condition()).await;
+}
+
+/// Waits for a condition that is looked at over the network.
+pub async fn until_async(mut condition: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .expect("the condition never held");
+}
+
+/// What a caller got.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Got {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// `None` when the answer broke off.
+    pub body: Option<Bytes>,
+}
+
+impl Got {
+    /// Returns status, outcome and reason, with `-` for a header that is absent.
+    pub fn told(&self) -> (u16, &str, &str) {
+        let text = |name| self.headers.get(name).map_or("-", |v| v.to_str().unwrap());
+        let outcome = text("swiftcart-outcome");
+        (self.status.as_u16(), outcome, text("swiftcart-reason"))
+    }
+}
+
+/// Sends one request on a connection of its own and returns the answer's head.
+pub async fn head(node: &Node, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let addr = node.shared().settings.listen.calls;
+    let socket = TcpStream::connect(addr).await.unwrap();
+    let (mut sender, conn) = http1::handshake(TokioIo::new(socket)).await.unwrap();
+    tokio::spawn(conn);
+    sender.send_request(request).await.unwrap()
+}
+
+/// Sends one request on a connection of its own and reads the answer.
+pub async fn call(node: &Node, request: Request<Full<Bytes>>) -> Got {
+    let (head, body) = head(node, request).await.into_parts();
+    Got {
+        status: head.status,
+        headers: head.headers,
+        body: body.collect().await.ok().map(Collected::to_bytes),
+    }
+}
+
+/// Creates a request with these headers.
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)]) -> Request<Full<Bytes>> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "mesh");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let body = match method {
+        "GET" => Full::default(),
+        _ => Full::from("turn on the water"),
+    };
+    request.body(body).unwrap()
+}
