Run keyed requests at most once through the platform's log

Cause: requests with an Idempotency-Key were refused. Each partition of a service's claims now has a claimant between two tasks, one that follows its stream and one that appends; a keyed request is held as a whole, claimed, let in by the admission, checked once more right before the hand-over and its answer stored. The work runs in a task of its own, so that a caller that leaves finds its answer under the key. Ingresses send a key's requests to the few guards that follow its partition. The test harness joins its nodes over gossip now that the control edge is real; the deadline test uses a backend server that never answers, since one that honours its deadline answers 504 by itself (seen to flake).

--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -16,6 +16,7 @@
 mod serve;
 mod service;
 mod socket;
+mod upstream;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +44,7 @@
 pub struct Calls {
     callers: Server,
     peers: Server,
+    guard: Arc<Guard>,
     background: Vec<JoinHandle<()>>,
 }
 
@@ -57,6 +59,7 @@
         let for_peers = Server::new(shared, limits.header_timeout().max(limits.peer_idle() * 2));
         let guarding = GuardService::new(shared, &guard);
         let accepting = IngressService::new(shared, &ingress);
+        let kept = Arc::clone(&guard);
         let background = vec![
             tokio::spawn(for_callers.clone().run(callers, accepting)),
             tokio::spawn(for_peers.clone().run(peers, guarding)),
@@ -67,6 +70,7 @@
         Self {
             callers: for_callers,
             peers: for_peers,
+            guard: kept,
             background,
         }
     }
@@ -77,6 +81,7 @@
     pub async fn finish(self) {
         sleep(NOTICE).await;
         tokio::join!(self.callers.finish(), self.peers.finish());
+        self.guard.finish().await;
         for task in self.background {
             task.abort();
         }
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -17,6 +17,16 @@
 /// What a waiting request is told.
 type News = Result<(), Refusal>;
 
+/// A slot, and whom to wait for when it is not free yet.
+type Offered = (Slot, Option<oneshot::Receiver<News>>);
+
+/// Tells whether a request takes a part of the service's rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Rate {
+    Taken,
+    Free,
+}
+
 /// Decides what one backend server is given, for many requests at once.
 #[derive(Debug)]
 pub struct Admissions {
@@ -86,7 +96,33 @@
     /// Returns why the request is not run.
     pub async fn enter(self: &Arc<Self>, due: Deadline) -> Result<Slot, Refusal> {
         let now = self.clock.now();
-        let (mut slot, waiter) = self.offer(now, due)?;
+        let offered = self.offer(now, due, Rate::Taken)?;
+        self.wait(now, due, offered).await
+    }
+
+    /// Tells whether a request would be let in now, and takes its part of the rate.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request would not be run.
+    pub fn probe(self: &Arc<Self>, due: Deadline) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        self.offer(now, due, Rate::Taken).map(drop)
+    }
+
+    /// Waits like [`enter`](Self::enter) after [`probe`](Self::probe) took the rate's part.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not run.
+    pub async fn enter_probed(self: &Arc<Self>, due: Deadline) -> Result<Slot, Refusal> {
+        let now = self.clock.now();
+        let offered = self.offer(now, due, Rate::Free)?;
+        self.wait(now, due, offered).await
+    }
+
+    async fn wait(&self, now: Instant, due: Deadline, offered: Offered) -> Result<Slot, Refusal> {
+        let (mut slot, waiter) = offered;
         let Some(mut waiter) = waiter else {
             return Ok(slot);
         };
@@ -111,14 +147,19 @@
         self: &Arc<Self>,
         now: Instant,
         due: Deadline,
-    ) -> Result<(Slot, Option<oneshot::Receiver<News>>), Refusal> {
+        rate: Rate,
+    ) -> Result<Offered, Refusal> {
         let mut state = self.lock();
         let (ticket, waits) = match with_rng(|rng| state.admission.offer(now, due, rng)) {
             Admit::Run(ticket) => (ticket, false),
             Admit::Queue(ticket) => (ticket, true),
             Admit::Refuse(refusal) => return Err(refusal),
         };
-        if let Err(refusal) = with_rng(|rng| state.rate.take(now, rng)) {
+        let taken = match rate {
+            Rate::Taken => with_rng(|rng| state.rate.take(now, rng)),
+            Rate::Free => Ok(()),
+        };
+        if let Err(refusal) = taken {
             let started = state.admission.cancel(ticket, now);
             state.wake(started);
             return Err(refusal);
--- a/crates/swiftcart-node/src/calls/body.rs
+++ b/crates/swiftcart-node/src/calls/body.rs
@@ -41,6 +41,8 @@
 pub enum Outgoing {
     /// There is no body.
     Empty,
+    /// A body that is held as a whole.
+    Whole(Bytes),
     /// A body that streams through.
     Stream(Stream),
 }
@@ -193,6 +195,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Empty => Poll::Ready(None),
+            Self::Whole(bytes) => {
+                let all = std::mem::take(bytes);
+                Poll::Ready((!all.is_empty()).then(|| Ok(Frame::data(all))))
+            }
             Self::Stream(stream) => match &stream.gate {
                 Some(gate) if !gate.is_open() => Poll::Pending,
                 _ => {
@@ -206,6 +212,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Empty => true,
+            Self::Whole(bytes) => bytes.is_empty(),
             Self::Stream(stream) => stream.source.with(|inner| {
                 let kept = stream.next >= inner.kept.len();
                 kept && !(inner.lost && stream.next == 0) && inner.body.is_end_stream()
@@ -216,6 +223,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Empty => SizeHint::with_exact(0),
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -4,39 +4,24 @@
 
 use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response};
-use hyper::body::Incoming;
-use swiftcart_core::{
-    AdmissionSettings, Backend, CallResult, Gate, Limits, Readiness, Reason, Refusal,
-};
-use tokio::time::timeout_at;
+use swiftcart_core::{Backend, CallResult, Limits, NodeId, Reason, Refusal, ServiceEntry};
 
-use super::admissions::{Admissions, Slot};
+use super::admissions::Slot;
 use super::answer::{Answer, is_framed};
 use super::body::Outgoing;
-use super::conn::SendError;
-use super::headers::{DEADLINE, REQUEST_ID, strip_hop, strip_internal};
-use super::keyed;
-use super::pool::{Pool, Pooled};
+use super::headers::{strip_hop, strip_internal};
+use super::keyed::Keyed;
 use super::request::Call;
+use super::upstream::Upstream;
 use crate::counters::Stage;
 use crate::shared::{Phase, Shared};
 
-/// Stale connections that one request may meet before it is refused.
-const MAX_STALE: usize = 4;
-
 /// Guards the backend server beside this node.
 #[derive(Debug)]
 pub struct Guard {
     shared: Arc<Shared>,
     upstream: ArcSwapOption<Upstream>,
-}
-
-/// The backend server as it announced itself, with its connections and admission.
-#[derive(Debug, Clone)]
-struct Upstream {
-    backend: Backend,
-    pool: Arc<Pool>,
-    admissions: Arc<Admissions>,
+    keyed: Keyed,
 }
 
 impl Guard {
@@ -46,6 +31,7 @@
         Self {
             shared: Arc::clone(shared),
             upstream: ArcSwapOption::empty(),
+            keyed: Keyed::new(shared),
         }
     }
 
@@ -67,11 +53,22 @@
         }
     }
 
+    /// Waits until the requests with a key have ended and their answers are in the log.
+    pub async fn finish(&self) {
+        self.keyed.finish().await;
+    }
+
+    /// Returns what the node's parts share.
+    #[must_use]
+    pub const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
     /// Returns the load to carry back to other nodes.
     #[must_use]
     pub fn load(&self) -> Option<HeaderValue> {
         let upstream = self.upstream.load();
-        let load = upstream.as_ref()?.admissions.load();
+        let load = upstream.as_ref()?.load();
         let text = format!("{} {} {}", load.running, load.queued, load.limit);
         HeaderValue::try_from(text).ok()
     }
@@ -79,7 +76,7 @@
     /// Closes unused connections.
     pub fn sweep(&self) {
         if let Some(upstream) = self.upstream.load().as_ref() {
-            upstream.pool.sweep(tokio::time::Instant::now());
+            upstream.sweep();
         }
     }
 
@@ -90,7 +87,7 @@
     /// Returns why there is no answer; its reason's outcome tells whether the
     /// request may have run.
     pub async fn run(
-        &self,
+        self: &Arc<Self>,
         call: &Call,
         service: &str,
         request: Request<Outgoing>,
@@ -105,20 +102,20 @@
     }
 
     async fn admit(
-        &self,
+        self: &Arc<Self>,
         call: &Call,
         service: &str,
         request: Request<Outgoing>,
     ) -> Result<Response<Answer>, Refusal> {
         let upstream = self.upstream.load_full().ok_or(Reason::NotReady)?;
-        if upstream.backend.service.as_str() != service {
+        if upstream.service().as_str() != service {
             return Err(Reason::Misdirected.into());
         }
-        if call.key.is_some() {
-            return Err(keyed::refuse());
+        if let Some(key) = &call.key {
+            return self.keyed.answer(self, upstream, call, key, request).await;
         }
         let arrived = self.shared.clock.now();
-        let slot = upstream.admissions.enter(call.due).await?;
+        let slot = upstream.enter(call).await?;
         let counters = &self.shared.counters;
         counters.stage(Stage::Queue, slot.start().since(arrived));
         self.hand_over(call, &upstream, slot, request).await
@@ -132,7 +129,7 @@
         request: Request<Outgoing>,
     ) -> Result<Response<Answer>, Refusal> {
         let method = request.method().clone();
-        let sent = self.send(call, &upstream.pool, request).await;
+        let sent = upstream.send(call, call.due.at(), request).await;
         let (response, pooled) = match sent {
             Ok(sent) => sent,
             Err(reason) => {
@@ -153,101 +150,28 @@
         Ok(Response::from_parts(head, answer))
     }
 
-    /// Hands `request` over and waits for the answer's head.
-    async fn send(
-        &self,
-        call: &Call,
-        pool: &Arc<Pool>,
-        mut request: Request<Outgoing>,
-    ) -> Result<(Response<Incoming>, Pooled), Reason> {
-        let until = self.shared.clock.tokio(call.due.at());
-        let headers = request.headers_mut();
-        let due = self.shared.clock.unix_ms(call.due.at());
-        headers.insert(DEADLINE, HeaderValue::from(due));
-        headers.insert(REQUEST_ID, call.id_value());
-        for _ in 0..MAX_STALE {
-            let mut pooled = match timeout_at(until, pool.take()).await {
-                Ok(Ok(pooled)) => pooled,
-                Ok(Err(_)) => return Err(Reason::ConnectFailed),
-                Err(_) => return Err(Reason::DeadlinePassed),
-            };
-            match timeout_at(until, pooled.conn().send(request)).await {
-                Ok(Ok(response)) => return Ok((response, pooled)),
-                Ok(Err(SendError::Unsent(Some(back)))) if pooled.is_reused() => request = *back,
-                Ok(Err(SendError::Unsent(_))) => return Err(Reason::ConnectFailed),
-                Ok(Err(SendError::Sent(err))) if err.is_user() => return Err(Reason::CallerGone),
-                Ok(Err(SendError::Sent(_))) => return Err(Reason::AnswerBroken),
-                Err(_) if pooled.conn().wrote() => return Err(Reason::Timeout),
-                Err(_) => return Err(Reason::DeadlinePassed),
-            }
-        }
-        Err(Reason::ConnectFailed)
-    }
-
     fn adopt(&self, announced: Option<Backend>, stopping: bool) {
         let old = self.upstream.load_full();
         let Some(backend) = announced else {
             if let Some(old) = old {
-                old.admissions.set_gate(Gate::Draining);
+                old.close();
             }
             self.upstream.store(None);
             return;
         };
-        let upstream = self.upstream(old.as_deref(), backend);
+        let upstream = Upstream::new(&self.shared, old.as_deref(), backend);
         let view = self.shared.view.load();
-        let entry = view.service(upstream.backend.service.as_str());
-        let limits = entry.map_or(Limits::default(), swiftcart_core::ServiceEntry::limits);
-        let guards = entry.map_or(1, |e| e.candidates().len());
-        let gate = gate(upstream.backend.readiness, stopping);
-        upstream.admissions.set_gate(gate);
-        let slots = upstream.backend.slots;
-        upstream.admissions.resize(slots, limits, guards);
+        let entry = view.service(upstream.service().as_str());
+        let limits = entry.map_or(Limits::default(), ServiceEntry::limits);
+        let guards: Vec<NodeId> = entry
+            .map_or(&[][..], ServiceEntry::candidates)
+            .iter()
+            .map(|candidate| candidate.id)
+            .collect();
+        upstream.adopt(limits, guards.len(), stopping);
+        self.keyed.prepare(upstream.service(), &guards);
         self.upstream.store(Some(Arc::new(upstream)));
     }
-
-    /// Returns the upstream for `backend`, with what is kept of the `old` one.
-    fn upstream(&self, old: Option<&Upstream>, backend: Backend) -> Upstream {
-        let limits = &self.shared.settings.limits;
-        let same = old.filter(|old| {
-            let same_addr = old.backend.addr == backend.addr;
-            same_addr && old.backend.service == backend.service
-        });
-        let admissions = same.map_or_else(
-            || {
-                let settings = AdmissionSettings {
-                    queue: limits.queue,
-                    wait: limits.queue_timeout(),
-                    ..AdmissionSettings::default()
-                };
-                Arc::new(Admissions::new(self.shared.clock, settings))
-            },
-            |old| Arc::clone(&old.admissions),
-        );
-        let pool = same
-            .filter(|old| old.backend.connections == backend.connections)
-            .map_or_else(
-                || {
-                    let bound = backend.connections as usize;
-                    let (idle, connect) = (limits.idle_timeout(), limits.connect_timeout());
-                    Arc::new(Pool::new(backend.addr, bound, idle, connect))
-                },
-                |old| Arc::clone(&old.pool),
-            );
-        Upstream {
-            backend,
-            pool,
-            admissions,
-        }
-    }
-}
-
-const fn gate(readiness: Readiness, stopping: bool) -> Gate {
-    match readiness {
-        _ if stopping => Gate::Stopping,
-        Readiness::Warming => Gate::Warming,
-        Readiness::Ready => Gate::Open,
-        Readiness::Draining => Gate::Draining,
-    }
 }
 
 /// Returns what a failed request tells of the backend server.
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body, Incoming};
 use swiftcart_core::{
     BalanceSettings, Balancer, CallResult, Deadline, Failure, HOP_ALLOWANCE, Load, NodeId, Outcome,
-    Pick, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Tries, View,
+    Pick, PickRule, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Tries, View,
 };
 use tokio::time::timeout_at;
 
@@ -20,6 +20,7 @@
     strip_internal, verdict,
 };
 use super::in_flight::InFlight;
+use super::keyed::preference;
 use super::peers::Peers;
 use super::request::Call;
 use super::rng::with_rng;
@@ -137,8 +138,7 @@
         let mut last: Option<Failed> = None;
         self.budget().first();
         loop {
-            let now = self.shared.clock.now();
-            let pick = with_rng(|rng| self.balancer().pick(now, entry, &tried, rng));
+            let pick = self.pick(call, entry, &tried);
             let Some(pick) = pick else {
                 let shortage = entry.shortage().unwrap_or(Reason::NotReady);
                 return Err(last.unwrap_or_else(|| shortage.into()));
@@ -156,6 +156,25 @@
         }
     }
 
+    /// Chooses a guard; those with a key prefer the few that follow the key's claims.
+    fn pick(&self, call: &Call, entry: &ServiceEntry, tried: &[NodeId]) -> Option<Pick> {
+        let now = self.shared.clock.now();
+        let balancer = self.balancer();
+        let preferred = call.key.as_ref().and_then(|key| {
+            let ids: Vec<NodeId> = entry.candidates().iter().map(|c| c.id).collect();
+            let order = preference(entry.name(), key, &ids);
+            let fits = |id: &NodeId| !tried.contains(id) && !balancer.ejected(*id, now);
+            let id = order.into_iter().find(fits)?;
+            let candidate = entry.candidates().iter().find(|c| c.id == id)?;
+            Some(Pick {
+                id,
+                peer: candidate.peer,
+                rule: PickRule::Near,
+            })
+        });
+        preferred.or_else(|| with_rng(|rng| balancer.pick(now, entry, tried, rng)))
+    }
+
     /// Counts another try when it is allowed; otherwise says whether there was one before.
     fn may_retry(
         &self,
--- a/crates/swiftcart-node/src/calls/keyed.rs
+++ b/crates/swiftcart-node/src/calls/keyed.rs
@@ -1,16 +1,178 @@
-//! Requests that run at most once: their claims in the platform's log.
+//! Requests that run at most once: claimed in the platform's log before the hand-over.
 //!
-//! Not connected yet: every such request is refused, so that none runs twice.
+//! Such a request is held as a whole and runs in a task of its own. A caller that
+//! goes away after the hand-over does not cancel the work: it gets the stored
+//! answer when it comes back with the same key.
 
+mod partition;
+mod stored;
+mod work;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use swiftcart_core::{Reason, Refusal};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use swiftcart_core::{ClaimKey, ClaimSettings, NodeId, Reason, Refusal, ServiceName, prefer};
+use swiftcart_platform::Platform;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::answer::Answer;
+use super::body::{BodyError, Outgoing};
+use super::guard::Guard;
+use super::request::Call;
+use super::upstream::Upstream;
+use crate::shared::Shared;
+use partition::Partition;
+use work::Work;
+
+/// Claim streams of each service, the same on every node.
+const PARTITIONS: u16 = 8;
+
+/// Guards that follow one partition ahead of any request.
+const FOLLOWERS: usize = 2;
+
+/// The longest time that a stop waits for stored answers to reach the log.
+const WRITE_OUT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at what is not in the log yet.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Runs requests with an idempotency key, once each.
+#[derive(Debug)]
+pub struct Keyed {
+    shared: Arc<Shared>,
+    platform: Platform,
+    settings: ClaimSettings,
+    partitions: Mutex<HashMap<(ServiceName, u16), Arc<Partition>>>,
+    works: TaskTracker,
+    closing: CancellationToken,
+}
 
-/// When a refused caller comes back.
-const COME_BACK: Duration = Duration::from_secs(1);
+impl Keyed {
+    /// Creates the part that claims in the platform's log.
+    #[must_use]
+    pub fn new(shared: &Arc<Shared>) -> Self {
+        let platform = shared.settings.platform;
+        let retention = Duration::from_secs(platform.retention_s);
+        let mut settings = ClaimSettings::new(retention);
+        settings.partitions = PARTITIONS;
+        let bytes = shared.settings.limits.answer_store_bytes as usize;
+        let each = bytes / usize::from(PARTITIONS);
+        let marks = settings.marks;
+        Self {
+            shared: Arc::clone(shared),
+            platform: Platform::new(platform.addr).with_timeout(platform.timeout()),
+            settings: settings.with_memory(marks, each),
+            partitions: Mutex::default(),
+            works: TaskTracker::new(),
+            closing: CancellationToken::new(),
+        }
+    }
+
+    /// Starts to follow the partitions of `service` that its `guards` prefer this node for.
+    pub fn prepare(&self, service: &ServiceName, guards: &[NodeId]) {
+        for partition in 0..PARTITIONS {
+            let order = prefer(service, partition, guards);
+            if order.iter().take(FOLLOWERS).any(|id| *id == self.shared.id) {
+                self.partition(service, partition);
+            }
+        }
+    }
+
+    /// Runs `request` unless an attempt with its key ran before; then gives that answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn answer(
+        &self,
+        guard: &Arc<Guard>,
+        upstream: Arc<Upstream>,
+        call: &Call,
+        key: &HeaderValue,
+        request: Request<Outgoing>,
+    ) -> Result<Response<Answer>, Refusal> {
+        upstream.probe(call)?;
+        let (head, body) = request.into_parts();
+        let body = self.collect(body).await?;
+        let key = key.to_str().map_err(|_| Reason::BadRequest)?;
+        let key = ClaimKey::new(upstream.service(), None, key);
+        let partition = key.partition(PARTITIONS);
+        let work = Work {
+            guard: Arc::clone(guard),
+            partition: self.partition(upstream.service(), partition),
+            upstream,
+            call: call.clone(),
+            key,
+            head,
+            body,
+        };
+        let (tx, rx) = oneshot::channel();
+        self.works.spawn(work.run(tx));
+        rx.await.map_err(|_| Reason::KeyUnknown)?
+    }
+
+    /// Waits until all work has ended and its answers are in the log, and stops following.
+    pub async fn finish(&self) {
+        self.works.close();
+        self.works.wait().await;
+        let written = async {
+            while self.unwritten() > 0 {
+                sleep(LOOK).await;
+            }
+        };
+        if timeout(WRITE_OUT, written).await.is_err() {
+            let counters = &self.shared.counters;
+            counters.count("swiftcart_claims_total", "result", "unwritten");
+        }
+        self.closing.cancel();
+    }
+
+    /// Reads a whole body within the bound.
+    async fn collect(&self, body: Outgoing) -> Result<Bytes, Refusal> {
+        let bound = self.shared.settings.limits.keyed_bytes as usize;
+        match Limited::new(body, bound).collect().await {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(err) if err.is::<LengthLimitError>() => Err(Reason::BodyTooLarge.into()),
+            Err(err) if err.is::<BodyError>() => Err(Reason::CallerGone.into()),
+            Err(_) => Err(Reason::BadRequest.into()),
+        }
+    }
+
+    fn partition(&self, service: &ServiceName, partition: u16) -> Arc<Partition> {
+        let mut all = self
+            .partitions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let found = all.entry((service.clone(), partition)).or_insert_with(|| {
+            let settings = self.settings.clone();
+            let new = Partition::new(&self.shared, &self.platform, settings, service, partition);
+            let new = Arc::new(new);
+            tokio::spawn(Arc::clone(&new).follow(self.closing.clone()));
+            tokio::spawn(Arc::clone(&new).drive(self.closing.clone()));
+            new
+        });
+        Arc::clone(found)
+    }
+
+    fn unwritten(&self) -> usize {
+        let all = self
+            .partitions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        all.values().map(|partition| partition.unwritten()).sum()
+    }
+}
 
-/// Returns the refusal of a request with an idempotency key.
+/// Orders `guards` by preference for the claims of `key`.
 #[must_use]
-pub const fn refuse() -> Refusal {
-    Refusal::new(Reason::PlatformDown).with_retry(COME_BACK)
+pub fn preference(service: &ServiceName, key: &HeaderValue, guards: &[NodeId]) -> Vec<NodeId> {
+    let key = ClaimKey::new(service, None, key.to_str().unwrap_or_default());
+    prefer(service, key.partition(PARTITIONS), guards)
 }
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/keyed/work.rs
@@ -0,0 +1,179 @@
+//! One piece of work with a key: claimed, handed over at most once, its answer stored.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use swiftcart_core::{
+    AttemptId, CallResult, Claim, ClaimKey, ClaimTicket, Decision, Finish, Outcome, Reason,
+    Refusal, RequestHash, Start,
+};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+
+use super::partition::{Offered, Partition, Verdict};
+use super::stored::{replay, store};
+use crate::calls::admissions::Slot;
+use crate::calls::answer::{Answer, is_framed};
+use crate::calls::body::Outgoing;
+use crate::calls::guard::Guard;
+use crate::calls::headers::{strip_hop, strip_internal};
+use crate::calls::pool::Pooled;
+use crate::calls::request::Call;
+use crate::calls::rng::with_rng;
+use crate::calls::upstream::Upstream;
+
+/// The longest wait for a partition that is being read for the first time.
+const CATCH_UP: Duration = Duration::from_secs(1);
+
+/// What the caller waits for.
+pub type Reply = Result<Response<Answer>, Refusal>;
+
+/// A request with a key, held as a whole.
+#[derive(Debug)]
+pub struct Work {
+    pub guard: Arc<Guard>,
+    pub partition: Arc<Partition>,
+    pub upstream: Arc<Upstream>,
+    pub call: Call,
+    pub key: ClaimKey,
+    pub head: Parts,
+    pub body: Bytes,
+}
+
+impl Work {
+    /// Runs the work and answers `caller`, if it is still there.
+    pub async fn run(self, mut caller: oneshot::Sender<Reply>) {
+        let reply = self.decide(&mut caller).await;
+        // A caller that has gone comes back with its key.
+        let _ = caller.send(reply);
+    }
+
+    async fn decide(&self, caller: &mut oneshot::Sender<Reply>) -> Reply {
+        let catch_up = Instant::now() + CATCH_UP;
+        let due = self.guard.shared().clock.tokio(self.call.due.at());
+        self.partition.caught_up(catch_up.min(due)).await;
+        let (ticket, verdict) = match self.partition.offer(self.claim()) {
+            Offered::Decided(decision) => return self.settle(decision),
+            Offered::Waits(ticket, verdict) => (ticket, verdict),
+        };
+        let verdict = tokio::select! {
+            verdict = verdict => verdict,
+            () = caller.closed() => return Err(self.give_up(ticket, Reason::CallerGone.into())),
+        };
+        match verdict {
+            Ok(Verdict::Won) => {}
+            Ok(Verdict::Settled(decision)) => return self.settle(decision),
+            Err(_) => return Err(Reason::KeyUnknown.into()),
+        }
+        let entered = tokio::select! {
+            entered = self.upstream.enter_probed(&self.call) => entered,
+            () = caller.closed() => Err(Reason::CallerGone.into()),
+        };
+        match entered {
+            Ok(slot) => self.hand_over(ticket, slot).await,
+            Err(refusal) => Err(self.give_up(ticket, refusal)),
+        }
+    }
+
+    async fn hand_over(&self, ticket: ClaimTicket, slot: Slot) -> Reply {
+        let start = self.partition.may_start(ticket)?;
+        self.count("run");
+        match self.exchange(start).await {
+            Ok((head, body)) => {
+                slot.finish(CallResult::Success);
+                let answer = store(&head, &body);
+                self.partition.finished(ticket, Finish::Whole(answer));
+                Ok(Response::from_parts(head, Answer::text(body)))
+            }
+            Err(reason) => {
+                slot.finish(CallResult::Failure);
+                let finish = match reason.outcome() {
+                    Outcome::NotRun => Finish::NotRun,
+                    Outcome::Unknown | Outcome::Done => Finish::Broken,
+                };
+                self.partition.finished(ticket, finish);
+                Err(reason.into())
+            }
+        }
+    }
+
+    /// Hands the request over and reads the whole answer.
+    async fn exchange(&self, start: Start) -> Result<(http::response::Parts, Bytes), Reason> {
+        let mut request = Request::new(Outgoing::Whole(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        request.headers_mut().clone_from(&self.head.headers);
+        let (response, pooled) = self.upstream.send(&self.call, start.until, request).await?;
+        let until = self.guard.shared().clock.tokio(start.until);
+        let read = self.read(response, pooled);
+        timeout_at(until, read).await.map_err(|_| Reason::Timeout)?
+    }
+
+    async fn read(
+        &self,
+        response: Response<Incoming>,
+        pooled: Pooled,
+    ) -> Result<(http::response::Parts, Bytes), Reason> {
+        let (mut head, body) = response.into_parts();
+        if !is_framed(&self.head.method, head.status, &head.headers) {
+            return Err(Reason::AnswerBroken);
+        }
+        strip_hop(&mut head.headers);
+        strip_internal(&mut head.headers);
+        let bound = self.guard.shared().settings.limits.keyed_bytes as usize;
+        let body = Limited::new(Answer::stream(body, pooled), bound)
+            .collect()
+            .await;
+        match body {
+            Ok(body) => Ok((head, body.to_bytes())),
+            Err(err) if err.is::<http_body_util::LengthLimitError>() => Err(Reason::AnswerTooLarge),
+            Err(_) => Err(Reason::AnswerBroken),
+        }
+    }
+
+    fn claim(&self) -> Claim {
+        let target = self.head.uri.path_and_query().map_or("", |p| p.as_str());
+        Claim {
+            key: self.key,
+            hash: RequestHash::new(self.head.method.as_str(), target, &self.body),
+            attempt: AttemptId(with_rng(rand::Rng::random)),
+            deadline: self.call.due.at(),
+        }
+    }
+
+    fn settle(&self, decision: Decision) -> Reply {
+        let (name, reply) = match decision {
+            Decision::Replay(stored) => ("replayed", Ok(replay(&stored))),
+            Decision::Conflict => ("conflict", Err(Reason::KeyReused.into())),
+            Decision::InProgress { retry_after } => {
+                let refusal = Refusal::new(Reason::KeyInProgress).with_retry(retry_after);
+                ("in-progress", Err(refusal))
+            }
+            Decision::Unknown(reason) => ("unknown", Err(reason.into())),
+            Decision::Refuse(refusal) => ("refused", Err(refusal)),
+            // The partition never passes this one on.
+            Decision::Wait(_) => ("unknown", Err(Reason::KeyUnknown.into())),
+        };
+        self.count(name);
+        reply
+    }
+
+    /// Ends a claim that was not handed over and returns what its caller is told.
+    fn give_up(&self, ticket: ClaimTicket, refusal: Refusal) -> Refusal {
+        self.count("given-up");
+        match self.partition.give_up(ticket) {
+            Outcome::NotRun => refusal,
+            Outcome::Unknown | Outcome::Done => Reason::KeyUnknown.into(),
+        }
+    }
+
+    fn count(&self, result: &'static str) {
+        let counters = &self.guard.shared().counters;
+        counters.count("swiftcart_claims_total", "result", result);
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -0,0 +1,171 @@
+//! The backend server beside this node: its connections, its admission and the hand-over.
+
+use std::sync::Arc;
+
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use swiftcart_core::{
+    AdmissionSettings, Backend, Gate, Instant, Limits, Load, Readiness, Reason, Refusal,
+    ServiceName,
+};
+use tokio::time::timeout_at;
+
+use super::admissions::{Admissions, Slot};
+use super::body::Outgoing;
+use super::conn::SendError;
+use super::headers::{DEADLINE, REQUEST_ID};
+use super::pool::{Pool, Pooled};
+use super::request::Call;
+use crate::clock::Clock;
+use crate::shared::Shared;
+
+/// Stale connections that one request may meet before it is refused.
+const MAX_STALE: usize = 4;
+
+/// The backend server as it announced itself, with its connections and admission.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    backend: Backend,
+    clock: Clock,
+    pool: Arc<Pool>,
+    admissions: Arc<Admissions>,
+}
+
+impl Upstream {
+    /// Creates the upstream for `backend`, with what is kept of the `old` one.
+    #[must_use]
+    pub fn new(shared: &Shared, old: Option<&Self>, backend: Backend) -> Self {
+        let limits = &shared.settings.limits;
+        let same = old.filter(|old| {
+            let same_addr = old.backend.addr == backend.addr;
+            same_addr && old.backend.service == backend.service
+        });
+        let admissions = same.map_or_else(
+            || {
+                let settings = AdmissionSettings {
+                    queue: limits.queue,
+                    wait: limits.queue_timeout(),
+                    ..AdmissionSettings::default()
+                };
+                Arc::new(Admissions::new(shared.clock, settings))
+            },
+            |old| Arc::clone(&old.admissions),
+        );
+        let pool = same
+            .filter(|old| old.backend.connections == backend.connections)
+            .map_or_else(
+                || {
+                    let bound = backend.connections as usize;
+                    let (idle, connect) = (limits.idle_timeout(), limits.connect_timeout());
+                    Arc::new(Pool::new(backend.addr, bound, idle, connect))
+                },
+                |old| Arc::clone(&old.pool),
+            );
+        Self {
+            backend,
+            clock: shared.clock,
+            pool,
+            admissions,
+        }
+    }
+
+    /// Takes over the table's limits, the number of the service's guards and the gate.
+    pub fn adopt(&self, limits: Limits, guards: usize, stopping: bool) {
+        self.admissions
+            .set_gate(gate(self.backend.readiness, stopping));
+        self.admissions.resize(self.backend.slots, limits, guards);
+    }
+
+    /// Takes no new work any more.
+    pub fn close(&self) {
+        self.admissions.set_gate(Gate::Draining);
+    }
+
+    /// Returns the service that the backend server belongs to.
+    #[must_use]
+    pub const fn service(&self) -> &ServiceName {
+        &self.backend.service
+    }
+
+    /// Returns the load to carry back on answers.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.admissions.load()
+    }
+
+    /// Closes unused connections.
+    pub fn sweep(&self) {
+        self.pool.sweep(tokio::time::Instant::now());
+    }
+
+    /// Waits for the right to run a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not run.
+    pub async fn enter(&self, call: &Call) -> Result<Slot, Refusal> {
+        self.admissions.enter(call.due).await
+    }
+
+    /// Tells whether a request would be let in now, and takes its part of the rate.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request would not be run.
+    pub fn probe(&self, call: &Call) -> Result<(), Refusal> {
+        self.admissions.probe(call.due)
+    }
+
+    /// Waits for the right to run a request after [`probe`](Self::probe).
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not run.
+    pub async fn enter_probed(&self, call: &Call) -> Result<Slot, Refusal> {
+        self.admissions.enter_probed(call.due).await
+    }
+
+    /// Hands `request` over, to be started before `until`, and waits for the answer's head.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer; the reason's outcome is `not-run` only when
+    /// nothing of the request was written.
+    pub async fn send(
+        &self,
+        call: &Call,
+        until: Instant,
+        mut request: Request<Outgoing>,
+    ) -> Result<(Response<Incoming>, Pooled), Reason> {
+        let headers = request.headers_mut();
+        headers.insert(DEADLINE, HeaderValue::from(self.clock.unix_ms(until)));
+        headers.insert(REQUEST_ID, call.id_value());
+        let until = self.clock.tokio(until);
+        for _ in 0..MAX_STALE {
+            let mut pooled = match timeout_at(until, self.pool.take()).await {
+                Ok(Ok(pooled)) => pooled,
+                Ok(Err(_)) => return Err(Reason::ConnectFailed),
+                Err(_) => return Err(Reason::DeadlinePassed),
+            };
+            match timeout_at(until, pooled.conn().send(request)).await {
+                Ok(Ok(response)) => return Ok((response, pooled)),
+                Ok(Err(SendError::Unsent(Some(back)))) if pooled.is_reused() => request = *back,
+                Ok(Err(SendError::Unsent(_))) => return Err(Reason::ConnectFailed),
+                Ok(Err(SendError::Sent(err))) if err.is_user() => return Err(Reason::CallerGone),
+                Ok(Err(SendError::Sent(_))) => return Err(Reason::AnswerBroken),
+                Err(_) if pooled.conn().wrote() => return Err(Reason::Timeout),
+                Err(_) => return Err(Reason::DeadlinePassed),
+            }
+        }
+        Err(Reason::ConnectFailed)
+    }
+}
+
+const fn gate(readiness: Readiness, stopping: bool) -> Gate {
+    match readiness {
+        _ if stopping => Gate::Stopping,
+        Readiness::Warming => Gate::Warming,
+        Readiness::Ready => Gate::Open,
+        Readiness::Draining => Gate::Draining,
+    }
+}
--- a/crates/swiftcart-node/tests/calls.rs
+++ b/crates/swiftcart-node/tests/calls.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use common::{
-    SERVICE, announce, backend_at, call, head, introduce, log_with, node_at, own_ip, request, until,
+    SERVICE, announce, backend_at, call, head, log_with, node, node_beside, request, until,
 };
 use http_body_util::BodyExt;
 use rstest::rstest;
@@ -21,13 +21,12 @@
 #[tokio::test]
 async fn answers_come_whole_over_one_node_and_over_two() {
     let log = log_with(Limits::default()).await;
-    let near = node_at(own_ip(), &log).await;
-    let far = node_at(own_ip(), &log).await;
+    let far = node(&log).await;
     let settings = BackendSettings::new(SERVICE)
         .with_slots(4)
         .with_connections(4);
     let backend = backend_at(&far, settings).await;
-    introduce(&near, &far).await;
+    let near = node_beside(&far, &log).await;
     let targets = [&near, &far].map(|node| node.shared().settings.listen.calls);
     let report = Load::new(targets.into())
         .with_rate(400.0)
@@ -83,15 +82,21 @@
             addr: listener.local_addr().unwrap(),
             runs: Arc::default(),
             close: Arc::default(),
+            gone: Arc::default(),
         };
         let (runs, close) = (Arc::clone(&played.runs), Arc::clone(&played.close));
+        let gone = Arc::clone(&played.gone);
         tokio::spawn(async move {
             while let Ok((mut socket, _)) = listener.accept().await {
                 let mut buf = [0; 4096];
                 if socket.read(&mut buf).await.is_ok_and(|n| n > 0) {
                     runs.fetch_add(1, Ordering::SeqCst);
                     let _ = socket.write_all(self.answer()).await;
-                    close.notified().await;
+                    tokio::select! {
+                        () = close.notified() => {}
+                        // Nothing more comes: the other side has closed.
+                        _ = socket.read(&mut buf) => gone.notify_one(),
+                    }
                 }
             }
         });
@@ -105,6 +110,8 @@
     /// The requests that were read.
     runs: Arc<AtomicU32>,
     close: Arc<Notify>,
+    /// Told when the node closes a connection first.
+    gone: Arc<Notify>,
 }
 
 #[rstest]
@@ -123,12 +130,11 @@
     #[values(false, true)] two: bool,
 ) {
     let log = log_with(Limits::default()).await;
-    let node = node_at(own_ip(), &log).await;
+    let node = node(&log).await;
     let played = script.play().await;
     played.close.notify_one();
     announce(&node, played.addr).await;
-    let entry = node_at(own_ip(), &log).await;
-    introduce(&entry, &node).await;
+    let entry = node_beside(&node, &log).await;
     let got = call(if two { &entry } else { &node }, request(method, "/", &[])).await;
     assert_eq!(
         (got.told(), played.runs.load(Ordering::SeqCst)),
@@ -145,11 +151,10 @@
     #[values(false, true)] two: bool,
 ) {
     let log = log_with(Limits::default()).await;
-    let node = node_at(own_ip(), &log).await;
+    let node = node(&log).await;
     let played = script.play().await;
     announce(&node, played.addr).await;
-    let entry = node_at(own_ip(), &log).await;
-    introduce(&entry, &node).await;
+    let entry = node_beside(&node, &log).await;
     let response = head(if two { &entry } else { &node }, request("GET", "/", &[])).await;
     played.close.notify_one();
     let body = response.into_body().collect().await;
@@ -159,7 +164,7 @@
 #[tokio::test]
 async fn a_backend_server_that_is_gone_has_not_run_the_request() {
     let log = log_with(Limits::default()).await;
-    let node = node_at(own_ip(), &log).await;
+    let node = node(&log).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     announce(&node, listener.local_addr().unwrap()).await;
     drop(listener);
@@ -170,7 +175,7 @@
 #[tokio::test]
 async fn a_connection_closed_while_unused_is_not_used_for_a_post() {
     let log = log_with(Limits::default()).await;
-    let node = node_at(own_ip(), &log).await;
+    let node = node(&log).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     announce(&node, listener.local_addr().unwrap()).await;
     let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
@@ -192,21 +197,21 @@
 #[tokio::test]
 async fn a_request_given_up_on_is_answered_and_cancelled(#[case] method: &str) {
     let log = log_with(Limits::default()).await;
-    let node = node_at(own_ip(), &log).await;
-    let backend = backend_at(&node, BackendSettings::new(SERVICE)).await;
-    backend.set_faults(BackendFaults::new().with_slow_ms(60_000));
-    let headers = [("swiftcart-deadline-ms", "60"), ("x-request-id", "r")];
+    let node = node(&log).await;
+    let played = Script::Close.play().await;
+    announce(&node, played.addr).await;
+    let headers = [("swiftcart-deadline-ms", "60")];
     let got = call(&node, request(method, "/", &headers)).await;
     assert_eq!(got.told(), (504, "unknown", "timeout"));
-    until(|| backend.runs_by_id("r").cancelled == 1).await;
+    played.gone.notified().await;
 }
 
 #[tokio::test]
 async fn a_caller_that_goes_away_cancels_the_work_over_two_nodes() {
     let log = log_with(Limits::default()).await;
-    let (near, far) = (node_at(own_ip(), &log).await, node_at(own_ip(), &log).await);
+    let far = node(&log).await;
     let backend = backend_at(&far, BackendSettings::new(SERVICE)).await;
-    introduce(&near, &far).await;
+    let near = node_beside(&far, &log).await;
     backend.set_faults(BackendFaults::new().with_hang(true));
     let calls = near.shared().settings.listen.calls;
     let mut socket = TcpStream::connect(calls).await.unwrap();
@@ -220,7 +225,7 @@
 #[tokio::test]
 async fn a_draining_backend_server_finishes_its_work_and_gets_none() {
     let log = log_with(Limits::default()).await;
-    let node = node_at(own_ip(), &log).await;
+    let node = node(&log).await;
     let backend = backend_at(&node, BackendSettings::new(SERVICE)).await;
     backend.set_faults(BackendFaults::new().with_slow_ms(300));
     let first = call(&node, request("POST", "/", &[("x-request-id", "first")]));
@@ -251,7 +256,7 @@
     #[case] told: (u16, &str, &str),
 ) {
     let log = log_with(Limits::default()).await;
-    let node = node_at(own_ip(), &log).await;
+    let node = node(&log).await;
     let got = call(&node, request("GET", path, headers)).await;
     assert_eq!(got.told(), told);
     let metric = format!("swiftcart_refusals_total{{reason=\"{}\"}} 1", told.2);
--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -13,8 +13,8 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use swiftcart_core::{
-    Backend, Body, Envelope, FailureDomain, Limits, Member, NodeId, Publish, PublishId, Readiness,
-    ServiceName, Table, Version, diff,
+    Backend, Body, Envelope, Limits, NodeId, Publish, PublishId, Readiness, ServiceName, Table,
+    Version, diff,
 };
 use swiftcart_node::{Node, Phase, Settings, silent_log};
 use swiftcart_standin::{BackendServer, BackendSettings, Log};
@@ -37,7 +37,7 @@
 }
 
 /// Returns the settings of a node at `ip` as JSON.
-pub fn settings_json(ip: Ipv4Addr, log: SocketAddr) -> String {
+pub fn settings_json(ip: Ipv4Addr, log: SocketAddr, seeds: &[SocketAddr]) -> String {
     serde_json::json!({
         "domain": "norte",
         "listen": {
@@ -45,6 +45,7 @@
             "admin": format!("{ip}:7003"), "gossip": format!("{ip}:7004"),
             "sync": format!("{ip}:7005"),
         },
+        "seeds": seeds,
         "platform": {"addr": log},
         "mesh_key": "0123456789abcdef0123456789abcdef",
     })
@@ -69,9 +70,22 @@
     log
 }
 
-/// Starts a node at `ip` and waits until it is ready.
-pub async fn node_at(ip: Ipv4Addr, log: &Log) -> Node {
-    let settings = Settings::parse("test", settings_json(ip, log.addr()).as_bytes()).unwrap();
+/// Starts a node that joins no other and waits until it is ready.
+pub async fn node(log: &Log) -> Node {
+    start(log, &[]).await
+}
+
+/// Starts a node that joins `other` and waits until it routes to its backend server.
+pub async fn node_beside(other: &Node, log: &Log) -> Node {
+    let id = other.shared().id;
+    let node = start(log, &[id.0]).await;
+    routed(&node, id).await;
+    node
+}
+
+async fn start(log: &Log, seeds: &[SocketAddr]) -> Node {
+    let text = settings_json(own_ip(), log.addr(), seeds);
+    let settings = Settings::parse("test", text.as_bytes()).unwrap();
     let node = Node::start(settings, silent_log()).await.unwrap();
     let mut phase = node.shared().phase.subscribe();
     let ready = phase.wait_for(|phase| *phase == Phase::Ready);
@@ -110,27 +124,6 @@
     until(|| node.shared().view.load().has_candidate(id)).await;
 }
 
-/// Tells `node` of the backend server beside `other`.
-pub async fn introduce(node: &Node, other: &Node) {
-    let shared = other.shared();
-    let listen = shared.settings.listen;
-    let member = Member {
-        id: shared.id,
-        sync: listen.sync,
-        peer: listen.peer,
-        admin: listen.admin,
-        domain: FailureDomain::new("norte"),
-        incarnation: Default::default(),
-        liveness: Default::default(),
-        backend: shared.backend.borrow().clone(),
-    };
-    let mut members = node.shared().members.load().as_ref().clone();
-    members.push(member);
-    node.shared().members.store(members.into());
-    node.shared().backend.send_modify(|_| {});
-    routed(node, shared.id).await;
-}
-
 /// Waits for a condition.
 pub async fn until(mut condition: impl FnMut() -> bool) {
     until_async(async || condition()).await;
--- /dev/null
+++ b/crates/swiftcart-node/tests/keyed.rs
@@ -0,0 +1,146 @@
+//! Requests with an idempotency key: run once, answered the same again.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use bytes::Bytes;
+use common::{Got, SERVICE, backend_at, call, log_with, node, request, until};
+use http::Request;
+use http_body_util::Full;
+use rstest::rstest;
+use swiftcart_core::Limits;
+use swiftcart_node::Node;
+use swiftcart_standin::{
+    BackendFaults, BackendServer, BackendSettings, Log, LogFaults, Outage, Runs,
+};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const KEY: (&str, &str) = ("idempotency-key", "irrigate-7");
+
+const ONCE: Runs = Runs {
+    started: 1,
+    finished: 1,
+    cancelled: 0,
+};
+
+async fn mesh() -> (Log, Node, BackendServer) {
+    let log = log_with(Limits::default()).await;
+    let node = node(&log).await;
+    let backend = backend_at(&node, BackendSettings::new(SERVICE)).await;
+    (log, node, backend)
+}
+
+fn with_body(body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+    request("POST", "/book", &[KEY]).map(|_| Full::new(body.into()))
+}
+
+/// Repeats the request until no attempt is in progress.
+async fn settled(node: &Node) -> Got {
+    loop {
+        let got = call(node, with_body("pitch 7")).await;
+        if got.told() != (409, "unknown", "key-in-progress") {
+            return got;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_repeat_gets_the_stored_answer_and_another_body_is_refused() {
+    let (_log, node, backend) = mesh().await;
+    let first = call(&node, with_body("pitch 7")).await;
+    let again = settled(&node).await;
+    let other = call(&node, with_body("pitch 8")).await;
+    assert_eq!(first.told(), (200, "-", "-"));
+    let replayed = again.headers.get("idempotent-replayed");
+    assert_eq!(
+        replayed.map(http::HeaderValue::as_bytes),
+        Some(&b"true"[..])
+    );
+    assert_eq!((again.status, again.body), (first.status, first.body));
+    assert_eq!(other.told(), (422, "not-run", "key-reused"));
+    assert_eq!(backend.runs_by_key(KEY.1), ONCE);
+}
+
+#[tokio::test]
+async fn attempts_through_two_guards_at_once_run_once() {
+    let log = log_with(Limits::default()).await;
+    let (a, b) = (node(&log).await, node(&log).await);
+    let backends = [
+        backend_at(&a, BackendSettings::new(SERVICE)).await,
+        backend_at(&b, BackendSettings::new(SERVICE)).await,
+    ];
+    // The nodes do not know each other, so that each one claims for its own backend server.
+    let to = |node| call(node, with_body("pitch 7"));
+    let (g1, g2, g3, g4) = tokio::join!(to(&a), to(&b), to(&a), to(&b));
+    let got = [g1, g2, g3, g4];
+    let runs: u64 = backends.iter().map(|b| b.runs_by_key(KEY.1).started).sum();
+    let kinds: Vec<_> = got.iter().map(Got::told).collect();
+    assert_eq!(runs, 1, "{kinds:?}");
+    let allowed = [(200, "-", "-"), (409, "unknown", "key-in-progress")];
+    assert!(kinds.iter().all(|told| allowed.contains(told)), "{kinds:?}");
+    assert!(kinds.contains(&allowed[0]), "{kinds:?}");
+}
+
+#[tokio::test]
+async fn a_caller_that_left_after_the_hand_over_finds_its_answer() {
+    let (_log, node, backend) = mesh().await;
+    backend.set_faults(BackendFaults::new().with_slow_ms(200));
+    let mut socket = TcpStream::connect(node.shared().settings.listen.calls)
+        .await
+        .unwrap();
+    let head = format!(
+        "POST /book HTTP/1.1\r\nhost: mesh\r\n{}: {}\r\ncontent-length: 7\r\n\r\npitch 7",
+        KEY.0, KEY.1
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    until(|| backend.runs_by_key(KEY.1).started == 1).await;
+    drop(socket);
+    until(|| backend.runs_by_key(KEY.1).finished == 1).await;
+    let again = settled(&node).await;
+    assert_eq!(again.told(), (200, "-", "-"));
+    assert_eq!(backend.runs_by_key(KEY.1), ONCE);
+}
+
+#[rstest]
+#[case::platform_out("pitch 7".into(), true, (503, "not-run", "platform-down"))]
+#[case::body_over_the_bound(vec![7; (1 << 20) + 1], false, (413, "not-run", "body-too-large"))]
+#[tokio::test]
+async fn what_cannot_be_claimed_is_not_run(
+    #[case] body: Vec<u8>,
+    #[case] outage: bool,
+    #[case] told: (u16, &str, &str),
+) {
+    let (log, node, backend) = mesh().await;
+    assert_eq!(
+        call(
+            &node,
+            request("POST", "/book", &[("idempotency-key", "other")])
+        )
+        .await
+        .status,
+        200
+    );
+    if outage {
+        log.set_faults(LogFaults::new().with_outage(Outage::Unavailable));
+    }
+    let mut request = with_body(body);
+    let deadline = "2000".parse().unwrap();
+    request
+        .headers_mut()
+        .insert("swiftcart-deadline-ms", deadline);
+    let got = call(&node, request).await;
+    assert_eq!(got.told(), told);
+    assert_eq!(backend.runs_by_key(KEY.1), Runs::default());
+}
+
+#[tokio::test]
+async fn an_unknown_end_is_remembered_and_never_run_again() {
+    let (_log, node, backend) = mesh().await;
+    backend.set_faults(BackendFaults::new().with_lose_answers(1));
+    let first = call(&node, with_body("pitch 7")).await;
+    assert_eq!(first.told(), (502, "unknown", "answer-broken"));
+    let again = settled(&node).await;
+    assert_eq!(again.told(), (502, "unknown", "answer-broken"));
+    assert_eq!(backend.runs_by_key(KEY.1).started, 1);
+}
--- a/crates/swiftcart-node/tests/stop.rs
+++ b/crates/swiftcart-node/tests/stop.rs
@@ -25,7 +25,7 @@
     fn start(log: SocketAddr) -> Self {
         let ip = own_ip();
         let settings = tempfile::NamedTempFile::new().unwrap();
-        std::fs::write(settings.path(), settings_json(ip, log)).unwrap();
+        std::fs::write(settings.path(), settings_json(ip, log, &[])).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_swiftcartd"))
             .arg("--settings")
             .arg(settings.path())
