--- a/crates/swiftcart-cli/src/run/publishing.rs
+++ b/crates/swiftcart-cli/src/run/publishing.rs
@@ -100,7 +100,7 @@
     limit: Duration,
     report: Report,
 ) -> Result<Report, Error> {
-    // An operator who stops waiting knows what was accepted.
+    // An operator who stops waiting knows already what was accepted.
     progress(&report.text);
     let mut shown = None;
     let show = |live: usize, behind: &[Straggler]| {
@@ -115,7 +115,7 @@
 }
 
 fn conclude(report: Report, version: Version, behind: Option<&[Straggler]>) -> Report {
-    let Report { text, mut json, .. } = report;
+    let mut json = report.json;
     json["stragglers"] = json!(behind);
     json["in_force"] = Value::Bool(behind.is_some_and(<[_]>::is_empty));
     let (line, exit) = match behind {
@@ -127,7 +127,7 @@
             let names: Vec<_> = behind.iter().map(describe).collect();
             let names = names.join("\n  ");
             (
-                format!("version {version} is not yet in force on:\n  {names}"),
+                format!("version {version} is accepted but not yet in force on:\n  {names}"),
                 Exit::Stragglers,
             )
         }
@@ -136,7 +136,7 @@
             Exit::Stragglers,
         ),
     };
-    Report::new(format!("{text}\n{line}"), json).with_exit(exit)
+    Report::new(line, json).with_exit(exit)
 }
 
 fn step(version: Version, live: usize, behind: &[Straggler]) -> String {
