--- a/crates/swiftcart-standin/src/backend.rs
+++ b/crates/swiftcart-standin/src/backend.rs
@@ -2,13 +2,11 @@
 
 mod announce;
 mod faults;
-mod lagging;
 mod ledger;
 mod onward;
 mod routes;
 mod settings;
 mod state;
-mod stats;
 mod work;
 
 use std::net::SocketAddr;
@@ -20,8 +18,7 @@
 pub use faults::BackendFaults;
 pub use ledger::{Ledger, Runs};
 pub use settings::{BackendSettings, ServiceTime};
-pub use stats::BackendStats;
-pub use swiftcart_core::Readiness;
+pub use state::{BackendStats, Readiness};
 
 use crate::Error;
 use crate::serve::Server;
--- a/crates/swiftcart-standin/src/backend/faults.rs
+++ b/crates/swiftcart-standin/src/backend/faults.rs
@@ -1,7 +1,8 @@
 //! The faults that a backend server plays on command.
 
 use serde::{Deserialize, Serialize};
-use swiftcart_core::Readiness;
+
+use super::state::Readiness;
 
 /// Holds the faults in force; the default is none.
 ///
--- a/crates/swiftcart-standin/src/bin/swiftcart-standin-backend.rs
+++ b/crates/swiftcart-standin/src/bin/swiftcart-standin-backend.rs
@@ -23,10 +23,6 @@
     let backend = BackendServer::start(args.addr()?, args.settings()?).await?;
     println!("listening addr={}", backend.addr());
     stop.await;
-    let again = stop_signal()?;
-    tokio::select! {
-        () = backend.stop(GRACE) => {}
-        () = again => {}
-    }
+    backend.stop(GRACE).await;
     Ok(())
 }
