Read on after the last answer, and split the ingress

A refused caller that reads only after it has sent everything got a reset connection in place of the refusal: the socket now reads on for up to 1 s after its last answer. New tests: a refused upload of 300 kB goes whole to another guard, refusals of malformed heads are told and counted.

--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod body;
 mod conn;
+mod exchange;
 mod guard;
 mod headers;
 mod in_flight;
--- a/crates/swiftcart-node/src/calls/in_flight.rs
+++ b/crates/swiftcart-node/src/calls/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use swiftcart_core::{Balancer, CallResult, Instant, Load, NodeId, Outcome, Sample};
+use swiftcart_core::{Balancer, CallResult, Instant, Load, NodeId, Outcome, Reason, Sample};
 
 use super::answer::End;
 use crate::shared::Shared;
@@ -71,7 +71,9 @@
     fn drop(&mut self) {
         if self.open {
             // The caller went away before there was an answer.
-            self.shared.counters.call(Outcome::Unknown);
+            let counters = &self.shared.counters;
+            counters.call(Outcome::Unknown);
+            counters.refuse(Reason::CallerGone.as_str());
             self.learn(CallResult::Cancelled);
         }
     }
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -1,24 +1,22 @@
 //! The ingress: routes callers' requests to a guard, and tries again where that is safe.
 
+mod forward;
+mod original;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use http::request::Parts;
-use http::{HeaderValue, Request, Response, Uri};
-use hyper::body::{Body, Incoming};
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
 use swiftcart_core::{
-    BalanceSettings, Balancer, CallResult, Deadline, Failure, HOP_ALLOWANCE, Load, NodeId, Outcome,
-    Pick, PickRule, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Tries, View,
+    BalanceSettings, Balancer, CallResult, Deadline, Failure, Instant, Load, NodeId, Outcome, Pick,
+    PickRule, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Tries,
 };
-use tokio::time::timeout_at;
 
-use super::answer::{Answer, is_framed, refuse};
-use super::body::{Gate, Outgoing, Source};
-use super::conn::SendError;
+use super::answer::{Answer, refuse};
 use super::guard::Guard;
-use super::headers::{
-    ATTEMPT, DEADLINE_MS, LOAD, REQUEST_ID, RETRIED, SERVICE, retry_after, strip_hop,
-    strip_internal, verdict,
-};
+use super::headers::RETRIED;
 use super::in_flight::InFlight;
 use super::keyed::preference;
 use super::peers::Peers;
@@ -26,9 +24,8 @@
 use super::rng::with_rng;
 use crate::counters::Stage;
 use crate::shared::{Phase, Shared};
-
-/// Stale connections that one try may meet before it fails.
-const MAX_STALE: usize = 4;
+use forward::take_load;
+use original::Original;
 
 /// Takes callers' requests to a backend server, beside this node or another.
 #[derive(Debug)]
@@ -48,15 +45,6 @@
     load: Option<Load>,
 }
 
-/// A request's head and where its body comes from, kept for every try.
-#[derive(Debug)]
-struct Original {
-    head: Parts,
-    source: Option<Arc<Source>>,
-    /// Whether the body may be longer than what is kept of it.
-    long: bool,
-}
-
 impl Ingress {
     /// Creates an ingress that hands requests for the own backend server to `guard`.
     #[must_use]
@@ -123,13 +111,12 @@
         let entry = with_rng(|rng| view.route(head.uri.path(), rng))?;
         call.due = due(&call, entry, now);
         let original = Original::new(head, body, limits.replay_bytes, limits.body_timeout());
-        self.tries(&call, &view, entry, &original).await
+        self.tries(&call, entry, &original).await
     }
 
     async fn tries(
         &self,
         call: &Call,
-        view: &View,
         entry: &ServiceEntry,
         original: &Original,
     ) -> Result<Response<Answer>, Failed> {
@@ -143,7 +130,6 @@
                 let shortage = entry.shortage().unwrap_or(Reason::NotReady);
                 return Err(last.unwrap_or_else(|| shortage.into()));
             };
-            debug_assert!(view.has_candidate(pick.id));
             let failed = match self.attempt(call, &pick, entry, original, tries).await {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
@@ -244,76 +230,6 @@
         }
     }
 
-    /// Sends the request to the guard beside the chosen backend server.
-    async fn forward(
-        &self,
-        call: &Call,
-        pick: &Pick,
-        service: &str,
-        original: &Original,
-        tries: Tries,
-    ) -> Result<Response<Answer>, Failed> {
-        let now = self.shared.clock.now();
-        let left = call.due.less(HOP_ALLOWANCE).left_ms(now);
-        let left = left.ok_or(Reason::DeadlinePassed)?;
-        let gate = original.long.then(Gate::default);
-        let mut request = original.request(gate.clone());
-        if let Some(gate) = gate {
-            let headers = request.headers_mut();
-            headers.insert(
-                http::header::EXPECT,
-                HeaderValue::from_static("100-continue"),
-            );
-            hyper::ext::on_informational(&mut request, move |_| gate.open());
-        }
-        let name = HeaderValue::from_str(service).map_err(|_| Reason::BadRequest)?;
-        let headers = request.headers_mut();
-        headers.insert(SERVICE, name);
-        headers.insert(DEADLINE_MS, HeaderValue::from(left));
-        headers.insert(ATTEMPT, HeaderValue::from(u16::from(tries.attempt().0)));
-        headers.insert(REQUEST_ID, call.id_value());
-        self.exchange(call, pick, request).await
-    }
-
-    async fn exchange(
-        &self,
-        call: &Call,
-        pick: &Pick,
-        mut request: Request<Outgoing>,
-    ) -> Result<Response<Answer>, Failed> {
-        let until = self.shared.clock.tokio(call.due.at());
-        let method = request.method().clone();
-        let pool = self.peers.pool(pick.peer);
-        for _ in 0..MAX_STALE {
-            let mut pooled = match timeout_at(until, pool.take()).await {
-                Ok(Ok(pooled)) => pooled,
-                Ok(Err(_)) => return Err(Reason::PeerUnreachable.into()),
-                Err(_) => return Err(Reason::DeadlinePassed.into()),
-            };
-            let reason = match timeout_at(until, pooled.conn().send(request)).await {
-                Ok(Ok(response)) => {
-                    let framed = is_framed(&method, response.status(), response.headers());
-                    let response = response.map(|body| Answer::stream(body, pooled));
-                    return match framed {
-                        true => judge(response),
-                        false => Err(Reason::AnswerBroken.into()),
-                    };
-                }
-                Ok(Err(SendError::Unsent(Some(back)))) if pooled.is_reused() => {
-                    request = *back;
-                    continue;
-                }
-                Ok(Err(SendError::Unsent(_))) => Reason::PeerUnreachable,
-                Ok(Err(SendError::Sent(err))) if err.is_user() => Reason::CallerGone,
-                Ok(Err(SendError::Sent(_))) => Reason::AnswerBroken,
-                Err(_) if pooled.conn().wrote() => Reason::Timeout,
-                Err(_) => Reason::DeadlinePassed,
-            };
-            return Err(reason.into());
-        }
-        Err(Reason::PeerUnreachable.into())
-    }
-
     fn balancer(&self) -> MutexGuard<'_, Balancer> {
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -323,36 +239,6 @@
     }
 }
 
-impl Original {
-    fn new(head: Parts, body: Incoming, room: u32, silence: std::time::Duration) -> Self {
-        let room = room as usize;
-        let long = body.size_hint().upper().is_none_or(|n| n > room as u64);
-        let streams = !body.is_end_stream();
-        Self {
-            head,
-            source: streams.then(|| Source::new(body, room, silence)),
-            long: streams && long,
-        }
-    }
-
-    /// Creates the request of one try.
-    fn request(&self, gate: Option<Gate>) -> Request<Outgoing> {
-        let body = match &self.source {
-            Some(source) => source.start(gate),
-            None => Outgoing::Empty,
-        };
-        let mut request = Request::new(body);
-        *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = origin(&self.head.uri);
-        request.headers_mut().clone_from(&self.head.headers);
-        request
-    }
-
-    fn is_whole(&self) -> bool {
-        self.source.as_ref().is_none_or(|source| source.is_whole())
-    }
-}
-
 impl From<Reason> for Failed {
     fn from(reason: Reason) -> Self {
         Refusal::from(reason).into()
@@ -369,56 +255,10 @@
     }
 }
 
-/// Tells a guard's refusal from a backend server's answer.
-fn judge(mut response: Response<Answer>) -> Result<Response<Answer>, Failed> {
-    let Some(reason) = verdict(response.headers()) else {
-        let load = response.headers_mut().remove(LOAD);
-        strip_hop(response.headers_mut());
-        strip_internal(response.headers_mut());
-        if let Some(load) = load {
-            response.headers_mut().insert(LOAD, load);
-        }
-        return Ok(response);
-    };
-    let refusal = Refusal {
-        reason,
-        retry_after: retry_after(response.headers()),
-    };
-    let failed = Failed {
-        refusal,
-        retried: response.headers().contains_key(RETRIED),
-        load: take_load(&mut response),
-    };
-    response.into_body().discard();
-    Err(failed)
-}
-
-/// Takes the guard's load out of an answer.
-fn take_load(response: &mut Response<Answer>) -> Option<Load> {
-    let value = response.headers_mut().remove(LOAD)?;
-    let mut numbers = value.to_str().ok()?.split(' ').map(str::parse);
-    let mut next = || numbers.next()?.ok();
-    Some(Load {
-        running: next()?,
-        queued: next()?,
-        limit: next()?,
-    })
-}
-
-fn due(call: &Call, entry: &ServiceEntry, now: swiftcart_core::Instant) -> Deadline {
+fn due(call: &Call, entry: &ServiceEntry, now: Instant) -> Deadline {
     match entry.limits().timeout_ms {
         0 => call.due,
-        ms => call
-            .due
-            .within(now, std::time::Duration::from_millis(ms.into())),
-    }
-}
-
-/// Returns the target without scheme and authority, as a server expects it.
-fn origin(uri: &Uri) -> Uri {
-    match uri.path_and_query() {
-        Some(path) => Uri::from(path.clone()),
-        None => Uri::default(),
+        ms => call.due.within(now, Duration::from_millis(ms.into())),
     }
 }
 
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -0,0 +1,92 @@
+//! The hop to the guard beside another backend server.
+
+use http::{HeaderValue, Response};
+use swiftcart_core::{HOP_ALLOWANCE, Load, Pick, Reason, Refusal, Tries};
+
+use super::original::Original;
+use super::{Failed, Ingress};
+use crate::calls::answer::{Answer, is_framed};
+use crate::calls::body::Gate;
+use crate::calls::exchange::exchange;
+use crate::calls::headers::{
+    ATTEMPT, DEADLINE_MS, LOAD, REQUEST_ID, RETRIED, SERVICE, retry_after, strip_hop,
+    strip_internal, verdict,
+};
+use crate::calls::request::Call;
+
+impl Ingress {
+    /// Sends the request to the guard beside the chosen backend server.
+    pub(super) async fn forward(
+        &self,
+        call: &Call,
+        pick: &Pick,
+        service: &str,
+        original: &Original,
+        tries: Tries,
+    ) -> Result<Response<Answer>, Failed> {
+        let now = self.shared.clock.now();
+        let left = call.due.less(HOP_ALLOWANCE).left_ms(now);
+        let left = left.ok_or(Reason::DeadlinePassed)?;
+        let gate = original.long.then(Gate::default);
+        let mut request = original.request(gate.clone());
+        if let Some(gate) = gate {
+            let headers = request.headers_mut();
+            headers.insert(
+                http::header::EXPECT,
+                HeaderValue::from_static("100-continue"),
+            );
+            hyper::ext::on_informational(&mut request, move |_| gate.open());
+        }
+        let name = HeaderValue::from_str(service).map_err(|_| Reason::BadRequest)?;
+        let headers = request.headers_mut();
+        headers.insert(SERVICE, name);
+        headers.insert(DEADLINE_MS, HeaderValue::from(left));
+        headers.insert(ATTEMPT, HeaderValue::from(u16::from(tries.attempt().0)));
+        headers.insert(REQUEST_ID, call.id_value());
+        let until = self.shared.clock.tokio(call.due.at());
+        let method = request.method().clone();
+        let pool = self.peers.pool(pick.peer);
+        let exchanged = exchange(&pool, until, request, Reason::PeerUnreachable).await;
+        let (response, pooled) = exchanged?;
+        match is_framed(&method, response.status(), response.headers()) {
+            true => judge(response.map(|body| Answer::stream(body, pooled))),
+            false => Err(Reason::AnswerBroken.into()),
+        }
+    }
+}
+
+/// Tells a guard's refusal from a backend server's answer.
+fn judge(mut response: Response<Answer>) -> Result<Response<Answer>, Failed> {
+    let Some(reason) = verdict(response.headers()) else {
+        let load = response.headers_mut().remove(LOAD);
+        strip_hop(response.headers_mut());
+        strip_internal(response.headers_mut());
+        if let Some(load) = load {
+            response.headers_mut().insert(LOAD, load);
+        }
+        return Ok(response);
+    };
+    let refusal = Refusal {
+        reason,
+        retry_after: retry_after(response.headers()),
+    };
+    let failed = Failed {
+        refusal,
+        retried: response.headers().contains_key(RETRIED),
+        load: take_load(&mut response),
+    };
+    response.into_body().discard();
+    Err(failed)
+}
+
+/// Takes the guard's load out of an answer.
+pub(super) fn take_load(response: &mut Response<Answer>) -> Option<Load> {
+    let value = response.headers_mut().remove(LOAD)?;
+    let mut numbers = value.to_str().ok()?.split(' ').map(str::parse);
+    let mut next = || numbers.next()?.ok();
+    Some(Load {
+        running: next()?,
+        queued: next()?,
+        limit: next()?,
+    })
+}
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/ingress/original.rs
@@ -0,0 +1,62 @@
+//! A caller's request, kept for every try.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::request::Parts;
+use http::{Request, Uri};
+use hyper::body::{Body, Incoming};
+
+use crate::calls::body::{Gate, Outgoing, Source};
+
+/// A request's head and where its body comes from, kept for every try.
+#[derive(Debug)]
+pub struct Original {
+    pub head: Parts,
+    source: Option<Arc<Source>>,
+    /// Whether the body may be longer than what is kept of it.
+    pub long: bool,
+}
+
+impl Original {
+    /// Takes a caller's request apart.
+    #[must_use]
+    pub fn new(head: Parts, body: Incoming, room: u32, silence: Duration) -> Self {
+        let room = room as usize;
+        let long = body.size_hint().upper().is_none_or(|n| n > room as u64);
+        let streams = !body.is_end_stream();
+        Self {
+            head,
+            source: streams.then(|| Source::new(body, room, silence)),
+            long: streams && long,
+        }
+    }
+
+    /// Creates the request of one try; with a gate, its body waits for the peer.
+    #[must_use]
+    pub fn request(&self, gate: Option<Gate>) -> Request<Outgoing> {
+        let body = match &self.source {
+            Some(source) => source.start(gate),
+            None => Outgoing::Empty,
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = origin(&self.head.uri);
+        request.headers_mut().clone_from(&self.head.headers);
+        request
+    }
+
+    /// Tells whether another try can send the whole body.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.source.as_ref().is_none_or(|source| source.is_whole())
+    }
+}
+
+/// Returns the target without scheme and authority, as a server expects it.
+fn origin(uri: &Uri) -> Uri {
+    match uri.path_and_query() {
+        Some(path) => Uri::from(path.clone()),
+        None => Uri::default(),
+    }
+}
--- a/crates/swiftcart-node/src/calls/socket.rs
+++ b/crates/swiftcart-node/src/calls/socket.rs
@@ -2,15 +2,22 @@
 
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
+/// The longest time to read on after the last answer of a connection.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Bytes read and thrown away at once.
+const SCRAP: usize = 4096;
+
 /// A socket whose writes fail when the other side takes nothing for too long.
 ///
 /// Without it a caller that stops reading would hold a slot for ever.
@@ -20,6 +27,7 @@
     silence: Duration,
     timer: Option<Pin<Box<Sleep>>>,
     waiting: bool,
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl Socket {
@@ -31,6 +39,7 @@
             silence,
             timer: None,
             waiting: false,
+            linger: None,
         }
     }
 
@@ -80,8 +89,29 @@
         Pin::new(&mut self.io).poll_flush(cx)
     }
 
+    /// Ends the writing side, then reads on for a moment.
+    ///
+    /// Closing a socket that still has something to read resets the connection, and
+    /// the answer with it: a caller whose upload is refused would never learn why.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+            self.linger = Some(Box::pin(sleep(LINGER)));
+        }
+        let mut scrap = [MaybeUninit::uninit(); SCRAP];
+        loop {
+            let mut buf = ReadBuf::uninit(&mut scrap);
+            match Pin::new(&mut self.io).poll_read(cx, buf.unfilled()) {
+                Poll::Ready(Ok(())) if buf.filled().is_empty() => return Poll::Ready(Ok(())),
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(_)) => return Poll::Ready(Ok(())),
+                Poll::Pending => break,
+            }
+        }
+        match &mut self.linger {
+            Some(linger) => linger.as_mut().poll(cx).map(Ok),
+            None => Poll::Ready(Ok(())),
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -8,20 +8,16 @@
     AdmissionSettings, Backend, Gate, Instant, Limits, Load, Readiness, Reason, Refusal,
     ServiceName,
 };
-use tokio::time::timeout_at;
 
 use super::admissions::{Admissions, Slot};
 use super::body::Outgoing;
-use super::conn::SendError;
+use super::exchange::exchange;
 use super::headers::{DEADLINE, REQUEST_ID};
 use super::pool::{Pool, Pooled};
 use super::request::Call;
 use crate::clock::Clock;
 use crate::shared::Shared;
 
-/// Stale connections that one request may meet before it is refused.
-const MAX_STALE: usize = 4;
-
 /// The backend server as it announced itself, with its connections and admission.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -141,23 +137,7 @@
         headers.insert(DEADLINE, HeaderValue::from(self.clock.unix_ms(until)));
         headers.insert(REQUEST_ID, call.id_value());
         let until = self.clock.tokio(until);
-        for _ in 0..MAX_STALE {
-            let mut pooled = match timeout_at(until, self.pool.take()).await {
-                Ok(Ok(pooled)) => pooled,
-                Ok(Err(_)) => return Err(Reason::ConnectFailed),
-                Err(_) => return Err(Reason::DeadlinePassed),
-            };
-            match timeout_at(until, pooled.conn().send(request)).await {
-                Ok(Ok(response)) => return Ok((response, pooled)),
-                Ok(Err(SendError::Unsent(Some(back)))) if pooled.is_reused() => request = *back,
-                Ok(Err(SendError::Unsent(_))) => return Err(Reason::ConnectFailed),
-                Ok(Err(SendError::Sent(err))) if err.is_user() => return Err(Reason::CallerGone),
-                Ok(Err(SendError::Sent(_))) => return Err(Reason::AnswerBroken),
-                Err(_) if pooled.conn().wrote() => return Err(Reason::Timeout),
-                Err(_) => return Err(Reason::DeadlinePassed),
-            }
-        }
-        Err(Reason::ConnectFailed)
+        exchange(&self.pool, until, request, Reason::ConnectFailed).await
     }
 }
 
--- a/crates/swiftcart-node/tests/calls.rs
+++ b/crates/swiftcart-node/tests/calls.rs
@@ -7,10 +7,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use bytes::Bytes;
 use common::{
-    SERVICE, announce, backend_at, call, head, log_with, node, node_beside, request, until,
+    SERVICE, announce, backend_at, call, head, log_with, node, node_beside, request, routed, until,
 };
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Full};
 use rstest::rstest;
 use swiftcart_core::Limits;
 use swiftcart_standin::{BackendFaults, BackendSettings, Load, Runs, Shape};
@@ -262,3 +263,87 @@
     let metric = format!("swiftcart_refusals_total{{reason=\"{}\"}} 1", told.2);
     assert!(node.shared().counters.render().contains(&metric));
 }
+
+#[tokio::test]
+async fn a_refused_upload_goes_whole_to_another_guard() {
+    let log = log_with(Limits::default()).await;
+    let dead = node(&log).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    announce(&dead, listener.local_addr().unwrap()).await;
+    drop(listener);
+    let live = node_beside(&dead, &log).await;
+    let backend = backend_at(&live, BackendSettings::new(SERVICE)).await;
+    let entry = node_beside(&dead, &log).await;
+    routed(&entry, live.shared().id).await;
+    let body = Bytes::from(vec![7; 300_000]);
+    let digest = blake3::hash(&body).to_hex();
+    let retried = "swiftcart_retries_total{reason=\"connect-failed\"}";
+    while !entry.shared().counters.render().contains(retried) {
+        let upload = request("PUT", "/", &[]).map(|_| Full::new(body.clone()));
+        let got = call(&entry, upload).await;
+        let text = String::from_utf8(got.body.unwrap().to_vec()).unwrap();
+        assert!(text.contains(digest.as_str()), "{text}");
+    }
+    assert_eq!(backend.stats().runs.cancelled, 0);
+}
+
+#[tokio::test]
+async fn a_caller_in_the_midst_of_an_upload_learns_that_it_is_refused() {
+    let log = log_with(Limits::default()).await;
+    let node = node(&log).await;
+    let mut socket = TcpStream::connect(node.shared().settings.listen.calls)
+        .await
+        .unwrap();
+    let head = b"PUT / HTTP/1.1\r\nhost: mesh\r\ncontent-length: 9000000\r\n\r\n";
+    socket.write_all(head).await.unwrap();
+    // Many callers read only after they have sent everything.
+    socket.write_all(&vec![7; 9_000_000]).await.unwrap();
+    let mut got = String::new();
+    socket.read_to_string(&mut got).await.unwrap();
+    assert!(got.contains("swiftcart-reason: no-backend"), "{got}");
+}
+
+#[rstest]
+#[case::oversize_head(
+    "GET / HTTP/1.1\r\nhost: mesh\r\nx: ",
+    20_000,
+    "HTTP/1.1 431",
+    "header-too-large"
+)]
+#[case::two_lengths(
+    "POST / HTTP/1.1\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\n",
+    0,
+    "HTTP/1.1 400",
+    "bad-request"
+)]
+#[case::old_release(
+    "GET / HTTP/1.0\r\nhost: mesh\r\n\r\n",
+    0,
+    "HTTP/1.0 400",
+    "bad-request"
+)]
+#[case::tunnel(
+    "CONNECT mesh:1 HTTP/1.1\r\nhost: mesh\r\n\r\n",
+    0,
+    "HTTP/1.1 400",
+    "bad-request"
+)]
+#[tokio::test]
+async fn a_caller_learns_why_before_its_connection_ends(
+    #[case] head: &str,
+    #[case] more: usize,
+    #[case] status: &str,
+    #[case] reason: &str,
+) {
+    let log = log_with(Limits::default()).await;
+    let node = node(&log).await;
+    let calls = node.shared().settings.listen.calls;
+    let mut socket = TcpStream::connect(calls).await.unwrap();
+    socket.write_all(head.as_bytes()).await.unwrap();
+    socket.write_all(&vec![b'x'; more]).await.unwrap();
+    let mut got = vec![0; 12];
+    socket.read_exact(&mut got).await.unwrap();
+    assert_eq!(String::from_utf8(got).unwrap(), status);
+    let counted = format!("swiftcart_refusals_total{{reason=\"{reason}\"}} 1");
+    until(|| node.shared().counters.render().contains(&counted)).await;
+}
