--- a/crates/swiftcart-standin/src/backend.rs
+++ b/crates/swiftcart-standin/src/backend.rs
@@ -2,11 +2,13 @@
 
 mod announce;
 mod faults;
+mod lagging;
 mod ledger;
 mod onward;
 mod routes;
 mod settings;
 mod state;
+mod stats;
 mod work;
 
 use std::net::SocketAddr;
@@ -18,7 +20,8 @@
 pub use faults::BackendFaults;
 pub use ledger::{Ledger, Runs};
 pub use settings::{BackendSettings, ServiceTime};
-pub use state::{BackendStats, Readiness};
+pub use stats::BackendStats;
+pub use swiftcart_core::Readiness;
 
 use crate::Error;
 use crate::serve::Server;
--- a/crates/swiftcart-standin/src/backend/announce.rs
+++ b/crates/swiftcart-standin/src/backend/announce.rs
@@ -8,9 +8,10 @@
 use http::header::CONTENT_TYPE;
 use http::{Method, Request};
 use serde::Serialize;
+use swiftcart_core::Readiness;
 use tokio::time::{sleep, timeout};
 
-use super::state::{Readiness, Shared};
+use super::state::Shared;
 use crate::client::{self, Client};
 
 /// Shortest gap between two announcements.
--- a/crates/swiftcart-standin/src/backend/faults.rs
+++ b/crates/swiftcart-standin/src/backend/faults.rs
@@ -1,8 +1,7 @@
 //! The faults that a backend server plays on command.
 
 use serde::{Deserialize, Serialize};
-
-use super::state::Readiness;
+use swiftcart_core::Readiness;
 
 /// Holds the faults in force; the default is none.
 ///
--- a/crates/swiftcart-standin/src/backend/routes.rs
+++ b/crates/swiftcart-standin/src/backend/routes.rs
@@ -14,7 +14,7 @@
 
 use super::onward;
 use super::state::Shared;
-use super::work::Work;
+use super::work::{Work, within};
 use super::{BackendFaults, BackendStats};
 use crate::client::{self, Client};
 use crate::content::{Content, DIGEST, Stream};
@@ -64,7 +64,9 @@
 
 async fn any(State(app): State<App>, request: Request) -> Response {
     let mut answer = match Work::start(&app.shared, request.headers()).await {
-        Ok(work) => run(&app, work, request).await,
+        Ok(work) => within(work.deadline, run(&app, work, request))
+            .await
+            .unwrap_or_else(|| fail(StatusCode::GATEWAY_TIMEOUT, "deadline")),
         Err(refusal) => {
             app.shared.count_refusal(refusal);
             fail(StatusCode::SERVICE_UNAVAILABLE, refusal.as_str())
@@ -80,9 +82,7 @@
     let Some(taken) = take(app, &work, body).await else {
         return fail(StatusCode::BAD_REQUEST, "body");
     };
-    if !work.run().await {
-        return fail(StatusCode::GATEWAY_TIMEOUT, "deadline");
-    }
+    work.run().await;
     let settings = &app.shared.settings;
     if let Some(node) = settings.node {
         let paths = &settings.downstream;
@@ -104,11 +104,15 @@
             work.finish();
             fail(status, "fault")
         }
-        None if matches!(head.method, Method::GET | Method::HEAD) => {
+        None if head.method == Method::HEAD => {
+            work.finish();
+            StatusCode::OK.into_response()
+        }
+        None if head.method == Method::GET => {
             let size = Query::<Size>::try_from_uri(&head.uri).unwrap_or_default();
             let len = size.bytes.unwrap_or(DEFAULT_BYTES);
             let body = Content::new(work.id(), len);
-            content(work, body, faults.break_body)
+            content(work, body, faults.break_body).await
         }
         None => receipt(work, &taken, faults.break_body),
     }
@@ -136,9 +140,9 @@
 }
 
 /// Answers with `content`; the work is finished when its last byte is handed over.
-fn content(work: Work, content: Content, cut: Option<u64>) -> Response {
+async fn content(work: Work, content: Content, cut: Option<u64>) -> Response {
     let headers = [
-        (DIGEST, content.digest()),
+        (DIGEST, content.digest().await),
         (CONTENT_LENGTH.as_str(), content.len().to_string()),
     ];
     let stream = Stream::new(content, cut, move || work.finish());
--- a/crates/swiftcart-standin/src/backend/settings.rs
+++ b/crates/swiftcart-standin/src/backend/settings.rs
@@ -119,6 +119,21 @@
         self
     }
 
+    /// Sets how old the state may be that `/health` and `/load` answer, in milliseconds.
+    #[must_use]
+    pub const fn with_lag_ms(mut self, lag: u64) -> Self {
+        self.health_lag_ms = lag;
+        self.load_lag_ms = lag;
+        self
+    }
+
+    /// Sets the seed of the service times.
+    #[must_use]
+    pub const fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
     /// Sets the admin address of the node that it announces itself to.
     #[must_use]
     pub const fn with_admin(mut self, admin: SocketAddr) -> Self {
--- a/crates/swiftcart-standin/src/backend/state.rs
+++ b/crates/swiftcart-standin/src/backend/state.rs
@@ -1,85 +1,21 @@
 //! The slots, the counts and the faults that a backend server's parts share.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use serde::{Deserialize, Serialize};
+use swiftcart_core::Readiness;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 
+use super::lagging::Lagging;
 use super::ledger::{Ledger, Names, Runs};
+use super::stats::{BackendStats, Refusal};
 use super::{BackendFaults, BackendSettings};
 use crate::serve::Connections;
 
-/// Tells whether a backend server takes new work.
-///
-/// It is spelt as in the announcement; the stand-ins do not depend on the product's crates.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Readiness {
-    /// The backend server is starting.
-    Warming,
-    /// The backend server takes work.
-    #[default]
-    Ready,
-    /// The backend server finishes what it has.
-    Draining,
-}
-
-/// Tells why a request is refused without being run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(super) enum Refusal {
-    Slots,
-    Deadline,
-}
-
-impl Refusal {
-    pub(super) const fn as_str(self) -> &'static str {
-        match self {
-            Self::Slots => "slots",
-            Self::Deadline => "deadline",
-        }
-    }
-}
-
-impl fmt::Display for Refusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
-
-/// Holds what a backend server has counted; `GET /standin/stats` answers it.
-#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct BackendStats {
-    /// All executions.
-    pub runs: Runs,
-    /// Executions in work now.
-    pub active: u64,
-    /// Most executions in work at once.
-    pub max_active: u64,
-    /// Requests that wait for a slot now.
-    pub queued: u64,
-    /// Connections open now.
-    pub connections: u64,
-    /// Most connections open at once.
-    pub max_connections: u64,
-    /// Connections closed because of the bound.
-    pub refused_connections: u64,
-    /// Requests refused without being run, by reason (`slots`, `deadline`).
-    pub refused: BTreeMap<String, u64>,
-    /// Body bytes received.
-    pub bytes_in: u64,
-    /// Executions started since draining was announced.
-    pub drain_starts: u64,
-    /// Milliseconds from the drain's announcement to the last execution started.
-    pub drain_last_ms: u64,
-}
-
 /// Holds all that a backend server's parts share.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -103,10 +39,6 @@
     health: Lagging<bool>,
 }
 
-/// Holds a value that is looked at again only when it is old enough.
-#[derive(Debug, Default)]
-struct Lagging<T>(Option<(Instant, T)>);
-
 impl Shared {
     pub(super) fn new(settings: BackendSettings) -> Self {
         Self {
@@ -119,8 +51,8 @@
                 stats: BackendStats::default(),
                 refused: BTreeMap::new(),
                 drained: None,
-                load: Lagging(None),
-                health: Lagging(None),
+                load: Lagging::default(),
+                health: Lagging::default(),
             }),
             active: watch::Sender::default(),
             started: Instant::now(),
@@ -304,16 +236,3 @@
         self.ledger.add(names, runs);
     }
 }
-
-impl<T: Copy> Lagging<T> {
-    /// Returns the last value seen, or `now` when that is older than `lag` milliseconds.
-    fn look(&mut self, now: T, lag: u64) -> T {
-        match self.0 {
-            Some((at, seen)) if at.elapsed() < Duration::from_millis(lag) => seen,
-            _ => {
-                self.0 = Some((Instant::now(), now));
-                now
-            }
-        }
-    }
-}
--- a/crates/swiftcart-standin/src/backend/work.rs
+++ b/crates/swiftcart-standin/src/backend/work.rs
@@ -1,14 +1,16 @@
 //! One execution: its slot, its time, its deadline and its end.
 
+use std::future::{Future, pending};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use http::HeaderMap;
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::ledger::Names;
-use super::state::{Refusal, Shared};
+use super::state::Shared;
+use super::stats::Refusal;
 
 /// Header with the deadline in Unix milliseconds, from the node beside the backend server.
 const DEADLINE: &str = "swiftcart-deadline";
@@ -55,23 +57,12 @@
         self.names.key.as_deref()
     }
 
-    /// Takes the service time; returns false when the deadline passes first.
-    pub(super) async fn run(&self) -> bool {
-        let time = self.shared.service_time();
-        if self.shared.faults().hang {
-            return self.hang().await;
-        }
-        let end = Instant::now() + time;
-        match self.deadline {
-            _ if time.is_zero() => true,
-            Some(deadline) if deadline < end => {
-                tokio::time::sleep_until(deadline).await;
-                false
-            }
-            _ => {
-                tokio::time::sleep_until(end).await;
-                true
-            }
+    /// Takes the service time, or all time when a fault says so.
+    pub(super) async fn run(&self) {
+        match self.shared.service_time() {
+            _ if self.shared.faults().hang => pending().await,
+            time if time.is_zero() => {}
+            time => sleep(time).await,
         }
     }
 
@@ -79,14 +70,6 @@
     pub(super) fn finish(mut self) {
         self.finished = true;
     }
-
-    async fn hang(&self) -> bool {
-        match self.deadline {
-            Some(deadline) => tokio::time::sleep_until(deadline).await,
-            None => std::future::pending().await,
-        }
-        false
-    }
 }
 
 impl Drop for Work {
@@ -113,15 +96,18 @@
     }
     let _place = Place(shared.clone());
     let slot = shared.slots.clone().acquire_owned();
-    let slot = match deadline {
-        Some(at) => tokio::time::timeout_at(at, slot)
-            .await
-            .map_err(|_| Refusal::Deadline)?,
-        None => slot.await,
-    };
+    let slot = within(deadline, slot).await.ok_or(Refusal::Deadline)?;
     slot.map_err(|_| Refusal::Slots)
 }
 
+/// Completes with the output of `work`, or with `None` when the deadline passes first.
+pub(super) async fn within<F: Future>(deadline: Option<Instant>, work: F) -> Option<F::Output> {
+    match deadline {
+        Some(at) => timeout_at(at, work).await.ok(),
+        None => Some(work.await),
+    }
+}
+
 fn names(headers: &HeaderMap) -> Names {
     Names {
         id: text(headers, REQUEST_ID),
--- a/crates/swiftcart-standin/src/bin/swiftcart-standin-backend.rs
+++ b/crates/swiftcart-standin/src/bin/swiftcart-standin-backend.rs
@@ -23,6 +23,10 @@
     let backend = BackendServer::start(args.addr()?, args.settings()?).await?;
     println!("listening addr={}", backend.addr());
     stop.await;
-    backend.stop(GRACE).await;
+    let again = stop_signal()?;
+    tokio::select! {
+        () = backend.stop(GRACE) => {}
+        () = again => {}
+    }
     Ok(())
 }
--- a/crates/swiftcart-standin/src/content.rs
+++ b/crates/swiftcart-standin/src/content.rs
@@ -9,6 +9,7 @@
 use http_body::{Body, Frame, SizeHint};
 use rand::rngs::SmallRng;
 use rand::{RngCore, SeedableRng};
+use tokio::task::spawn_blocking;
 
 use crate::serve::Broken;
 
@@ -17,6 +18,9 @@
 
 /// Size of the block that bodies repeat; also the largest frame.
 const BLOCK: usize = 64 * 1024;
+
+/// Longest body that is hashed between two awaits.
+const INLINE: u64 = 1024 * 1024;
 const BLOCK_SEED: u64 = 0x5ca1_ab1e;
 
 /// A body of a given length: a line that names the request, then fixed random bytes.
@@ -40,8 +44,17 @@
         self.len
     }
 
-    /// Returns the digest that the whole body has.
-    pub(crate) fn digest(&self) -> String {
+    /// Returns the digest that the whole body has; a long one is hashed off the runtime.
+    pub(crate) async fn digest(&self) -> String {
+        if self.len <= INLINE {
+            return self.hash();
+        }
+        let content = self.clone();
+        let hash = spawn_blocking(move || content.hash()).await;
+        hash.unwrap_or_default()
+    }
+
+    fn hash(&self) -> String {
         let mut hasher = blake3::Hasher::new();
         let mut at = 0;
         while let Some(chunk) = self.chunk(at) {
--- a/crates/swiftcart-standin/src/lib.rs
+++ b/crates/swiftcart-standin/src/lib.rs
@@ -13,6 +13,30 @@
 //! A handle that is dropped closes its listener and every connection at once, like a
 //! process that is killed.
 //!
+//! # Programs
+//!
+//! Each takes `--settings` with JSON or a file that holds it ([`LogSettings`],
+//! [`BackendSettings`], [`Load`]; unknown keys are refused). The first two take `--addr`
+//! and print the line `listening addr=IP:PORT`. SIGTERM stops them; the backend server
+//! drains for three seconds first, and a second signal stops it at once. The load prints
+//! its [`Report`], or a [`Comparison`] when `others` is set, and exits.
+//!
+//! # HTTP
+//!
+//! | stand-in | request | answer |
+//! |---|---|---|
+//! | log | `POST /v1/streams/{name}`, `GET /v1/streams/{name}?from&limit&wait` | see `docs/design.md` |
+//! | backend server | `GET` of any path `?bytes=N` | a body of N bytes that starts with `id=ID\n`; `X-Standin-Digest` has its BLAKE3 hash |
+//! | backend server | `POST`, `PUT` of any path | `{"id","bytes","digest"}` of the body that was taken |
+//! | backend server | `GET /health`, `GET /load` | 200 or 503; 0 to 100 |
+//! | backend server | `GET /standin/executions?id=`, `?key=`, or neither | [`Runs`]; without either the [`Ledger`] |
+//! | both | `GET /standin/stats` | [`LogStats`], [`BackendStats`] |
+//! | both | `GET`, `PUT /standin/faults` | [`LogFaults`], [`BackendFaults`] |
+//!
+//! `ID` is the caller's `X-Request-Id`, else the node's `Swiftcart-Request-Id`. Answers to
+//! work carry `Swiftcart-Load`; refusals and failures carry `X-Standin-Reason`: `slots` and
+//! `deadline` with status 503 did not run.
+//!
 //! # Examples
 //!
 //! ```
--- a/crates/swiftcart-standin/src/load.rs
+++ b/crates/swiftcart-standin/src/load.rs
@@ -1,6 +1,8 @@
 //! Callers: open-loop load that checks every answer and measures from the intended time.
 
+mod audit;
 mod call;
+mod check;
 mod report;
 mod retry;
 mod schedule;
@@ -13,6 +15,7 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
+pub use audit::Audit;
 pub use report::{Comparison, Quantiles, Report, Told};
 pub use settings::Load;
 pub use shape::Shape;
--- a/crates/swiftcart-standin/src/load/report.rs
+++ b/crates/swiftcart-standin/src/load/report.rs
@@ -6,7 +6,8 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
-use super::call::{Sample, Verdict};
+use super::call::Sample;
+use super::check::Verdict;
 
 /// Names that each map of counts keeps; later ones are counted under [`OTHER`].
 const NAMES: usize = 64;
@@ -34,7 +35,7 @@
 }
 
 /// Holds what became of one request.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Default, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Told {
     /// The caller's id.
     pub id: String,
@@ -87,7 +88,7 @@
     pub since_send_us: Quantiles,
     /// Good answers by the index of their shape in the mix: from the intended time.
     pub shapes_us: BTreeMap<usize, Quantiles>,
-    /// The first requests, as many as the load keeps.
+    /// The first requests to end, as many as the load keeps.
     pub told: Vec<Told>,
 }
 
--- a/crates/swiftcart-standin/src/load/retry.rs
+++ b/crates/swiftcart-standin/src/load/retry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::Shape;
-use super::call::{Answer, Verdict};
+use super::check::{Answer, Verdict};
 
 /// Pause before the first repeat when the answer names none; it doubles with each.
 const PAUSE: Duration = Duration::from_millis(100);
--- a/crates/swiftcart-standin/src/load/settings.rs
+++ b/crates/swiftcart-standin/src/load/settings.rs
@@ -53,7 +53,7 @@
     pub deadline_ms: u64,
     /// Times that a request is sent again, as a caller would; 0 honours no `Retry-After`.
     pub retries: u32,
-    /// Requests whose ids and outcomes are kept in the report.
+    /// Requests, counted as they end, whose ids and outcomes are kept in the report.
     pub keep: usize,
 }
 
--- a/crates/swiftcart-standin/src/log/routes.rs
+++ b/crates/swiftcart-standin/src/log/routes.rs
@@ -99,6 +99,7 @@
     ms: u64,
 ) -> Result<(u64, u64), Refusal> {
     let task = tokio::spawn(async move {
+        let _held = shared.hold();
         sleep(Duration::from_millis(ms)).await;
         shared.append(&name, &body)
     });
--- a/crates/swiftcart-standin/src/log/state.rs
+++ b/crates/swiftcart-standin/src/log/state.rs
@@ -75,7 +75,7 @@
     pub refused: BTreeMap<String, u64>,
     /// Appends that took effect and lost their answer.
     pub lost_answers: u64,
-    /// Requests held now: long polls and stalled requests.
+    /// Requests held now: long polls, stalled and late ones.
     pub held: u64,
 }
 
--- a/crates/swiftcart-standin/src/serve.rs
+++ b/crates/swiftcart-standin/src/serve.rs
@@ -4,6 +4,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
 
 use axum::Router;
 use axum::body::Body;
@@ -15,12 +16,16 @@
 use quick_error::quick_error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tower::ServiceExt;
 
 use crate::Error;
 
+/// Pause after a failed accept, which mostly means that file descriptors have run out.
+const PAUSE: Duration = Duration::from_millis(10);
+
 quick_error! {
     /// Ends a connection in place of an answer.
     #[derive(Debug)]
@@ -142,7 +147,7 @@
                 accepted = listener.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else {
-                tokio::task::yield_now().await;
+                sleep(PAUSE).await;
                 continue;
             };
             match self.room.clone().try_acquire_owned() {
--- a/crates/swiftcart-standin/tests/backend.rs
+++ b/crates/swiftcart-standin/tests/backend.rs
@@ -16,6 +16,8 @@
 use swiftcart_standin::{
     BackendFaults, BackendServer, BackendSettings, Readiness, Runs, ServiceTime,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::timeout;
 
 async fn start(settings: BackendSettings) -> BackendServer {
     BackendServer::start(ANY, settings).await.expect("a port")
@@ -29,6 +31,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.expect("a clock").as_millis()).expect("a time")
+}
+
 /// Collects what a fake node is sent: method, path, headers and body.
 type Seen = Arc<Mutex<Vec<(Method, String, HeaderMap, Bytes)>>>;
 
@@ -111,19 +118,48 @@
     );
 }
 
+/// Sends a head and a part of its body on a connection of its own.
+async fn begin_upload(backend: &BackendServer, header: &str) -> tokio::net::TcpStream {
+    let mut stream = tokio::net::TcpStream::connect(backend.addr())
+        .await
+        .expect("a connection");
+    let head = format!("PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n{header}\r\npart");
+    stream.write_all(head.as_bytes()).await.expect("room");
+    until(|| backend.stats().bytes_in == 4).await;
+    stream
+}
+
+#[tokio::test]
+async fn upload_that_breaks_off_is_not_finished() {
+    let backend = start(BackendSettings::default()).await;
+    drop(begin_upload(&backend, "").await);
+    until(|| backend.stats().runs == runs(1, 0, 1)).await;
+}
+
+#[tokio::test]
+async fn upload_that_passes_its_deadline_is_stopped() {
+    let backend = start(BackendSettings::default()).await;
+    let deadline = format!("swiftcart-deadline: {}\r\n", unix_ms() + 1000);
+    let mut stream = begin_upload(&backend, &deadline).await;
+    let mut answer = [0; 12];
+    let read = stream.read_exact(&mut answer);
+    let read = timeout(Duration::from_secs(20), read).await;
+    read.expect("an answer in time").unwrap();
+    assert_eq!(
+        (&answer, backend.stats().runs),
+        (b"HTTP/1.1 504", runs(1, 0, 1))
+    );
+}
+
 #[rstest]
 #[case::past_is_refused_without_a_run(-1000, 503, runs(0, 0, 0))]
-#[case::passing_stops_the_work(60, 504, runs(1, 0, 1))]
+#[case::passing_stops_the_work(500, 504, runs(1, 0, 1))]
 #[case::far_is_no_hindrance(60_000, 200, runs(1, 1, 0))]
 #[tokio::test]
 async fn deadline_is_honoured(#[case] left: i64, #[case] status: u16, #[case] counted: Runs) {
-    let time = ServiceTime::Fixed(if left == 60 { 10_000.0 } else { 0.0 });
+    let time = ServiceTime::Fixed(if left == 500 { 10_000.0 } else { 0.0 });
     let backend = start(BackendSettings::default().with_service_time(time)).await;
-    let now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap()
-        .as_millis();
-    let deadline = (i64::try_from(now).unwrap() + left).to_string();
+    let deadline = unix_ms().saturating_add_signed(left).to_string();
     let header = [("swiftcart-deadline", deadline.as_str())];
     let answer = send(Method::GET, backend.addr(), "/", &header, Body::empty())
         .await
@@ -188,24 +224,38 @@
     );
 }
 
+#[rstest]
+#[case::at_once(0, "25\n")]
+#[case::late(60_000, "0\n")]
 #[tokio::test]
-async fn load_is_the_share_of_busy_slots_unless_a_fault_lies() {
-    let backend = start(BackendSettings::default().with_slots(4)).await;
-    backend.set_faults(BackendFaults::new().with_hang(true));
+async fn load_is_the_share_of_busy_slots(#[case] lag: u64, #[case] load: &str) {
+    let settings = BackendSettings::default().with_slots(4).with_lag_ms(lag);
+    let backend = start(settings).await;
     let addr = backend.addr();
+    assert_eq!(fetch(addr, "/load").await.unwrap().body, "0\n");
+    backend.set_faults(BackendFaults::new().with_hang(true));
     let call = tokio::spawn(async move { fetch(addr, "/").await });
     until(|| backend.stats().active == 1).await;
-    let load = async || fetch(addr, "/load").await.unwrap().body;
-    let honest = load().await;
-    backend.set_faults(BackendFaults::new().with_lie_load(3).with_lie_health(false));
-    let health = fetch(addr, "/health").await.unwrap().status.as_u16();
-    assert_eq!(
-        (&honest[..], &load().await[..], health),
-        (&b"25\n"[..], &b"3\n"[..], 503)
-    );
+    assert_eq!(fetch(addr, "/load").await.unwrap().body, load);
     call.abort();
 }
 
+#[tokio::test]
+async fn health_and_load_lie_on_command() {
+    let backend = start(BackendSettings::default()).await;
+    let faults = BackendFaults::new().with_lie_load(3).with_lie_health(false);
+    backend.set_faults(faults);
+    let health = fetch(backend.addr(), "/health").await.unwrap();
+    let load = fetch(backend.addr(), "/load").await.unwrap();
+    let work = fetch(backend.addr(), "/").await.unwrap();
+    let told = (
+        health.status.as_u16(),
+        &load.body[..],
+        work.headers["swiftcart-load"].as_bytes(),
+    );
+    assert_eq!(told, (503, &b"3\n"[..], &b"3"[..]));
+}
+
 #[tokio::test]
 async fn connections_beyond_the_bound_are_closed() {
     let backend = start(BackendSettings::default().with_connections(1)).await;
@@ -271,11 +321,7 @@
         .with_downstream(ingress, "/b")
         .with_downstream(ingress, "/c");
     let backend = start(settings).await;
-    let now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap()
-        .as_millis();
-    let deadline = (now + 60_000).to_string();
+    let deadline = (unix_ms() + 60_000).to_string();
     let headers = [
         ("swiftcart-attempt", "2"),
         ("idempotency-key", "k"),
--- a/crates/swiftcart-standin/tests/http/mod.rs
+++ b/crates/swiftcart-standin/tests/http/mod.rs
@@ -1,6 +1,7 @@
 //! A caller for the tests, and the waiting on conditions.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use axum::body::Body;
 use bytes::Bytes;
@@ -8,6 +9,11 @@
 use http_body_util::BodyExt;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use tokio::time::{sleep, timeout};
+
+/// Bounds what would hang; no test waits for it to pass.
+const PATIENCE: Duration = Duration::from_secs(20);
+const GAP: Duration = Duration::from_millis(2);
 
 pub const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
@@ -34,21 +40,30 @@
     }
     let request = request.body(body.into()).expect("a request");
     let client = Client::builder(TokioExecutor::new()).build_http();
-    let (head, body) = client.request(request).await.ok()?.into_parts();
-    Some(Answer {
-        status: head.status,
-        headers: head.headers,
-        body: body.collect().await.ok()?.to_bytes(),
-    })
+    let call = async {
+        let (head, body) = client.request(request).await.ok()?.into_parts();
+        Some(Answer {
+            status: head.status,
+            headers: head.headers,
+            body: body.collect().await.ok()?.to_bytes(),
+        })
+    };
+    timeout(PATIENCE, call)
+        .await
+        .expect("an end of the call in time")
 }
 
 pub async fn fetch(addr: SocketAddr, path: &str) -> Option<Answer> {
     send(Method::GET, addr, path, &[], Body::empty()).await
 }
 
-/// Waits until `condition` holds.
+/// Waits until `condition` holds; one that never does fails its test.
 pub async fn until(condition: impl Fn() -> bool) {
-    while !condition() {
-        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
-    }
+    let wait = async {
+        while !condition() {
+            sleep(GAP).await;
+        }
+    };
+    let held = timeout(PATIENCE, wait).await;
+    held.expect("the condition holds in time");
 }
--- a/crates/swiftcart-standin/tests/load.rs
+++ b/crates/swiftcart-standin/tests/load.rs
@@ -8,8 +8,10 @@
 use axum::Router;
 use axum::response::{IntoResponse, Response};
 use rstest::rstest;
+use serde_json::json;
 use swiftcart_standin::{
-    BackendFaults, BackendServer, BackendSettings, Error, Load, ServiceTime, Shape,
+    Audit, BackendFaults, BackendServer, BackendSettings, Error, Ledger, Load, Runs, ServiceTime,
+    Shape, Told,
 };
 
 const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -71,31 +73,48 @@
     #[case] verdict: &str,
     #[values(Shape::read("/"), Shape::keyed("/"), Shape::upload("/", 200_000))] shape: Shape,
 ) {
+    let timeout = if faults.hang { 200 } else { 30_000 };
     let backend = BackendServer::start(ANY, BackendSettings::default())
         .await
         .unwrap();
     backend.set_faults(faults);
-    let load = load(backend.addr())
-        .with_shape(shape, 1)
-        .with_timeout_ms(300);
-    let report = load.run().await.unwrap();
+    let load = load(backend.addr()).with_shape(shape, 1);
+    let report = load.with_timeout_ms(timeout).run().await.unwrap();
     assert_eq!(report.verdicts, counts([(verdict, 10)]));
 }
 
 #[rstest]
-#[case::other_requests_answer(|| "id=other\n, and more than sixty-four bytes of an answer.........".into_response(), "foreign")]
-#[case::own_but_damaged(|| "id=1-1\n".into_response(), "corrupt")]
+#[case::other_requests_answer(Shape::read("/"), || body("id=other\n"), "foreign")]
+#[case::cut_short(Shape::read("/"), || "id=1-1\n".into_response(), "corrupt")]
+#[case::other_bytes(Shape::read("/"), || body("id=1-1\n"), "corrupt")]
+#[case::other_requests_receipt(Shape::keyed("/"), || receipt("1-2", 64), "foreign")]
+#[case::receipt_for_less(Shape::keyed("/"), || receipt("1-1", 63), "corrupt")]
+#[case::receipt_for_other_bytes(Shape::keyed("/"), || receipt("1-1", 64), "corrupt")]
 #[tokio::test]
-async fn wrong_answer_is_not_good(#[case] answer: fn() -> Response, #[case] verdict: &str) {
+async fn wrong_answer_is_not_good(
+    #[case] shape: Shape,
+    #[case] answer: fn() -> Response,
+    #[case] verdict: &str,
+) {
     let addr = refuse_once(answer).await;
     let load = Load::new(vec![addr])
         .with_duration_ms(20)
-        .with_shape(Shape::read("/"), 1);
-    let report = load.run().await.unwrap();
+        .with_shape(shape, 1);
+    let report = load.with_connections(1).run().await.unwrap();
     assert_eq!(report.verdicts, counts([("refused", 1), (verdict, 1)]));
     assert_eq!(report.reasons, counts([("slots", 1)]));
 }
 
+/// A body of the length that was asked for, and a digest that is not its own.
+fn body(head: &str) -> Response {
+    ([("x-standin-digest", "00")], format!("{head:x<64}")).into_response()
+}
+
+fn receipt(id: &str, bytes: u64) -> Response {
+    let receipt = json!({"id": id, "bytes": bytes, "digest": "00"});
+    receipt.to_string().into_response()
+}
+
 #[rstest]
 #[case::by_default_never(0, counts([("refused", 1)]))]
 #[case::as_a_caller_would(1, counts([("corrupt", 1)]))]
@@ -123,15 +142,10 @@
     let b = BackendServer::start(ANY, BackendSettings::default())
         .await
         .unwrap();
-    let load = load(a.addr())
-        .with_shape(Shape::keyed("/"), 1)
-        .with_keep(100);
+    let load = load(a.addr()).with_shape(Shape::keyed("/"), 1);
     let both = load.compare(vec![b.addr()]).await.unwrap();
-    assert_eq!((both.a.good, both.b.good), (5, 5));
-    for told in &both.a.told {
-        assert_eq!(a.runs_by_key(told.key.as_deref().unwrap()).finished, 1);
-    }
-    assert_eq!((a.stats().runs.started, b.stats().runs.started), (5, 5));
+    let started = (a.stats().runs.started, b.stats().runs.started);
+    assert_eq!((both.a.good, both.b.good, started), (5, 5, (5, 5)));
 }
 
 #[rstest]
@@ -142,3 +156,41 @@
 async fn load_that_cannot_run_is_refused(#[case] load: Load) {
     assert!(matches!(load.run().await, Err(Error::Load(_))));
 }
+
+#[rstest]
+#[case::started_once_and_told_done("good", "done", runs(1, 1), Audit::default())]
+#[case::not_run_and_not_started("refused", "not-run", runs(0, 0), Audit::default())]
+#[case::unknown_may_have_started("unanswered", "unknown", runs(1, 0), Audit::default())]
+#[case::not_run_yet_started("refused", "not-run", runs(1, 1), Audit { ran: id(), ..Audit::default() })]
+#[case::started_twice("good", "done", runs(2, 1), Audit { twice: id(), ..Audit::default() })]
+#[case::done_yet_unfinished("good", "done", runs(1, 0), Audit { lost: id(), ..Audit::default() })]
+fn audit_names_the_broken_promise(
+    #[case] verdict: &str,
+    #[case] outcome: &str,
+    #[case] runs: Runs,
+    #[case] expected: Audit,
+) {
+    let told = Told {
+        id: "1-0".into(),
+        key: Some("k".into()),
+        verdict: verdict.into(),
+        outcome: Some(outcome.into()),
+        ..Told::default()
+    };
+    let mut ledger = Ledger::default();
+    ledger.keys.insert("k".into(), runs);
+    let load = Load::new(vec![]).with_shape(Shape::keyed("/"), 1);
+    assert_eq!(Audit::new(&load, &[told], &ledger), expected);
+}
+
+fn id() -> Vec<String> {
+    vec!["1-0".into()]
+}
+
+const fn runs(started: u64, finished: u64) -> Runs {
+    Runs {
+        started,
+        finished,
+        cancelled: 0,
+    }
+}
--- a/crates/swiftcart-standin/tests/log.rs
+++ b/crates/swiftcart-standin/tests/log.rs
@@ -61,9 +61,10 @@
 async fn late_effect_comes_after_the_caller_left() {
     let log = Log::start(ANY).await.unwrap();
     log.set_faults(LogFaults::new().with_late_ms(200));
-    let call = append(&log, "a");
-    let gone = tokio::time::timeout(Duration::from_millis(100), call).await;
-    assert!(gone.is_err() && bodies(&log).is_empty());
+    tokio::select! {
+        answer = append(&log, "a") => panic!("answered {answer:?}"),
+        () = until(|| log.stats().held == 1) => {}
+    }
     until(|| bodies(&log) == ["a"]).await;
 }
 
