Keep the stand-ins' header names and their reading in one place

Cause: the names of headers and the function that reads one stood in up to three modules.

Change: `headers.rs` holds them.

--- a/crates/swiftcart-standin/src/backend/onward.rs
+++ b/crates/swiftcart-standin/src/backend/onward.rs
@@ -7,12 +7,9 @@
 use quick_error::quick_error;
 use tokio::time::Instant;
 
-use super::work::{KEY, Work, text};
+use super::work::Work;
 use crate::client::{Client, Failure};
-
-const ATTEMPT: &str = "swiftcart-attempt";
-const DEADLINE_LEFT: &str = "swiftcart-deadline-ms";
-const CALLER_ID: &str = "x-request-id";
+use crate::headers::{ATTEMPT, CALLER_ID, DEADLINE_LEFT, KEY, text};
 
 quick_error! {
     /// Tells why a call on a deeper level failed.
--- a/crates/swiftcart-standin/src/backend/routes.rs
+++ b/crates/swiftcart-standin/src/backend/routes.rs
@@ -17,11 +17,10 @@
 use super::work::{Work, within};
 use super::{BackendFaults, BackendStats};
 use crate::client::{self, Client};
-use crate::content::{Content, DIGEST, Stream};
+use crate::content::{Content, Stream};
+use crate::headers::{DIGEST, LOAD, STANDIN_REASON};
 use crate::serve::broken;
 
-const LOAD: &str = "swiftcart-load";
-const REASON: &str = "x-standin-reason";
 const DEFAULT_BYTES: u64 = 64;
 
 #[derive(Debug, Clone)]
@@ -194,5 +193,5 @@
 
 fn fail(status: StatusCode, reason: &str) -> Response {
     let value = HeaderValue::from_str(reason).unwrap_or(HeaderValue::from_static("error"));
-    (status, [(REASON, value)], format!("{reason}\n")).into_response()
+    (status, [(STANDIN_REASON, value)], format!("{reason}\n")).into_response()
 }
--- a/crates/swiftcart-standin/src/backend/work.rs
+++ b/crates/swiftcart-standin/src/backend/work.rs
@@ -11,12 +11,7 @@
 use super::ledger::Names;
 use super::state::Shared;
 use super::stats::Refusal;
-
-/// Header with the deadline in Unix milliseconds, from the node beside the backend server.
-const DEADLINE: &str = "swiftcart-deadline";
-const REQUEST_ID: &str = "swiftcart-request-id";
-const CALLER_ID: &str = "x-request-id";
-pub(super) const KEY: &str = "idempotency-key";
+use crate::headers::{CALLER_ID, DEADLINE, KEY, REQUEST_ID, text};
 
 /// Holds a slot; dropped before [`Work::finish`] it counts as cancelled.
 pub(super) struct Work {
@@ -128,8 +123,3 @@
         None => Ok(None),
     }
 }
-
-pub(super) fn text(headers: &HeaderMap, name: &str) -> Option<String> {
-    let value = headers.get(name)?.to_str().ok()?;
-    Some(value.to_owned())
-}
--- a/crates/swiftcart-standin/src/content.rs
+++ b/crates/swiftcart-standin/src/content.rs
@@ -13,9 +13,6 @@
 
 use crate::serve::Broken;
 
-/// Header with the BLAKE3 digest of the whole body, in hex.
-pub(crate) const DIGEST: &str = "x-standin-digest";
-
 /// Size of the block that bodies repeat; also the largest frame.
 const BLOCK: usize = 64 * 1024;
 
--- a/crates/swiftcart-standin/src/lib.rs
+++ b/crates/swiftcart-standin/src/lib.rs
@@ -65,6 +65,7 @@
 mod client;
 mod content;
 mod error;
+mod headers;
 mod load;
 mod log;
 mod serve;
--- a/crates/swiftcart-standin/src/load/call.rs
+++ b/crates/swiftcart-standin/src/load/call.rs
@@ -15,10 +15,7 @@
 use super::{Load, Shape};
 use crate::client::Client;
 use crate::content::{Content, Stream};
-
-const CALLER_ID: &str = "x-request-id";
-const KEY: &str = "idempotency-key";
-const DEADLINE_LEFT: &str = "swiftcart-deadline-ms";
+use crate::headers::{CALLER_ID, DEADLINE_LEFT, KEY};
 
 /// Holds what one call brought.
 #[derive(Debug)]
--- a/crates/swiftcart-standin/src/load/check.rs
+++ b/crates/swiftcart-standin/src/load/check.rs
@@ -2,18 +2,16 @@
 
 use std::time::{Duration, Instant};
 
+use http::Response;
+use http::header::RETRY_AFTER;
 use http::response::Parts;
-use http::{HeaderMap, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::Deserialize;
 
 use super::Shape;
-use crate::content::{Checker, Content, DIGEST};
-
-const OUTCOME: &str = "swiftcart-outcome";
-const REASON: &str = "swiftcart-reason";
-const RETRY_AFTER: &str = "retry-after";
+use crate::content::{Checker, Content};
+use crate::headers::{DIGEST, OUTCOME, REASON, text};
 
 /// Bytes of a receipt that are kept; a longer one is corrupt.
 const RECEIPT_BYTES: usize = 64 * 1024;
@@ -162,11 +160,6 @@
 }
 
 fn retry_after(head: &Parts) -> Option<Duration> {
-    let secs = text(&head.headers, RETRY_AFTER)?.parse().ok()?;
+    let secs = text(&head.headers, RETRY_AFTER.as_str())?.parse().ok()?;
     Some(Duration::from_secs(secs))
 }
-
-fn text(headers: &HeaderMap, name: &str) -> Option<String> {
-    let value = headers.get(name)?.to_str().ok()?;
-    Some(value.to_owned())
-}
