Take callers' requests only once the members are known

A node was ready as soon as it had read the configuration, up to some probe intervals before the first peer had told it the members. It also reported a version and the phase before it swapped the view.

A node now waits for the first answer of a peer, 2 s at most, since one that is cut off has to serve what it can; the phase is no-members meanwhile. The view is swapped before version and phase are shown. Ruled out: waiting for every seed, which a cut would hold up.

--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -105,7 +105,9 @@
         match phase {
             Phase::Ready => {}
             Phase::Stopping => return Err(Reason::Stopping.into()),
-            Phase::NoConfig | Phase::BelowFloor => return Err(Reason::NotReady.into()),
+            Phase::NoConfig | Phase::BelowFloor | Phase::NoMembers => {
+                return Err(Reason::NotReady.into());
+            }
         }
         let view = self.shared.view.load_full();
         let entry = with_rng(|rng| view.route(head.uri.path(), rng))?;
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -23,10 +23,12 @@
 use super::sync_server::{Pending, SyncServer};
 use super::{ControlError, Input};
 use crate::logging::{Event, unix_ms};
-use crate::shared::{Progress, Shared};
+use crate::shared::{Phase, Progress, Shared};
 
 /// Time between two ticks of the state machines.
 const TICK: Duration = Duration::from_millis(50);
+/// Longest wait of a node that starts for a member that tells it of the others.
+const MEET: Duration = Duration::from_secs(2);
 /// The longest encoded records that are pushed; longer ones are offered for a pull.
 const PUSH_BYTES: usize = 1100;
 /// Events that wait for the loop at most.
@@ -432,12 +434,24 @@
     }
 
     /// Shows the rest of the node what has changed.
+    /// Tells whether the members are known, or nobody was found to tell them in time.
+    ///
+    /// A node that knows no members has no backend servers to offer; but one that is cut
+    /// off has to serve what it can.
+    pub(super) fn met(&self, now: Instant) -> bool {
+        self.membership.is_synced() || now.elapsed() >= MEET
+    }
+
+    /// Shows the view first, so that who reads a version or a phase finds it in force.
     fn publish(&mut self) {
         let now = self.now();
-        publish::progress_of(self, now);
-        if std::mem::take(&mut self.stale) {
+        let phase = publish::phase(self, now);
+        let old = *self.shared.phase.borrow();
+        let entering = old != phase && old != Phase::Stopping;
+        if std::mem::take(&mut self.stale) || entering {
             publish::view(self, now);
         }
+        publish::progress_of(self, now);
     }
 }
 
--- a/crates/swiftcart-node/src/control/publish.rs
+++ b/crates/swiftcart-node/src/control/publish.rs
@@ -9,20 +9,30 @@
 use crate::logging::Event;
 use crate::shared::Phase;
 
+/// Tells whether the node may serve, and if not, what it waits for.
+pub(super) fn phase(control: &mut Control, now: Instant) -> Phase {
+    let met = control.met(now);
+    match control.stream.served(now) {
+        Ok(_) if met => Phase::Ready,
+        Ok(_) => Phase::NoMembers,
+        Err(e) => waiting(e),
+    }
+}
+
 /// Publishes the place in the stream and whether the node may serve.
 pub(super) fn progress_of(control: &mut Control, now: Instant) {
     let shared = Arc::clone(&control.shared);
+    let phase = phase(control, now);
     let served = control.stream.served(now).map(|(version, _)| version);
-    let (version, phase) = match served {
-        Ok(version) => (version, Phase::Ready),
-        Err(e) => (shared.progress.load().version, waiting(e)),
+    let version = match served {
+        Ok(version) => version,
+        Err(_) => shared.progress.load().version,
     };
     let new = progress(&control.stream, version);
     if **shared.progress.load() != new {
         shared.progress.store(Arc::new(new));
     }
     if shared.enter(phase) {
-        control.stale = true;
         let reason = served.err().map(|e| e.to_string()).unwrap_or_default();
         info!(shared.logger, ""; "event" => Event::Phase, "phase" => phase.as_str(), "reason" => reason);
     }
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -23,6 +23,8 @@
     NoConfig,
     /// The configuration is older than one that this node may have applied before.
     BelowFloor,
+    /// No other node has told yet which members there are.
+    NoMembers,
     /// The node takes requests.
     Ready,
     /// The node finishes what it has.
@@ -88,6 +90,7 @@
         match self {
             Self::NoConfig => "no-config",
             Self::BelowFloor => "below-floor",
+            Self::NoMembers => "no-members",
             Self::Ready => "ready",
             Self::Stopping => "stopping",
         }
--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -75,11 +75,15 @@
     start(log, &[]).await
 }
 
+/// Starts a node that joins through `seed` and waits until it is ready.
+pub async fn joiner(seed: SocketAddr, log: &Log) -> Node {
+    start(log, &[seed]).await
+}
+
 /// Starts a node that joins `other` and waits until it routes to its backend server.
 pub async fn node_beside(other: &Node, log: &Log) -> Node {
-    let id = other.shared().id;
-    let node = start(log, &[id.0]).await;
-    routed(&node, id).await;
+    let node = joiner(other.shared().id.0, log).await;
+    routed(&node, other.shared().id).await;
     node
 }
 
