--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -15,6 +15,7 @@
 use std::path::{Path, PathBuf};
 
 pub use fit::Fit;
+pub(crate) use latency::{Pair, added};
 pub use options::{Plan, Request};
 pub use poller::Poller;
 pub use report::compare;
--- a/xtask/src/bench/convergence.rs
+++ b/xtask/src/bench/convergence.rs
@@ -48,8 +48,9 @@
     results.notes.push(format!(
         "{BENCH}: a round publishes {PUBLISHES} times with {GAP:?} between; a publish has converged when \
          the last node has logged it, and counts from the log's own time of the append. Times have the \
-         resolution of a millisecond. Control bytes are payload without HTTP and IP headers, for every \
-         subject alike; a node's include all membership traffic, which the baselines do not have."
+         resolution of a millisecond. Control bytes are datagrams with their IP and UDP headers, and the \
+         payload of pulls and of reads from the platform without headers, for every subject alike; a \
+         node's include all membership traffic, which the baselines do not have."
     ));
     for round in 1..=plan.rounds {
         for &size in &plan.sizes {
--- a/xtask/src/bench/convergence/followers.rs
+++ b/xtask/src/bench/convergence/followers.rs
@@ -23,6 +23,9 @@
 /// The node's counter of bytes between nodes and from the platform.
 const CONTROL_BYTES: &str = "swiftcart_control_bytes_total";
 
+/// Its kinds that are each counted once over all nodes.
+const SENT: [&str; 3] = ["datagrams-sent", "pulls-sent", "platform-read"];
+
 /// One kind of baseline.
 pub(super) struct Baseline {
     pub(super) subject: &'static str,
@@ -89,7 +92,7 @@
 
     pub(super) async fn wait(&mut self, version: Version) -> Result<(), Error> {
         match self {
-            Self::Nodes(fleet) => fleet.wait_version(version, SPREAD).await.map(drop),
+            Self::Nodes(fleet) => fleet.applied(version, SPREAD).await.map(drop),
             Self::Pollers { pollers, .. } => {
                 let start = Instant::now();
                 for poller in pollers {
@@ -155,14 +158,14 @@
     let mut sum = 0.0;
     for i in fleet.running() {
         let scrape = fleet.scrape(i).await?;
-        let sent = scrape.sum(CONTROL_BYTES, &[("direction", "out")]);
-        let read = scrape.sum(CONTROL_BYTES, &[("kind", "platform"), ("direction", "in")]);
-        if sent + read == 0.0 {
+        let kinds = SENT.map(|kind| scrape.sum(CONTROL_BYTES, &[("kind", kind)]));
+        let bytes: f64 = kinds.iter().sum();
+        if bytes == 0.0 {
             let admin = fleet.instances[i].addrs.admin;
             let cause = format!("no {CONTROL_BYTES}");
             return Err(Error::Http(admin, "/metrics".to_owned(), cause));
         }
-        sum += sent + read;
+        sum += bytes;
     }
     Ok(sum)
 }
--- a/xtask/src/bench/latency.rs
+++ b/xtask/src/bench/latency.rs
@@ -30,6 +30,11 @@
 const OWN: usize = 0;
 const OTHER: usize = 1;
 
+/// A backend server with a node beside it, and a second node that calls go through.
+pub(crate) struct Pair {
+    fleet: Fleet,
+}
+
 /// Measures one node and two nodes at each rate in every round.
 pub(super) async fn run(plan: &Plan, results: &mut Results) -> Result<(), Error> {
     results
@@ -40,50 +45,62 @@
          direct calls alternate for {SPAN_MS} ms, open loop, from the sending to the answer's end. \
          Added latency is the difference of the two percentiles."
     ));
-    let mut fleet = Fleet::start("bench-latency", &json!({}), roles(), json!({})).await?;
-    fleet.wait_ready(START).await?;
-    let mut publisher = Publisher::new(fleet.platform);
-    let table = publisher.table(&[SERVICE]).await?;
-    fleet.wait_version(table.version, START).await?;
-    let direct = fleet.instances[OWN].addrs.backend;
-    let one = fleet.instances[OWN].addrs.calls;
-    let two = fleet.instances[OTHER].addrs.calls;
-    fleet.wait_served(&format!("/{SERVICE}"), START).await?;
+    let pair = Pair::start().await?;
     for round in 1..=plan.rounds {
         println!("==> {BENCH}: round {round} of {}", plan.rounds);
         for rate in RATES {
             let seed = round as u64;
-            add(
-                "one node",
-                rate,
-                &compare(one, direct, rate, seed).await?,
-                results,
-            )?;
-            add(
-                "two nodes",
-                rate,
-                &compare(two, direct, rate, seed).await?,
-                results,
-            )?;
+            for (name, node) in pair.paths() {
+                let run = pair.compare(node, rate, SPAN_MS, seed).await?;
+                add(name, rate, &run, results)?;
+            }
         }
     }
     Ok(())
 }
 
-async fn compare(
-    node: SocketAddr,
-    direct: SocketAddr,
-    rate: f64,
-    seed: u64,
-) -> Result<Comparison, Error> {
-    let load = Load::new(vec![node])
-        .with_rate(rate)
-        .with_duration_ms(SPAN_MS)
-        .with_seed(seed)
-        .with_poisson(true)
-        .with_connections(64)
-        .with_shape(Shape::read(format!("/{SERVICE}")), 1);
-    Ok(load.compare(vec![direct]).await?)
+impl Pair {
+    /// Starts the processes and waits until both nodes serve the backend server.
+    pub(crate) async fn start() -> Result<Self, Error> {
+        let mut fleet = Fleet::start("latency", &json!({}), roles(), json!({})).await?;
+        fleet.wait_ready(START).await?;
+        let table = Publisher::new(fleet.platform).table(&[SERVICE]).await?;
+        fleet.wait_version(table.version, START).await?;
+        fleet.wait_served(&format!("/{SERVICE}"), START).await?;
+        Ok(Self { fleet })
+    }
+
+    /// Returns both ways through nodes, by name.
+    pub(crate) fn paths(&self) -> [(&'static str, SocketAddr); 2] {
+        let calls = |i: usize| self.fleet.instances[i].addrs.calls;
+        [("one node", calls(OWN)), ("two nodes", calls(OTHER))]
+    }
+
+    /// Compares calls through `node` with direct calls, one by one in turn.
+    pub(crate) async fn compare(
+        &self,
+        node: SocketAddr,
+        rate: f64,
+        ms: u64,
+        seed: u64,
+    ) -> Result<Comparison, Error> {
+        let direct = self.fleet.instances[OWN].addrs.backend;
+        let load = Load::new(vec![node])
+            .with_rate(rate)
+            .with_duration_ms(ms)
+            .with_seed(seed)
+            .with_poisson(true)
+            .with_connections(64)
+            .with_shape(Shape::read(format!("/{SERVICE}")), 1);
+        Ok(load.compare(vec![direct]).await?)
+    }
+}
+
+/// Returns how much longer calls through nodes took, in milliseconds: p50 and p99.
+pub(crate) fn added(run: &Comparison) -> (f64, f64) {
+    let (through, direct) = (run.a.since_send_us, run.b.since_send_us);
+    let ms = |through: u64, direct: u64| (through as f64 - direct as f64) / 1000.0;
+    (ms(through.p50, direct.p50), ms(through.p99, direct.p99))
 }
 
 fn add(path: &str, rate: f64, run: &Comparison, results: &mut Results) -> Result<(), Error> {
@@ -95,9 +112,9 @@
     let mut put = |subject: &str, metric: &str, unit: &str, value| {
         results.add(Series::new(BENCH, subject, metric, unit), rate, value);
     };
-    let added = |through: u64, direct: u64| (through as f64 - direct as f64) / 1000.0;
-    put(path, "added p50", "ms", added(through.p50, direct.p50));
-    put(path, "added p99", "ms", added(through.p99, direct.p99));
+    let (p50, p99) = added(run);
+    put(path, "added p50", "ms", p50);
+    put(path, "added p99", "ms", p99);
     put(path, "p50", "ms", through.p50 as f64 / 1000.0);
     put(path, "p99", "ms", through.p99 as f64 / 1000.0);
     let beside = format!("direct, beside {path}");
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -74,8 +74,10 @@
     figures.section("Planned stop under load");
     restart::restart(mesh, &mut fleet, figures).await?;
 
+    drop(fleet);
+
     figures.section("Added latency");
-    added::latency(mesh, &fleet, figures).await
+    added::latency(figures).await
 }
 
 /// Calls of every kind while nothing fails.
--- a/xtask/src/demo/figures.rs
+++ b/xtask/src/demo/figures.rs
@@ -3,10 +3,13 @@
 use std::fmt;
 use std::time::Duration;
 
-use swiftcart_standin::{Quantiles, Report};
+use swiftcart_standin::{Quantiles, Report, Told};
 
 use crate::Verdict;
 
+/// Failed calls of one load that the report shows one by one.
+const SHOWN: usize = 4;
+
 /// Collects the demo's figures and checked promises, in the order of the run.
 #[derive(Debug, Default)]
 pub(super) struct Figures {
@@ -67,6 +70,14 @@
             quantiles(&report.latency_us)
         );
         self.figure(name, value);
+        for told in report
+            .told
+            .iter()
+            .filter(|t| t.verdict != "good")
+            .take(SHOWN)
+        {
+            self.figure(format!("{name}, one that failed"), failed(told));
+        }
         if !report.outcomes.is_empty() {
             self.figure(format!("{name}, outcomes told"), list(&report.outcomes));
         }
@@ -117,6 +128,22 @@
     }
 }
 
+/// Returns what became of a failed call, in words.
+fn failed(told: &Told) -> String {
+    let text = |value: &Option<String>| value.clone().unwrap_or_else(|| "-".to_owned());
+    format!(
+        "{} (shape {}, key {}): {}, status {}, outcome {}, reason {}, sent again {} times",
+        told.id,
+        told.shape,
+        text(&told.key),
+        told.verdict,
+        told.status.unwrap_or(0),
+        text(&told.outcome),
+        text(&told.reason),
+        told.retries
+    )
+}
+
 /// Returns p50 and p99 in words.
 pub(super) fn quantiles(q: &Quantiles) -> String {
     format!("p50 {} ms, p99 {} ms", millis(q.p50), millis(q.p99))
--- a/xtask/src/demo/publishing.rs
+++ b/xtask/src/demo/publishing.rs
@@ -12,7 +12,7 @@
 use super::figures::{Figures, seconds};
 use super::tool::{Publish, Tool, example};
 use crate::fleet::Fleet;
-use crate::{Error, Kind, Mesh, applied_at};
+use crate::{Error, Kind, Mesh};
 
 /// Longest time for an accepted version to be in force on every node.
 const CONVERGENCE: Duration = Duration::from_secs(5);
@@ -124,12 +124,8 @@
     let failed = |cause: String| Error::Http(fleet.platform, "config".to_owned(), cause);
     let page = page.map_err(|e| failed(e.to_string()))?;
     let at = page.entries.first().map_or(0, |entry| entry.at_ms);
-    let mut last = 0;
-    for node in fleet.instances.iter().filter_map(|i| i.node.as_ref()) {
-        let applied = applied_at(&node.log()?, version.0);
-        let applied = applied.ok_or_else(|| failed(format!("version {version} is in no log")))?;
-        last = last.max(applied.saturating_sub(at));
-    }
+    let last = fleet.applied(version, CONVERGENCE).await?;
+    let last = last.saturating_sub(at);
     let time = Duration::from_millis(last);
     figures.promise(
         format!(
--- a/xtask/src/demo/restart.rs
+++ b/xtask/src/demo/restart.rs
@@ -14,6 +14,9 @@
 /// Uploads in flight through the node that stops.
 const UPLOADS: u64 = 12;
 
+/// The time within which they are sent, in milliseconds.
+const BURST_MS: u64 = 96;
+
 /// How long each of them is worked on, in milliseconds.
 const SLOW_MS: u64 = 1500;
 
@@ -31,13 +34,14 @@
     slow(fleet, &uploads, SLOW_MS).await?;
     let mut others = fleet.running();
     others.retain(|&i| i != stopped);
-    let around = tokio::spawn(mixed(mesh, targets(fleet, &others), 150.0, 9000, 0x06).run());
-    // Evenly spaced, all sent within a tenth of a second.
-    let burst = load(targets(fleet, &[stopped]), 10.0 * UPLOADS as f64, 100, 0x07)
+    let rate = 1000.0 * UPLOADS as f64 / BURST_MS as f64;
+    let burst = load(targets(fleet, &[stopped]), rate, BURST_MS, 0x07)
         .with_poisson(false)
         .with_shape(shape(mesh, Kind::Upload), 1);
     let burst = tokio::spawn(burst.run());
+    // Nothing else calls yet, so that what is in work came through this node.
     let held = in_flight(fleet, &uploads).await?;
+    let around = tokio::spawn(mixed(mesh, targets(fleet, &others), 150.0, 9000, 0x06).run());
 
     let start = Instant::now();
     stop(fleet, stopped).await?;
--- a/xtask/src/fleet/wait.rs
+++ b/xtask/src/fleet/wait.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use super::{Fleet, State};
-use crate::{Child, Error};
+use crate::{Child, Error, applied_at};
 
 /// Gap between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(10);
@@ -40,6 +40,34 @@
             .await
     }
 
+    /// Waits until every running node has logged `version`, and returns when the last one
+    /// did, in Unix milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Late`] when it takes longer than `limit`.
+    pub async fn applied(&self, version: Version, limit: Duration) -> Result<u64, Error> {
+        let start = Instant::now();
+        let mut last = 0;
+        for i in self.running() {
+            last = last.max(self.applied_by(i, version, start + limit).await?);
+        }
+        Ok(last)
+    }
+
+    async fn applied_by(&self, i: usize, version: Version, end: Instant) -> Result<u64, Error> {
+        let instance = &self.instances[i];
+        let late = || Error::Late(format!("version {version}"), instance.name.clone());
+        let node = instance.node.as_ref().ok_or_else(late)?;
+        loop {
+            match applied_at(&node.log()?, version.0) {
+                Some(at) => return Ok(at),
+                None if Instant::now() > end => return Err(late()),
+                None => sleep(LOOK).await,
+            }
+        }
+    }
+
     /// Waits until a `GET` of `path` succeeds through every running node.
     ///
     /// # Errors
