--- a/crates/swiftcart-core/examples/call_cost/cost.rs
+++ b/crates/swiftcart-core/examples/call_cost/cost.rs
@@ -64,15 +64,8 @@
             balancer.finished(pick.id, now, &sample);
         }
     });
-    print_one("adopt_per_100000", backends, {
-        let mut left = 5_u32;
-        move || {
-            // A view change is rare; five in each round are enough to time one.
-            if left > 0 {
-                balancer.adopt(now, view);
-            }
-            left = left.saturating_sub(1);
-        }
+    time("adopt", backends, OPERATIONS / 1000, || {
+        balancer.adopt(now, view);
     });
 }
 
@@ -95,12 +88,16 @@
     });
 }
 
-fn print_one(name: &str, backends: usize, mut operation: impl FnMut()) {
+fn print_one(name: &str, backends: usize, operation: impl FnMut()) {
+    time(name, backends, OPERATIONS, operation);
+}
+
+fn time(name: &str, backends: usize, operations: u32, mut operation: impl FnMut()) {
     let mut rounds: Vec<f64> = (0..ROUNDS)
         .map(|_| {
             let start = Wall::now();
-            (0..OPERATIONS).for_each(|_| operation());
-            start.elapsed().as_secs_f64() * 1e9 / f64::from(OPERATIONS)
+            (0..operations).for_each(|_| operation());
+            start.elapsed().as_secs_f64() * 1e9 / f64::from(operations)
         })
         .collect();
     rounds.sort_unstable_by(f64::total_cmp);
--- a/crates/swiftcart-core/src/admission/limit.rs
+++ b/crates/swiftcart-core/src/admission/limit.rs
@@ -82,8 +82,6 @@
     pause: u32,
     /// Unloaded samples still wanted while the limit is halved.
     probing: u32,
-    /// Samples to leave out: they started in a probe and ended in the load after it.
-    spoilt: u32,
 }
 
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
@@ -105,7 +103,6 @@
             dry: 0,
             pause: settings.patience >> PAUSES,
             probing: 0,
-            spoilt: 0,
         }
     }
 
@@ -140,14 +137,7 @@
 
     fn learn_unloaded(&mut self, secs: f64) {
         self.dry = 0;
-        if self.spoilt > 0 {
-            self.spoilt -= 1;
-            return;
-        }
         self.unloaded.add(secs);
-        if self.probing == 1 {
-            self.spoilt = self.value() - 1;
-        }
         self.probing = self.probing.saturating_sub(1);
         if self.unloaded.count >= self.settings.probe {
             let latest = std::mem::take(&mut self.unloaded).mean();
@@ -172,6 +162,7 @@
         if self.dry >= self.pause {
             self.dry = 0;
             self.probing = self.settings.probe;
+            // What is in it may have started in the last probe and ended in the load after it.
             self.unloaded = Window::default();
         }
         if self.loaded.count >= self.settings.window {
--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -1,5 +1,6 @@
 //! The choice of a backend server for a call.
 
+mod choice;
 mod peer;
 mod sample;
 
@@ -9,16 +10,11 @@
 
 use rand::Rng;
 
-use crate::{Candidate, Instant, NodeId, ServiceEntry, View};
+use crate::{Instant, NodeId, ServiceEntry, View};
+use choice::Choice;
 use peer::Peer;
 pub use sample::*;
 
-/// The random draws for one choice before the candidates are gone through in order.
-const DRAWS: usize = 8;
-
-/// The part of another score below which a score counts as better; nearer ones are left to chance.
-const CLEARLY: f64 = 0.9;
-
 /// Sets how a node chooses among backend servers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BalanceSettings {
@@ -179,21 +175,7 @@
             now,
             exclude,
         };
-        let own = entry.own().filter(|c| choice.usable(c) && !choice.full(c));
-        if let Some(own) = own {
-            return Some(Pick::new(&own, PickRule::Own));
-        }
-        let near = choice.best(entry.near(), rng);
-        if let Some(near) = near.filter(|c| !choice.full(c)) {
-            return Some(Pick::new(near, PickRule::Near));
-        }
-        let far = choice.best(entry.far(), rng);
-        match (near, far) {
-            (_, Some(far)) if !choice.full(far) => Some(Pick::new(far, PickRule::Spill)),
-            (Some(near), _) => Some(Pick::new(near, PickRule::Near)),
-            (None, Some(far)) => Some(Pick::new(far, PickRule::Spill)),
-            (None, None) => choice.any(entry.candidates(), rng),
-        }
+        choice.make(entry, rng)
     }
 
     /// Counts a call that was given to `id`.
@@ -252,107 +234,3 @@
         }
     }
 }
-
-impl Pick {
-    const fn new(candidate: &Candidate, rule: PickRule) -> Self {
-        Self {
-            id: candidate.id,
-            peer: candidate.peer,
-            rule,
-        }
-    }
-}
-
-/// One choice: what is fixed while it is made.
-struct Choice<'a> {
-    balancer: &'a Balancer,
-    now: Instant,
-    exclude: &'a [NodeId],
-}
-
-impl Choice<'_> {
-    fn peer(&self, c: &Candidate) -> Option<&Peer> {
-        self.balancer.peers.get(&c.id)
-    }
-
-    fn usable(&self, c: &Candidate) -> bool {
-        let failures = self.balancer.settings.failures;
-        let peer = self.peer(c);
-        !self.exclude.contains(&c.id) && peer.is_none_or(|p| p.usable(self.now, failures))
-    }
-
-    fn full(&self, c: &Candidate) -> bool {
-        let age = self.balancer.settings.load_age;
-        self.peer(c)
-            .is_some_and(|p| p.running >= c.slots || p.usage(self.now, age) >= 1.0)
-    }
-
-    /// Returns the better of two random candidates.
-    ///
-    /// Each draw meets a newly seen one with its share only, so that a small group
-    /// does not give it more than that.
-    fn best<'c, R: Rng + ?Sized>(
-        &self,
-        all: &'c [Candidate],
-        rng: &mut R,
-    ) -> Option<&'c Candidate> {
-        let mut first = self.draw(all, None, rng)?;
-        for _ in 0..DRAWS {
-            if self.warm(first, rng) {
-                break;
-            }
-            first = self.draw(all, None, rng)?;
-        }
-        match self.draw(all, Some(first.id), rng) {
-            Some(second) if self.warm(second, rng) && self.better(second, first) => Some(second),
-            _ => Some(first),
-        }
-    }
-
-    /// Returns a random usable candidate other than `not`.
-    fn draw<'c, R: Rng + ?Sized>(
-        &self,
-        all: &'c [Candidate],
-        not: Option<NodeId>,
-        rng: &mut R,
-    ) -> Option<&'c Candidate> {
-        if all.is_empty() {
-            return None;
-        }
-        let fits = |c: &&Candidate| Some(c.id) != not && self.usable(c);
-        let drawn = (0..DRAWS).map(|_| &all[rng.random_range(0..all.len())]);
-        if let Some(c) = drawn.take(all.len()).find(fits) {
-            return Some(c);
-        }
-        let (head, tail) = all.split_at(rng.random_range(0..all.len()));
-        tail.iter().chain(head).find(fits)
-    }
-
-    fn warm<R: Rng + ?Sized>(&self, c: &Candidate, rng: &mut R) -> bool {
-        let slow_start = self.balancer.settings.slow_start;
-        let warmth = self.peer(c).map_or(1.0, |p| p.warmth(self.now, slow_start));
-        warmth >= 1.0 || rng.random::<f64>() < warmth
-    }
-
-    fn better(&self, a: &Candidate, b: &Candidate) -> bool {
-        let s = &self.balancer.settings;
-        match (self.peer(a), self.peer(b)) {
-            (Some(a), Some(b)) => {
-                let (la, lb) = (a.latency(self.now, s), b.latency(self.now, s));
-                a.score(self.now, lb, s) < CLEARLY * b.score(self.now, la, s)
-            }
-            _ => false,
-        }
-    }
-
-    /// Returns a random candidate, ejected or not.
-    fn any<R: Rng + ?Sized>(&self, all: &[Candidate], rng: &mut R) -> Option<Pick> {
-        if all.is_empty() {
-            return None;
-        }
-        let (head, tail) = all.split_at(rng.random_range(0..all.len()));
-        let left = |c: &&Candidate| !self.exclude.contains(&c.id);
-        let c = tail.iter().chain(head).find(left)?;
-        Some(Pick::new(c, PickRule::Ejected))
-    }
-}
--- /dev/null
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -0,0 +1,151 @@
+//! One choice among the candidates of a service.
+
+use rand::Rng;
+
+use super::peer::Peer;
+use super::{Balancer, Pick, PickRule};
+use crate::{Candidate, Instant, NodeId, ServiceEntry};
+
+/// The random draws for one choice before the candidates are gone through in order.
+const DRAWS: usize = 8;
+
+/// The part of another score below which a score counts as better; nearer ones are left to chance.
+const CLEARLY: f64 = 0.9;
+
+/// Holds what is fixed while one choice is made.
+pub(super) struct Choice<'a> {
+    pub(super) balancer: &'a Balancer,
+    pub(super) now: Instant,
+    pub(super) exclude: &'a [NodeId],
+}
+
+/// A candidate with what is known of it; looked up once.
+#[derive(Clone, Copy)]
+struct Known<'a> {
+    candidate: &'a Candidate,
+    peer: Option<&'a Peer>,
+}
+
+impl<'a> Choice<'a> {
+    /// Chooses one candidate of `entry`.
+    pub(super) fn make<R: Rng + ?Sized>(
+        &self,
+        entry: &'a ServiceEntry,
+        rng: &mut R,
+    ) -> Option<Pick> {
+        let own = entry.own().map(|c| self.know(c));
+        if let Some(own) = own.filter(|own| self.usable(*own) && !self.full(*own)) {
+            return Some(own.pick(PickRule::Own));
+        }
+        let near = self.best(entry.near(), rng);
+        if let Some(near) = near.filter(|near| !self.full(*near)) {
+            return Some(near.pick(PickRule::Near));
+        }
+        let far = self.best(entry.far(), rng);
+        match (near, far) {
+            (_, Some(far)) if !self.full(far) => Some(far.pick(PickRule::Spill)),
+            (Some(near), _) => Some(near.pick(PickRule::Near)),
+            (None, Some(far)) => Some(far.pick(PickRule::Spill)),
+            (None, None) => self.any(entry.candidates(), rng),
+        }
+    }
+
+    /// Returns the better of two random candidates.
+    ///
+    /// Each draw meets a newly seen one with its share only, so that a small group
+    /// does not give it more than that.
+    fn best<R: Rng + ?Sized>(&self, all: &'a [Candidate], rng: &mut R) -> Option<Known<'a>> {
+        let mut first = self.draw(all, None, rng)?;
+        for _ in 0..DRAWS {
+            if self.warm(first, rng) {
+                break;
+            }
+            first = self.draw(all, None, rng)?;
+        }
+        match self.draw(all, Some(first.candidate.id), rng) {
+            Some(second) if self.warm(second, rng) && self.better(second, first) => Some(second),
+            _ => Some(first),
+        }
+    }
+
+    /// Returns a random usable candidate other than `not`.
+    fn draw<R: Rng + ?Sized>(
+        &self,
+        all: &'a [Candidate],
+        not: Option<NodeId>,
+        rng: &mut R,
+    ) -> Option<Known<'a>> {
+        if all.is_empty() {
+            return None;
+        }
+        let usable = |c: &'a Candidate| {
+            let known = (Some(c.id) != not).then(|| self.know(c));
+            known.filter(|known| self.usable(*known))
+        };
+        let mut drawn = (0..DRAWS.min(all.len())).map(|_| &all[rng.random_range(0..all.len())]);
+        if let Some(known) = drawn.find_map(usable) {
+            return Some(known);
+        }
+        let (head, tail) = all.split_at(rng.random_range(0..all.len()));
+        tail.iter().chain(head).find_map(usable)
+    }
+
+    /// Returns a random candidate, ejected or not.
+    fn any<R: Rng + ?Sized>(&self, all: &'a [Candidate], rng: &mut R) -> Option<Pick> {
+        if all.is_empty() {
+            return None;
+        }
+        let (head, tail) = all.split_at(rng.random_range(0..all.len()));
+        let left = |c: &&Candidate| !self.exclude.contains(&c.id);
+        let candidate = tail.iter().chain(head).find(left)?;
+        Some(self.know(candidate).pick(PickRule::Ejected))
+    }
+
+    fn know(&self, candidate: &'a Candidate) -> Known<'a> {
+        let peer = self.balancer.peers.get(&candidate.id);
+        Known { candidate, peer }
+    }
+
+    fn usable(&self, known: Known<'_>) -> bool {
+        let failures = self.balancer.settings.failures;
+        !self.exclude.contains(&known.candidate.id)
+            && known.peer.is_none_or(|p| p.usable(self.now, failures))
+    }
+
+    fn full(&self, known: Known<'_>) -> bool {
+        let age = self.balancer.settings.load_age;
+        let slots = known.candidate.slots;
+        known
+            .peer
+            .is_some_and(|p| p.running >= slots || p.usage(self.now, age) >= 1.0)
+    }
+
+    fn warm<R: Rng + ?Sized>(&self, known: Known<'_>, rng: &mut R) -> bool {
+        let time = self.balancer.settings.slow_start;
+        let warmth = known.peer.map_or(1.0, |p| p.warmth(self.now, time));
+        warmth >= 1.0 || rng.random::<f64>() < warmth
+    }
+
+    fn better(&self, a: Known<'_>, b: Known<'_>) -> bool {
+        let s = &self.balancer.settings;
+        match (a.peer, b.peer) {
+            (Some(a), Some(b)) => {
+                // Where one latency is unknown, the other one stands in for it.
+                let (la, lb) = (a.latency(self.now, s), b.latency(self.now, s));
+                let (la, lb) = (la.or(lb).unwrap_or(1.0), lb.or(la).unwrap_or(1.0));
+                a.score(self.now, la, s) < CLEARLY * b.score(self.now, lb, s)
+            }
+            _ => false,
+        }
+    }
+}
+
+impl Known<'_> {
+    const fn pick(&self, rule: PickRule) -> Pick {
+        Pick {
+            id: self.candidate.id,
+            peer: self.candidate.peer,
+            rule,
+        }
+    }
+}
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -132,9 +132,8 @@
         self.latency.map(|latency| latency * fresh)
     }
 
-    /// Returns the cost of one more call; `other` stands in for an unknown latency.
-    pub(super) fn score(&self, now: Instant, other: Option<f64>, s: &BalanceSettings) -> f64 {
-        let latency = self.latency(now, s).or(other).unwrap_or(1.0);
+    /// Returns the cost of one more call that takes `latency`.
+    pub(super) fn score(&self, now: Instant, latency: f64, s: &BalanceSettings) -> f64 {
         let waiting = f64::from(self.running) + 1.0;
         let usage = 1.0 + s.load_cost * self.usage(now, s.load_age);
         let failing = 1.0 + FAILURE_COST * self.failing(now, s.memory);
--- a/crates/swiftcart-core/src/view.rs
+++ b/crates/swiftcart-core/src/view.rs
@@ -219,8 +219,8 @@
 
     /// Returns the node's own backend server when it is of this service and takes work.
     #[must_use]
-    pub const fn own(&self) -> Option<Candidate> {
-        self.own
+    pub const fn own(&self) -> Option<&Candidate> {
+        self.own.as_ref()
     }
 
     /// Returns why no candidate is there, or `None` when one is.
