--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response};
-use swiftcart_core::{Backend, CallResult, Limits, NodeId, Reason, Refusal, ServiceEntry};
+use swiftcart_core::{Backend, CallResult, Limits, Load, NodeId, Reason, Refusal, ServiceEntry};
 
 use super::admissions::Slot;
 use super::answer::{Answer, is_framed};
@@ -73,11 +73,17 @@
         HeaderValue::try_from(text).ok()
     }
 
-    /// Closes unused connections.
+    /// Closes unused connections and shows the load.
     pub fn sweep(&self) {
-        if let Some(upstream) = self.upstream.load().as_ref() {
+        let upstream = self.upstream.load();
+        let load = upstream.as_ref().map_or(Load::default(), |upstream| {
             upstream.sweep();
-        }
+            upstream.load()
+        });
+        let counters = &self.shared.counters;
+        counters.gauge("swiftcart_running").set(load.running);
+        counters.gauge("swiftcart_queued").set(load.queued);
+        counters.gauge("swiftcart_limit").set(load.limit);
     }
 
     /// Runs a request at the backend server when it is of `service` and takes it.
--- a/crates/swiftcart-node/tests/calls.rs
+++ b/crates/swiftcart-node/tests/calls.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use common::{
-    SERVICE, announce, backend_at, call, head, log_with, node, node_beside, request, routed, until,
+    SERVICE, announce, backend_at, call, dead_addr, head, log_with, node, node_beside, request,
+    routed, until,
 };
 use http_body_util::{BodyExt, Full};
 use rstest::rstest;
@@ -166,9 +167,7 @@
 async fn a_backend_server_that_is_gone_has_not_run_the_request() {
     let log = log_with(Limits::default()).await;
     let node = node(&log).await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    announce(&node, listener.local_addr().unwrap()).await;
-    drop(listener);
+    announce(&node, dead_addr()).await;
     let got = call(&node, request("POST", "/", &[])).await;
     assert_eq!(got.told(), (502, "not-run", "connect-failed"));
 }
@@ -264,13 +263,30 @@
     assert!(node.shared().counters.render().contains(&metric));
 }
 
+#[tokio::test]
+async fn an_idempotent_request_is_tried_again_after_a_lost_answer() {
+    let log = log_with(Limits::default()).await;
+    let broken = node(&log).await;
+    let played = Script::Close.play().await;
+    announce(&broken, played.addr).await;
+    let live = node_beside(&broken, &log).await;
+    let _backend = backend_at(&live, BackendSettings::new(SERVICE)).await;
+    let entry = node_beside(&broken, &log).await;
+    routed(&entry, live.shared().id).await;
+    while played.runs.load(Ordering::SeqCst) == 0 {
+        played.close.notify_one();
+        let got = call(&entry, request("GET", "/", &[])).await;
+        assert_eq!(got.told(), (200, "-", "-"));
+    }
+    let retried = "swiftcart_retries_total{reason=\"answer-broken\"} 1";
+    assert!(entry.shared().counters.render().contains(retried));
+}
+
 #[tokio::test]
 async fn a_refused_upload_goes_whole_to_another_guard() {
     let log = log_with(Limits::default()).await;
     let dead = node(&log).await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    announce(&dead, listener.local_addr().unwrap()).await;
-    drop(listener);
+    announce(&dead, dead_addr()).await;
     let live = node_beside(&dead, &log).await;
     let backend = backend_at(&live, BackendSettings::new(SERVICE)).await;
     let entry = node_beside(&dead, &log).await;
--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -33,7 +33,13 @@
     let [.., high, low] = std::process::id().to_be_bytes();
     let n = NEXT.fetch_add(1, Ordering::Relaxed);
     let n = u8::try_from(n).expect("few addresses");
-    Ipv4Addr::new(127, high | 1, low, n)
+    Ipv4Addr::new(127, high, low, n)
+}
+
+/// Returns an address that nobody listens on, now or later: a port that was free a
+/// moment ago may be given to another test's listener.
+pub fn dead_addr() -> SocketAddr {
+    (own_ip(), 9).into()
 }
 
 /// Returns the settings of a node at `ip` as JSON.
@@ -165,7 +171,10 @@
 
 /// Sends one request on a connection of its own and returns the answer's head.
 pub async fn head(node: &Node, request: Request<Full<Bytes>>) -> Response<Incoming> {
-    let addr = node.shared().settings.listen.calls;
+    head_at(node.shared().settings.listen.calls, request).await
+}
+
+async fn head_at(addr: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
     let socket = TcpStream::connect(addr).await.unwrap();
     let (mut sender, conn) = http1::handshake(TokioIo::new(socket)).await.unwrap();
     tokio::spawn(conn);
@@ -174,7 +183,12 @@
 
 /// Sends one request on a connection of its own and reads the answer.
 pub async fn call(node: &Node, request: Request<Full<Bytes>>) -> Got {
-    let (head, body) = head(node, request).await.into_parts();
+    call_at(node.shared().settings.listen.calls, request).await
+}
+
+/// Sends one request to `addr` on a connection of its own and reads the answer.
+pub async fn call_at(addr: SocketAddr, request: Request<Full<Bytes>>) -> Got {
+    let (head, body) = head_at(addr, request).await.into_parts();
     Got {
         status: head.status,
         headers: head.headers,
