Check in the demo that refusals under too much work are true

The promise that told not-run means did not run held in the demo on no sample at all: nothing had been refused. A part with 1.5 times the capacity of the keyed service now asks without keys and checks every refusal against the backend servers' counts, and that nothing ran twice.

--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -67,6 +67,9 @@
     figures.section("Keys sent again through other nodes");
     failures::keys(mesh, &fleet, figures).await?;
 
+    figures.section("Too much work");
+    failures::overload(mesh, &fleet, figures).await?;
+
     figures.section("Failures under load");
     failures::failures(mesh, &mut fleet, figures).await?;
     failures::recover(mesh, &mut fleet, figures).await?;
--- a/xtask/src/demo/audit.rs
+++ b/xtask/src/demo/audit.rs
@@ -59,6 +59,25 @@
     );
 }
 
+/// Checks that no request without a key was executed twice.
+pub(super) fn check_once(figures: &mut Figures, report: &Report, ledger: &Ledger) {
+    let runs = |id: &str| ledger.callers.get(id).map_or(0, |runs| runs.started);
+    let most = report
+        .told
+        .iter()
+        .map(|told| runs(&told.id))
+        .max()
+        .unwrap_or(0);
+    figures.promise(
+        "work without a key runs at most once",
+        format!(
+            "{} requests, at most {most} execution of one",
+            report.told.len()
+        ),
+        most <= 1 && ledger.forgotten == 0,
+    );
+}
+
 /// Checks that no key was executed twice.
 pub(super) fn check_keys(figures: &mut Figures, ledger: &Ledger) {
     let most = ledger
--- a/xtask/src/demo/calls.rs
+++ b/xtask/src/demo/calls.rs
@@ -14,6 +14,9 @@
 /// Bytes of an answer to a read.
 const ANSWER: u64 = 20_000;
 
+/// Mean time of a keyed request at the backend server, in milliseconds.
+pub(super) const KEYED_MS: f64 = 20.0;
+
 /// How long a caller waits, in milliseconds.
 const TIMEOUT_MS: u64 = 10_000;
 
@@ -32,7 +35,7 @@
 fn backend(mesh: &Mesh, service: &Service) -> Value {
     let mean = match service.kind {
         Kind::Read | Kind::Next => 5.0,
-        Kind::Keyed => 20.0,
+        Kind::Keyed => KEYED_MS,
         Kind::Upload => 30.0,
     };
     json!({
--- a/xtask/src/demo/failures.rs
+++ b/xtask/src/demo/failures.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use serde_json::json;
-use swiftcart_standin::{Load, Report};
+use swiftcart_standin::{Load, Report, Shape};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use super::audit;
-use super::calls::{load, mixed, shape, targets};
+use super::calls::{KEYED_MS, load, mixed, shape, targets};
 use super::figures::Figures;
 use crate::fleet::Fleet;
 use crate::{Error, Kind, Mesh};
@@ -20,6 +20,12 @@
 const RATE: f64 = 250.0;
 const SPAN_MS: u64 = 14_000;
 
+/// The overload as a multiple of what the slots can do, its length, and the time that
+/// callers give.
+const OVERLOAD: f64 = 1.5;
+const OVERLOAD_MS: u64 = 3000;
+const DEADLINE_MS: u64 = 500;
+
 /// Pause between two failures.
 const PAUSE: Duration = Duration::from_secs(3);
 
@@ -53,6 +59,44 @@
     Ok(())
 }
 
+/// Asks for more work than the backend servers can do, without keys, and checks that the
+/// refusals are true.
+pub(super) async fn overload(
+    mesh: &Mesh,
+    fleet: &Fleet,
+    figures: &mut Figures,
+) -> Result<(), Error> {
+    let work = mesh.service(Kind::Keyed);
+    let capacity = f64::from(mesh.slots) * work.backends as f64 * 1000.0 / KEYED_MS;
+    let load = load(
+        targets(fleet, &fleet.running()),
+        OVERLOAD * capacity,
+        OVERLOAD_MS,
+        0x09,
+    )
+    .with_deadline_ms(DEADLINE_MS)
+    .with_shape(Shape::post(work.prefix), 1);
+    let report = load.run().await?;
+    let ledger = audit::ledger(fleet).await?;
+    figures.calls(
+        &format!("work without keys at {OVERLOAD} times the capacity"),
+        &report,
+    );
+    figures.figure(
+        "good answers a second, and the capacity",
+        format!("{:.0} of {capacity:.0}", report.goodput),
+    );
+    audit::check(figures, &[&report], &ledger);
+    audit::check_once(figures, &report, &ledger);
+    let told = report.outcomes.get("not-run").copied().unwrap_or(0);
+    figures.promise(
+        "too much work is refused, not left to wait",
+        format!("{told} told not-run"),
+        told > 0,
+    );
+    Ok(())
+}
+
 /// Kills, drains and kills again while callers call.
 pub(super) async fn failures(
     mesh: &Mesh,
