--- a/xtask/src/bench/capacity.rs
+++ b/xtask/src/bench/capacity.rs
@@ -5,22 +5,16 @@
 
 use std::time::{Duration, Instant};
 
-use serde_json::json;
 use swiftcart_standin::{Load, LogStats, Shape};
 
 use super::Plan;
-use super::publisher::Publisher;
+use super::latency::Pair;
 use super::results::{Results, Series};
-use crate::fleet::{Fleet, Role};
+use crate::fleet::Fleet;
 use crate::{Error, Usage};
 
-const SERVICE: &str = "sensor";
 const START: Duration = Duration::from_secs(30);
 
-/// The instance with the backend server is the guard, the other only an ingress.
-const GUARD: usize = 0;
-const INGRESS: usize = 1;
-
 /// Calls a second that both roles are measured at, and keyed calls a second.
 const CALLS: [f64; 5] = [250.0, 500.0, 1000.0, 2000.0, 4000.0];
 const KEYS: [f64; 4] = [25.0, 50.0, 100.0, 200.0];
@@ -55,22 +49,19 @@
 pub(super) async fn run(plan: &Plan, results: &mut Results) -> Result<(), Error> {
     for round in 1..=plan.rounds {
         println!("==> capacity: round {round} of {}", plan.rounds);
-        let mut fleet = Fleet::start("bench-capacity", &json!({}), roles(), json!({})).await?;
-        fleet.wait_ready(START).await?;
-        let table = Publisher::new(fleet.platform).table(&[SERVICE]).await?;
-        fleet.wait_version(table.version, START).await?;
-        fleet.wait_served(&format!("/{SERVICE}"), START).await?;
+        let pair = Pair::start().await?;
+        let fleet = pair.fleet();
         for group in &GROUPS {
             results
                 .axes
                 .insert(group.bench.to_owned(), group.axis.to_owned());
             for (i, rate) in group.rates.iter().enumerate() {
                 let seed = (round * 100 + i) as u64;
-                measure(&fleet, group, *rate, seed, results).await?;
+                measure(fleet, group, *rate, seed, results).await?;
             }
         }
-        connections::measure(&fleet, results).await?;
-        drop(fleet);
+        connections::measure(fleet, results).await?;
+        drop(pair);
         rows::measure(results).await?;
     }
     Ok(())
@@ -83,12 +74,12 @@
     seed: u64,
     results: &mut Results,
 ) -> Result<(), Error> {
-    let load = Load::new(vec![fleet.instances[INGRESS].addrs.calls])
+    let load = Load::new(vec![fleet.instances[Pair::INGRESS].addrs.calls])
         .with_rate(rate)
         .with_duration_ms(SPAN_MS)
         .with_poisson(true)
         .with_seed(seed)
-        .with_shape((group.shape)(format!("/{SERVICE}")), 1);
+        .with_shape((group.shape)(Pair::PATH.to_owned()), 1);
     let (start, before, log) = (Instant::now(), usages(fleet)?, appends(fleet).await?);
     let report = load.run().await?;
     let (after, appended) = (usages(fleet)?, appends(fleet).await? - log);
@@ -96,7 +87,7 @@
     let mut put = |subject: &str, metric: &str, unit: &str, value| {
         results.add(Series::new(group.bench, subject, metric, unit), rate, value);
     };
-    for (subject, i) in [("guard", GUARD), ("ingress", INGRESS)] {
+    for (subject, i) in [("guard", Pair::GUARD), ("ingress", Pair::INGRESS)] {
         let cpu = (after[i].cpu - before[i].cpu).as_secs_f64() / seconds;
         put(subject, "processor time", "% of a core", cpu * 100.0);
         put(subject, "memory", "MiB", after[i].rss_kib as f64 / 1024.0);
@@ -120,7 +111,7 @@
 /// Returns what both nodes have used.
 fn usages(fleet: &Fleet) -> Result<[Usage; 2], Error> {
     let of = |i| fleet.usage(i).map(Option::unwrap_or_default);
-    Ok([of(GUARD)?, of(INGRESS)?])
+    Ok([of(Pair::GUARD)?, of(Pair::INGRESS)?])
 }
 
 /// Returns the appends that the platform has taken, over all streams.
@@ -130,15 +121,6 @@
     Ok(sum as f64)
 }
 
-fn roles() -> Vec<Role> {
-    let backend = json!({ "service": SERVICE, "slots": 64, "connections": 256 });
-    let role = |backend| Role {
-        domain: "norte".to_owned(),
-        backend,
-    };
-    vec![role(Some(backend)), role(None)]
-}
-
 fn read(path: String) -> Shape {
     Shape::read(path)
 }
--- a/xtask/src/bench/latency.rs
+++ b/xtask/src/bench/latency.rs
@@ -26,10 +26,6 @@
 
 const START: Duration = Duration::from_secs(30);
 
-/// The first instance has the backend server, the second none.
-const OWN: usize = 0;
-const OTHER: usize = 1;
-
 /// A backend server with a node beside it, and a second node that calls go through.
 pub(crate) struct Pair {
     fleet: Fleet,
@@ -60,20 +56,37 @@
 }
 
 impl Pair {
+    /// The path that is served.
+    pub(crate) const PATH: &str = "/sensor";
+
+    /// The instance with the backend server: its node is the guard.
+    pub(crate) const GUARD: usize = 0;
+
+    /// The instance with a node alone, which is only an ingress.
+    pub(crate) const INGRESS: usize = 1;
+
     /// Starts the processes and waits until both nodes serve the backend server.
     pub(crate) async fn start() -> Result<Self, Error> {
-        let mut fleet = Fleet::start("latency", &json!({}), roles(), json!({})).await?;
+        let mut fleet = Fleet::start("bench-pair", &json!({}), roles(), json!({})).await?;
         fleet.wait_ready(START).await?;
         let table = Publisher::new(fleet.platform).table(&[SERVICE]).await?;
         fleet.wait_version(table.version, START).await?;
-        fleet.wait_served(&format!("/{SERVICE}"), START).await?;
+        fleet.wait_served(Self::PATH, START).await?;
         Ok(Self { fleet })
     }
 
+    /// Returns the processes.
+    pub(crate) const fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     /// Returns both ways through nodes, by name.
     pub(crate) fn paths(&self) -> [(&'static str, SocketAddr); 2] {
         let calls = |i: usize| self.fleet.instances[i].addrs.calls;
-        [("one node", calls(OWN)), ("two nodes", calls(OTHER))]
+        [
+            ("one node", calls(Self::GUARD)),
+            ("two nodes", calls(Self::INGRESS)),
+        ]
     }
 
     /// Compares calls through `node` with direct calls, one by one in turn.
@@ -84,14 +97,14 @@
         ms: u64,
         seed: u64,
     ) -> Result<Comparison, Error> {
-        let direct = self.fleet.instances[OWN].addrs.backend;
+        let direct = self.fleet.instances[Self::GUARD].addrs.backend;
         let load = Load::new(vec![node])
             .with_rate(rate)
             .with_duration_ms(ms)
             .with_seed(seed)
             .with_poisson(true)
             .with_connections(64)
-            .with_shape(Shape::read(format!("/{SERVICE}")), 1);
+            .with_shape(Shape::read(Self::PATH), 1);
         Ok(load.compare(vec![direct]).await?)
     }
 }
