Ask a joiner's far witness too, and split the control loop by job

Ruled out: asking every node elsewhere, 830 datagrams for each joiner at the size to design for. Change: the roster names whom a joiner asks, the far witness included. What the membership and the stream ask for is carried out in files of their own. Conclusion: a floor survives the loss of a whole failure domain but its joiner.

--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -6,6 +6,8 @@
 
 mod control_loop;
 mod error;
+mod following;
+mod members;
 mod net;
 mod publish;
 mod pulls;
--- /dev/null
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -0,0 +1,192 @@
+//! Carries out what following the configuration stream asks for.
+
+use slog::{info, warn};
+use swiftcart_core::{
+    Body, Checkpoint, Datagram, Entry, Envelope, FeedAction, Instant, NodeId, SyncReply,
+    SyncRequest, children,
+};
+use swiftcart_platform::{Page, PlatformError};
+
+use super::Input;
+use super::control_loop::Control;
+use super::net::{Traffic, count};
+use super::pulls::Pulled;
+use super::reader::{Duty, STREAM};
+use super::stream::Todo;
+use crate::logging::Event;
+
+/// The longest encoded records that are pushed; longer ones are offered for a pull.
+const PUSH_BYTES: usize = 1100;
+
+impl Control {
+    pub(super) fn on_push(&mut self, now: Instant, from: NodeId, origin: NodeId, entries: &[u8]) {
+        match postcard::from_bytes::<Vec<Entry>>(entries) {
+            Ok(entries) => {
+                let witnesses = &self.roster.witnesses;
+                let todo = self.stream.on_push(now, from, origin, entries, witnesses);
+                self.follow_up(todo);
+            }
+            Err(_) => {
+                let counters = &self.shared.counters;
+                counters.count("swiftcart_datagrams_dropped_total", "reason", "malformed");
+            }
+        }
+    }
+
+    pub(super) fn on_page(&mut self, result: Result<Page, PlatformError>) {
+        let now = self.now();
+        let duty = self.duty(now);
+        self.reader.done(now, duty, &result);
+        match result {
+            Ok(page) => {
+                self.note_platform(None);
+                let len = page.entries.iter().map(|e| e.body.len()).sum();
+                count(&self.shared, Traffic::PlatformRead, len);
+                let todo = self.stream.on_page(now, page, &self.roster.witnesses);
+                self.follow_up(todo);
+                let duty = self.duty(now);
+                self.reader.tick(now, duty, self.stream.from());
+            }
+            Err(PlatformError::TooLarge) => {}
+            Err(e) => {
+                self.stream.join.on_outage();
+                self.note_platform(Some(&e));
+            }
+        }
+    }
+
+    fn note_platform(&mut self, error: Option<&PlatformError>) {
+        let logger = &self.shared.logger;
+        match error {
+            Some(e) => {
+                let counters = &self.shared.counters;
+                counters.count("swiftcart_platform_errors_total", "reason", e.as_str());
+                if !std::mem::replace(&mut self.down, true) {
+                    warn!(logger, ""; "event" => Event::PlatformDown, "error" => %e);
+                }
+            }
+            None if std::mem::take(&mut self.down) => {
+                info!(logger, ""; "event" => Event::PlatformUp);
+            }
+            None => {}
+        }
+    }
+
+    pub(super) fn on_pulled(&mut self, pulled: Pulled) {
+        let now = self.now();
+        let peer = pulled.peer;
+        self.pulls.end(peer);
+        match pulled.result {
+            Ok(SyncReply::Feed(answer)) => {
+                let actions = self.stream.feed.on_pull_reply(now, peer, answer);
+                self.follow(actions);
+            }
+            Ok(SyncReply::Members(entries)) => {
+                let actions = self.membership.merge(now, entries);
+                self.act(actions);
+            }
+            Ok(SyncReply::Busy { .. }) => {
+                self.stream.feed.on_pull_failed(peer);
+                self.count_pull("busy");
+            }
+            Err(e) => {
+                self.stream.feed.on_pull_failed(peer);
+                self.count_pull(e.as_str());
+            }
+        }
+    }
+
+    fn count_pull(&self, reason: &'static str) {
+        let counters = &self.shared.counters;
+        counters.count("swiftcart_pulls_failed_total", "reason", reason);
+    }
+
+    /// Carries out the feed's actions, which may lead to further ones.
+    pub(super) fn follow(&mut self, actions: Vec<FeedAction>) {
+        let now = self.now();
+        let todo = self.stream.after(now, actions, &self.roster.witnesses);
+        self.follow_up(todo);
+    }
+
+    pub(super) fn follow_up(&mut self, todo: Todo) {
+        self.stale |= todo.enforced;
+        for (version, to) in todo.reports {
+            for witness in to {
+                self.net.send(witness, &Datagram::Report { version });
+            }
+        }
+        for action in todo.feed {
+            self.follow_one(action);
+        }
+    }
+
+    fn follow_one(&mut self, action: FeedAction) {
+        let logger = &self.shared.logger;
+        let counters = &self.shared.counters;
+        match action {
+            FeedAction::Push { origin, entries } => self.push(origin, &entries),
+            FeedAction::Pull { peer, from } => {
+                if !self.pull(peer, &SyncRequest::Feed { from }) {
+                    self.stream.feed.on_pull_failed(peer);
+                }
+            }
+            FeedAction::Stalled(rule) => {
+                self.stream.join.on_outage();
+                warn!(logger, ""; "event" => Event::Stalled, "rule" => rule);
+            }
+            FeedAction::Diverged(source) => {
+                counters.count("swiftcart_diverged_total", "source", source.as_str());
+                warn!(logger, ""; "event" => Event::Diverged, "source" => ?source);
+            }
+            FeedAction::NoStart(first) => {
+                self.stream.join.on_outage();
+                warn!(logger, ""; "event" => Event::NoStart, "first" => first.0);
+            }
+            FeedAction::AppendCheckpoint(checkpoint) => self.append(checkpoint),
+            FeedAction::Applied(_) => {}
+        }
+    }
+
+    /// Passes records on to this node's children in the tree of `origin`.
+    fn push(&self, origin: NodeId, entries: &[Entry]) {
+        let fanout = usize::try_from(self.shared.settings.gossip.fanout).unwrap_or(1);
+        let head = self.stream.feed.head();
+        let offer = Datagram::Offer { origin, head };
+        let datagram = match postcard::to_stdvec(entries) {
+            Ok(entries) if entries.len() <= PUSH_BYTES => Datagram::Push { origin, entries },
+            Ok(_) | Err(_) => offer,
+        };
+        for child in children(&self.roster.near, origin, self.shared.id, fanout) {
+            self.net.send(child, &datagram);
+        }
+    }
+
+    fn append(&self, checkpoint: Checkpoint) {
+        let body = Envelope::new(Body::Checkpoint(checkpoint));
+        let platform = self.reader.platform().clone();
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let result = platform.append(STREAM, &body.encode()).await.map(drop);
+            // The control loop is gone when the node has stopped.
+            drop(sender.send(Input::Appended(result)).await);
+        });
+    }
+
+    /// Asks peers how far this node was, while the platform is out of reach.
+    pub(super) fn ask_floors(&mut self, now: Instant, duty: Duty) {
+        if !duty.joining || !self.down {
+            return;
+        }
+        for peer in self.stream.join.asks(now, &self.roster.asked) {
+            self.net.send(peer, &Datagram::FloorAsk);
+        }
+    }
+
+    pub(super) fn duty(&mut self, now: Instant) -> Duty {
+        Duty {
+            rank: self.roster.rank,
+            joining: self.stream.served(now).is_err(),
+            known: self.roster.known,
+        }
+    }
+}
--- a/crates/swiftcart-node/src/control/roster.rs
+++ b/crates/swiftcart-node/src/control/roster.rs
@@ -9,6 +9,8 @@
     pub(super) near: Vec<NodeId>,
     /// The nodes that hear of a version before it is put in force.
     pub(super) witnesses: Vec<NodeId>,
+    /// The nodes that a joiner asks how far it was: `near` and the witnesses elsewhere.
+    pub(super) asked: Vec<NodeId>,
     /// This node's rank among `near` for reading the platform's log.
     pub(super) rank: usize,
     /// All live nodes that are known.
@@ -29,8 +31,12 @@
             .map(|m| m.id)
             .collect();
         let ranked = rank(&near, &me.domain.0);
+        let witnesses = witnesses(me.id, &near, &far);
+        let elsewhere = witnesses.iter().filter(|id| far.contains(id));
+        let others = near.iter().filter(|id| **id != me.id);
         Self {
-            witnesses: witnesses(me.id, &near, &far),
+            asked: others.chain(elsewhere).copied().collect(),
+            witnesses,
             rank: ranked.iter().position(|id| *id == me.id).unwrap_or(0),
             known: near.len() + far.len(),
             near,
