--- a/crates/swiftcart-core/src/feed/follow.rs
+++ b/crates/swiftcart-core/src/feed/follow.rs
@@ -1,19 +1,15 @@
 //! The feed's state machine: records and states in, a fold that only moves forward.
 
-use std::time::Duration;
+mod adopt;
+mod serve;
 
-use super::anchor::Log;
 use super::ring::Ring;
 use super::search::Search;
 use super::{Anchor, FeedAction, FeedCounts, FeedSettings, PullAnswer, Source};
 use crate::{
-    Agreement, Body, Checkpoint, CheckpointError, Entry, Envelope, Fold, FoldError, Head, Instant,
-    NodeId, Offset, Verdict, Version,
+    Agreement, Checkpoint, Entry, Fold, FoldError, Head, Instant, NodeId, Offset, Verdict, Version,
 };
 
-/// Records after the cached state that make an answer to a pull take a newer one.
-const STATE_LAG: u64 = 64;
-
 /// Follows the configuration stream for one node.
 ///
 /// Records reach it in pages of the platform, as pushes and in answers to pulls,
@@ -210,112 +206,6 @@
         self.end_pull(peer);
     }
 
-    /// Answers the pull of another node whose next record is `from`.
-    pub fn answer(&mut self, from: Offset) -> PullAnswer {
-        let next = self.fold.position();
-        match self.ring.from(from, self.settings.reply_bytes) {
-            _ if from >= next => PullAnswer::Current,
-            Some(entries) => PullAnswer::Entries { entries, next },
-            None => self.answer_state(next),
-        }
-    }
-
-    /// Asks for a checkpoint when one is due for a reader of this rank.
-    ///
-    /// `now_ms` is the platform's clock; rank 0 goes first.
-    pub fn on_tick(&mut self, now_ms: u64, rank: usize) -> Option<FeedAction> {
-        let retry = self.settings.checkpoint_retry;
-        let since = |ms| Duration::from_millis(now_ms.saturating_sub(ms));
-        let log = Log {
-            first: self.first,
-            now_ms,
-            position: self.fold.position(),
-        };
-        match self.anchor {
-            _ if self.stalled.is_some() => None,
-            _ if self.asked_ms.is_some_and(|ms| since(ms) < retry) => None,
-            Some(anchor) if anchor.is_due(&self.settings, log, rank) => {
-                self.asked_ms = Some(now_ms);
-                Some(FeedAction::AppendCheckpoint(self.fold.checkpoint()))
-            }
-            _ => None,
-        }
-    }
-
-    fn answer_state(&mut self, next: Offset) -> PullAnswer {
-        let bytes = self.settings.reply_bytes;
-        let is_near = |c: &Checkpoint| next.0.saturating_sub(c.position.0) <= STATE_LAG;
-        let cached = self.cache.take().filter(is_near);
-        let cached = cached.filter(|c| c.position == next || self.ring.at(c.position).is_some());
-        let checkpoint = cached.unwrap_or_else(|| self.fold.checkpoint());
-        self.cache = Some(checkpoint.clone());
-        PullAnswer::State {
-            entries: self
-                .ring
-                .from(checkpoint.position, bytes)
-                .unwrap_or_default(),
-            checkpoint,
-            anchor: self.anchor,
-            next,
-        }
-    }
-
-    /// Looks for a usable checkpoint: one whose later records are all still kept.
-    fn look(&mut self, entries: &[Entry]) -> Vec<FeedAction> {
-        for entry in entries {
-            if self.search.at() != Some(entry.offset) {
-                continue;
-            }
-            self.search = self.search.stepped();
-            let Ok(Body::Checkpoint(checkpoint)) = Envelope::decode(&entry.body).map(|e| e.body)
-            else {
-                continue;
-            };
-            let kept = self.first..=entry.offset;
-            let anchor = Anchor {
-                from: checkpoint.position,
-                at_ms: entry.at_ms,
-            };
-            let before = self.counts.adopted;
-            let actions = match kept.contains(&checkpoint.position) {
-                true => self.adopt(&checkpoint, Some(anchor), Source::Platform),
-                false => Vec::new(),
-            };
-            if self.counts.adopted > before {
-                return actions;
-            }
-        }
-        Vec::new()
-    }
-
-    /// Takes over a state that lies ahead; anything else changes nothing.
-    fn adopt(
-        &mut self,
-        checkpoint: &Checkpoint,
-        anchor: Option<Anchor>,
-        source: Source,
-    ) -> Vec<FeedAction> {
-        let (position, version) = (self.fold.position(), self.fold.version());
-        match Fold::from_checkpoint(checkpoint) {
-            Ok(fold) if fold.position() > position && fold.version() >= version => {
-                self.fold = fold;
-                self.ring.clear();
-                self.search = Search::None;
-                self.stalled = None;
-                self.anchor = anchor.or(self.anchor);
-                self.counts.adopted += 1;
-                self.applied(version)
-            }
-            Ok(fold) if fold.position() > position => self.diverged(source),
-            Ok(fold) if fold.position() == position && fold != self.fold => self.diverged(source),
-            Err(CheckpointError::UnknownRule(rule)) => self.stall(rule),
-            Ok(_) | Err(_) => {
-                self.counts.refused += 1;
-                Vec::new()
-            }
-        }
-    }
-
     /// Folds the records that come next and skips those that are known.
     fn fold_all(
         &mut self,
--- a/crates/swiftcart-core/tests/config.rs
+++ b/crates/swiftcart-core/tests/config.rs
@@ -284,6 +284,23 @@
     assert_ne!(fold.verdict_of(PublishId(100)), Some(earlier));
 }
 
+/// More removed rows than are remembered leave no edit of one from an older base.
+#[test]
+fn a_forgotten_removed_row_makes_older_bases_stale() {
+    let prefix = |i: usize| format!("/{i}/{}", "x".repeat(200));
+    let long = (0..100).fold(base_table(), |table, i| table.with_route(prefix(i), "a", 1));
+    let mut fold = Fold::new();
+    send(&mut fold, publish(1, 0, diff(&Table::new(), &long)));
+    send(&mut fold, publish(2, 1, vec![set("/x", "a", 2)]));
+    send(
+        &mut fold,
+        publish(3, 2, diff(&long, &base_table())[1..].to_vec()),
+    );
+    let back = publish(4, 2, vec![set(&prefix(99), "a", 1)]);
+    let stale = Verdict::Rejected(Rejection::StaleBase(Version(3)));
+    assert_eq!(send(&mut fold, back), stale);
+}
+
 /// The greatest state that the bounds allow still fits into one record.
 #[test]
 fn the_greatest_checkpoint_fits_into_a_record() {
--- a/crates/swiftcart-core/tests/feed.rs
+++ b/crates/swiftcart-core/tests/feed.rs
@@ -244,11 +244,46 @@
     );
 }
 
-#[test]
-fn a_checkpoint_in_the_log_ends_the_need() {
+/// Records 0 to 9 are publishes; a checkpoint of position 10 would otherwise be due.
+#[rstest]
+#[case::a_checkpoint_ends_the_need(0, vec![checkpoint_entry(10, 10)], false)]
+#[case::a_late_one_does_not_renew_it(
+    0,
+    vec![checkpoint_entry(10, 10), checkpoint_entry(9, 11)],
+    false
+)]
+#[case::the_needed_record_has_expired(11, vec![checkpoint_entry(10, 10)], true)]
+fn a_page_moves_what_is_needed(
+    #[case] first: u64,
+    #[case] entries: Vec<Entry>,
+    #[case] expected: bool,
+) {
     let mut feed = reader(10);
-    feed.on_page(Offset(0), Offset(11), vec![checkpoint_entry(10, 10)]);
-    assert_eq!(feed.on_tick(400_000, 0), None);
+    let next = Offset(10 + entries.len() as u64);
+    feed.on_page(Offset(0), next, entries);
+    feed.on_page(Offset(first), next, vec![]);
+    assert_eq!(feed.on_tick(509_999, 0).is_some(), expected);
+}
+
+#[test]
+fn a_later_position_with_an_older_version_is_refused() {
+    let mut other = feed(3);
+    other.on_push(
+        at(0),
+        id(9),
+        id(9),
+        (0..5).map(|n| entry(n, "{".into())).collect(),
+    );
+    let mut feed = reader(2);
+    let answer = PullAnswer::State {
+        checkpoint: other.fold().checkpoint(),
+        anchor: None,
+        entries: vec![],
+        next: Offset(5),
+    };
+    let diverged = FeedAction::Diverged(Source::Peer(id(2)));
+    assert_eq!(feed.on_pull_reply(at(0), id(2), answer), [diverged]);
+    assert_eq!(feed.fold(), reader(2).fold());
 }
 
 #[rstest]
