Read claims on past a page of long records

Cause: the platform client refuses a page above 8 MiB; the claim streams' reader asked for the same 200 records again for ever, so its keyed requests would have answered catching-up until the records expired. Ruled out: a smaller page for all, which costs reads in the ordinary case. Change: PageLimit in the platform's client shrinks on too large a page and grows back; the control reader, the claim reader and the tool share it, where two had their own. Conclusion: every reader of the log gets past records of any allowed length.

--- a/crates/swiftcart-cli/src/journal.rs
+++ b/crates/swiftcart-cli/src/journal.rs
@@ -8,7 +8,7 @@
     Body, CheckpointError, Entry, Envelope, Fold, Offset, Publish, PublishId, RecordError,
     Rejection, Table, Verdict, Version,
 };
-use swiftcart_platform::{Page, Platform, PlatformError};
+use swiftcart_platform::{Page, PageLimit, Platform, PlatformError};
 
 use crate::{Error, Retry};
 
@@ -47,7 +47,7 @@
 pub struct Journal<'a> {
     platform: &'a Platform,
     keep: Keep,
-    limit: u32,
+    limit: PageLimit,
     fold: Fold,
     table: Option<Arc<Table>>,
     own: Option<Decided>,
@@ -142,7 +142,7 @@
         let mut journal = Self {
             platform,
             keep,
-            limit: PAGE,
+            limit: PageLimit::new(PAGE),
             fold: Fold::new(),
             table: None,
             own: None,
@@ -178,9 +178,9 @@
     /// Reads one page, in smaller pieces when it is too large.
     async fn page(&mut self, from: Offset, wait: Duration) -> Result<Page, Stop> {
         loop {
-            let read = self.platform.read(STREAM, from, self.limit, wait).await;
-            match read {
-                Err(PlatformError::TooLarge) if self.limit > 1 => self.limit /= 2,
+            let limit = self.limit.records();
+            match self.platform.read(STREAM, from, limit, wait).await {
+                Err(e) if self.limit.shrink(&e) => {}
                 result => return result.map_err(Stop::Platform),
             }
         }
--- a/crates/swiftcart-node/src/calls/keyed/partition.rs
+++ b/crates/swiftcart-node/src/calls/keyed/partition.rs
@@ -10,7 +10,7 @@
     Appended, Claim, ClaimAction, ClaimPage, ClaimSettings, ClaimTicket, Claimant, Decision,
     Finish, Outcome, PlatformTime, Refusal, ServiceName, Start, claim_stream,
 };
-use swiftcart_platform::{Fate, Platform, PlatformError};
+use swiftcart_platform::{Fate, PageLimit, Platform, PlatformError};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{sleep, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -165,6 +165,7 @@
     }
 
     async fn read_on(&self) {
+        let mut limit = PageLimit::new(BATCH);
         loop {
             let (from, caught) = {
                 let state = self.lock();
@@ -172,8 +173,12 @@
             };
             // Nothing to wait for before the end was seen: an empty stream has one, too.
             let wait = if caught { WAIT } else { Duration::ZERO };
-            match self.platform.read(&self.stream, from, BATCH, wait).await {
+            let read = self
+                .platform
+                .read(&self.stream, from, limit.records(), wait);
+            match read.await {
                 Ok(page) => {
+                    limit.grow();
                     let page = ClaimPage {
                         first: page.first,
                         next: page.next,
@@ -187,6 +192,7 @@
                     drop(state);
                     self.changed.notify_one();
                 }
+                Err(err) if limit.shrink(&err) => {}
                 Err(err) => {
                     self.count("swiftcart_claim_read_failures_total", err.as_str());
                     sleep(PAUSE).await;
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use swiftcart_core::{Instant, Offset};
-use swiftcart_platform::{Page, Platform, PlatformError};
+use swiftcart_platform::{Page, PageLimit, Platform, PlatformError};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -37,7 +37,7 @@
     inputs: mpsc::Sender<Input>,
     rng: SmallRng,
     readers: usize,
-    page: u32,
+    limit: PageLimit,
     task: Option<JoinHandle<()>>,
     long: bool,
     next: Instant,
@@ -69,7 +69,7 @@
             inputs,
             rng,
             readers,
-            page: PAGE,
+            limit: PageLimit::new(PAGE),
             task: None,
             long: false,
             next: Instant::default(),
@@ -98,17 +98,13 @@
         let wait = match result {
             Ok(_) => {
                 self.failures = 0;
-                self.page = self.page.saturating_mul(2).min(PAGE);
+                self.limit.grow();
                 match duty.rank < self.readers || duty.joining {
                     true => Duration::ZERO,
                     false => self.standby(duty.rank),
                 }
             }
-            Err(PlatformError::TooLarge) if self.page > 1 => {
-                self.page /= 4;
-                self.page = self.page.max(1);
-                Duration::ZERO
-            }
+            Err(e) if self.limit.shrink(e) => Duration::ZERO,
             Err(e) => {
                 self.failures = self.failures.saturating_add(1);
                 e.retry_after().unwrap_or_default().max(self.backoff())
@@ -148,7 +144,7 @@
             false => Duration::ZERO,
         };
         let (platform, inputs) = (self.platform.clone(), self.inputs.clone());
-        let (shared, limit) = (Arc::clone(&self.shared), self.page);
+        let (shared, limit) = (Arc::clone(&self.shared), self.limit.records());
         let name = "swiftcart_platform_reads_total";
         let kind = if long { "long-poll" } else { "once" };
         self.shared.counters.count(name, "kind", kind);
--- a/crates/swiftcart-node/tests/keyed.rs
+++ b/crates/swiftcart-node/tests/keyed.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use bytes::Bytes;
-use common::{Got, SERVICE, backend_at, call, log_with, node, request, until};
+use common::{Got, SERVICE, backend_at, call, log_with, node, request, until, until_async};
 use http::Request;
 use http_body_util::Full;
 use rstest::rstest;
@@ -144,3 +144,21 @@
     assert_eq!(again.told(), (502, "unknown", "answer-broken"));
     assert_eq!(backend.runs_by_key(KEY.1).started, 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_partition_with_more_than_a_page_of_long_records_is_read_in_smaller_pages() {
+    let log = log_with(Limits::default()).await;
+    // Each byte takes two in JSON, which the log does not count.
+    let long = "\"".repeat(250 * 1024);
+    for partition in 0..8 {
+        for _ in 0..18 {
+            let stream = format!("claims-{SERVICE}-{partition}");
+            log.append(&stream, &long).unwrap();
+        }
+    }
+    let node = node(&log).await;
+    let backend = backend_at(&node, BackendSettings::new(SERVICE)).await;
+    let told = async || call(&node, with_body("pitch 7")).await.told().0;
+    until_async(async || told().await == 200).await;
+    assert_eq!(backend.runs_by_key(KEY.1), ONCE);
+}
--- a/crates/swiftcart-platform/src/lib.rs
+++ b/crates/swiftcart-platform/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod client;
 mod error;
+mod limit;
 mod wire;
 
 pub use client::*;
 pub use error::*;
+pub use limit::PageLimit;
