Use an address that nobody listens on for a dead node

Cause: a run of all tests failed once in a_wait_that_times_out_names_the_stragglers: the dead node's address was a port that had been free, and another test's node had got it meanwhile and answered version 0. Ruled out: the tool; it named what answered it. Conclusion: no test takes a freed port for a dead one any more.

--- a/crates/swiftcart-cli/tests/status.rs
+++ b/crates/swiftcart-cli/tests/status.rs
@@ -68,9 +68,9 @@
 }
 
 /// Returns an address on which nothing listens.
-async fn nowhere() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    listener.local_addr().expect("a bound port")
+/// Nothing listens here; a port that was free once may be another test's by now.
+fn nowhere() -> SocketAddr {
+    SocketAddr::from(([127, 255, 255, 254], 1))
 }
 
 async fn published() -> Shell {
@@ -88,12 +88,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn status_names_versions_stragglers_and_nodes_out_of_reach() {
     let shell = published().await;
-    let cut = member(SUR, nowhere().await);
-    let mut dead = member(DEAD, nowhere().await);
+    let cut = member(SUR, nowhere());
+    let mut dead = member(DEAD, nowhere());
     dead.liveness = Liveness::Dead;
     dead.backend = None;
     let (norte, version) = node(NORTE, 1, vec![cut, dead]).await;
-    let words = format!("--node {} --node {} status", nowhere().await, norte.admin);
+    let words = format!("--node {} --node {} status", nowhere(), norte.admin);
     let expected = [
         "node domain service liveness version ready note",
         "127.0.0.1:7101 norte booking alive 1 yes",
@@ -161,7 +161,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_wait_that_times_out_names_the_stragglers() {
     let shell = published().await;
-    let cut = member(SUR, nowhere().await);
+    let cut = member(SUR, nowhere());
     let (norte, _) = node(NORTE, 0, vec![cut]).await;
     shell.sheet("edit.csv", 1, "service,booking,,,60,10,2000\n");
     let words = format!("--node {} table publish edit.csv --wait 1", norte.admin);
@@ -186,12 +186,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_wait_that_no_node_answers_is_not_called_done() {
     let shell = published().await;
-    let words = format!(
-        "--node {} table publish first.csv --wait=1",
-        nowhere().await
-    );
+    let words = format!("--node {} table publish first.csv --wait=1", nowhere());
     let told = shell.run(&words);
     assert_eq!(told.code, Some(6), "{told:?}");
-    let told = shell.run(&format!("--node {} status", nowhere().await));
+    let told = shell.run(&format!("--node {} status", nowhere()));
     assert_eq!(told.code, Some(1), "{told:?}");
 }
--- a/crates/swiftcart-platform/tests/answers.rs
+++ b/crates/swiftcart-platform/tests/answers.rs
@@ -125,9 +125,8 @@
 
 #[tokio::test]
 async fn nobody_listening_means_not_taken() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let addr = listener.local_addr().expect("a bound port");
-    drop(listener);
+    // A port that was free once may be another test's by now.
+    let addr = SocketAddr::from(([127, 255, 255, 254], 1));
     let result = client(addr).append("config", "body").await;
     assert_eq!(result, Err(PlatformError::Connect));
 }
