Back off from a platform that is out, in every reader alike

Ruled out: one read for all partitions, which the platform does not offer. Change: Backoff in the platform's client doubles from 0.5 to 4 s with jitter and never waits less than the platform asks for; the configuration reader, which had its own, and the claim readers share it. Before and after: waits 250, 250, 250 ms -> up to 500, 1000, 2000, 4000 ms, less half by jitter (table of cases). The load of a returning fleet was not measured. Conclusion: the tests of node and platform client pass.

--- a/crates/swiftcart-node/src/calls/keyed/partition.rs
+++ b/crates/swiftcart-node/src/calls/keyed/partition.rs
@@ -10,7 +10,7 @@
     Appended, Claim, ClaimAction, ClaimPage, ClaimSettings, ClaimTicket, Claimant, Decision,
     Finish, Outcome, PlatformTime, Refusal, ServiceName, Start, claim_stream,
 };
-use swiftcart_platform::{Fate, PageLimit, Platform, PlatformError};
+use swiftcart_platform::{Backoff, Fate, PageLimit, Platform, PlatformError};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{sleep, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -22,9 +22,6 @@
 /// The longest wait of one read for new records.
 const WAIT: Duration = Duration::from_secs(20);
 
-/// The pause after a read failed.
-const PAUSE: Duration = Duration::from_millis(250);
-
 /// Records read at once.
 const BATCH: u32 = 200;
 
@@ -166,6 +163,7 @@
 
     async fn read_on(&self) {
         let mut limit = PageLimit::new(BATCH);
+        let mut backoff = Backoff::new();
         loop {
             let (from, caught) = {
                 let state = self.lock();
@@ -179,6 +177,7 @@
             match read.await {
                 Ok(page) => {
                     limit.grow();
+                    backoff.succeeded();
                     let page = ClaimPage {
                         first: page.first,
                         next: page.next,
@@ -195,7 +194,7 @@
                 Err(err) if limit.shrink(&err) => {}
                 Err(err) => {
                     self.count("swiftcart_claim_read_failures_total", err.as_str());
-                    sleep(PAUSE).await;
+                    sleep(with_rng(|rng| backoff.failed(&err, rng))).await;
                 }
             }
         }
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use swiftcart_core::{Instant, Offset};
-use swiftcart_platform::{Page, PageLimit, Platform, PlatformError};
+use swiftcart_platform::{Backoff, Page, PageLimit, Platform, PlatformError};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -20,8 +20,6 @@
 const PAGE: u32 = 256;
 /// How long the platform holds a read that has nothing to tell.
 const LONG_POLL: Duration = Duration::from_secs(10);
-/// Wait after a failed read; each further failure doubles it up to the longest.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
 /// The first stand-in reads this often, and each further one half as often.
 const STANDBY: Duration = Duration::from_secs(5);
 /// Nodes behind the readers that read now and then, in case the readers cannot.
@@ -43,7 +41,7 @@
     next: Instant,
     /// When this node found out how many others there are and drew its turn.
     turn: Option<Instant>,
-    failures: u32,
+    backoff: Backoff,
 }
 
 /// What the reader knows of the node's part at the moment.
@@ -74,7 +72,7 @@
             long: false,
             next: Instant::default(),
             turn: None,
-            failures: 0,
+            backoff: Backoff::new(),
         }
     }
 
@@ -97,7 +95,7 @@
         self.task = None;
         let wait = match result {
             Ok(_) => {
-                self.failures = 0;
+                self.backoff.succeeded();
                 self.limit.grow();
                 match duty.rank < self.readers || duty.joining {
                     true => Duration::ZERO,
@@ -105,10 +103,7 @@
                 }
             }
             Err(e) if self.limit.shrink(e) => Duration::ZERO,
-            Err(e) => {
-                self.failures = self.failures.saturating_add(1);
-                e.retry_after().unwrap_or_default().max(self.backoff())
-            }
+            Err(e) => self.backoff.failed(e, &mut self.rng),
         };
         self.next = now + wait;
     }
@@ -166,13 +161,6 @@
         let wait = STANDBY.saturating_mul(1 << behind.min(8));
         wait.mul_f64(self.rng.random_range(0.8..1.2))
     }
-
-    fn backoff(&mut self) -> Duration {
-        let doubled = BACKOFF.0.saturating_mul(1 << self.failures.min(8));
-        doubled
-            .min(BACKOFF.1)
-            .mul_f64(self.rng.random_range(0.5..1.0))
-    }
 }
 
 impl Drop for Reader {
--- a/crates/swiftcart-platform/src/lib.rs
+++ b/crates/swiftcart-platform/src/lib.rs
@@ -4,11 +4,13 @@
 //! when to try again is the caller's decision, for which [`PlatformError::fate`]
 //! tells whether an append may have taken effect.
 
+mod backoff;
 mod client;
 mod error;
 mod limit;
 mod wire;
 
+pub use backoff::Backoff;
 pub use client::*;
 pub use error::*;
 pub use limit::PageLimit;
