--- a/crates/swiftcart-core/src/claim/place.rs
+++ b/crates/swiftcart-core/src/claim/place.rs
@@ -1,8 +1,6 @@
 //! Where a key's claims stand, and which guards should take its requests.
 
-use std::cmp::Reverse;
-
-use crate::{ClaimKey, NodeId, ServiceName};
+use crate::{ClaimKey, NodeId, ServiceName, rank};
 
 impl ClaimKey {
     /// Returns the key's partition among `partitions` of its service.
@@ -44,14 +42,5 @@
 /// ```
 #[must_use]
 pub fn prefer(service: &ServiceName, partition: u16, guards: &[NodeId]) -> Vec<NodeId> {
-    let stream = claim_stream(service, partition);
-    let mut order = guards.to_vec();
-    order.sort_by_cached_key(|guard| (Reverse(weight(&stream, *guard)), *guard));
-    order
-}
-
-fn weight(stream: &str, guard: NodeId) -> u64 {
-    let hash = blake3::hash(format!("{stream} {guard}").as_bytes());
-    let [a, b, c, d, e, f, g, h, ..] = *hash.as_bytes();
-    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    rank(guards, &claim_stream(service, partition))
 }
