Keep what the control loop shows in one file

Cause: read as a newcomer, publish.rs called a function of control_loop.rs to build what it publishes, under a name that differed by a preposition. Change: the builder of the progress stands beside its only use; names follow.

--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -8,7 +8,7 @@
 use slog::{info, warn};
 use swiftcart_core::{
     Backend, Datagram, Incarnation, Instant, Liveness, Member, Membership, MeshKey, NodeId,
-    SyncReply, SyncRequest, Version,
+    SyncReply, SyncRequest,
 };
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
@@ -22,7 +22,7 @@
 use super::sync_server::{Pending, SyncServer};
 use super::{ControlError, Input};
 use crate::logging::{Event, unix_ms};
-use crate::shared::{Phase, Progress, Shared};
+use crate::shared::{Phase, Shared};
 
 /// Time between two ticks of the state machines.
 const TICK: Duration = Duration::from_millis(50);
@@ -213,7 +213,7 @@
         if std::mem::take(&mut self.stale) || entering {
             publish::view(self, now);
         }
-        publish::progress_of(self, now);
+        publish::progress(self, now);
     }
 }
 
@@ -230,13 +230,3 @@
         backend: shared.backend.borrow().clone(),
     }
 }
-
-/// What operators see of the stream.
-pub(super) fn progress(stream: &Stream, version: Version) -> Progress {
-    Progress {
-        version,
-        position: stream.feed.fold().position(),
-        digest: stream.feed.fold().digest(),
-        stalled_rule: stream.feed.stalled(),
-    }
-}
--- a/crates/swiftcart-node/src/control/publish.rs
+++ b/crates/swiftcart-node/src/control/publish.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use slog::info;
-use swiftcart_core::{Instant, Member, NotReady, View};
+use swiftcart_core::{Instant, Member, NotReady, Version, View};
 
-use super::control_loop::{Control, progress};
+use super::control_loop::Control;
+use super::stream::Stream;
 use crate::logging::Event;
-use crate::shared::Phase;
+use crate::shared::{Phase, Progress};
 
 /// Tells whether the node may serve, and if not, what it waits for.
 pub(super) fn phase(control: &mut Control, now: Instant) -> Phase {
@@ -20,7 +21,7 @@
 }
 
 /// Publishes the place in the stream and whether the node may serve.
-pub(super) fn progress_of(control: &mut Control, now: Instant) {
+pub(super) fn progress(control: &mut Control, now: Instant) {
     let shared = Arc::clone(&control.shared);
     let phase = phase(control, now);
     let served = control.stream.served(now).map(|(version, _)| version);
@@ -28,7 +29,7 @@
         Ok(version) => version,
         Err(_) => shared.progress.load().version,
     };
-    let new = progress(&control.stream, version);
+    let new = seen(&control.stream, version);
     if **shared.progress.load() != new {
         shared.progress.store(Arc::new(new));
     }
@@ -70,3 +71,13 @@
         _ => Phase::NoConfig,
     }
 }
+
+/// What operators see of the stream.
+fn seen(stream: &Stream, version: Version) -> Progress {
+    Progress {
+        version,
+        position: stream.feed.fold().position(),
+        digest: stream.feed.fold().digest(),
+        stalled_rule: stream.feed.stalled(),
+    }
+}
