Carry state pulls over plain TCP in place of nng

On the users' platform memory and wake-ups are priced and a clean machine has no cmake: `cargo build` fails there.

Ruled out: fewer nng threads (1.x fixes their number when it is built); pulls over HTTP on the peer listener (a second protocol on the callers' path for one frame each way).

Change: a frame is four bytes of length and a sealed message; one connection a pull, eight served at a time, both ends bounded in bytes and time. Address, messages and seals stay.

Conclusion: house style asks for nng where it fits; here it does not earn its place.

--- a/crates/swiftcart-core/src/member/entry.rs
+++ b/crates/swiftcart-core/src/member/entry.rs
@@ -108,7 +108,7 @@
 pub struct Member {
     /// The node's name and address for membership datagrams (UDP).
     pub id: NodeId,
-    /// Where the node pulls and serves state (TCP, `nng`).
+    /// Where the node pulls and serves state (TCP).
     pub sync: SocketAddr,
     /// Where other nodes hand it requests for its own backend server (HTTP).
     pub peer: SocketAddr,
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -7,6 +7,7 @@
 mod control_loop;
 mod error;
 mod following;
+mod frames;
 mod members;
 mod net;
 mod publish;
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -60,7 +60,7 @@
         let key = MeshKey::from_secret(settings.mesh_key.as_str());
         let net = Net::bind(Arc::clone(&shared), key.clone()).await?;
         let (pending, asked) = mpsc::channel(QUEUE);
-        let server = SyncServer::bind(settings.listen.sync, &pending)?;
+        let server = SyncServer::bind(settings.listen.sync, pending).await?;
         let (sender, inputs) = mpsc::channel(QUEUE);
         let mut rng = SmallRng::from_os_rng();
         let seeds = settings.seeds.iter().copied().map(NodeId).collect();
--- a/crates/swiftcart-node/src/control/error.rs
+++ b/crates/swiftcart-node/src/control/error.rs
@@ -16,16 +16,20 @@
             display("listen.gossip: {addr} cannot be bound: {err}: free the port or choose another")
         }
         /// The socket for state pulls cannot be opened.
-        Pulls(addr: SocketAddr, err: nng::Error) {
+        Pulls(addr: SocketAddr, err: io::Error) {
             source(err)
             display("listen.sync: {addr} cannot be listened on: {err}: free the port or choose another")
         }
         /// A pull failed on the way.
-        Sync(err: nng::Error) {
+        Sync(err: io::Error) {
             from()
             source(err)
             display("state pull failed: {err}")
         }
+        /// A pull took too long.
+        Slow {
+            display("state pull took too long")
+        }
         /// A message of a pull could not be sealed or opened.
         Wire(err: WireError) {
             from()
@@ -45,7 +49,7 @@
     pub const fn as_str(&self) -> &'static str {
         match self {
             Self::Datagrams(..) | Self::Pulls(..) => "listen",
-            Self::Sync(nng::Error::TimedOut) => "timeout",
+            Self::Slow => "timeout",
             Self::Sync(_) => "connection",
             Self::Wire(e) => e.as_str(),
             Self::Unknown => "unknown-address",
--- a/crates/swiftcart-node/src/control/pulls.rs
+++ b/crates/swiftcart-node/src/control/pulls.rs
@@ -107,7 +107,7 @@
     pub(super) fn answer(&self, pending: Pending, reply: &SyncReply) {
         if let Ok(frame) = seal_sync(reply, self.shared.id, &self.key) {
             count(&self.shared, Traffic::PullsSent, frame.len());
-            pending.answer(&frame);
+            pending.answer(frame);
         }
     }
 }
--- a/crates/swiftcart-node/src/control/sync_server.rs
+++ b/crates/swiftcart-node/src/control/sync_server.rs
@@ -1,35 +1,35 @@
-//! Serves state pulls of other nodes over `nng` request/reply.
-//!
-//! The number of `nng` contexts bounds the pulls in progress; further requests
-//! wait in the sender's socket until its timeout.
+//! Serves state pulls of other nodes, a bounded number at a time.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
-use nng::options::{Options, RecvMaxSize};
-use nng::{Aio, AioResult, Context, Protocol, Socket};
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
 
-use super::ControlError;
+use super::{ControlError, frames};
 
-/// Pulls served at the same time.
-const CONTEXTS: usize = 8;
-/// Largest accepted request, in bytes.
+/// Pulls served at the same time; further ones wait in the listener's queue.
+const PLACES: usize = 8;
+/// Longest request that is accepted, in bytes; a member pull with all its buckets has 1.3 kB.
 const REQUEST_BYTES: usize = 4096;
+/// Longest time for one pull, as the asker bounds it too.
+const PULL_TIME: Duration = Duration::from_secs(2);
+/// The pause after a connection could not be accepted, for want of descriptors perhaps.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts pulls and hands them to the control loop.
+/// Accepts pulls and hands them to the control loop until it is dropped.
 #[derive(Debug)]
-pub(super) struct SyncServer {
-    socket: Socket,
-    workers: Vec<(Aio, Context)>,
-}
+pub(super) struct SyncServer(JoinHandle<()>);
 
 /// Holds one sealed request and the way back to its sender.
 #[derive(Debug)]
 pub(super) struct Pending {
     /// The sealed request.
     pub(super) frame: Vec<u8>,
-    aio: Aio,
-    context: Context,
+    answer: oneshot::Sender<Vec<u8>>,
 }
 
 impl SyncServer {
@@ -38,71 +38,58 @@
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
-    pub(super) fn bind(
+    pub(super) async fn bind(
         addr: SocketAddr,
-        requests: &mpsc::Sender<Pending>,
+        requests: mpsc::Sender<Pending>,
     ) -> Result<Self, ControlError> {
-        let socket = Socket::new(Protocol::Rep0)?;
-        socket.set_opt::<RecvMaxSize>(REQUEST_BYTES)?;
-        let workers = (0..CONTEXTS)
-            .map(|_| worker(&socket, requests.clone()))
-            .collect::<Result<Vec<_>, nng::Error>>()?;
-        socket
-            .listen(&format!("tcp://{addr}"))
-            .map_err(|e| ControlError::Pulls(addr, e))?;
-        for (aio, context) in &workers {
-            context.recv(aio)?;
-        }
-        Ok(Self { socket, workers })
+        let listener = TcpListener::bind(addr).await;
+        let listener = listener.map_err(|e| ControlError::Pulls(addr, e))?;
+        Ok(Self(tokio::spawn(accept(listener, requests))))
     }
 }
 
 impl Pending {
     /// Sends the sealed answer; a lost connection is the asker's to notice.
-    pub(super) fn answer(self, frame: &[u8]) {
-        if self.context.send(&self.aio, frame).is_err() {
-            // The context is closing; nobody waits for the answer any more.
-        }
+    pub(super) fn answer(self, frame: Vec<u8>) {
+        // The task that holds the connection ends with it; then nobody needs the answer.
+        drop(self.answer.send(frame));
     }
 }
 
 impl Drop for SyncServer {
     fn drop(&mut self) {
-        self.socket.close();
-        // A callback that still runs must not hold the last handle: it would wait for itself.
-        self.workers.iter().for_each(|(aio, _)| aio.wait());
+        self.0.abort();
     }
 }
 
-impl Drop for Pending {
-    fn drop(&mut self) {
-        // A request that nobody answered frees its context for the next one.
-        // After `answer` the send is in progress and this call is refused.
-        self.context.recv(&self.aio).unwrap_or_default();
+async fn accept(listener: TcpListener, requests: mpsc::Sender<Pending>) {
+    let places = Arc::new(Semaphore::new(PLACES));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let requests = requests.clone();
+        tokio::spawn(async move {
+            // A pull that fails or takes too long is the asker's to repeat.
+            drop(timeout(PULL_TIME, serve(stream, requests)).await);
+            drop(place);
+        });
     }
 }
 
-fn worker(socket: &Socket, requests: mpsc::Sender<Pending>) -> Result<(Aio, Context), nng::Error> {
-    let context = Context::new(socket)?;
-    let own = context.clone();
-    let aio = Aio::new(move |aio, result| on_event(&aio, &own, &requests, result))?;
-    Ok((aio, context))
-}
-
-fn on_event(aio: &Aio, context: &Context, requests: &mpsc::Sender<Pending>, result: AioResult) {
-    match result {
-        AioResult::Recv(Ok(message)) => {
-            let pending = Pending {
-                frame: message.as_slice().to_vec(),
-                aio: aio.clone(),
-                context: context.clone(),
-            };
-            // A full queue drops the request; the asker's timeout covers it.
-            drop(requests.try_send(pending));
-        }
-        AioResult::Recv(Err(nng::Error::Closed | nng::Error::Canceled)) => {}
-        AioResult::Send(_) | AioResult::Recv(Err(_)) | AioResult::Sleep(_) => {
-            context.recv(aio).unwrap_or_default();
-        }
+async fn serve(mut stream: TcpStream, requests: mpsc::Sender<Pending>) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let frame = frames::read(&mut stream, REQUEST_BYTES).await?;
+    let (answer, answered) = oneshot::channel();
+    // A full queue, or a request that does not hold, drops the sender; the asker's
+    // timeout covers it.
+    drop(requests.try_send(Pending { frame, answer }));
+    match answered.await {
+        Ok(frame) => frames::write(&mut stream, &frame).await,
+        Err(_) => Ok(()),
     }
 }
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -57,7 +57,7 @@
     pub admin: SocketAddr,
     /// Membership datagrams (UDP); also the node's name.
     pub gossip: SocketAddr,
-    /// State pulls of other nodes (`nng` over TCP).
+    /// State pulls of other nodes (length-prefixed frames over TCP).
     pub sync: SocketAddr,
 }
 
--- a/xtask/src/packages.rs
+++ b/xtask/src/packages.rs
@@ -8,12 +8,7 @@
 use crate::command::succeeds;
 
 /// Programs that must be found, and the Debian package that brings each.
-const NEEDED: [(&str, &str); 4] = [
-    ("cc", "gcc"),
-    ("cmake", "cmake"),
-    ("make", "make"),
-    ("spin", "spin"),
-];
+const NEEDED: [(&str, &str); 3] = [("cc", "gcc"), ("make", "make"), ("spin", "spin")];
 
 /// Installs missing packages when this user may, and else says what to type.
 ///
