--- /dev/null
+++ b/crates/swiftcart-core/src/budget.rs
@@ -0,0 +1,128 @@
+//! A budget of retries that all nodes of a mesh keep together, without a message.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::{Instant, ServiceName};
+
+/// The part of the mesh's budget that the nodes use.
+///
+/// A retry that is executed repeats the calls that its backend server makes, and those count
+/// as retries at the services that they go to, where nobody can tell them from first calls.
+/// A request makes up to 1.4 such calls on average, so that half of the budget is theirs.
+const USED_SHARE: f64 = 0.5;
+
+/// Sets the budget of the whole mesh at each service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetBudgetSettings {
+    /// Retries for each request, over the window.
+    pub share: f64,
+    /// Retries in the window that are there whatever the load, over all nodes.
+    pub floor: f64,
+    /// The window, in seconds.
+    pub window_s: u32,
+}
+
+/// Bounds this node's part of the retries at each service over a sliding window.
+///
+/// A node may use the share of the requests that it took itself, and the floor divided by
+/// the number of live nodes; so the sum over all nodes stays below the mesh's budget while
+/// they agree on that number.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{FleetBudget, FleetBudgetSettings, Instant, ServiceName};
+///
+/// let settings = FleetBudgetSettings { share: 0.2, floor: 8.0, window_s: 10 };
+/// let mut budget = FleetBudget::new(settings);
+/// let (now, booking) = (Instant::from_millis(0), ServiceName::new("booking"));
+/// assert!(budget.take(now, &booking, 2));
+/// assert!(budget.take(now, &booking, 2));
+/// assert!(!budget.take(now, &booking, 2));
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetBudget {
+    settings: FleetBudgetSettings,
+    services: BTreeMap<ServiceName, Window>,
+}
+
+/// What happened at one service in each second of the window.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+struct Window {
+    /// The number of the current second.
+    second: u64,
+    current: Counts,
+    /// The seconds before it, the oldest first.
+    past: VecDeque<Counts>,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct Counts {
+    requests: u32,
+    retries: u32,
+}
+
+impl FleetBudget {
+    /// Creates the budget of a node that has taken nothing yet.
+    #[must_use]
+    pub const fn new(settings: FleetBudgetSettings) -> Self {
+        Self {
+            settings,
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Counts a request for `service`.
+    pub fn first(&mut self, now: Instant, service: &ServiceName) {
+        let counts = self.second(now, service);
+        counts.requests = counts.requests.saturating_add(1);
+    }
+
+    /// Takes one retry at `service` out of the budget, if `nodes` live nodes leave one.
+    pub fn take(&mut self, now: Instant, service: &ServiceName, nodes: usize) -> bool {
+        let settings = self.settings;
+        self.second(now, service);
+        let Some(window) = self.services.get(service) else {
+            return false;
+        };
+        let total = window.total();
+        let own = settings.share * f64::from(total.requests);
+        let floor = settings.floor / nodes.max(1) as f64;
+        let there = f64::from(total.retries) + 1.0 <= USED_SHARE * (own + floor);
+        if there {
+            let counts = self.second(now, service);
+            counts.retries = counts.retries.saturating_add(1);
+        }
+        there
+    }
+
+    /// Returns the counts of the current second, after moving the window up to it.
+    fn second(&mut self, now: Instant, service: &ServiceName) -> &mut Counts {
+        let length = u64::from(self.settings.window_s.max(1));
+        let window = self.services.entry(service.clone()).or_default();
+        window.advance(now.elapsed(), length);
+        &mut window.current
+    }
+}
+
+impl Window {
+    fn advance(&mut self, now: Duration, length: u64) {
+        let second = now.as_secs();
+        for _ in 0..second.saturating_sub(self.second).min(length) {
+            self.past.push_back(std::mem::take(&mut self.current));
+        }
+        self.second = self.second.max(second);
+        while self.past.len() as u64 >= length {
+            self.past.pop_front();
+        }
+    }
+
+    fn total(&self) -> Counts {
+        let seconds = self.past.iter().chain([&self.current]);
+        seconds.fold(Counts::default(), |sum, second| Counts {
+            requests: sum.requests.saturating_add(second.requests),
+            retries: sum.retries.saturating_add(second.retries),
+        })
+    }
+}
--- a/crates/swiftcart-core/src/deadline.rs
+++ b/crates/swiftcart-core/src/deadline.rs
@@ -49,6 +49,12 @@
         Self(now + time)
     }
 
+    /// Creates the deadline that ends at `instant`.
+    #[must_use]
+    pub const fn at_instant(instant: Instant) -> Self {
+        Self(instant)
+    }
+
     /// Reads the time left in milliseconds, cut down to `longest`.
     ///
     /// # Errors
--- a/crates/swiftcart-core/src/feed.rs
+++ b/crates/swiftcart-core/src/feed.rs
@@ -8,6 +8,7 @@
 mod ring;
 mod search;
 mod settings;
+mod snapshots;
 mod tree;
 mod witness;
 
@@ -17,5 +18,6 @@
 pub use follow::*;
 pub use join::*;
 pub use settings::*;
+pub use snapshots::*;
 pub use tree::*;
 pub use witness::*;
--- a/crates/swiftcart-core/src/feed/action.rs
+++ b/crates/swiftcart-core/src/feed/action.rs
@@ -1,9 +1,11 @@
 //! What the feed asks its node to do, and what nodes hand each other.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use super::Anchor;
-use crate::{Checkpoint, Entry, NodeId, Offset, Version};
+use crate::{Checkpoint, Entry, NodeId, Offset, Snapshot, Version};
 
 /// Where records came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -52,6 +54,11 @@
     NoStart(Offset),
     /// Append this checkpoint to the log.
     AppendCheckpoint(Checkpoint),
+    /// Tell this node's children in the tree of `origin` how far this node is.
+    Offer {
+        /// The reader at the root of the tree.
+        origin: NodeId,
+    },
 }
 
 /// Answers a pull.
@@ -77,6 +84,8 @@
         /// This node's position.
         next: Offset,
     },
+    /// The newest version of a platform that judges versions itself.
+    Snapshot(Arc<Snapshot>),
 }
 
 /// Counts what the feed met, for metrics.
--- a/crates/swiftcart-core/src/lib.rs
+++ b/crates/swiftcart-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod balance;
+mod budget;
 mod claim;
 mod config;
 mod deadline;
@@ -20,6 +21,7 @@
 
 pub use admission::*;
 pub use balance::*;
+pub use budget::*;
 pub use claim::*;
 pub use config::*;
 pub use deadline::*;
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -4,13 +4,17 @@
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
 use super::spread::{Difference, status_of};
 use super::verdict::Watch;
-use super::{Action, Applied, Gossip, List, MemberCounts, NewsQueue, Probes, Reach, Relay};
+use super::{Action, Applied, Gossip, Kind, List, MemberCounts, NewsQueue, Probes, Reach, Relay};
 use crate::{Backend, Beat, Datagram, Head, Incarnation, Instant, Liveness, Member, News, NodeId};
 
+/// Seeds that are asked at once; some of those that a directory names may be gone.
+const SEEDS_AT_ONCE: usize = 6;
+
 /// Decides whom a node takes for alive, and what it tells the others.
 ///
 /// The process around it calls [`Membership::tick`] every 50 to 100 ms, hands in each
@@ -108,6 +112,26 @@
         }
     }
 
+    /// Adds addresses of nodes to join through, and asks some of them at once.
+    ///
+    /// While none of them has answered with its list of members, this node does not know
+    /// the members.
+    pub fn add_seeds(&mut self, now: Instant, seeds: Vec<NodeId>) -> Vec<Action> {
+        self.start(now);
+        for id in seeds {
+            if id != self.me.id && !self.seeds.contains(&id) {
+                self.seeds.push(id);
+            }
+        }
+        let unknown = |id: &&NodeId| !self.list.get(**id).is_some_and(|m| m.liveness.is_live());
+        let asked: Vec<NodeId> = self.seeds.iter().filter(unknown).copied().collect();
+        self.synced = self.synced && self.seeds.is_empty();
+        for id in asked.choose_multiple(&mut self.rng, SEEDS_AT_ONCE) {
+            self.probe_as(now, *id, Kind::Stray);
+        }
+        std::mem::take(&mut self.out)
+    }
+
     /// Moves time on: sends probes, gives up on those that missed theirs, asks for pulls.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         self.start(now);
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -145,6 +145,8 @@
     Misdirected, "misdirected", 421, NotRun;
     /// The node holds as many connections as it may.
     TooManyConnections, "too-many-connections", 503, NotRun;
+    /// The backend server says that it did not run the request.
+    Shed, "shed", 503, NotRun;
     /// The backend server did not take the connection.
     ConnectFailed, "connect-failed", 502, NotRun;
     /// The other node did not take the connection.
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -132,6 +132,90 @@
     }
 }
 
+/// The tries beyond the first that guards may refuse before a request is given up.
+///
+/// A guard's refusal costs a round trip and nothing at a backend server, so that it draws
+/// on no budget; but under overload every guard refuses.
+pub const MAX_REFUSED: u8 = 4;
+
+/// Holds what a route's policy says of tries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// Whether the request may be executed more than once.
+    pub idempotent: bool,
+    /// Backend servers that it may be sent to.
+    pub attempts: u8,
+}
+
+/// Counts the tries of one request under a route's policy.
+///
+/// Only what a backend server was sent counts against the attempts and the budget. A guard
+/// that refuses has sent nothing on.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use swiftcart_core::{Deadline, Instant, PolicyTries, Reason, Terms};
+///
+/// let now = Instant::from_millis(0);
+/// let due = Deadline::new(now, Duration::from_secs(1));
+/// let terms = Terms { idempotent: false, attempts: 2 };
+/// let mut tries = PolicyTries::default();
+/// assert_eq!(tries.retry(now, Reason::QueueFull, terms, due, || false), Ok(()));
+/// let lost = tries.retry(now, Reason::AnswerBroken, terms, due, || true);
+/// assert_eq!(lost, Err(Reason::NotIdempotent));
+/// ```
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct PolicyTries {
+    /// Tries that reached a backend server, or may have.
+    arrived: u8,
+    /// Tries that a guard refused.
+    refused: u8,
+}
+
+impl PolicyTries {
+    /// Decides whether the request may be tried again after it failed for `reason`.
+    ///
+    /// `budget` takes one retry out of the budget; it is called last, and only when the
+    /// failed try reached a backend server.
+    ///
+    /// # Errors
+    ///
+    /// The reason why it may not: [`Reason::TriesSpent`], [`Reason::NotIdempotent`],
+    /// [`Reason::DeadlinePassed`], [`Reason::RetryBudget`], or the failure's own
+    /// reason when no other try could go better.
+    pub fn retry(
+        &mut self,
+        now: Instant,
+        reason: Reason,
+        terms: Terms,
+        due: Deadline,
+        budget: impl FnOnce() -> bool,
+    ) -> Result<(), Reason> {
+        let arrived = has_arrived(reason);
+        self.arrived = self.arrived.saturating_add(u8::from(arrived));
+        self.refused = self.refused.saturating_add(u8::from(!arrived));
+        match reason {
+            _ if !goes_better(reason) => Err(reason),
+            _ if reason.outcome() == Outcome::Unknown && !terms.idempotent => {
+                Err(Reason::NotIdempotent)
+            }
+            _ if self.arrived >= terms.attempts || self.refused > MAX_REFUSED => {
+                Err(Reason::TriesSpent)
+            }
+            _ if due.misses(now, HOP_ALLOWANCE) => Err(Reason::DeadlinePassed),
+            _ if arrived && !budget() => Err(Reason::RetryBudget),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Tells whether a try that failed so reached a backend server, or may have.
+const fn has_arrived(reason: Reason) -> bool {
+    matches!(reason, Reason::Shed) || matches!(reason.outcome(), Outcome::Unknown)
+}
+
 /// Sets how many retries a node makes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetrySettings {
@@ -201,6 +285,7 @@
         | Reason::AnswerDropped
         | Reason::Misdirected
         | Reason::TooManyConnections
+        | Reason::Shed
         | Reason::ConnectFailed
         | Reason::PeerUnreachable
         | Reason::AnswerBroken
--- a/crates/swiftcart-core/src/view.rs
+++ b/crates/swiftcart-core/src/view.rs
@@ -1,37 +1,26 @@
 //! One immutable picture of where requests go: the table joined with the members.
 
+mod entry;
+mod segment;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 use rand::Rng;
 
 use crate::{
-    Backend, FailureDomain, Limits, Member, NodeId, Readiness, Reason, ServiceName, Table, Version,
+    FailureDomain, Member, NodeId, Policies, Policy, Reason, RequestLimits, Snapshot, Table,
+    Version,
 };
+pub use entry::*;
+use segment::{Segment, Slash};
 
-/// Names a backend server that may be given a request, by the node beside it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Candidate {
-    /// The node beside the backend server.
-    pub id: NodeId,
-    /// Where that node takes requests for it.
-    pub peer: SocketAddr,
-    /// Requests that the backend server says it runs at once.
-    pub slots: u32,
-    /// Whether it is in the failure domain of the view's node.
-    pub near: bool,
-}
-
-/// Holds what a node knows of one service: its limits and its backend servers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ServiceEntry {
-    name: ServiceName,
-    limits: Limits,
-    /// Those that take work: the own failure domain first, each part in id order.
-    ready: Vec<Candidate>,
-    near: usize,
-    own: Option<Candidate>,
-    known: usize,
+/// Tells where a request goes and how it is treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Routed<'a> {
+    /// The service that was chosen.
+    pub entry: &'a ServiceEntry,
+    /// How the request is treated; without one its method decides.
+    pub policy: Option<Policy>,
 }
 
 /// Holds one configuration version joined with one state of the membership.
@@ -61,31 +50,12 @@
 pub struct View {
     version: Version,
     services: Vec<ServiceEntry>,
+    /// The routes of any host.
     root: Segment,
+    /// The routes of one host each.
+    hosts: BTreeMap<Box<str>, Segment>,
     ids: BTreeSet<NodeId>,
-}
-
-/// One node of the prefix tree; its depth is the number of path segments.
-#[derive(Debug, Default, Clone, PartialEq, Eq)]
-struct Segment {
-    children: BTreeMap<Box<str>, Segment>,
-    choice: Option<Choice>,
-}
-
-/// The weighted services of one prefix.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Choice {
-    targets: Vec<Target>,
-    total: u64,
-    /// Why there is no service, when the targets are empty.
-    without: Reason,
-}
-
-/// One service of a choice; its share ends at `end` on the line from 0 to the total weight.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Target {
-    service: usize,
-    end: u64,
+    requests: Option<RequestLimits>,
 }
 
 impl View {
@@ -99,6 +69,32 @@
         members: impl Iterator<Item = &'a Member>,
         me: NodeId,
         domain: &FailureDomain,
+    ) -> Self {
+        Self::build(version, table, &Policies::new(), members, me, domain)
+    }
+
+    /// Creates the view that the node `me` in `domain` has of `snapshot` and `members`.
+    #[must_use]
+    pub fn from_snapshot<'a>(
+        snapshot: &Snapshot,
+        members: impl Iterator<Item = &'a Member>,
+        me: NodeId,
+        domain: &FailureDomain,
+    ) -> Self {
+        let (table, policies) = (&snapshot.table, &snapshot.policies);
+        Self {
+            requests: snapshot.requests,
+            ..Self::build(snapshot.version, table, policies, members, me, domain)
+        }
+    }
+
+    fn build<'a>(
+        version: Version,
+        table: &Table,
+        policies: &Policies,
+        members: impl Iterator<Item = &'a Member>,
+        me: NodeId,
+        domain: &FailureDomain,
     ) -> Self {
         let mut services: Vec<_> = table
             .services()
@@ -106,25 +102,35 @@
             .collect();
         for member in members {
             if let Some(backend) = &member.backend
-                && let Ok(i) = services.binary_search_by(|s| s.name.cmp(&backend.service))
+                && let Ok(i) = services.binary_search_by(|s| s.name().cmp(&backend.service))
             {
                 services[i].add(member, backend, me, domain);
             }
         }
         services.iter_mut().for_each(ServiceEntry::order);
         let mut root = Segment::default();
+        let mut hosts = BTreeMap::<Box<str>, Segment>::new();
         for (prefix, name, weight) in table.routes() {
-            if let Ok(i) = services.binary_search_by(|s| s.name.cmp(name)) {
-                let choice = root.insert(prefix);
+            if let Ok(i) = services.binary_search_by(|s| s.name().cmp(name)) {
+                let choice = match split_host(prefix) {
+                    Some((host, path)) => {
+                        let segment = hosts.entry(host.into()).or_default();
+                        segment.insert(path, Slash::Needed)
+                    }
+                    None => root.insert(prefix, Slash::Optional),
+                };
+                choice.set_policy(policies.get(prefix).copied());
                 choice.add(i, &services[i], weight);
             }
         }
-        let ids = services.iter().flat_map(|s| &s.ready).map(|c| c.id);
+        let ids = services.iter().flat_map(ServiceEntry::candidates);
         Self {
             version,
-            ids: ids.collect(),
+            ids: ids.map(|c| c.id).collect(),
             services,
             root,
+            hosts,
+            requests: None,
         }
     }
 
@@ -145,7 +151,7 @@
     pub fn service(&self, name: &str) -> Option<&ServiceEntry> {
         let i = self
             .services
-            .binary_search_by(|s| s.name.as_str().cmp(name))
+            .binary_search_by(|s| s.name().as_str().cmp(name))
             .ok()?;
         self.services.get(i)
     }
@@ -169,154 +175,53 @@
     /// only, [`Reason::NotReady`] when backend servers are known and none takes
     /// work, [`Reason::NoBackend`] when none is known.
     pub fn route<R: Rng + ?Sized>(&self, path: &str, rng: &mut R) -> Result<&ServiceEntry, Reason> {
-        let choice = self.root.find(path).ok_or(Reason::NoRoute)?;
-        let service = choice.pick(rng)?;
-        self.services.get(service).ok_or(Reason::NoBackend)
-    }
-}
-
-impl ServiceEntry {
-    const fn new(name: ServiceName, limits: Limits) -> Self {
-        Self {
-            name,
-            limits,
-            ready: Vec::new(),
-            near: 0,
-            own: None,
-            known: 0,
-        }
-    }
-
-    /// Returns the service's name.
-    #[must_use]
-    pub const fn name(&self) -> &ServiceName {
-        &self.name
-    }
-
-    /// Returns the service's limits.
-    #[must_use]
-    pub const fn limits(&self) -> Limits {
-        self.limits
+        self.find(None, path, rng).map(|routed| routed.entry)
     }
 
-    /// Returns the backend servers that take work.
-    #[must_use]
-    pub fn candidates(&self) -> &[Candidate] {
-        &self.ready
-    }
-
-    /// Returns the backend servers of the own failure domain that take work.
-    #[must_use]
-    pub fn near(&self) -> &[Candidate] {
-        &self.ready[..self.near]
-    }
-
-    /// Returns the backend servers of the other failure domains that take work.
-    #[must_use]
-    pub fn far(&self) -> &[Candidate] {
-        &self.ready[self.near..]
-    }
-
-    /// Returns the node's own backend server when it is of this service and takes work.
-    #[must_use]
-    pub const fn own(&self) -> Option<&Candidate> {
-        self.own.as_ref()
-    }
-
-    /// Returns why no candidate is there, or `None` when one is.
+    /// Chooses the service for `path` at `host`, and tells how the request is treated.
+    ///
+    /// A prefix that begins with `//` belongs to the host that follows: `//book.example/crew/`.
+    /// Such a prefix takes what begins with its path, its last slash included. Prefixes of
+    /// a host go before those of any host. The host is compared without its port.
+    ///
+    /// # Errors
+    ///
+    /// The same as [`route`](Self::route).
+    pub fn find<R: Rng + ?Sized>(
+        &self,
+        host: Option<&str>,
+        path: &str,
+        rng: &mut R,
+    ) -> Result<Routed<'_>, Reason> {
+        let own = host.and_then(|host| self.hosts.get(without_port(host)));
+        let choice = own
+            .and_then(|segment| segment.find(path))
+            .or_else(|| self.root.find(path))
+            .ok_or(Reason::NoRoute)?;
+        let entry = self.services.get(choice.pick(rng)?);
+        Ok(Routed {
+            entry: entry.ok_or(Reason::NoBackend)?,
+            policy: choice.policy(),
+        })
+    }
+
+    /// Returns what callers may send, where the configuration says so.
     #[must_use]
-    pub const fn shortage(&self) -> Option<Reason> {
-        match (self.ready.len(), self.known) {
-            (0, 0) => Some(Reason::NoBackend),
-            (0, _) => Some(Reason::NotReady),
-            _ => None,
-        }
-    }
-
-    fn add(&mut self, member: &Member, backend: &Backend, me: NodeId, domain: &FailureDomain) {
-        self.known += 1;
-        if backend.readiness != Readiness::Ready {
-            return;
-        }
-        let candidate = Candidate {
-            id: member.id,
-            peer: member.peer,
-            slots: backend.slots,
-            near: member.domain == *domain,
-        };
-        if member.id == me {
-            self.own = Some(candidate);
-        }
-        self.near += usize::from(candidate.near);
-        self.ready.push(candidate);
-    }
-
-    fn order(&mut self) {
-        self.ready.sort_unstable_by_key(|c| (!c.near, c.id));
+    pub const fn requests(&self) -> Option<RequestLimits> {
+        self.requests
     }
 }
 
-impl Segment {
-    fn insert(&mut self, prefix: &str) -> &mut Choice {
-        let mut at = self;
-        for name in segments(prefix.trim_end_matches('/')) {
-            at = at.children.entry(name.into()).or_default();
-        }
-        at.choice.get_or_insert_with(Choice::new)
-    }
-
-    fn find(&self, path: &str) -> Option<&Choice> {
-        let path = path.split_once('?').map_or(path, |(path, _)| path);
-        let mut best = self.choice.as_ref();
-        let mut at = self;
-        for name in segments(path) {
-            match at.children.get(name) {
-                Some(child) => at = child,
-                None => break,
-            }
-            best = at.choice.as_ref().or(best);
-        }
-        best
-    }
+/// Splits a prefix of the form `//host/path` into host and path.
+fn split_host(prefix: &str) -> Option<(&str, &str)> {
+    let rest = prefix.strip_prefix("//")?;
+    let slash = rest.find('/').filter(|at| *at > 0)?;
+    Some(rest.split_at(slash))
 }
 
-impl Choice {
-    const fn new() -> Self {
-        Self {
-            targets: Vec::new(),
-            total: 0,
-            without: Reason::NoRoute,
-        }
-    }
-
-    fn add(&mut self, service: usize, entry: &ServiceEntry, weight: u32) {
-        match entry.shortage() {
-            _ if weight == 0 => {}
-            Some(reason) if self.without != Reason::NotReady => self.without = reason,
-            Some(_) => {}
-            None => {
-                self.total += u64::from(weight);
-                let end = self.total;
-                self.targets.push(Target { service, end });
-            }
-        }
-    }
-
-    fn pick<R: Rng + ?Sized>(&self, rng: &mut R) -> Result<usize, Reason> {
-        match self.targets.as_slice() {
-            [] => Err(self.without),
-            [only] => Ok(only.service),
-            targets => {
-                let point = rng.random_range(0..self.total);
-                let i = targets.partition_point(|t| t.end <= point);
-                targets.get(i).map(|t| t.service).ok_or(self.without)
-            }
-        }
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
     }
 }
-
-/// Splits an absolute path into its segments; `/` and the empty path have none.
-fn segments(path: &str) -> impl Iterator<Item = &str> {
-    let path = path.strip_prefix('/').unwrap_or(path);
-    path.split('/').filter(move |_| !path.is_empty())
-}
--- /dev/null
+++ b/crates/swiftcart-core/src/view/entry.rs
@@ -0,0 +1,117 @@
+//! One service of a view: its limits and the backend servers that take its work.
+
+use std::net::SocketAddr;
+
+use crate::{Backend, FailureDomain, Limits, Member, NodeId, Readiness, Reason, ServiceName};
+
+/// Names a backend server that may be given a request, by the node beside it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Candidate {
+    /// The node beside the backend server.
+    pub id: NodeId,
+    /// Where that node takes requests for it.
+    pub peer: SocketAddr,
+    /// Requests that the backend server says it runs at once.
+    pub slots: u32,
+    /// Whether it is in the failure domain of the view's node.
+    pub near: bool,
+}
+
+/// Holds what a node knows of one service: its limits and its backend servers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceEntry {
+    name: ServiceName,
+    limits: Limits,
+    /// Those that take work: the own failure domain first, each part in id order.
+    ready: Vec<Candidate>,
+    near: usize,
+    own: Option<Candidate>,
+    known: usize,
+}
+
+impl ServiceEntry {
+    pub(super) const fn new(name: ServiceName, limits: Limits) -> Self {
+        Self {
+            name,
+            limits,
+            ready: Vec::new(),
+            near: 0,
+            own: None,
+            known: 0,
+        }
+    }
+
+    /// Returns the service's name.
+    #[must_use]
+    pub const fn name(&self) -> &ServiceName {
+        &self.name
+    }
+
+    /// Returns the service's limits.
+    #[must_use]
+    pub const fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Returns the backend servers that take work.
+    #[must_use]
+    pub fn candidates(&self) -> &[Candidate] {
+        &self.ready
+    }
+
+    /// Returns the backend servers of the own failure domain that take work.
+    #[must_use]
+    pub fn near(&self) -> &[Candidate] {
+        &self.ready[..self.near]
+    }
+
+    /// Returns the backend servers of the other failure domains that take work.
+    #[must_use]
+    pub fn far(&self) -> &[Candidate] {
+        &self.ready[self.near..]
+    }
+
+    /// Returns the node's own backend server when it is of this service and takes work.
+    #[must_use]
+    pub const fn own(&self) -> Option<&Candidate> {
+        self.own.as_ref()
+    }
+
+    /// Returns why no candidate is there, or `None` when one is.
+    #[must_use]
+    pub const fn shortage(&self) -> Option<Reason> {
+        match (self.ready.len(), self.known) {
+            (0, 0) => Some(Reason::NoBackend),
+            (0, _) => Some(Reason::NotReady),
+            _ => None,
+        }
+    }
+
+    pub(super) fn add(
+        &mut self,
+        member: &Member,
+        backend: &Backend,
+        me: NodeId,
+        domain: &FailureDomain,
+    ) {
+        self.known += 1;
+        if backend.readiness != Readiness::Ready {
+            return;
+        }
+        let candidate = Candidate {
+            id: member.id,
+            peer: member.peer,
+            slots: backend.slots,
+            near: member.domain == *domain,
+        };
+        if member.id == me {
+            self.own = Some(candidate);
+        }
+        self.near += usize::from(candidate.near);
+        self.ready.push(candidate);
+    }
+
+    pub(super) fn order(&mut self) {
+        self.ready.sort_unstable_by_key(|c| (!c.near, c.id));
+    }
+}
--- a/crates/swiftcart-core/tests/feed_converge.rs
+++ b/crates/swiftcart-core/tests/feed_converge.rs
@@ -160,7 +160,9 @@
             }
             FeedAction::AppendCheckpoint(checkpoint) => self.append(Body::Checkpoint(checkpoint)),
             FeedAction::Applied(_) | FeedAction::NoStart(_) => {}
-            FeedAction::Stalled(_) | FeedAction::Diverged(_) => panic!("{action:?}"),
+            FeedAction::Stalled(_) | FeedAction::Diverged(_) | FeedAction::Offer { .. } => {
+                panic!("{action:?}")
+            }
         }
     }
 
--- a/crates/swiftcart-node/src/admin.rs
+++ b/crates/swiftcart-node/src/admin.rs
@@ -9,6 +9,7 @@
 use axum::routing::{get, put};
 use slog::error;
 use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 
 use crate::logging::Event;
 use crate::shared::Shared;
@@ -16,14 +17,21 @@
 /// The most bytes of a request to this listener.
 const MAX_BODY: usize = 64 << 10;
 
-/// Serves `listener` until the node has stopped.
-pub async fn run(shared: Arc<Shared>, listener: TcpListener) {
-    let expiry = tokio::spawn(announce::expire(Arc::clone(&shared)));
+/// Serves `listeners` until the node has stopped.
+pub async fn run(shared: Arc<Shared>, listeners: Vec<TcpListener>) {
     let app = router(Arc::clone(&shared));
+    let mut tasks = JoinSet::new();
+    tasks.spawn(announce::expire(Arc::clone(&shared)));
+    for listener in listeners {
+        tasks.spawn(serve(Arc::clone(&shared), listener, app.clone()));
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+async fn serve(shared: Arc<Shared>, listener: TcpListener, app: Router) {
     if let Err(err) = axum::serve(listener, app).await {
         error!(shared.logger, ""; "event" => Event::Failed, "part" => "admin", "error" => %err);
     }
-    expiry.abort();
 }
 
 fn router(shared: Arc<Shared>) -> Router {
@@ -35,6 +43,10 @@
         .route("/v1/members", get(report::members))
         .route("/v1/table", get(report::table))
         .route("/v1/backend", put(announce::put).delete(announce::delete))
+        .route(
+            "/v1/backend/{id}",
+            put(announce::put_named).delete(announce::delete_named),
+        )
         .layer(axum::extract::DefaultBodyLimit::max(MAX_BODY))
         .with_state(shared)
 }
--- a/crates/swiftcart-node/src/admin/announce.rs
+++ b/crates/swiftcart-node/src/admin/announce.rs
@@ -6,7 +6,7 @@
 
 use axum::Json;
 use axum::body::Bytes;
-use axum::extract::State;
+use axum::extract::{Path, State};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use quick_error::quick_error;
@@ -15,12 +15,17 @@
 use swiftcart_core::{Backend, Readiness, ServiceName};
 use tokio::time::{Instant, sleep_until};
 
+use crate::beside::Heard;
 use crate::logging::Event;
 use crate::shared::Shared;
 
 /// The shortest and longest time that an announcement may stand, in milliseconds.
 const TTL_MS: (u64, u64) = (100, 600_000);
 
+/// Connections to a backend server that does not say how many it takes, for each slot: as
+/// many as its slots are in use, as many may be closing or opening.
+const CONNECTIONS_A_SLOT: u32 = 2;
+
 /// The most slots or connections that a backend server may announce.
 const MAX_COUNT: u32 = 65_536;
 
@@ -42,6 +47,10 @@
         Addr(addr: SocketAddr) {
             display("addr: {addr} is refused: use the IP address and port of the backend server")
         }
+        /// The id cannot be passed on.
+        Id(id: String) {
+            display("{id:?} is refused: use visible ASCII characters in a backend server's id")
+        }
         /// A number is out of range.
         Range(key: &'static str, value: u64, min: u64, max: u64) {
             display("{key}: {value} is refused: use a whole number from {min} to {max}")
@@ -62,6 +71,32 @@
     ttl_ms: u64,
 }
 
+/// The body of `PUT /v1/backend/{id}`, by which a backend server names itself.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Named {
+    service: ServiceName,
+    addr: SocketAddr,
+    slots: u32,
+    #[serde(default)]
+    readiness: Readiness,
+    /// Numbers the announcements, so that one that arrives late is told.
+    seq: u64,
+    /// How much longer the backend server is slow after its start, in milliseconds.
+    #[serde(default)]
+    warmup_ms: u32,
+    /// The failure domain that it believes itself in; the node's own counts.
+    #[serde(default)]
+    domain: Option<String>,
+    /// The release of its program.
+    #[serde(default)]
+    release: Option<String>,
+}
+
+/// Acknowledges an announcement.
+#[derive(Debug, Serialize)]
+pub(super) struct Taken {}
+
 #[derive(Debug, Serialize)]
 struct Refusal {
     error: String,
@@ -98,6 +133,23 @@
     }
 }
 
+impl Named {
+    fn parse(body: &[u8], ttl_ms: u32) -> Result<(Self, Announcement), AnnounceError> {
+        let mut de = serde_json::Deserializer::from_slice(body);
+        let found: Self = serde_path_to_error::deserialize(&mut de)?;
+        let plain = Announcement {
+            service: found.service.clone(),
+            addr: found.addr,
+            slots: found.slots,
+            connections: found.slots.saturating_mul(CONNECTIONS_A_SLOT),
+            readiness: found.readiness,
+            ttl_ms: ttl_ms.into(),
+        };
+        plain.check()?;
+        Ok((found, plain))
+    }
+}
+
 impl From<Announcement> for Backend {
     fn from(found: Announcement) -> Self {
         Self {
@@ -136,6 +188,52 @@
     StatusCode::NO_CONTENT
 }
 
+/// Takes the announcement of a backend server that names itself.
+///
+/// One that is late, or whose backend server has left, is acknowledged and changes nothing.
+pub(super) async fn put_named(
+    State(shared): State<Arc<Shared>>,
+    Path(id): Path<String>,
+    body: Bytes,
+) -> Result<Json<Taken>, AnnounceError> {
+    let (found, plain) = Named::parse(&body, shared.settings.limits.announce_ms)?;
+    let heard = shared.beside().hear(&id, found.seq);
+    match heard {
+        Heard::Malformed => return Err(AnnounceError::Id(id)),
+        Heard::Late | Heard::Retired => {
+            info!(shared.logger, ""; "event" => Event::Announced, "instance" => id,
+                "seq" => found.seq, "outcome" => ?heard);
+            return Ok(Json(Taken {}));
+        }
+        Heard::Replaced => {
+            info!(shared.logger, ""; "event" => Event::Announced, "instance" => id,
+                "seq" => found.seq, "outcome" => ?heard, "service" => %found.service,
+                "warmup_ms" => found.warmup_ms, "domain" => found.domain,
+                "release" => found.release);
+        }
+        Heard::Newer => {}
+    }
+    let until = Instant::now() + Duration::from_millis(plain.ttl_ms);
+    shared.expiry.send_replace(Some(until));
+    announce(&shared, Some(&plain.into()));
+    Ok(Json(Taken {}))
+}
+
+/// Takes the departure of a backend server that names itself.
+pub(super) async fn delete_named(
+    State(shared): State<Arc<Shared>>,
+    Path(id): Path<String>,
+) -> Json<Taken> {
+    let current = shared.beside().leave(&id);
+    info!(shared.logger, ""; "event" => Event::Announced, "instance" => id,
+        "outcome" => "left", "current" => current);
+    if current {
+        shared.expiry.send_replace(None);
+        announce(&shared, None);
+    }
+    Json(Taken {})
+}
+
 /// Withdraws the announcement when it was not renewed in time.
 pub(super) async fn expire(shared: Arc<Shared>) {
     let mut expiry = shared.expiry.subscribe();
--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -17,7 +17,9 @@
 mod serve;
 mod service;
 mod socket;
+mod terms;
 mod upstream;
+mod verdict;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,14 +37,11 @@
 /// Time between two sweeps for unused connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// Time for which a stopping node still answers new requests, with a refusal.
-///
-/// Callers and peers learn so that the node is leaving, in place of a closed connection.
-const NOTICE: Duration = Duration::from_secs(1);
-
 /// The running call path of a node.
 #[derive(Debug)]
 pub struct Calls {
+    /// How long new requests are still answered, with a refusal, while the node stops.
+    notice: Duration,
     callers: Server,
     peers: Server,
     guard: Arc<Guard>,
@@ -69,6 +68,7 @@
             tokio::spawn(async move { guard.follow().await }),
         ];
         Self {
+            notice: shared.settings.stop.notice(),
             callers: for_callers,
             peers: for_peers,
             guard: kept,
@@ -80,7 +80,7 @@
     ///
     /// The node's phase says by then that it is stopping, so that new requests are refused.
     pub async fn finish(self) {
-        sleep(NOTICE).await;
+        sleep(self.notice).await;
         tokio::join!(self.callers.finish(), self.peers.finish());
         self.guard.finish().await;
         for task in self.background {
--- a/crates/swiftcart-node/src/calls/answer.rs
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -1,7 +1,10 @@
 //! Answers: those that a node makes itself, and those that stream through it.
 
+use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
@@ -10,11 +13,17 @@
 use hyper::body::Incoming;
 use quick_error::quick_error;
 use swiftcart_core::{CallResult, Outcome, Reason, Refusal};
+use tokio::time::{Instant, timeout_at};
 
 use super::admissions::Slot;
 use super::headers::{OUTCOME, REASON, RETRIED};
 use super::in_flight::InFlight;
 use super::pool::Pooled;
+use crate::settings::Answers;
+
+/// When a caller should come back after a refusal that names no time: by then a dead node
+/// is out of routing or a restarted one back in most cases.
+const COME_BACK: Duration = Duration::from_millis(250);
 
 quick_error! {
     /// Tells why an answer broke off; the caller's connection is broken off with it.
@@ -92,6 +101,8 @@
 pub struct Streaming {
     body: Incoming,
     pooled: Option<Pooled>,
+    /// What was read ahead.
+    held: VecDeque<Bytes>,
     ending: Ending,
     ended: Option<End>,
 }
@@ -110,6 +121,7 @@
         let mut streaming = Streaming {
             body,
             pooled: Some(pooled),
+            held: VecDeque::new(),
             ending: Ending::default(),
             ended: None,
         };
@@ -135,6 +147,22 @@
         self
     }
 
+    /// Reads the answer up to `bytes` bytes or its end, to be passed on later.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::AnswerBroken`] when it breaks off, [`Reason::Timeout`] when `until` is over.
+    pub async fn hold(&mut self, bytes: usize, until: Instant) -> Result<(), Reason> {
+        let Self::Stream(streaming) = self else {
+            return Ok(());
+        };
+        match timeout_at(until, streaming.hold(bytes)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(Reason::AnswerBroken),
+            Err(_) => Err(Reason::Timeout),
+        }
+    }
+
     /// Reads what has come already, so that the connection of a short answer is kept.
     pub fn discard(mut self) {
         let mut cx = Context::from_waker(Waker::noop());
@@ -172,7 +200,47 @@
         }
     }
 
+    fn size_hint(&self) -> SizeHint {
+        let held: usize = self.held.iter().map(Bytes::len).sum();
+        let rest = self.body.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + held as u64);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + held as u64);
+        }
+        hint
+    }
+
+    async fn hold(&mut self, bytes: usize) -> Result<(), AnswerError> {
+        let mut len = 0;
+        while len < bytes && self.ended.is_none() {
+            match poll_fn(|cx| self.poll_body(cx)).await {
+                Some(Ok(frame)) => {
+                    // Trailers are not passed on.
+                    if let Ok(data) = frame.into_data() {
+                        len += data.len();
+                        self.held.push_back(data);
+                    }
+                }
+                Some(Err(err)) => return Err(err),
+                None => break,
+            }
+        }
+        Ok(())
+    }
+
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        match (self.held.pop_front(), self.ended) {
+            (Some(data), _) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            (None, Some(End::Whole)) => Poll::Ready(None),
+            (None, _) => self.poll_body(cx),
+        }
+    }
+
+    fn poll_body(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         let mut frame = Pin::new(&mut self.body).poll_frame(cx);
         if frame.is_pending() {
             // The body moves only when its connection does; look again right after.
@@ -218,14 +286,14 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Text(text) => text.is_none(),
-            Self::Stream(streaming) => streaming.body.is_end_stream(),
+            Self::Stream(streaming) => streaming.held.is_empty() && streaming.body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Text(text) => SizeHint::with_exact(text.as_ref().map_or(0, |t| t.len() as u64)),
-            Self::Stream(streaming) => streaming.body.size_hint(),
+            Self::Stream(streaming) => streaming.size_hint(),
         }
     }
 }
@@ -238,12 +306,12 @@
 
 /// Makes the answer to a request that is refused or was given up on.
 #[must_use]
-pub fn refuse(refusal: Refusal, retried: bool) -> Response<Answer> {
+pub fn refuse(refusal: Refusal, retried: bool, answers: Answers) -> Response<Answer> {
     let reason = refusal.reason;
     let outcome = reason.outcome();
     let text = format!("{outcome}: {reason}\n");
     let mut response = Response::new(Answer::text(text));
-    *response.status_mut() = status(reason);
+    *response.status_mut() = status(reason, answers);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     headers.insert(OUTCOME, HeaderValue::from_static(outcome.as_str()));
@@ -251,17 +319,26 @@
     if retried {
         headers.insert(RETRIED, HeaderValue::from_static("1"));
     }
-    if let Some(after) = refusal.retry_after {
-        // Whole seconds, rounded up: coming back early does not help.
-        let secs = after.as_millis().div_ceil(1000).max(1);
-        headers.insert(
-            RETRY_AFTER,
-            HeaderValue::from(u64::try_from(secs).unwrap_or(u64::MAX)),
-        );
+    if let Some(after) = retry_after(refusal, answers) {
+        headers.insert(RETRY_AFTER, after);
     }
     response
 }
 
+/// Returns when the caller should come back, in seconds.
+fn retry_after(refusal: Refusal, answers: Answers) -> Option<HeaderValue> {
+    let text = match (answers, refusal.retry_after) {
+        // Whole seconds, rounded up: coming back early does not help.
+        (Answers::ByReason, Some(after)) => after.as_millis().div_ceil(1000).max(1).to_string(),
+        (Answers::Promise, Some(after)) => format!("{:.3}", after.as_secs_f64()),
+        (Answers::Promise, None) if may_come_back(refusal.reason) => {
+            format!("{:.3}", COME_BACK.as_secs_f64())
+        }
+        (_, None) => return None,
+    };
+    HeaderValue::try_from(text).ok()
+}
+
 /// Tells whether the end of an answer can be told from a connection that broke.
 #[must_use]
 pub fn is_framed(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
@@ -272,6 +349,26 @@
         || headers.contains_key(TRANSFER_ENCODING)
 }
 
-fn status(reason: Reason) -> StatusCode {
-    StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY)
+fn status(reason: Reason, answers: Answers) -> StatusCode {
+    let code = match (answers, reason.outcome()) {
+        (Answers::Promise, Outcome::NotRun) if may_come_back(reason) => 503,
+        (Answers::Promise, Outcome::Unknown) if reason == Reason::Timeout => 504,
+        (Answers::Promise, Outcome::Unknown) => 502,
+        _ => reason.status(),
+    };
+    StatusCode::from_u16(code).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
+/// Tells whether the same request may be taken later.
+const fn may_come_back(reason: Reason) -> bool {
+    let outcome = reason.outcome();
+    let own_fault = matches!(
+        reason,
+        Reason::NoRoute
+            | Reason::BadRequest
+            | Reason::HeaderTooLarge
+            | Reason::BodyTooLarge
+            | Reason::KeyReused
+    );
+    matches!(outcome, Outcome::NotRun) && !own_fault
 }
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -4,16 +4,19 @@
 
 use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response};
+use slog::error;
 use swiftcart_core::{Backend, CallResult, Limits, Load, NodeId, Reason, Refusal, ServiceEntry};
 
 use super::admissions::Slot;
-use super::answer::{Answer, is_framed};
+use super::answer::Answer;
 use super::body::Outgoing;
 use super::headers::{strip_hop, strip_internal};
 use super::keyed::Keyed;
 use super::request::Call;
 use super::upstream::Upstream;
+use super::verdict::judge;
 use crate::counters::Stage;
+use crate::logging::Event;
 use crate::shared::{Phase, Shared};
 
 /// Guards the backend server beside this node.
@@ -21,7 +24,8 @@
 pub struct Guard {
     shared: Arc<Shared>,
     upstream: ArcSwapOption<Upstream>,
-    keyed: Keyed,
+    /// None where requests with a key are not claimed.
+    keyed: Option<Keyed>,
 }
 
 impl Guard {
@@ -31,7 +35,7 @@
         Self {
             shared: Arc::clone(shared),
             upstream: ArcSwapOption::empty(),
-            keyed: Keyed::new(shared),
+            keyed: shared.settings.claims.then(|| Keyed::new(shared)),
         }
     }
 
@@ -42,7 +46,7 @@
         let mut phase = self.shared.phase.subscribe();
         loop {
             let announced = backend.borrow_and_update().clone();
-            let stopping = *phase.borrow_and_update() == Phase::Stopping;
+            let stopping = matches!(*phase.borrow_and_update(), Phase::Leaving | Phase::Stopping);
             view.borrow_and_update();
             self.adopt(announced, stopping);
             tokio::select! {
@@ -55,7 +59,9 @@
 
     /// Waits until the requests with a key have ended and their answers are in the log.
     pub async fn finish(&self) {
-        self.keyed.finish().await;
+        if let Some(keyed) = &self.keyed {
+            keyed.finish().await;
+        }
     }
 
     /// Returns what the node's parts share.
@@ -117,17 +123,43 @@
         if upstream.service().as_str() != service {
             return Err(Reason::Misdirected.into());
         }
-        if let Some(key) = &call.key {
-            return self.keyed.answer(self, upstream, call, key, request).await;
+        if let (Some(key), Some(keyed)) = (&call.key, &self.keyed) {
+            return keyed.answer(self, upstream, call, key, request).await;
         }
         let arrived = self.shared.clock.now();
         let slot = upstream.enter(call).await?;
         let counters = &self.shared.counters;
         counters.stage(Stage::Queue, slot.start().since(arrived));
-        self.hand_over(call, &upstream, slot, request).await
+        self.hand_over(call, upstream, slot, request).await
     }
 
+    /// Hands a request over and waits for the head of its answer.
+    ///
+    /// What may run only once is not cancelled when the caller goes away: the backend server
+    /// is at work on it, and nobody could repeat it.
     async fn hand_over(
+        self: &Arc<Self>,
+        call: &Call,
+        upstream: Arc<Upstream>,
+        slot: Slot,
+        request: Request<Outgoing>,
+    ) -> Result<Response<Answer>, Refusal> {
+        if call.idempotent || call.terms.is_none() {
+            return self.send(call, &upstream, slot, request).await;
+        }
+        let (guard, call) = (Arc::clone(self), call.clone());
+        let sending = async move { guard.send(&call, &upstream, slot, request).await };
+        match tokio::spawn(sending).await {
+            Ok(result) => result,
+            Err(err) => {
+                let logger = &self.shared.logger;
+                error!(logger, ""; "event" => Event::Failed, "part" => "guard", "error" => %err);
+                Err(Reason::AnswerBroken.into())
+            }
+        }
+    }
+
+    async fn send(
         &self,
         call: &Call,
         upstream: &Upstream,
@@ -145,9 +177,12 @@
         };
         let elapsed = self.shared.clock.now().since(slot.start());
         self.shared.counters.stage(Stage::Backend, elapsed);
-        if !is_framed(&method, response.status(), response.headers()) {
-            slot.finish(CallResult::Failure);
-            return Err(Reason::AnswerBroken.into());
+        if let Err(reason) = judge(&self.shared.settings, call, &method, &response) {
+            slot.finish(blame(reason));
+            if reason == Reason::Shed {
+                Answer::stream(response.into_body(), pooled).discard();
+            }
+            return Err(reason.into());
         }
         let (mut head, body) = response.into_parts();
         strip_hop(&mut head.headers);
@@ -175,7 +210,9 @@
             .map(|candidate| candidate.id)
             .collect();
         upstream.adopt(limits, guards.len(), stopping);
-        self.keyed.prepare(upstream.service(), &guards);
+        if let Some(keyed) = &self.keyed {
+            keyed.prepare(upstream.service(), &guards);
+        }
         self.upstream.store(Some(Arc::new(upstream)));
     }
 }
@@ -184,6 +221,7 @@
 fn blame(reason: Reason) -> CallResult {
     match reason {
         Reason::CallerGone | Reason::DeadlinePassed => CallResult::Cancelled,
+        Reason::Shed => CallResult::Refused,
         _ => CallResult::Failure,
     }
 }
--- a/crates/swiftcart-node/src/calls/headers.rs
+++ b/crates/swiftcart-node/src/calls/headers.rs
@@ -8,8 +8,8 @@
 };
 use swiftcart_core::Reason;
 
-/// The time that a caller has left, in milliseconds.
-pub const DEADLINE_MS: HeaderName = HeaderName::from_static("swiftcart-deadline-ms");
+use crate::settings::Headers;
+
 /// The number of this try over all levels, from 1.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("swiftcart-attempt");
 /// The key under which a request runs at most once.
@@ -18,8 +18,8 @@
 pub const SERVICE: HeaderName = HeaderName::from_static("swiftcart-service");
 /// The deadline that a backend server gets, in Unix milliseconds.
 pub const DEADLINE: HeaderName = HeaderName::from_static("swiftcart-deadline");
-/// The request's number in logs.
-pub const REQUEST_ID: HeaderName = HeaderName::from_static("swiftcart-request-id");
+/// How the route's policy treats a request, between nodes.
+pub const TERMS: HeaderName = HeaderName::from_static("swiftcart-terms");
 /// What became of a request, in answers that a node makes.
 pub const OUTCOME: HeaderName = HeaderName::from_static("swiftcart-outcome");
 /// Why, in answers that a node makes.
@@ -44,9 +44,7 @@
 ];
 
 /// Headers that only nodes set; a caller's or backend server's are dropped.
-const INTERNAL: [HeaderName; 7] = [
-    SERVICE, DEADLINE, REQUEST_ID, OUTCOME, REASON, LOAD, RETRIED,
-];
+const INTERNAL: [HeaderName; 7] = [SERVICE, DEADLINE, TERMS, OUTCOME, REASON, LOAD, RETRIED];
 
 /// Removes the headers that belong to one connection; the framing stays unambiguous.
 pub fn strip_hop(headers: &mut HeaderMap) {
@@ -73,6 +71,14 @@
     }
 }
 
+/// Removes what a caller may not say to a backend server.
+pub fn strip_caller(headers: &mut HeaderMap, names: &Headers) {
+    strip_internal(headers);
+    for name in names.target.iter().chain(&names.caller) {
+        headers.remove(&name.0);
+    }
+}
+
 /// Returns the number in the header `name`, or `None` when it is absent.
 ///
 /// # Errors
@@ -102,5 +108,5 @@
 #[must_use]
 pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(http::header::RETRY_AFTER)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_secs)
+    Duration::try_from_secs_f64(text.parse().ok()?).ok()
 }
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -4,14 +4,13 @@
 mod original;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use swiftcart_core::{
-    BalanceSettings, Balancer, CallResult, Deadline, Failure, Instant, Load, NodeId, Outcome, Pick,
-    PickRule, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Tries,
+    BalanceSettings, Balancer, CallResult, Failure, FleetBudget, Load, NodeId, Outcome, Pick,
+    PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Terms, Tries,
 };
 
 use super::answer::{Answer, refuse};
@@ -35,6 +34,16 @@
     peers: Peers,
     balancer: Arc<Mutex<Balancer>>,
     budget: Mutex<RetryBudget>,
+    fleet: Option<Mutex<FleetBudget>>,
+}
+
+/// The tries that were made of one call.
+#[derive(Debug)]
+struct Made {
+    tries: Tries,
+    under_policy: PolicyTries,
+    /// The guards that were asked.
+    ids: Vec<NodeId>,
 }
 
 /// A try that brought no answer of a backend server.
@@ -57,6 +66,10 @@
             peers: Peers::new(shared.settings.limits),
             balancer: Arc::new(Mutex::new(balancer)),
             budget: Mutex::new(RetryBudget::new(now, RetrySettings::default())),
+            fleet: shared
+                .settings
+                .retries
+                .map(|retries| Mutex::new(FleetBudget::new(retries.budget()))),
         }
     }
 
@@ -92,28 +105,42 @@
                 let reason = failed.refusal.reason;
                 counters.refuse(reason.as_str());
                 counters.call(reason.outcome());
-                refuse(failed.refusal, failed.retried)
+                refuse(failed.refusal, failed.retried, self.shared.settings.answers)
             }
         }
     }
 
     async fn route(&self, mut head: Parts, body: Incoming) -> Result<Response<Answer>, Failed> {
-        let limits = &self.shared.settings.limits;
+        let settings = &self.shared.settings;
         let now = self.shared.clock.now();
-        let mut call = Call::from_caller(&mut head, limits, now)?;
+        let mut call = Call::from_caller(&mut head, settings, now)?;
         let phase = *self.shared.phase.borrow();
         match phase {
-            Phase::Ready => {}
+            Phase::Ready | Phase::Leaving => {}
             Phase::Stopping => return Err(Reason::Stopping.into()),
             Phase::NoConfig | Phase::BelowFloor | Phase::NoMembers => {
                 return Err(Reason::NotReady.into());
             }
         }
         let view = self.shared.view.load_full();
-        let entry = with_rng(|rng| view.route(head.uri.path(), rng))?;
-        call.due = due(&call, entry, now);
+        let (host, path) = (host(&head), head.uri.path());
+        let routed = with_rng(|rng| view.find(host, path, rng))?;
+        call.take_route(routed.entry, routed.policy, now);
+        self.name_caller(&mut head);
+        let limits = &settings.limits;
         let original = Original::new(head, body, limits.replay_bytes, limits.body_timeout());
-        self.tries(&call, entry, &original).await
+        self.tries(&call, routed.entry, &original).await
+    }
+
+    /// Tells the backend server which service the request comes from.
+    fn name_caller(&self, head: &mut Parts) {
+        let settings = &self.shared.settings;
+        let (Some(name), Some(service)) = (&settings.headers.caller, &settings.service) else {
+            return;
+        };
+        if let Ok(value) = HeaderValue::from_str(service.as_str()) {
+            head.headers.insert(name.0.clone(), value);
+        }
     }
 
     async fn tries(
@@ -122,25 +149,47 @@
         entry: &ServiceEntry,
         original: &Original,
     ) -> Result<Response<Answer>, Failed> {
-        let mut tries = Tries::new(call.attempt);
-        let mut tried: Vec<NodeId> = Vec::new();
+        let mut made = Made {
+            tries: Tries::new(call.attempt),
+            under_policy: PolicyTries::default(),
+            ids: Vec::new(),
+        };
         let mut last: Option<Failed> = None;
-        self.budget().first();
+        self.count_first(entry);
         loop {
-            let pick = self.pick(call, entry, &tried);
+            let pick = self.pick(call, entry, &made.ids);
             let Some(pick) = pick else {
                 let shortage = entry.shortage().unwrap_or(Reason::NotReady);
                 return Err(last.unwrap_or_else(|| shortage.into()));
             };
-            let failed = match self.attempt(call, &pick, entry, original, tries).await {
+            let tries = made.tries;
+            let mut failed = match self.attempt(call, &pick, entry, original, tries).await {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            tried.push(pick.id);
-            match self.may_retry(call, original, &mut tries, &failed) {
-                Ok(()) => last = Some(failed),
-                Err(retried) => return Err(Failed { retried, ..failed }),
+            made.ids.push(pick.id);
+            failed.retried |= made.tries.retried();
+            let may = self.may_retry(call, entry, original, &mut made, &failed);
+            // What may have run once is not told to be not run because of a later refusal.
+            last = match last.take() {
+                Some(before) if before.outcome() == Outcome::Unknown => Some(before),
+                Some(_) | None => Some(failed),
+            };
+            match (may, last.take()) {
+                (true, kept) => last = kept,
+                (false, Some(kept)) => return Err(kept),
+                (false, None) => return Err(Reason::NotReady.into()),
+            }
+        }
+    }
+
+    fn count_first(&self, entry: &ServiceEntry) {
+        match &self.fleet {
+            Some(fleet) => {
+                let now = self.shared.clock.now();
+                lock(fleet).first(now, entry.name());
             }
+            None => lock(&self.budget).first(),
         }
     }
 
@@ -163,38 +212,65 @@
         preferred.or_else(|| with_rng(|rng| balancer.pick(now, entry, tried, rng)))
     }
 
-    /// Counts another try when it is allowed; otherwise says whether there was one before.
+    /// Tells whether another try is allowed, and counts it.
     fn may_retry(
         &self,
         call: &Call,
+        entry: &ServiceEntry,
         original: &Original,
-        tries: &mut Tries,
+        made: &mut Made,
         failed: &Failed,
-    ) -> Result<(), bool> {
-        let reason = failed.refusal.reason;
-        let retried = failed.retried || tries.retried();
-        let failure = Failure {
-            reason,
-            retried: failed.retried,
-        };
+    ) -> bool {
         let counters = &self.shared.counters;
-        if !original.is_whole() {
-            counters.count("swiftcart_retry_refusals_total", "reason", "body-sent");
-            return Err(retried);
+        let result = match (original.is_whole(), call.terms) {
+            (false, _) => Err("body-sent"),
+            (true, Some(terms)) => self
+                .retry_by_policy(call, terms.attempts, entry, made, failed)
+                .map_err(Reason::as_str),
+            (true, None) => self.retry(call, made, failed).map_err(Reason::as_str),
+        };
+        match result {
+            Ok(()) => counters.retry(failed.refusal.reason.as_str()),
+            Err(why) => counters.count("swiftcart_retry_refusals_total", "reason", why),
         }
+        result.is_ok()
+    }
+
+    fn retry(&self, call: &Call, made: &mut Made, failed: &Failed) -> Result<(), Reason> {
+        let failure = Failure {
+            reason: failed.refusal.reason,
+            retried: failed.retried && !made.tries.retried(),
+        };
         let now = self.shared.clock.now();
+        let budget = &mut lock(&self.budget);
         // A key makes a repeat harmless only once its claim decides; the guards' answers say so.
-        let result = tries.retry(now, failure, call.idempotent, call.due, &mut self.budget());
-        match result {
-            Ok(_) => {
-                counters.retry(reason.as_str());
-                Ok(())
-            }
-            Err(why) => {
-                counters.count("swiftcart_retry_refusals_total", "reason", why.as_str());
-                Err(retried)
-            }
-        }
+        let tries = &mut made.tries;
+        tries
+            .retry(now, failure, call.idempotent, call.due, budget)
+            .map(drop)
+    }
+
+    fn retry_by_policy(
+        &self,
+        call: &Call,
+        attempts: u8,
+        entry: &ServiceEntry,
+        made: &mut Made,
+        failed: &Failed,
+    ) -> Result<(), Reason> {
+        let now = self.shared.clock.now();
+        let terms = Terms {
+            idempotent: call.idempotent,
+            attempts,
+        };
+        let nodes = self.shared.members.load().len();
+        let budget = || match &self.fleet {
+            Some(fleet) => lock(fleet).take(now, entry.name(), nodes),
+            None => lock(&self.budget).take(now),
+        };
+        let reason = failed.refusal.reason;
+        let tries = &mut made.under_policy;
+        tries.retry(now, reason, terms, call.due, budget)
     }
 
     async fn attempt(
@@ -211,9 +287,12 @@
             true => {
                 let request = original.request(None);
                 let result = self.guard.run(call, service, request).await;
-                result.map_err(Failed::from)
+                self.hold(call, result.map_err(Failed::from)).await
+            }
+            false => {
+                let result = self.forward(call, pick, service, original, tries).await;
+                self.hold(call, result).await
             }
-            false => self.forward(call, pick, service, original, tries).await,
         };
         match result {
             Ok(mut response) => {
@@ -232,12 +311,31 @@
         }
     }
 
+    /// Reads the beginning of an answer before its head is passed on.
+    ///
+    /// A short answer that breaks off has then not been begun towards the caller.
+    async fn hold(
+        &self,
+        call: &Call,
+        result: Result<Response<Answer>, Failed>,
+    ) -> Result<Response<Answer>, Failed> {
+        let bytes = self.shared.settings.limits.held_bytes as usize;
+        let mut response = result?;
+        if bytes > 0 {
+            let until = self.shared.clock.tokio(call.due.at());
+            response.body_mut().hold(bytes, until).await?;
+        }
+        Ok(response)
+    }
+
     fn balancer(&self) -> MutexGuard<'_, Balancer> {
-        self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.balancer)
     }
+}
 
-    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+impl Failed {
+    const fn outcome(&self) -> Outcome {
+        self.refusal.reason.outcome()
     }
 }
 
@@ -257,11 +355,16 @@
     }
 }
 
-fn due(call: &Call, entry: &ServiceEntry, now: Instant) -> Deadline {
-    match entry.limits().timeout_ms {
-        0 => call.due,
-        ms => call.due.within(now, Duration::from_millis(ms.into())),
-    }
+/// Returns the host that a request names, in its target or its header.
+fn host(head: &Parts) -> Option<&str> {
+    let named = head.headers.get(http::header::HOST);
+    head.uri
+        .host()
+        .or_else(|| named.and_then(|value| value.to_str().ok()))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Returns what a failed try tells of the node and backend server that it went to.
--- a/crates/swiftcart-node/src/calls/ingress/forward.rs
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -9,8 +9,7 @@
 use crate::calls::body::Gate;
 use crate::calls::exchange::exchange;
 use crate::calls::headers::{
-    ATTEMPT, DEADLINE_MS, LOAD, REQUEST_ID, RETRIED, SERVICE, retry_after, strip_hop,
-    strip_internal, verdict,
+    ATTEMPT, LOAD, RETRIED, SERVICE, TERMS, retry_after, strip_hop, strip_internal, verdict,
 };
 use crate::calls::request::Call;
 
@@ -40,14 +39,18 @@
         let name = HeaderValue::from_str(service).map_err(|_| Reason::BadRequest)?;
         let headers = request.headers_mut();
         headers.insert(SERVICE, name);
-        headers.insert(DEADLINE_MS, HeaderValue::from(left));
-        headers.insert(ATTEMPT, HeaderValue::from(u16::from(tries.attempt().0)));
-        headers.insert(REQUEST_ID, call.id_value());
+        let deadline = &self.shared.settings.headers.deadline_ms.0;
+        headers.insert(deadline.clone(), HeaderValue::from(left));
+        match &call.terms {
+            Some(terms) => headers.insert(TERMS, terms.value()),
+            None => headers.insert(ATTEMPT, HeaderValue::from(u16::from(tries.attempt().0))),
+        };
         let until = self.shared.clock.tokio(call.due.at());
         let method = request.method().clone();
         let pool = self.peers.pool(pick.peer);
         let exchanged = exchange(&pool, until, request, Reason::PeerUnreachable).await;
         let (response, pooled) = exchanged?;
+        // A guard gives every answer a length or sends it in chunks.
         match is_framed(&method, response.status(), response.headers()) {
             true => judge(response.map(|body| Answer::stream(body, pooled))),
             false => Err(Reason::AnswerBroken.into()),
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -1,31 +1,59 @@
 //! What a node reads from a request's head before it decides anything.
 
+use std::fmt;
+use std::time::Duration;
+
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Version};
-use swiftcart_core::{Attempt, Deadline, Instant, Reason};
+use swiftcart_core::{Attempt, Deadline, Instant, Policy, Reason, ServiceEntry};
 
 use super::headers::{
-    ATTEMPT, DEADLINE_MS, IDEMPOTENCY_KEY, REQUEST_ID, SERVICE, number, strip_hop, strip_internal,
+    ATTEMPT, IDEMPOTENCY_KEY, SERVICE, TERMS, number, strip_caller, strip_hop, strip_internal,
 };
 use super::rng::with_rng;
-use crate::settings::Limits;
+use super::terms::CallTerms;
+use crate::settings::{Headers, Settings};
 
 /// The longest idempotency key, in bytes.
 const MAX_KEY: usize = 256;
 
+/// The longest id of a request, in bytes.
+const MAX_ID: usize = 128;
+
+/// Names one request in logs, the same at every node.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct RequestId(pub HeaderValue);
+
 /// What is known of a call from its head.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Call {
-    /// The call's number in logs, the same at every node.
-    pub id: u64,
+    /// The call's name in logs.
+    pub id: RequestId,
     /// When the answer is due.
     pub due: Deadline,
     /// How often the call was tried before, over all levels.
     pub attempt: Attempt,
-    /// Whether the method says that the request may run twice without harm.
+    /// Whether the request may run twice without harm.
     pub idempotent: bool,
     /// The key under which a request that is not idempotent runs at most once.
     pub key: Option<HeaderValue>,
+    /// How the route's policy treats the request; without one its method decides.
+    pub terms: Option<CallTerms>,
+}
+
+impl RequestId {
+    /// Draws an id for a request that came without one.
+    fn draw() -> Self {
+        let number: u64 = with_rng(rand::Rng::random);
+        let text = format!("{number:016x}");
+        Self(HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static("0")))
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0.to_str().unwrap_or("?"))
+    }
 }
 
 impl Call {
@@ -34,11 +62,22 @@
     /// # Errors
     ///
     /// [`Reason::BadRequest`] when the request cannot be passed on safely.
-    pub fn from_caller(head: &mut Parts, limits: &Limits, now: Instant) -> Result<Self, Reason> {
+    pub fn from_caller(
+        head: &mut Parts,
+        settings: &Settings,
+        now: Instant,
+    ) -> Result<Self, Reason> {
         check(head)?;
-        strip_internal(&mut head.headers);
-        let id = with_rng(rand::Rng::random);
-        Self::read(head, id, limits, now)
+        let names = &settings.headers;
+        strip_caller(&mut head.headers, names);
+        let id = match names.own_ids {
+            true => given_id(&head.headers, names)?,
+            false => None,
+        };
+        let id = id.unwrap_or_else(RequestId::draw);
+        head.headers
+            .insert(names.request_id.0.clone(), id.0.clone());
+        Self::read(head, id, settings, now)
     }
 
     /// Reads a request that another node hands on, and the service that it asks for.
@@ -48,29 +87,57 @@
     /// [`Reason::BadRequest`] when a node would not send it so.
     pub fn from_peer(
         head: &mut Parts,
-        limits: &Limits,
+        settings: &Settings,
         now: Instant,
     ) -> Result<(Self, HeaderValue), Reason> {
         check(head)?;
         let service = head.headers.get(SERVICE).cloned();
         let service = service.ok_or(Reason::BadRequest)?;
-        let id = hex(&head.headers).ok_or(Reason::BadRequest)?;
+        let id = given_id(&head.headers, &settings.headers)?.ok_or(Reason::BadRequest)?;
+        let terms = head.headers.get(TERMS).map(CallTerms::parse).transpose()?;
         strip_internal(&mut head.headers);
-        let call = Self::read(head, id, limits, now)?;
+        let mut call = Self::read(head, id, settings, now)?;
+        if let Some(terms) = terms {
+            call.take_terms(terms);
+        }
         Ok((call, service))
     }
 
-    fn read(head: &mut Parts, id: u64, limits: &Limits, now: Instant) -> Result<Self, Reason> {
+    /// Takes over what the configuration says of the request's route.
+    pub fn take_route(&mut self, entry: &ServiceEntry, policy: Option<Policy>, now: Instant) {
+        let limit = |due: Deadline, ms: u32| match ms {
+            0 => due,
+            ms => due.within(now, Duration::from_millis(ms.into())),
+        };
+        self.due = limit(self.due, entry.limits().timeout_ms);
+        if let Some(policy) = policy {
+            self.due = limit(self.due, policy.timeout_ms);
+            self.take_terms(CallTerms::from(policy));
+        }
+    }
+
+    fn take_terms(&mut self, terms: CallTerms) {
+        self.idempotent = terms.class.is_idempotent();
+        self.terms = Some(terms);
+    }
+
+    fn read(
+        head: &mut Parts,
+        id: RequestId,
+        settings: &Settings,
+        now: Instant,
+    ) -> Result<Self, Reason> {
         let headers = &mut head.headers;
-        let left = number(headers, &DEADLINE_MS)?;
-        let longest = limits.longest();
-        let due = left.map_or(longest, |ms| {
-            longest.min(std::time::Duration::from_millis(ms))
-        });
+        let left = number(headers, &settings.headers.deadline_ms.0)?;
+        let longest = settings.limits.longest();
+        let due = left.map_or(longest, |ms| longest.min(Duration::from_millis(ms)));
         let attempt = number(headers, &ATTEMPT)?.unwrap_or(0);
         let attempt = u8::try_from(attempt).map_err(|_| Reason::BadRequest)?;
-        let idempotent = is_idempotent(&head.method);
-        let key = key(headers, idempotent)?;
+        let idempotent = head.method.is_idempotent();
+        let key = match settings.claims {
+            true => key(headers, idempotent)?,
+            false => None,
+        };
         strip_hop(headers);
         Ok(Self {
             id,
@@ -78,15 +145,9 @@
             attempt: Attempt(attempt),
             idempotent,
             key,
+            terms: None,
         })
     }
-
-    /// Returns the call's number as a header's value.
-    #[must_use]
-    pub fn id_value(&self) -> HeaderValue {
-        let text = format!("{:016x}", self.id);
-        HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static("0"))
-    }
 }
 
 /// Refuses what cannot be passed on: tunnels, and HTTP/1.0, whose callers cannot tell
@@ -110,11 +171,14 @@
     }
 }
 
-fn hex(headers: &HeaderMap) -> Option<u64> {
-    let text = headers.get(REQUEST_ID)?.to_str().ok()?;
-    u64::from_str_radix(text, 16).ok()
-}
-
-fn is_idempotent(method: &Method) -> bool {
-    method.is_idempotent()
+/// Returns the id that a request came with.
+fn given_id(headers: &HeaderMap, names: &Headers) -> Result<Option<RequestId>, Reason> {
+    let mut values = headers.get_all(&names.request_id.0).iter();
+    match (values.next(), values.next()) {
+        (None, _) => Ok(None),
+        (Some(id), None) if (1..=MAX_ID).contains(&id.len()) && id.to_str().is_ok() => {
+            Ok(Some(RequestId(id.clone())))
+        }
+        _ => Err(Reason::BadRequest),
+    }
 }
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -56,7 +56,8 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
         let result = self.run(request).await;
-        let mut response = result.unwrap_or_else(|refusal| refuse(refusal, false));
+        let mut response =
+            result.unwrap_or_else(|refusal| refuse(refusal, false, self.shared.settings.answers));
         if let Some(load) = self.guard.load() {
             response.headers_mut().insert(LOAD, load);
         }
@@ -65,10 +66,11 @@
     }
 
     async fn run(&self, request: Request<Incoming>) -> Result<Response<Answer>, Refusal> {
-        let limits = &self.shared.settings.limits;
+        let settings = &self.shared.settings;
+        let limits = &settings.limits;
         let now = self.shared.clock.now();
         let (mut head, body) = request.into_parts();
-        let (call, service) = Call::from_peer(&mut head, limits, now)?;
+        let (call, service) = Call::from_peer(&mut head, settings, now)?;
         let body = match body.is_end_stream() {
             true => Outgoing::Empty,
             false => Source::new(body, 0, limits.body_timeout()).start(None),
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/terms.rs
@@ -0,0 +1,77 @@
+//! How a request is treated under its route's policy, as nodes tell each other.
+
+use std::str::FromStr;
+
+use http::HeaderValue;
+use swiftcart_core::{Policy, Priority, Reason, RequestClass};
+
+/// What a guard has to know of the policy of a request's route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallTerms {
+    /// How often the request may be executed.
+    pub class: RequestClass,
+    /// Backend servers that it may be sent to.
+    pub attempts: u8,
+    /// Its rank among the requests of the same service.
+    pub priority: Priority,
+    /// The time within which an answer is worth most, in milliseconds.
+    pub target_ms: u32,
+}
+
+impl CallTerms {
+    /// Reads the header that [`CallTerms::value`] wrote.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::BadRequest`] when a node would not have written it so.
+    pub fn parse(value: &HeaderValue) -> Result<Self, Reason> {
+        let mut parts = value.to_str().unwrap_or_default().split(' ');
+        let class = match parts.next() {
+            Some("i") => RequestClass::Idempotent,
+            Some("n") => RequestClass::NonIdempotent,
+            Some("u") => RequestClass::Upload,
+            _ => return Err(Reason::BadRequest),
+        };
+        Ok(Self {
+            class,
+            attempts: next(&mut parts)?,
+            priority: Priority(next(&mut parts)?),
+            target_ms: next(&mut parts)?,
+        })
+    }
+
+    /// Returns the header's value.
+    #[must_use]
+    pub fn value(&self) -> HeaderValue {
+        let class = match self.class {
+            RequestClass::Idempotent => 'i',
+            RequestClass::NonIdempotent => 'n',
+            RequestClass::Upload => 'u',
+        };
+        let Self {
+            attempts,
+            priority: Priority(priority),
+            target_ms,
+            ..
+        } = self;
+        let text = format!("{class} {attempts} {priority} {target_ms}");
+        // Letters, digits and spaces are always a header's value.
+        HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
+    }
+}
+
+impl From<Policy> for CallTerms {
+    fn from(policy: Policy) -> Self {
+        Self {
+            class: policy.class,
+            attempts: policy.attempts,
+            priority: policy.priority,
+            target_ms: policy.target_ms,
+        }
+    }
+}
+
+fn next<'a, T: FromStr>(parts: &mut impl Iterator<Item = &'a str>) -> Result<T, Reason> {
+    let part = parts.next().ok_or(Reason::BadRequest)?;
+    part.parse().map_err(|_| Reason::BadRequest)
+}
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -2,26 +2,30 @@
 
 use std::sync::Arc;
 
-use http::{HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use swiftcart_core::{
-    AdmissionSettings, Backend, Gate, Instant, Limits, Load, Readiness, Reason, Refusal,
+    AdmissionSettings, Backend, Deadline, Gate, Instant, Limits, Load, Readiness, Reason, Refusal,
     ServiceName,
 };
 
 use super::admissions::{Admissions, Slot};
 use super::body::Outgoing;
 use super::exchange::exchange;
-use super::headers::{DEADLINE, REQUEST_ID};
+use super::headers::DEADLINE;
 use super::pool::{Pool, Pooled};
 use super::request::Call;
 use crate::clock::Clock;
+use crate::settings::Headers;
 use crate::shared::Shared;
 
 /// The backend server as it announced itself, with its connections and admission.
 #[derive(Debug, Clone)]
 pub struct Upstream {
     backend: Backend,
+    /// The id by which the backend server calls itself.
+    instance: Option<HeaderValue>,
+    headers: Arc<Headers>,
     clock: Clock,
     pool: Arc<Pool>,
     admissions: Arc<Admissions>,
@@ -32,9 +36,10 @@
     #[must_use]
     pub fn new(shared: &Shared, old: Option<&Self>, backend: Backend) -> Self {
         let limits = &shared.settings.limits;
+        let instance = shared.beside().instance();
         let same = old.filter(|old| {
             let same_addr = old.backend.addr == backend.addr;
-            same_addr && old.backend.service == backend.service
+            same_addr && old.backend.service == backend.service && old.instance == instance
         });
         let admissions = same.map_or_else(
             || {
@@ -59,6 +64,8 @@
             );
         Self {
             backend,
+            instance,
+            headers: Arc::clone(&shared.headers),
             clock: shared.clock,
             pool,
             admissions,
@@ -133,12 +140,31 @@
         until: Instant,
         mut request: Request<Outgoing>,
     ) -> Result<(Response<Incoming>, Pooled), Reason> {
-        let headers = request.headers_mut();
-        headers.insert(DEADLINE, HeaderValue::from(self.clock.unix_ms(until)));
-        headers.insert(REQUEST_ID, call.id_value());
+        self.address(request.headers_mut(), until, call)?;
         let until = self.clock.tokio(until);
         exchange(&self.pool, until, request, Reason::ConnectFailed).await
     }
+
+    /// Sets the headers that the backend server gets from the node beside it.
+    fn address(&self, headers: &mut HeaderMap, until: Instant, call: &Call) -> Result<(), Reason> {
+        let names = &*self.headers;
+        match names.time_left {
+            true => {
+                let left = Deadline::at_instant(until).left_ms(self.clock.now());
+                let left = left.ok_or(Reason::DeadlinePassed)?;
+                headers.insert(names.deadline_ms.0.clone(), HeaderValue::from(left));
+            }
+            false => {
+                let unix = HeaderValue::from(self.clock.unix_ms(until));
+                headers.insert(DEADLINE, unix);
+            }
+        }
+        if let (Some(name), Some(id)) = (&names.target, &self.instance) {
+            headers.insert(name.0.clone(), id.clone());
+        }
+        headers.insert(names.request_id.0.clone(), call.id.0.clone());
+        Ok(())
+    }
 }
 
 const fn gate(readiness: Readiness, stopping: bool) -> Gate {
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -6,6 +6,7 @@
 
 mod control_loop;
 mod error;
+mod finder;
 mod following;
 mod frames;
 mod members;
@@ -14,6 +15,7 @@
 mod pulls;
 mod reader;
 mod roster;
+mod source;
 mod stream;
 mod sync_client;
 mod sync_server;
@@ -22,12 +24,15 @@
 use std::sync::Arc;
 
 use slog::error;
-use swiftcart_platform::{Page, PlatformError};
+use swiftcart_core::NodeId;
+use swiftcart_platform::PlatformError;
 
 pub use error::ControlError;
 
 use self::control_loop::Control;
 use self::pulls::Pulled;
+use self::reader::Read;
+use crate::edge::Edges;
 use crate::logging::Event;
 use crate::shared::Shared;
 
@@ -35,7 +40,9 @@
 #[derive(Debug)]
 enum Input {
     Pulled(Box<Pulled>),
-    Page(Box<Result<Page, PlatformError>>),
+    Read(Box<Result<Read, PlatformError>>),
+    /// The nodes that the directory names.
+    Found(Vec<NodeId>),
     Appended(Result<(), PlatformError>),
 }
 
@@ -44,8 +51,8 @@
 /// # Errors
 ///
 /// Fails when an address cannot be bound.
-pub async fn open(shared: Arc<Shared>) -> Result<Opened, ControlError> {
-    Control::open(shared).await.map(Opened)
+pub async fn open(shared: Arc<Shared>, edges: Edges) -> Result<Opened, ControlError> {
+    Control::open(shared, edges).await.map(Opened)
 }
 
 /// A control edge whose sockets are open.
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::finder::Finder;
 use super::net::Net;
 use super::publish;
 use super::pulls::Pulls;
@@ -21,6 +22,7 @@
 use super::stream::Stream;
 use super::sync_server::{Pending, SyncServer};
 use super::{ControlError, Input};
+use crate::edge::Edges;
 use crate::logging::{Event, unix_ms};
 use crate::shared::{Phase, Shared};
 
@@ -47,6 +49,10 @@
     /// Held open for as long as the node runs.
     _server: SyncServer,
     pub(super) backend: watch::Receiver<Option<Backend>>,
+    /// Whether the other nodes were looked up, where there is a place to look.
+    pub(super) found: bool,
+    /// Held open for as long as the node runs.
+    _finder: Option<Finder>,
     pub(super) left: bool,
     /// Whether members or the version changed since the view was built.
     pub(super) stale: bool,
@@ -55,7 +61,7 @@
 }
 
 impl Control {
-    pub(super) async fn open(shared: Arc<Shared>) -> Result<Self, ControlError> {
+    pub(super) async fn open(shared: Arc<Shared>, edges: Edges) -> Result<Self, ControlError> {
         let settings = &shared.settings;
         let key = MeshKey::from_secret(settings.mesh_key.as_str());
         let net = Net::bind(Arc::clone(&shared), key.clone()).await?;
@@ -70,12 +76,17 @@
             seeds,
             rng.random(),
         );
-        let stream = Stream::new(shared.id, settings);
+        let stream = Stream::new(shared.id, settings, edges.snapshots.is_some());
         let pulls = Pulls::new(Arc::clone(&shared), key, sender.clone());
-        let reader = Reader::new(Arc::clone(&shared), sender.clone(), rng);
+        let reader = Reader::new(Arc::clone(&shared), edges.snapshots, sender.clone(), rng);
+        let finder = edges
+            .directory
+            .map(|directory| Finder::start(&shared, directory, sender.clone()));
         Ok(Self {
             roster: Roster::new(&membership),
             backend: shared.backend.subscribe(),
+            found: finder.is_none(),
+            _finder: finder,
             left: false,
             stale: true,
             down: false,
@@ -120,7 +131,7 @@
 
     fn on_tick(&mut self) {
         let now = self.now();
-        self.membership.set_head(self.stream.feed.head());
+        self.membership.set_head(self.stream.source.head());
         let actions = self.membership.tick(now);
         self.act(actions);
         let todo = self.stream.on_tick(now, &self.roster.witnesses);
@@ -140,7 +151,7 @@
         match &datagram {
             Datagram::Push { origin, entries } => self.on_push(now, from, *origin, entries),
             Datagram::Offer { origin, head } => {
-                let actions = self.stream.feed.on_offer(now, from, *origin, *head);
+                let actions = self.stream.source.on_offer(now, from, *origin, *head);
                 self.follow(actions);
             }
             Datagram::Report { version } if self.stream.witness.on_report(from, *version) => {
@@ -163,7 +174,7 @@
         let actions = self.membership.on_datagram(now, from, datagram);
         self.act(actions);
         if let Some(head) = head {
-            let actions = self.stream.feed.on_head(now, from, head);
+            let actions = self.stream.source.on_head(now, from, head);
             self.follow(actions);
         }
     }
@@ -171,7 +182,8 @@
     fn on_input(&mut self, input: Input) {
         match input {
             Input::Pulled(pulled) => self.on_pulled(*pulled),
-            Input::Page(result) => self.on_page(*result),
+            Input::Read(result) => self.on_read(*result),
+            Input::Found(found) => self.on_found(found),
             Input::Appended(Ok(())) => {
                 info!(self.shared.logger, ""; "event" => Event::Checkpoint);
             }
@@ -188,7 +200,7 @@
         };
         let reply = match (self.pulls.admit(now), request) {
             (Some(busy), _) => busy,
-            (None, SyncRequest::Feed { from }) => SyncReply::Feed(self.stream.feed.answer(from)),
+            (None, SyncRequest::Feed { from }) => SyncReply::Feed(self.stream.source.answer(from)),
             (None, SyncRequest::Members { buckets }) => {
                 SyncReply::Members(self.membership.entries_for(&buckets))
             }
@@ -201,7 +213,7 @@
     /// A node that knows no members has no backend servers to offer; but one that is cut
     /// off has to serve what it can.
     pub(super) fn met(&self, now: Instant) -> bool {
-        self.membership.is_synced() || now.elapsed() >= MEET
+        (self.found && self.membership.is_synced()) || now.elapsed() >= MEET
     }
 
     /// Shows the view first, so that who reads a version or a phase finds it in force.
@@ -209,7 +221,8 @@
         let now = self.now();
         let phase = publish::phase(self, now);
         let old = *self.shared.phase.borrow();
-        let entering = old != phase && old != Phase::Stopping;
+        let stopping = matches!(old, Phase::Leaving | Phase::Stopping);
+        let entering = old != phase && !stopping;
         if std::mem::take(&mut self.stale) || entering {
             publish::view(self, now);
         }
@@ -218,7 +231,7 @@
 }
 
 fn myself(shared: &Shared) -> Member {
-    let listen = shared.settings.listen;
+    let listen = &shared.settings.listen;
     Member {
         id: shared.id,
         sync: listen.sync,
--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -5,13 +5,13 @@
     Body, Checkpoint, Datagram, Entry, Envelope, FeedAction, Instant, NodeId, SyncReply,
     SyncRequest, children,
 };
-use swiftcart_platform::{Page, PlatformError};
+use swiftcart_platform::PlatformError;
 
 use super::Input;
 use super::control_loop::Control;
 use super::net::{Traffic, count};
 use super::pulls::Pulled;
-use super::reader::{Duty, STREAM};
+use super::reader::{Duty, Read, STREAM};
 use super::stream::Todo;
 use crate::logging::Event;
 
@@ -33,16 +33,18 @@
         }
     }
 
-    pub(super) fn on_page(&mut self, result: Result<Page, PlatformError>) {
+    pub(super) fn on_read(&mut self, result: Result<Read, PlatformError>) {
         let now = self.now();
         let duty = self.duty(now);
         self.reader.done(now, duty, &result);
         match result {
-            Ok(page) => {
+            Ok(read) => {
                 self.note_platform(None);
-                let len = page.entries.iter().map(|e| e.body.len()).sum();
-                count(&self.shared, Traffic::PlatformRead, len);
-                let todo = self.stream.on_page(now, page, &self.roster.witnesses);
+                if let Read::Page(page) = &read {
+                    let len = page.entries.iter().map(|e| e.body.len()).sum();
+                    count(&self.shared, Traffic::PlatformRead, len);
+                }
+                let todo = self.stream.on_read(now, read, &self.roster.witnesses);
                 self.follow_up(todo);
                 let duty = self.duty(now);
                 self.reader.tick(now, duty, self.stream.from());
@@ -78,7 +80,7 @@
         self.pulls.end(peer);
         match pulled.result {
             Ok(SyncReply::Feed(answer)) => {
-                let actions = self.stream.feed.on_pull_reply(now, peer, answer);
+                let actions = self.stream.source.on_pull_reply(now, peer, answer);
                 self.follow(actions);
             }
             Ok(SyncReply::Members(entries)) => {
@@ -86,11 +88,11 @@
                 self.act(actions);
             }
             Ok(SyncReply::Busy { .. }) => {
-                self.stream.feed.on_pull_failed(peer);
+                self.stream.source.on_pull_failed(peer);
                 self.count_pull("busy");
             }
             Err(e) => {
-                self.stream.feed.on_pull_failed(peer);
+                self.stream.source.on_pull_failed(peer);
                 self.count_pull(e.as_str());
             }
         }
@@ -127,7 +129,7 @@
             FeedAction::Push { origin, entries } => self.push(origin, &entries),
             FeedAction::Pull { peer, from } => {
                 if !self.pull(peer, &SyncRequest::Feed { from }) {
-                    self.stream.feed.on_pull_failed(peer);
+                    self.stream.source.on_pull_failed(peer);
                 }
             }
             FeedAction::Stalled(rule) => {
@@ -143,21 +145,30 @@
                 warn!(logger, ""; "event" => Event::NoStart, "first" => first.0);
             }
             FeedAction::AppendCheckpoint(checkpoint) => self.append(checkpoint),
+            FeedAction::Offer { origin } => {
+                let head = self.stream.source.head();
+                self.pass_on(origin, &Datagram::Offer { origin, head });
+            }
             FeedAction::Applied(_) => {}
         }
     }
 
     /// Passes records on to this node's children in the tree of `origin`.
     fn push(&self, origin: NodeId, entries: &[Entry]) {
-        let fanout = usize::try_from(self.shared.settings.gossip.fanout).unwrap_or(1);
-        let head = self.stream.feed.head();
+        let head = self.stream.source.head();
         let offer = Datagram::Offer { origin, head };
         let datagram = match postcard::to_stdvec(entries) {
             Ok(entries) if entries.len() <= PUSH_BYTES => Datagram::Push { origin, entries },
             Ok(_) | Err(_) => offer,
         };
+        self.pass_on(origin, &datagram);
+    }
+
+    /// Sends a datagram to this node's children in the tree of `origin`.
+    fn pass_on(&self, origin: NodeId, datagram: &Datagram) {
+        let fanout = usize::try_from(self.shared.settings.gossip.fanout).unwrap_or(1);
         for child in children(&self.roster.near, origin, self.shared.id, fanout) {
-            self.net.send(child, &datagram);
+            self.net.send(child, datagram);
         }
     }
 
--- a/crates/swiftcart-node/src/control/members.rs
+++ b/crates/swiftcart-node/src/control/members.rs
@@ -16,6 +16,14 @@
         self.stale = true;
     }
 
+    /// Takes the nodes that the directory names.
+    pub(super) fn on_found(&mut self, found: Vec<NodeId>) {
+        self.found = true;
+        let now = self.now();
+        let actions = self.membership.add_seeds(now, found);
+        self.act(actions);
+    }
+
     pub(super) fn on_stopping(&mut self) {
         self.left = true;
         let now = self.now();
--- a/crates/swiftcart-node/src/control/publish.rs
+++ b/crates/swiftcart-node/src/control/publish.rs
@@ -6,6 +6,7 @@
 use swiftcart_core::{Instant, Member, NotReady, Version, View};
 
 use super::control_loop::Control;
+use super::source::Content;
 use super::stream::Stream;
 use crate::logging::Event;
 use crate::shared::{Phase, Progress};
@@ -44,23 +45,27 @@
     let shared = Arc::clone(&control.shared);
     let members: Vec<Member> = control.membership.members().cloned().collect();
     shared.members.store(Arc::new(members));
-    let Ok((version, table)) = control.stream.served(now) else {
+    let Ok((version, content)) = control.stream.served(now) else {
         return;
     };
-    let table = Arc::clone(table);
+    let content = content.clone();
     let membership = &control.membership;
     let routable = membership.members().filter(|m| membership.routable(m.id));
     let old = shared.view.load();
-    let view = View::new(
-        version,
-        &table,
-        routable,
-        shared.id,
-        &shared.settings.domain,
-    );
+    let domain = &shared.settings.domain;
+    let (table, view) = match &content {
+        Content::Table(table) => {
+            let view = View::new(version, table, routable, shared.id, domain);
+            (Arc::clone(table), view)
+        }
+        Content::Snapshot(snapshot) => {
+            let view = View::from_snapshot(snapshot, routable, shared.id, domain);
+            (Arc::new(snapshot.table.clone()), view)
+        }
+    };
     if old.version() != version {
         info!(shared.logger, ""; "event" => Event::Applied, "version" => version.0,
-            "digest" => %control.stream.feed.fold().digest());
+            "digest" => %control.stream.source.digest());
     }
     shared.adopt(table, view);
 }
@@ -76,8 +81,8 @@
 fn seen(stream: &Stream, version: Version) -> Progress {
     Progress {
         version,
-        position: stream.feed.fold().position(),
-        digest: stream.feed.fold().digest(),
-        stalled_rule: stream.feed.stalled(),
+        position: stream.source.position(),
+        digest: stream.source.digest(),
+        stalled_rule: stream.source.stalled(),
     }
 }
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -5,12 +5,13 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
-use swiftcart_core::{Instant, Offset};
+use swiftcart_core::{Instant, Offset, Snapshot, Version};
 use swiftcart_platform::{Backoff, Page, PageLimit, Platform, PlatformError};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use super::{Input, reachable};
+use crate::edge::SnapshotSource;
 use crate::shared::Shared;
 
 /// The stream that holds publishes and checkpoints.
@@ -27,11 +28,25 @@
 /// Joiners spread their first read over this time for each node that is known.
 const JOIN_SPREAD: Duration = Duration::from_millis(5);
 
-/// Reads the platform's log for one node, one read at a time.
+/// The pause after a version that came as a whole. Versions in quick succession are read
+/// together: each read has its price, and a version has seconds to be in force.
+const SETTLE: Duration = Duration::from_millis(250);
+
+/// What a read brought.
+#[derive(Debug)]
+pub(super) enum Read {
+    /// Records of the log.
+    Page(Page),
+    /// The newest version, when it is newer than the one that was known.
+    Newest(Option<Snapshot>),
+}
+
+/// Reads the platform for one node, one read at a time.
 #[derive(Debug)]
 pub(super) struct Reader {
     shared: Arc<Shared>,
     platform: Platform,
+    whole: Option<Arc<dyn SnapshotSource>>,
     inputs: mpsc::Sender<Input>,
     rng: SmallRng,
     readers: usize,
@@ -56,7 +71,12 @@
 }
 
 impl Reader {
-    pub(super) fn new(shared: Arc<Shared>, inputs: mpsc::Sender<Input>, rng: SmallRng) -> Self {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        whole: Option<Arc<dyn SnapshotSource>>,
+        inputs: mpsc::Sender<Input>,
+        rng: SmallRng,
+    ) -> Self {
         let settings = &shared.settings;
         let platform =
             Platform::new(settings.platform.addr).with_timeout(settings.platform.timeout());
@@ -64,6 +84,7 @@
         Self {
             shared,
             platform,
+            whole,
             inputs,
             rng,
             readers,
@@ -91,15 +112,16 @@
     }
 
     /// Notes the end of a read; the next one waits when it failed or was a stand-in's.
-    pub(super) fn done(&mut self, now: Instant, duty: Duty, result: &Result<Page, PlatformError>) {
+    pub(super) fn done(&mut self, now: Instant, duty: Duty, result: &Result<Read, PlatformError>) {
         self.task = None;
         let wait = match result {
-            Ok(_) => {
+            Ok(read) => {
                 self.backoff.succeeded();
                 self.limit.grow();
-                match duty.rank < self.readers || duty.joining {
-                    true => Duration::ZERO,
-                    false => self.standby(duty.rank),
+                match (duty.rank < self.readers || duty.joining, read) {
+                    (true, Read::Newest(Some(_))) => SETTLE,
+                    (true, Read::Page(_) | Read::Newest(None)) => Duration::ZERO,
+                    (false, _) => self.standby(duty.rank),
                 }
             }
             Err(e) if self.limit.shrink(e) => Duration::ZERO,
@@ -144,15 +166,25 @@
         let kind = if long { "long-poll" } else { "once" };
         self.shared.counters.count(name, "kind", kind);
         self.long = long;
+        let whole = self.whole.clone();
         self.task = Some(tokio::spawn(async move {
-            let read = platform.read(STREAM, from, limit, wait).await;
+            let read = match whole {
+                Some(whole) => {
+                    let newest = whole.newest(Version(from.0), wait).await;
+                    newest.map(Read::Newest)
+                }
+                None => {
+                    let page = platform.read(STREAM, from, limit, wait).await;
+                    page.map(Read::Page)
+                }
+            };
             // The answer is lost as well when the cut came while the read was held.
-            let page = match reachable(&shared, platform.addr()) {
+            let read = match reachable(&shared, platform.addr()) {
                 true => read,
                 false => unreachable(&shared).await,
             };
             // The control loop is gone when the node has stopped.
-            drop(inputs.send(Input::Page(Box::new(page))).await);
+            drop(inputs.send(Input::Read(Box::new(read))).await);
         }));
     }
 
@@ -172,7 +204,7 @@
 }
 
 /// Behaves as a platform whose packets are lost on the way.
-async fn unreachable(shared: &Shared) -> Result<Page, PlatformError> {
+async fn unreachable(shared: &Shared) -> Result<Read, PlatformError> {
     tokio::time::sleep(shared.settings.platform.timeout()).await;
     Err(PlatformError::Timeout)
 }
--- a/crates/swiftcart-node/src/control/stream.rs
+++ b/crates/swiftcart-node/src/control/stream.rs
@@ -1,27 +1,27 @@
 //! Follows the configuration stream: the feed, the floor and the way to being ready.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use swiftcart_core::{
-    Entry, Feed, FeedAction, FeedSettings, Floor, FloorAction, Instant, Join, NodeId, NotReady,
-    Offset, Table, Version, Witness,
+    Entry, FeedAction, FeedSettings, Floor, FloorAction, Instant, Join, NodeId, NotReady, Offset,
+    Version, Witness,
 };
-use swiftcart_platform::Page;
 
+use super::reader::Read;
+use super::source::{Content, Source};
 use crate::settings::Settings;
 
 /// Holds what a node knows of the stream and what it has put in force.
 #[derive(Debug)]
 pub(super) struct Stream {
-    pub(super) feed: Feed,
+    pub(super) source: Source,
     pub(super) witness: Witness,
     pub(super) join: Join,
     floor: Floor,
-    /// The tables that wait for a witness.
-    waiting: BTreeMap<Version, Arc<Table>>,
-    /// The table that the floor has let through.
-    enforced: (Version, Arc<Table>),
+    /// The versions that wait for a witness.
+    waiting: BTreeMap<Version, Content>,
+    /// The version that the floor has let through.
+    enforced: (Version, Content),
     /// The platform's clock at a time of ours.
     clock: Option<(Instant, u64)>,
 }
@@ -38,24 +38,40 @@
 }
 
 impl Stream {
-    pub(super) fn new(me: NodeId, settings: &Settings) -> Self {
+    /// Follows the platform's log, or with `whole` the versions that the platform has judged.
+    pub(super) fn new(me: NodeId, settings: &Settings, whole: bool) -> Self {
         let retention = std::time::Duration::from_secs(settings.platform.retention_s);
+        let source = match whole {
+            true => Source::snapshots(me),
+            false => Source::log(me, FeedSettings::new(retention)),
+        };
         Self {
-            feed: Feed::new(me, FeedSettings::new(retention)),
+            enforced: (Version::NONE, source.content()),
+            source,
             witness: Witness::new(),
             join: Join::new(),
             floor: Floor::new(),
             waiting: BTreeMap::new(),
-            enforced: (Version::NONE, Arc::default()),
             clock: None,
         }
     }
 
-    /// Takes a page of the platform's log.
-    pub(super) fn on_page(&mut self, now: Instant, page: Page, witnesses: &[NodeId]) -> Todo {
-        self.clock = Some((now, page.now_ms));
-        self.join.on_platform(page.next);
-        let actions = self.feed.on_page(page.first, page.next, page.entries);
+    /// Takes what was read from the platform.
+    pub(super) fn on_read(&mut self, now: Instant, read: Read, witnesses: &[NodeId]) -> Todo {
+        let actions = match (&mut self.source, read) {
+            (Source::Log(feed), Read::Page(page)) => {
+                self.clock = Some((now, page.now_ms));
+                self.join.on_platform(page.next);
+                feed.on_page(page.first, page.next, page.entries)
+            }
+            (Source::Snapshots(snapshots), Read::Newest(Some(snapshot))) => {
+                self.join.on_platform(Offset(snapshot.version.0));
+                snapshots.on_read(snapshot)
+            }
+            // Nothing newer: what is known is the newest, unless nothing was ever published.
+            (Source::Snapshots(_), Read::Newest(None)) => Vec::new(),
+            (Source::Log(_), Read::Newest(_)) | (Source::Snapshots(_), Read::Page(_)) => Vec::new(),
+        };
         self.after(now, actions, witnesses)
     }
 
@@ -68,7 +84,10 @@
         entries: Vec<Entry>,
         witnesses: &[NodeId],
     ) -> Todo {
-        let actions = self.feed.on_push(now, peer, origin, entries);
+        let actions = match &mut self.source {
+            Source::Log(feed) => feed.on_push(now, peer, origin, entries),
+            Source::Snapshots(_) => Vec::new(),
+        };
         self.after(now, actions, witnesses)
     }
 
@@ -111,28 +130,31 @@
     pub(super) fn checkpoint(&mut self, now: Instant, rank: usize) -> Option<FeedAction> {
         let (at, ms) = self.clock?;
         let passed = u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
-        self.feed.on_tick(ms.saturating_add(passed), rank)
+        match &mut self.source {
+            Source::Log(feed) => feed.on_tick(ms.saturating_add(passed), rank),
+            Source::Snapshots(_) => None,
+        }
     }
 
     /// Returns the offset from which to read the platform's log.
     pub(super) fn from(&self) -> Offset {
-        self.feed.from()
+        self.source.from()
     }
 
-    /// Returns the version that may be served, with its table.
+    /// Returns the version that may be served, with its content.
     ///
     /// # Errors
     ///
     /// What a node that has just started still waits for.
-    pub(super) fn served(&mut self, now: Instant) -> Result<(Version, &Arc<Table>), NotReady> {
-        let (version, table) = &self.enforced;
-        let position = match *version == self.feed.fold().version() {
-            true => self.feed.fold().position(),
+    pub(super) fn served(&mut self, now: Instant) -> Result<(Version, &Content), NotReady> {
+        let (version, content) = &self.enforced;
+        let position = match *version == self.source.version() {
+            true => self.source.position(),
             // A version still waits for its witness; the node is not yet that far.
             false => Offset(version.0),
         };
         self.join.ready(now, position, *version)?;
-        Ok((*version, table))
+        Ok((*version, content))
     }
 
     /// Returns the version that answers a joiner: none while this node is joining itself.
@@ -142,9 +164,8 @@
     }
 
     fn advance(&mut self, now: Instant, witnesses: &[NodeId]) -> Todo {
-        let fold = self.feed.fold();
-        let version = fold.version();
-        self.waiting.insert(version, Arc::clone(fold.table()));
+        let version = self.source.version();
+        self.waiting.insert(version, self.source.content());
         let actions = self.floor.on_version(now, version, witnesses);
         self.enforce(actions)
     }
--- /dev/null
+++ b/crates/swiftcart-node/src/edge.rs
@@ -0,0 +1,75 @@
+//! The platform as a node needs it, where it is more than a log: other implementations of
+//! these traits run the same node elsewhere.
+
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use swiftcart_core::{NodeId, Snapshot, Version};
+use swiftcart_platform::PlatformError;
+
+/// The answer of the platform, some time.
+pub type Asked<'a, T> = Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
+
+/// A platform that judges configurations itself and holds the newest accepted one.
+pub trait SnapshotSource: fmt::Debug + Send + Sync {
+    /// Returns the newest version; waits up to `wait` for one above `known`, and returns
+    /// `None` when there is none.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`]; nothing is known then.
+    fn newest(&self, known: Version, wait: Duration) -> Asked<'_, Option<Snapshot>>;
+}
+
+/// A place outside the mesh through which its nodes find each other.
+pub trait Directory: fmt::Debug + Send + Sync {
+    /// Enters `id` and returns everyone who is entered.
+    ///
+    /// Of two nodes that enter at the same time at least one finds the other.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`]; whether `id` was entered is then not known.
+    fn enter(&self, id: NodeId) -> Asked<'_, Vec<NodeId>>;
+
+    /// Removes `ids`, which are gone for good.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`]; whether they were removed is then not known.
+    fn remove(&self, ids: Vec<NodeId>) -> Asked<'_, ()>;
+}
+
+/// What a node has of the platform besides the log; without any it follows the log.
+#[derive(Debug, Default, Clone)]
+pub struct Edges {
+    /// Where accepted versions come from, in place of the log.
+    pub snapshots: Option<Arc<dyn SnapshotSource>>,
+    /// Where nodes find each other, beside the seeds of the settings.
+    pub directory: Option<Arc<dyn Directory>>,
+}
+
+impl Edges {
+    /// Creates the edges of a node that follows the platform's log.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes accepted versions from `source`.
+    #[must_use]
+    pub fn with_snapshots(mut self, source: Arc<dyn SnapshotSource>) -> Self {
+        self.snapshots = Some(source);
+        self
+    }
+
+    /// Finds other nodes in `directory`.
+    #[must_use]
+    pub fn with_directory(mut self, directory: Arc<dyn Directory>) -> Self {
+        self.directory = Some(directory);
+        self
+    }
+}
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -6,13 +6,16 @@
 
 mod admin;
 mod args;
+mod beside;
 mod calls;
 mod clock;
 mod control;
 mod counters;
+mod edge;
 mod faults;
 mod logging;
 mod node;
+mod program;
 mod settings;
 mod shared;
 
@@ -20,10 +23,13 @@
 pub use clock::Clock;
 pub use control::ControlError;
 pub use counters::{Counters, Stage};
+pub use edge::{Asked, Directory, Edges, SnapshotSource};
 pub use faults::Faults;
 pub use logging::{Event, open as open_log, silent as silent_log};
 pub use node::{Node, NodeError};
+pub use program::run_program;
 pub use settings::{
-    Gossip, Limits, Listen, Log, LogLevel, MeshKey, Platform, Settings, SettingsError,
+    Answers, Gossip, Headers, Limits, Listen, Log, LogLevel, MeshKey, Name, Platform, Retries,
+    Settings, SettingsError, Stop,
 };
 pub use shared::{Phase, Progress, Shared};
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -22,6 +22,8 @@
     Stopping,
     /// Everything in flight has finished.
     Stopped,
+    /// The settings were read again.
+    Reloaded,
     /// A second signal ended the node at once.
     Killed,
     /// A listener, or another part, failed.
@@ -38,6 +40,8 @@
     Stalled,
     /// A member changed.
     Member,
+    /// The directory named the other nodes, or could not be reached.
+    Found,
     /// A failure domain cannot be reached any more.
     DomainCut,
     /// A failure domain is reached again.
@@ -52,6 +56,8 @@
     Dropped,
     /// The backend server announced itself, changed or left.
     Backend,
+    /// A backend server that names itself replaced another one, left, or spoke late.
+    Announced,
     /// The announcement of the backend server was not renewed.
     Expired,
     /// A connection could not be accepted.
@@ -66,6 +72,7 @@
             Self::Started => "started",
             Self::Stopping => "stopping",
             Self::Stopped => "stopped",
+            Self::Reloaded => "reloaded",
             Self::Killed => "killed",
             Self::Failed => "failed",
             Self::Phase => "phase",
@@ -74,6 +81,7 @@
             Self::PlatformUp => "platform-up",
             Self::Stalled => "stalled",
             Self::Member => "member",
+            Self::Found => "found",
             Self::DomainCut => "domain-cut",
             Self::DomainBack => "domain-back",
             Self::Checkpoint => "checkpoint",
@@ -81,6 +89,7 @@
             Self::NoStart => "no-start",
             Self::Dropped => "dropped",
             Self::Backend => "backend",
+            Self::Announced => "announced",
             Self::Expired => "expired",
             Self::Refused => "refused",
         }
--- a/crates/swiftcart-node/src/node.rs
+++ b/crates/swiftcart-node/src/node.rs
@@ -1,18 +1,20 @@
 //! One running node: its listeners, its parts and its graceful stop.
 
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use quick_error::quick_error;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::calls::Calls;
 use crate::control::ControlError;
+use crate::edge::Edges;
 use crate::logging::Event;
 use crate::settings::Settings;
 use crate::shared::{Phase, Shared};
@@ -54,12 +56,28 @@
     ///
     /// Returns the first listener that cannot be opened.
     pub async fn start(settings: Settings, logger: Logger) -> Result<Self, NodeError> {
-        let listen = settings.listen;
-        let admin = bind("listen.admin", listen.admin).await?;
+        Self::start_with(settings, Edges::new(), logger).await
+    }
+
+    /// Opens the listeners and starts the parts, with `edges` in place of the platform's log.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first listener that cannot be opened.
+    pub async fn start_with(
+        settings: Settings,
+        edges: Edges,
+        logger: Logger,
+    ) -> Result<Self, NodeError> {
+        let listen = settings.listen.clone();
+        let mut admin = vec![bind("listen.admin", listen.admin).await?];
+        for addr in &listen.also {
+            admin.push(bind("listen.also", *addr).await?);
+        }
         let callers = bind("listen.calls", listen.calls).await?;
         let peers = bind("listen.peer", listen.peer).await?;
         let shared = Shared::new(settings, logger);
-        let control = control::open(Arc::clone(&shared)).await?;
+        let control = control::open(Arc::clone(&shared), edges).await?;
         let calls = Calls::start(&shared, callers, peers);
         let background = vec![
             tokio::spawn(admin::run(Arc::clone(&shared), admin)),
@@ -81,12 +99,29 @@
         &self.shared
     }
 
-    /// Refuses new work, finishes everything in flight however long it takes, and ends.
+    /// Leaves, refuses new work, finishes everything in flight, and ends.
+    ///
+    /// It takes as long as the requests in flight, unless `stop.grace_ms` bounds it.
     pub async fn stop(self) {
-        self.shared.enter(Phase::Stopping);
-        self.shared.stopping.cancel();
+        let stop = self.shared.settings.stop;
         info!(self.shared.logger, ""; "event" => Event::Stopping);
-        self.calls.finish().await;
+        self.shared.enter(Phase::Leaving);
+        self.shared.stopping.cancel();
+        let grace = async {
+            match stop.grace() {
+                Some(grace) => sleep(grace).await,
+                None => pending().await,
+            }
+        };
+        let finish = async {
+            sleep(stop.linger()).await;
+            self.shared.enter(Phase::Stopping);
+            self.calls.finish().await;
+        };
+        tokio::select! {
+            () = finish => {}
+            () = grace => warn!(self.shared.logger, ""; "event" => Event::Killed),
+        }
         for task in self.background {
             task.abort();
         }
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -6,21 +6,27 @@
 mod check;
 mod error;
 mod gossip;
+mod headers;
 mod limits;
 mod load;
+mod retries;
+mod stop;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
-use swiftcart_core::FailureDomain;
+use swiftcart_core::{FailureDomain, ServiceName};
 
 pub use error::SettingsError;
 pub use gossip::Gossip;
+pub use headers::{Headers, Name};
 pub use limits::Limits;
+pub use retries::Retries;
+pub use stop::Stop;
 
 /// Holds the checked settings of one node.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The failure domain of the instance.
@@ -43,10 +49,50 @@
     /// The log of events.
     #[serde(default)]
     pub log: Log,
+    /// The service of the backend server beside the node, told to others as the caller's.
+    #[serde(default)]
+    pub service: Option<ServiceName>,
+    /// The headers of callers and backend servers.
+    #[serde(default)]
+    pub headers: Headers,
+    /// The statuses of the answers that the node makes itself.
+    #[serde(default)]
+    pub answers: Answers,
+    /// The budget of retries that all nodes share; without one each node has its own.
+    #[serde(default)]
+    pub retries: Option<Retries>,
+    /// How the node leaves.
+    #[serde(default)]
+    pub stop: Stop,
+    /// Whether requests with an `Idempotency-Key` are claimed in the platform's log;
+    /// default true. Without, the key is a header like any other.
+    #[serde(default = "Settings::default_claims")]
+    pub claims: bool,
+    /// Threads that the node runs on; default 0: one for each processor.
+    #[serde(default)]
+    pub threads: u32,
+}
+
+impl Settings {
+    const fn default_claims() -> bool {
+        true
+    }
+}
+
+/// Chooses the statuses of the answers that a node makes itself.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Answers {
+    /// Each reason has its own status.
+    #[default]
+    ByReason,
+    /// 429, 503, 408 and 421 promise that the request has not run: what may be sent again
+    /// is answered 503, what may have run 502 or 504. `Retry-After` has fractions.
+    Promise,
 }
 
 /// Addresses that a node listens on; other nodes reach it at the same ones.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Callers' requests (HTTP).
@@ -59,6 +105,9 @@
     pub gossip: SocketAddr,
     /// State pulls of other nodes (length-prefixed frames over TCP).
     pub sync: SocketAddr,
+    /// Further addresses that answer as `admin` does; default none.
+    #[serde(default)]
+    pub also: Vec<SocketAddr>,
 }
 
 /// Where and how the platform's log is reached.
--- a/crates/swiftcart-node/src/settings/check.rs
+++ b/crates/swiftcart-node/src/settings/check.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{MeshKey, Settings, SettingsError};
+use super::{MeshKey, Retries, Settings, SettingsError};
 
 /// The most characters of a failure domain's name.
 const MAX_DOMAIN: usize = 63;
@@ -19,6 +19,7 @@
             Err(SettingsError::Range(file.into(), path, value, min, max))
         })?;
     domain(file, &settings.domain.0)?;
+    retries(file, settings.retries)?;
     mesh_key(file, &settings.mesh_key)?;
     addresses(file, settings)
 }
@@ -27,7 +28,9 @@
     let limits = &settings.limits;
     let gossip = &settings.gossip;
     let platform = &settings.platform;
+    let stop = &settings.stop;
     vec![
+        ("threads", settings.threads.into(), 0, 1024),
         ("platform.timeout_ms", platform.timeout_ms, 10, 60_000),
         ("platform.retention_s", platform.retention_s, 60, 31_536_000),
         (
@@ -95,6 +98,16 @@
             0,
             1 << 30,
         ),
+        ("limits.held_bytes", limits.held_bytes.into(), 0, 16 << 20),
+        (
+            "limits.announce_ms",
+            limits.announce_ms.into(),
+            100,
+            600_000,
+        ),
+        ("stop.linger_ms", stop.linger_ms.into(), 0, 600_000),
+        ("stop.notice_ms", stop.notice_ms.into(), 0, 60_000),
+        ("stop.grace_ms", stop.grace_ms.into(), 0, 3_600_000),
         ("gossip.probe_ms", gossip.probe_ms.into(), 10, 60_000),
         (
             "gossip.ack_ms",
@@ -115,6 +128,27 @@
     ]
 }
 
+fn retries(file: &str, retries: Option<Retries>) -> Result<(), SettingsError> {
+    let refuse = |path: &str, value: String, cure| {
+        let path = format!("retries.{path}");
+        Err(SettingsError::Rule(file.into(), path, value, cure))
+    };
+    match retries {
+        Some(r) if !(0.0..=10.0).contains(&r.share) => {
+            refuse("share", r.share.to_string(), "use a number from 0 to 10")
+        }
+        Some(r) if !(0.0..=1e9).contains(&r.floor) => {
+            refuse("floor", r.floor.to_string(), "use a number from 0 to 1e9")
+        }
+        Some(r) if !(1..=3600).contains(&r.window_s) => refuse(
+            "window_s",
+            r.window_s.to_string(),
+            "use a number from 1 to 3600",
+        ),
+        Some(_) | None => Ok(()),
+    }
+}
+
 fn domain(file: &str, name: &str) -> Result<(), SettingsError> {
     let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
     match name.len() {
@@ -159,7 +193,11 @@
         .chain(seeds)
         .chain([("platform.addr".into(), settings.platform.addr)])
         .try_for_each(|(path, addr)| reachable(file, path, addr))?;
-    let tcp = [own[0], own[1], own[2], own[4]];
+    let also = listen.also.iter().map(|addr| ("listen.also", *addr));
+    let tcp: Vec<_> = [own[0], own[1], own[2], own[4]]
+        .into_iter()
+        .chain(also)
+        .collect();
     tcp.iter()
         .enumerate()
         .find(|(i, (_, addr))| tcp[..*i].iter().any(|(_, other)| other == addr))
--- a/crates/swiftcart-node/src/settings/limits.rs
+++ b/crates/swiftcart-node/src/settings/limits.rs
@@ -41,6 +41,14 @@
     pub keyed_bytes: u32,
     /// Bytes of answers kept for requests with an `Idempotency-Key`; default 67108864.
     pub answer_store_bytes: u32,
+    /// Bytes of an answer that are read before its head is passed on, so that an answer that
+    /// breaks off can still become another try; default 0.
+    pub held_bytes: u32,
+    /// Whether an answer may end with its connection, without a length; default false.
+    pub unframed: bool,
+    /// Longest time between two announcements of a backend server that names itself, in
+    /// milliseconds; default 5000. It is taken out of routing when none came for so long.
+    pub announce_ms: u32,
 }
 
 impl Limits {
@@ -105,6 +113,9 @@
             replay_bytes: 65_536,
             keyed_bytes: 1 << 20,
             answer_store_bytes: 64 << 20,
+            held_bytes: 0,
+            unframed: false,
+            announce_ms: 5000,
         }
     }
 }
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the parts of one node share: settings, routing view, state and the stop signal.
 
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
@@ -10,10 +10,11 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::beside::Beside;
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::faults::Faults;
-use crate::settings::Settings;
+use crate::settings::{Headers, Settings};
 
 /// Tells whether a node takes callers' requests, and if not, why.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
@@ -27,6 +28,8 @@
     NoMembers,
     /// The node takes requests.
     Ready,
+    /// The node was asked to stop and still takes the requests of callers that do not know.
+    Leaving,
     /// The node finishes what it has.
     Stopping,
 }
@@ -51,6 +54,8 @@
 pub struct Shared {
     /// The checked settings.
     pub settings: Settings,
+    /// The headers of callers and backend servers.
+    pub headers: Arc<Headers>,
     /// The node's name, the address of its datagrams.
     pub id: NodeId,
     /// Where events are logged.
@@ -73,6 +78,8 @@
     pub phase: watch::Sender<Phase>,
     /// The backend server beside this node, while its announcement is valid.
     pub backend: watch::Sender<Option<Backend>>,
+    /// The id by which the backend server calls itself, and those of its predecessors.
+    pub beside: Mutex<Beside>,
     /// When the announcement ends unless it is renewed.
     pub expiry: watch::Sender<Option<tokio::time::Instant>>,
     /// What this node is cut off from, in builds for failure tests.
@@ -92,6 +99,7 @@
             Self::BelowFloor => "below-floor",
             Self::NoMembers => "no-members",
             Self::Ready => "ready",
+            Self::Leaving => "leaving",
             Self::Stopping => "stopping",
         }
     }
@@ -105,6 +113,7 @@
         let table = Table::new();
         let view = View::new(Version::NONE, &table, [].into_iter(), id, &settings.domain);
         Arc::new(Self {
+            headers: Arc::new(settings.headers.clone()),
             settings,
             id,
             logger,
@@ -117,6 +126,7 @@
             members: ArcSwap::default(),
             phase: watch::Sender::new(Phase::default()),
             backend: watch::Sender::new(None),
+            beside: Mutex::default(),
             expiry: watch::Sender::new(None),
             faults: Faults::from_env(),
             stopping: CancellationToken::new(),
@@ -131,12 +141,18 @@
         self.views.send_replace(());
     }
 
+    /// Locks what is known of the backend server's own id.
+    pub fn beside(&self) -> MutexGuard<'_, Beside> {
+        self.beside.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Moves to `phase`; a node that stops never moves again.
     ///
     /// Returns whether the phase changed.
     pub fn enter(&self, phase: Phase) -> bool {
         self.phase.send_if_modified(|now| match *now {
             Phase::Stopping => false,
+            Phase::Leaving if phase != Phase::Stopping => false,
             old if old == phase => false,
             _ => {
                 *now = phase;
--- a/crates/swiftcart-platform/src/client.rs
+++ b/crates/swiftcart-platform/src/client.rs
@@ -4,19 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HeaderMap, RETRY_AFTER};
-use http::{Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use http::header::CONTENT_TYPE;
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::Full;
 use serde::de::DeserializeOwned;
 use swiftcart_core::{Entry, Offset};
-use tokio::time::timeout;
 
-use crate::PlatformError;
 use crate::wire::{AppendAnswer, ReadAnswer};
+use crate::{CallBounds, CallError, PlatformError, Transport};
 
 /// The largest body that an append may have, in bytes; the platform's own bound.
 pub const MAX_RECORD: usize = 256 * 1024;
@@ -29,12 +24,8 @@
 /// The time that one call may take unless [`Platform::with_timeout`] says otherwise.
 pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(5);
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_ACK: usize = 4 * 1024;
 const MAX_STREAM: usize = 200;
-const MAX_IDLE: usize = 4;
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(3600);
 
 /// Says where an appended record stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -77,41 +68,29 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct Platform {
-    addr: SocketAddr,
-    timeout: Duration,
-    client: Client<HttpConnector, Full<Bytes>>,
+    transport: Transport,
 }
 
 impl Platform {
     /// Creates a client of the platform at `addr`; it connects when first used.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(MAX_IDLE)
-            .build(connector);
         Self {
-            addr,
-            timeout: DEFAULT_TIMEOUT,
-            client,
+            transport: Transport::new(addr, DEFAULT_TIMEOUT),
         }
     }
 
     /// Sets the time that one call may take; a long poll's wait comes on top.
     #[must_use]
     pub fn with_timeout(mut self, timeout: Duration) -> Self {
-        self.timeout = timeout;
+        self.transport = self.transport.with_timeout(timeout);
         self
     }
 
     /// Returns the platform's address.
     #[must_use]
     pub const fn addr(&self) -> SocketAddr {
-        self.addr
+        self.transport.addr()
     }
 
     /// Appends `body` to `stream` and returns where it stands.
@@ -127,12 +106,16 @@
         let uri = self.uri(stream, "")?;
         let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
         let request = request(Method::POST, uri, body)?;
-        let call = self.call(request, StatusCode::CREATED, MAX_ACK);
-        match within(self.timeout, call).await {
+        let bounds = CallBounds {
+            expected: StatusCode::CREATED,
+            bytes: MAX_ACK,
+            held: Duration::ZERO,
+        };
+        match self.transport.call(request, bounds).await {
             Ok(bytes) => parse::<AppendAnswer>(&bytes).map(Appended::from),
-            Err(Failure::Status(e)) => Err(e),
+            Err(CallError::Failed(e)) => Err(e),
             // The record was taken, only its place is lost with the oversized answer.
-            Err(Failure::Oversized) => Err(PlatformError::Malformed),
+            Err(CallError::Oversized) => Err(PlatformError::Malformed),
         }
     }
 
@@ -154,11 +137,15 @@
         let query = format!("?from={from}&limit={limit}&wait={}", wait.as_millis());
         let uri = self.uri(stream, &query)?;
         let request = request(Method::GET, uri, Full::default())?;
-        let call = self.call(request, StatusCode::OK, MAX_PAGE);
-        match within(self.timeout.saturating_add(wait), call).await {
+        let bounds = CallBounds {
+            expected: StatusCode::OK,
+            bytes: MAX_PAGE,
+            held: wait,
+        };
+        match self.transport.call(request, bounds).await {
             Ok(bytes) => parse::<ReadAnswer>(&bytes)?.into_page(from, limit),
-            Err(Failure::Status(e)) => Err(e),
-            Err(Failure::Oversized) => Err(PlatformError::TooLarge),
+            Err(CallError::Failed(e)) => Err(e),
+            Err(CallError::Oversized) => Err(PlatformError::TooLarge),
         }
     }
 
@@ -166,58 +153,12 @@
         let plain = |b: u8| b.is_ascii_alphanumeric() || b"._-".contains(&b);
         let sized = (1..=MAX_STREAM).contains(&stream.len());
         match sized && stream.bytes().all(plain) {
-            true => format!("http://{}/v1/streams/{stream}{query}", self.addr)
+            true => format!("http://{}/v1/streams/{stream}{query}", self.addr())
                 .parse()
                 .map_err(|_| PlatformError::BadStream),
             false => Err(PlatformError::BadStream),
         }
     }
-
-    async fn call(
-        &self,
-        request: Request<Full<Bytes>>,
-        expected: StatusCode,
-        bound: usize,
-    ) -> Result<Bytes, Failure> {
-        let response = self.client.request(request).await.map_err(|e| {
-            Failure::Status(match e.is_connect() {
-                true => PlatformError::Connect,
-                false => PlatformError::Broken,
-            })
-        })?;
-        match response.status() {
-            status if status == expected => collect(response, bound).await,
-            status => Err(Failure::Status(refusal(status, response.headers()))),
-        }
-    }
-}
-
-/// Separates an answer over its bound, which means different things to a reader and an appender.
-enum Failure {
-    Status(PlatformError),
-    Oversized,
-}
-
-async fn within<F>(limit: Duration, call: F) -> Result<Bytes, Failure>
-where
-    F: Future<Output = Result<Bytes, Failure>>,
-{
-    match timeout(limit, call).await {
-        Ok(result) => result,
-        Err(_) => Err(Failure::Status(PlatformError::Timeout)),
-    }
-}
-
-async fn collect(response: Response<Incoming>, bound: usize) -> Result<Bytes, Failure> {
-    let body = response.into_body();
-    if body.size_hint().lower() > bound as u64 {
-        return Err(Failure::Oversized);
-    }
-    match Limited::new(body, bound).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Failure::Oversized),
-        Err(_) => Err(Failure::Status(PlatformError::Broken)),
-    }
 }
 
 fn request(
@@ -233,24 +174,6 @@
         .map_err(|_| PlatformError::BadStream)
 }
 
-fn refusal(status: StatusCode, headers: &HeaderMap) -> PlatformError {
-    let retry_after = retry_after(headers);
-    match status {
-        StatusCode::SERVICE_UNAVAILABLE => PlatformError::Outage { retry_after },
-        StatusCode::TOO_MANY_REQUESTS => PlatformError::Throttled { retry_after },
-        StatusCode::PAYLOAD_TOO_LARGE => PlatformError::TooLarge,
-        status => PlatformError::Refused {
-            status: status.as_u16(),
-        },
-    }
-}
-
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
-    let secs = text.trim().parse().ok()?;
-    Some(Duration::from_secs(secs).min(MAX_RETRY_AFTER))
-}
-
 fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, PlatformError> {
     serde_json::from_slice(bytes).map_err(|_| PlatformError::Malformed)
 }
--- a/crates/swiftcart-platform/src/lib.rs
+++ b/crates/swiftcart-platform/src/lib.rs
@@ -8,9 +8,11 @@
 mod client;
 mod error;
 mod limit;
+mod transport;
 mod wire;
 
 pub use backoff::Backoff;
 pub use client::*;
 pub use error::*;
 pub use limit::PageLimit;
+pub use transport::*;
--- a/xtask/tests/pages.rs
+++ b/xtask/tests/pages.rs
@@ -63,7 +63,7 @@
 #[case::metrics(metrics(), 10)]
 #[case::events(events(), 10)]
 fn the_page_for_operators_names_each(#[case] names: BTreeSet<String>, #[case] least: usize) {
-    let page = read("docs/operations.md");
+    let page = read("docs/OPERATIONS.md");
     let row = |name: &String| format!("\n| `{name}` |");
     let missing: Vec<_> = names
         .iter()
