Start requests that a caller sends ahead before their turn

Cause: hyper takes the requests of a connection one after the other.

Ruled out: an HTTP server of our own (hyper does the rest well); more connections (callers choose them).

Change: the socket reads ahead of hyper, bounded, and ends the connection when the caller is gone. The heads that pass are looked at with httparse; a request without a body that may run more than once, and that waits for another one, is started at once. hyper reads it in its turn and gets the answer that is made or under way, if the whole head is the same.

--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -1,6 +1,7 @@
 //! The call path: from a caller through ingress and guard to a backend server and back.
 
 mod admissions;
+mod ahead;
 mod answer;
 mod body;
 mod conn;
@@ -55,10 +56,11 @@
         let limits = &shared.settings.limits;
         let guard = Arc::new(Guard::new(shared));
         let ingress = Arc::new(Ingress::new(shared, &guard));
-        let for_callers = Server::new(shared, limits.header_timeout());
         let for_peers = Server::new(shared, limits.header_timeout().max(limits.peer_idle() * 2));
         let guarding = GuardService::new(shared, &guard);
         let accepting = IngressService::new(shared, &ingress);
+        let for_callers =
+            Server::new(shared, limits.header_timeout()).with_starter(accepting.starter());
         let kept = Arc::clone(&guard);
         let background = vec![
             tokio::spawn(for_callers.clone().run(callers, accepting)),
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -6,13 +6,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::request::Parts;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Response};
 use hyper::body::Incoming;
+use slog::error;
 use swiftcart_core::{
     BalanceSettings, Balancer, CallResult, Failure, FleetBudget, Load, NodeId, Outcome, Pick,
     PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Terms, Tries,
 };
 
+use tokio::task::JoinError;
+
 use super::answer::{Answer, refuse};
 use super::guard::Guard;
 use super::headers::RETRIED;
@@ -22,6 +25,7 @@
 use super::request::Call;
 use super::rng::with_rng;
 use crate::counters::Stage;
+use crate::logging::Event;
 use crate::shared::{Phase, Shared};
 use forward::take_load;
 use original::Original;
@@ -93,9 +97,8 @@
     }
 
     /// Answers one request of a caller.
-    pub async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
+    pub async fn answer(&self, head: Parts, body: Option<Incoming>) -> Response<Answer> {
         let start = self.shared.clock.now();
-        let (head, body) = request.into_parts();
         let result = self.route(head, body).await;
         let counters = &self.shared.counters;
         counters.stage(Stage::Ingress, self.shared.clock.now().since(start));
@@ -110,7 +113,35 @@
         }
     }
 
-    async fn route(&self, mut head: Parts, body: Incoming) -> Result<Response<Answer>, Failed> {
+    /// Tells whether a request without a body may be started before its turn.
+    #[must_use]
+    pub fn may_start(&self, head: &Parts) -> bool {
+        let view = self.shared.view.load();
+        let routed = with_rng(|rng| view.find(host(head), head.uri.path(), rng));
+        match routed.map(|routed| routed.policy) {
+            Ok(Some(policy)) => policy.class.is_idempotent(),
+            Ok(None) => head.method.is_idempotent(),
+            Err(_) => false,
+        }
+    }
+
+    /// Answers a request whose task has failed.
+    #[must_use]
+    pub fn fail(&self, err: &JoinError) -> Response<Answer> {
+        let logger = &self.shared.logger;
+        error!(logger, ""; "event" => Event::Failed, "part" => "ingress", "error" => %err);
+        refuse(
+            Reason::AnswerBroken.into(),
+            false,
+            self.shared.settings.answers,
+        )
+    }
+
+    async fn route(
+        &self,
+        mut head: Parts,
+        body: Option<Incoming>,
+    ) -> Result<Response<Answer>, Failed> {
         let settings = &self.shared.settings;
         let now = self.shared.clock.now();
         let mut call = Call::from_caller(&mut head, settings, now)?;
--- a/crates/swiftcart-node/src/calls/ingress/original.rs
+++ b/crates/swiftcart-node/src/calls/ingress/original.rs
@@ -21,14 +21,14 @@
 impl Original {
     /// Takes a caller's request apart.
     #[must_use]
-    pub fn new(head: Parts, body: Incoming, room: u32, silence: Duration) -> Self {
+    pub fn new(head: Parts, body: Option<Incoming>, room: u32, silence: Duration) -> Self {
         let room = room as usize;
-        let long = body.size_hint().upper().is_none_or(|n| n > room as u64);
-        let streams = !body.is_end_stream();
+        let body = body.filter(|body| !body.is_end_stream());
+        let is_long = |body: &Incoming| body.size_hint().upper().is_none_or(|n| n > room as u64);
         Self {
             head,
-            source: streams.then(|| Source::new(body, room, silence)),
-            long: streams && long,
+            long: body.as_ref().is_some_and(is_long),
+            source: body.map(|body| Source::new(body, room, silence)),
         }
     }
 
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -10,7 +10,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
 use slog::warn;
 use swiftcart_core::Reason;
@@ -19,8 +19,9 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use tower::Service;
+use tower::{Service, ServiceExt};
 
+use super::ahead::{Scout, Starter};
 use super::answer::Answer;
 use super::socket::Socket;
 use crate::logging::Event;
@@ -45,6 +46,8 @@
 pub struct Server {
     shared: Arc<Shared>,
     builder: Builder,
+    /// Starts requests that callers send ahead.
+    starter: Option<Starter>,
     closing: CancellationToken,
     running: TaskTracker,
 }
@@ -65,11 +68,19 @@
         Self {
             shared: Arc::clone(shared),
             builder,
+            starter: None,
             closing: CancellationToken::new(),
             running: TaskTracker::new(),
         }
     }
 
+    /// Has requests that are sent ahead started by `starter`.
+    #[must_use]
+    pub fn with_starter(mut self, starter: Starter) -> Self {
+        self.starter = Some(starter);
+        self
+    }
+
     /// Accepts connections until [`finish`](Self::finish).
     pub async fn run<S>(self, listener: TcpListener, service: S)
     where
@@ -126,16 +137,36 @@
             return;
         }
         let silence = self.shared.settings.limits.body_timeout();
-        let socket = Socket::new(TokioIo::new(stream), silence);
-        let service = TowerToHyperService::new(service);
+        let scout = self.starter.as_ref().map(Scout::new);
+        let socket = Socket::new(stream, silence, scout.clone());
+        let service =
+            TowerToHyperService::new(service.map_request(move |mut request: Request<_>| {
+                request.extensions_mut().insert(scout.clone());
+                request
+            }));
+        let gone = socket.clone();
         let mut conn = pin!(self.builder.serve_connection(socket, service));
-        let result = tokio::select! {
-            result = conn.as_mut() => result,
-            () = self.closing.cancelled() => {
-                conn.as_mut().graceful_shutdown();
-                conn.await
+        let mut gone = pin!(gone.gone());
+        let ended = async {
+            // First what has arrived is read, then hyper takes it; the other way round it
+            // would not know.
+            tokio::select! {
+                biased;
+                () = gone.as_mut() => return None,
+                result = conn.as_mut() => return Some(result),
+                () = self.closing.cancelled() => {}
+            }
+            conn.as_mut().graceful_shutdown();
+            tokio::select! {
+                biased;
+                () = gone => None,
+                result = conn.as_mut() => Some(result),
             }
         };
+        let Some(result) = ended.await else {
+            self.count_closed("gone");
+            return;
+        };
         if let Err(err) = result {
             self.note(&err);
         }
@@ -154,11 +185,16 @@
                     _ if err.is_user() => "answer-broken",
                     _ => "io",
                 };
-                counters.count("swiftcart_connections_closed_total", "reason", how);
+                self.count_closed(how);
             }
         }
     }
 
+    fn count_closed(&self, how: &'static str) {
+        let counters = &self.shared.counters;
+        counters.count("swiftcart_connections_closed_total", "reason", how);
+    }
+
     fn turn_away(&self, stream: TcpStream) {
         // The refusal fits any fresh socket's buffer; a failure leaves the caller no worse.
         let _ = stream
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -5,11 +5,14 @@
 use std::task::{Context, Poll};
 
 use http::header::{CONNECTION, HeaderValue};
+use http::request::Parts;
 use http::{Request, Response};
 use hyper::body::{Body, Incoming};
 use swiftcart_core::Refusal;
+use tokio_util::task::AbortOnDropHandle;
 use tower::Service;
 
+use super::ahead::{Scout, Starter};
 use super::answer::{Answer, refuse};
 use super::body::{Outgoing, Source};
 use super::guard::Guard;
@@ -42,6 +45,37 @@
             ingress: Arc::clone(ingress),
         }
     }
+
+    /// Returns what starts requests that callers send ahead.
+    #[must_use]
+    pub fn starter(&self) -> Starter {
+        let ingress = Arc::clone(&self.ingress);
+        Starter::new(move |head: &Parts| {
+            let may = ingress.may_start(head);
+            may.then(|| {
+                let (ingress, head) = (Arc::clone(&ingress), head.clone());
+                let answering = async move { ingress.answer(head, None).await };
+                AbortOnDropHandle::new(tokio::spawn(answering))
+            })
+        })
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
+        let (mut head, body) = request.into_parts();
+        let scout = head.extensions.remove::<Option<Scout>>().flatten();
+        let started = scout.as_ref().and_then(|scout| scout.take(&head));
+        let response = match started {
+            Some(started) => match started.await {
+                Ok(response) => response,
+                Err(err) => self.ingress.fail(&err),
+            },
+            None => self.ingress.answer(head, Some(body)).await,
+        };
+        if let Some(scout) = scout {
+            scout.answered();
+        }
+        response
+    }
 }
 
 impl GuardService {
@@ -101,7 +135,7 @@
     fn call(&mut self, request: Request<Incoming>) -> Answering {
         let service = self.clone();
         Box::pin(async move {
-            let mut response = service.ingress.answer(request).await;
+            let mut response = service.answer(request).await;
             retire(&service.shared, &mut response);
             Ok(response)
         })
