Let the earliest wanted answer go first at a guard, and close refused connections

Ruled out: more room in the queue (everybody waits longer); telling nested calls by their address (callers and backend server share one); the adaptive limit (the announced slots hold here, and it takes the nested calls' waits for overload: `limits.adaptive` is false).

Change: a request bids with its deadline and the time within which its answer is worth most. The earliest wanted answer goes first, a full queue sends the least urgent one away for a more urgent one, and nobody waits for longer than a quarter of that time. Connections of callers end after an answer that the node made itself, unless more was sent ahead, and after the unused time that callers are told (`limits.keep_alive_s`).

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -1,5 +1,6 @@
 //! Admission at the guard of one backend server: how much runs, waits or is refused.
 
+mod bid;
 mod limit;
 mod queue;
 
@@ -9,7 +10,8 @@
 use rand::Rng;
 
 use crate::rate::Promises;
-use crate::{CallResult, Deadline, Instant, Limits, Load, Reason, Refusal, Sample};
+use crate::{CallResult, Instant, Limits, Load, Reason, Refusal, Sample};
+pub use bid::Bid;
 use limit::AdaptiveLimit;
 pub use limit::{LimitRule, LimitSettings};
 pub use queue::Order;
@@ -139,6 +141,8 @@
     mean: Option<f64>,
     shortest: Option<f64>,
     promises: Promises,
+    /// Requests that had to make room for more urgent ones.
+    displaced: Vec<Refused>,
 }
 
 impl Admission {
@@ -156,6 +160,7 @@
             mean: None,
             shortest: None,
             promises: Promises::new(now),
+            displaced: Vec::new(),
         }
     }
 
@@ -187,9 +192,20 @@
         self.queue.drain().into_iter().map(refuse).collect()
     }
 
-    /// Decides on a new request whose answer is due by `due`.
-    pub fn offer<R: Rng + ?Sized>(&mut self, now: Instant, due: Deadline, rng: &mut R) -> Admit {
-        let wait = self.expected_wait();
+    /// Decides on a new request.
+    ///
+    /// It may make a waiting request give way, see [`Admission::displaced`].
+    pub fn offer<R: Rng + ?Sized>(
+        &mut self,
+        now: Instant,
+        bid: impl Into<Bid>,
+        rng: &mut R,
+    ) -> Admit {
+        let bid = bid.into();
+        let wanted = bid.wanted(now, self.settings.wait);
+        let patience = bid.patience(self.settings.wait);
+        let wait = self.expected_wait(self.queue.ahead_of(wanted));
+        let due = bid.due;
         match self.gate {
             Gate::Warming => self.elsewhere(Reason::Warming, rng),
             Gate::Draining => self.elsewhere(Reason::Draining, rng),
@@ -200,16 +216,24 @@
             }
             // What waits was started as long as there was a place; the rest has expired.
             Gate::Open if self.running() < self.limit() => Admit::Run(self.run()),
-            Gate::Open if self.queue.len() >= self.capacity() => {
+            Gate::Open if !self.has_room(wanted) => {
                 Admit::Refuse(self.later(Reason::QueueFull, now, rng))
             }
-            Gate::Open if wait > self.settings.wait || due.misses(now, wait + self.quickest()) => {
+            Gate::Open if wait > patience || due.misses(now, wait + self.quickest()) => {
                 Admit::Refuse(self.later(Reason::Overloaded, now, rng))
             }
-            Gate::Open => Admit::Queue(self.enqueue(now, due)),
+            Gate::Open => {
+                self.make_room(now, wanted, rng);
+                Admit::Queue(self.enqueue(now, bid))
+            }
         }
     }
 
+    /// Returns the waiting requests that had to make room since the last call.
+    pub fn displaced(&mut self) -> Vec<Refused> {
+        std::mem::take(&mut self.displaced)
+    }
+
     /// Takes in a finished request; returns the waiting requests to start.
     pub fn done(&mut self, ticket: Ticket, now: Instant, sample: &Sample) -> Vec<Ticket> {
         if let Some(running) = self.running.remove(&ticket) {
@@ -298,16 +322,35 @@
         self.running.insert(ticket, running);
     }
 
-    fn enqueue(&mut self, now: Instant, due: Deadline) -> Ticket {
+    /// Tells whether a request whose answer is wanted at `wanted` would be within the queue's
+    /// places, if need be in that of a less urgent one.
+    fn has_room(&self, wanted: Instant) -> bool {
+        self.queue.ahead_of(wanted) < self.capacity()
+    }
+
+    /// Sends the least urgent requests away until there is a place.
+    fn make_room<R: Rng + ?Sized>(&mut self, now: Instant, wanted: Instant, rng: &mut R) {
+        while self.queue.len() >= self.capacity() {
+            let Some(least) = self.queue.displace(wanted) else {
+                return;
+            };
+            let refusal = self.later(Reason::QueueFull, now, rng);
+            let ticket = least.ticket;
+            self.displaced.push(Refused { ticket, refusal });
+        }
+    }
+
+    fn enqueue(&mut self, now: Instant, bid: Bid) -> Ticket {
         let ticket = self.ticket();
-        let latest = due.less(self.quickest()).at();
-        let patience = now + self.settings.wait;
+        let latest = bid.due.less(self.quickest()).at();
+        let patience = now + bid.patience(self.settings.wait);
         let reason = match patience < latest {
             true => Reason::Overloaded,
             false => Reason::DeadlinePassed,
         };
         self.queue.push(Waiting {
             ticket,
+            wanted: bid.wanted(now, self.settings.wait),
             until: latest.min(patience),
             reason,
         });
@@ -352,9 +395,9 @@
         Some(f64::from(self.limit()) / mean)
     }
 
-    /// Returns the wait to expect for a request that joins the queue now.
-    fn expected_wait(&self) -> Duration {
-        let ahead = f64::from(self.queued() + 1);
+    /// Returns the wait to expect for a request that joins the queue behind `ahead` others.
+    fn expected_wait(&self, ahead: usize) -> Duration {
+        let ahead = f64::from(to_u32(ahead)) + 1.0;
         let secs = self.throughput().map_or(0.0, |rate| ahead / rate);
         Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
     }
@@ -371,7 +414,7 @@
     }
 
     fn later<R: Rng + ?Sized>(&mut self, reason: Reason, now: Instant, rng: &mut R) -> Refusal {
-        let wait = self.expected_wait();
+        let wait = self.expected_wait(self.queue.len());
         let rate = self.throughput().unwrap_or(1.0);
         let after = self.promises.next(now, wait, rate, rng);
         Refusal::new(reason).with_retry(after)
--- a/crates/swiftcart-core/src/admission/queue.rs
+++ b/crates/swiftcart-core/src/admission/queue.rs
@@ -8,10 +8,10 @@
 /// Chooses which waiting request goes next.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Order {
-    /// The oldest one.
+    /// The most urgent one, the oldest among equals.
     #[default]
     Fifo,
-    /// The oldest one, or the youngest one while the queue is more than half full.
+    /// The same, or the least urgent one while the queue is more than half full.
     AdaptiveLifo,
 }
 
@@ -19,13 +19,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Waiting {
     pub(super) ticket: Ticket,
+    /// When its answer should be there; the earliest goes first.
+    pub(super) wanted: Instant,
     /// The last instant at which starting it makes sense.
     pub(super) until: Instant,
     /// Why it is refused after that.
     pub(super) reason: Reason,
 }
 
-/// Holds the waiting requests, oldest first.
+/// Holds the waiting requests, the most urgent first and the oldest first among equals.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub(super) struct Queue {
     waiting: VecDeque<Waiting>,
@@ -36,8 +38,24 @@
         self.waiting.len()
     }
 
+    /// Returns how many requests would go before one whose answer is wanted at `wanted`.
+    pub(super) fn ahead_of(&self, wanted: Instant) -> usize {
+        self.waiting.partition_point(|w| w.wanted <= wanted)
+    }
+
     pub(super) fn push(&mut self, waiting: Waiting) {
-        self.waiting.push_back(waiting);
+        let place = self.ahead_of(waiting.wanted);
+        self.waiting.insert(place, waiting);
+    }
+
+    /// Takes the least urgent request out if it is less urgent than one wanted at `wanted`.
+    pub(super) fn displace(&mut self, wanted: Instant) -> Option<Waiting> {
+        let less_urgent = self.waiting.back().is_some_and(|last| last.wanted > wanted);
+        if less_urgent {
+            self.waiting.pop_back()
+        } else {
+            None
+        }
     }
 
     /// Takes the next request that can still be started at `now`.
--- a/crates/swiftcart-core/tests/admission.rs
+++ b/crates/swiftcart-core/tests/admission.rs
@@ -274,7 +274,14 @@
 
     fn offer(&mut self, left: u64) -> Result<(), TestCaseError> {
         let due = due(self.now, left);
-        let admit = self.guard.offer(self.now, due, &mut self.rng);
+        // One in three has no target; the others are more urgent than those.
+        let bid = match left % 3 {
+            0 => Bid::new(due),
+            n => Bid::new(due).with_target(Duration::from_millis(40 * n)),
+        };
+        let admit = self.guard.offer(self.now, bid, &mut self.rng);
+        let displaced = self.guard.displaced();
+        self.refuse(&displaced)?;
         match admit {
             Admit::Run(ticket) => {
                 self.running.push(ticket);
--- /dev/null
+++ b/crates/swiftcart-core/tests/admission_order.rs
@@ -0,0 +1,90 @@
+//! Which of the waiting requests goes first, and which one gives way.
+
+use std::time::Duration;
+
+use rand::{SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use swiftcart_core::*;
+
+const START: Instant = Instant::from_millis(0);
+
+/// The time that a call takes at the guard of these tests, in milliseconds.
+const CALL_MS: u64 = 20;
+
+fn bid(target_ms: Option<u64>) -> Bid {
+    let bid = Bid::new(Deadline::new(START, Duration::from_secs(5)));
+    match target_ms {
+        Some(ms) => bid.with_target(Duration::from_millis(ms)),
+        None => bid,
+    }
+}
+
+/// A guard with so many slots, all taken, that has learnt how long a call takes.
+fn busy(slots: u32) -> (Admission, SmallRng, Vec<Ticket>) {
+    let mut guard = Admission::new(START, AdmissionSettings::default()).with_slots(slots);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut run = |guard: &mut Admission| match guard.offer(START, bid(None), &mut rng) {
+        Admit::Run(ticket) => ticket,
+        other => panic!("a free slot runs, not {other:?}"),
+    };
+    let first = run(&mut guard);
+    let sample = Sample::new(Duration::from_millis(CALL_MS), CallResult::Success);
+    guard.done(first, START, &sample);
+    let running = (0..slots).map(|_| run(&mut guard)).collect();
+    (guard, rng, running)
+}
+
+#[rstest]
+#[case::the_earliest_wanted_answer(&[Some(500), Some(120)], &[1, 0])]
+#[case::the_oldest_among_equals(&[Some(400), Some(400)], &[0, 1])]
+#[case::without_a_target_after_the_longest_wait(&[None, Some(400)], &[1, 0])]
+#[case::without_a_target_before_what_may_take_longer(&[Some(900), None], &[1, 0])]
+fn first_goes(#[case] targets: &[Option<u64>], #[case] order: &[usize]) {
+    let (mut guard, mut rng, running) = busy(2);
+    let waiting: Vec<Ticket> = targets
+        .iter()
+        .map(|target| match guard.offer(START, bid(*target), &mut rng) {
+            Admit::Queue(ticket) => ticket,
+            other => panic!("it waits, not {other:?}"),
+        })
+        .collect();
+    let sample = Sample::new(Duration::from_millis(CALL_MS), CallResult::Success);
+    let started: Vec<Ticket> = running
+        .into_iter()
+        .flat_map(|ticket| guard.done(ticket, START, &sample))
+        .collect();
+    let expected: Vec<Ticket> = order.iter().map(|i| waiting[*i]).collect();
+    assert_eq!(started, expected);
+}
+
+#[rstest]
+#[case::the_least_urgent_one(Some(120), true)]
+#[case::nobody_for_a_request_that_is_no_more_urgent(Some(500), false)]
+fn a_full_queue_sends_away(#[case] target: Option<u64>, #[case] gives_way: bool) {
+    let (mut guard, mut rng, _running) = busy(2);
+    let waiting = [Some(400), Some(500)].map(|t| guard.offer(START, bid(t), &mut rng));
+    let admit = guard.offer(START, bid(target), &mut rng);
+    let displaced: Vec<Ticket> = guard.displaced().iter().map(|r| r.ticket).collect();
+    match (admit, gives_way) {
+        (Admit::Queue(_), true) => {
+            let [_, Admit::Queue(least)] = waiting else {
+                panic!("both wait, not {waiting:?}")
+            };
+            assert_eq!(displaced, [least]);
+        }
+        (Admit::Refuse(refusal), false) => {
+            assert_eq!((refusal.reason, displaced.len()), (Reason::QueueFull, 0));
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[rstest]
+#[case::a_quarter_of_the_target(Some(400), 100)]
+#[case::the_usual_time_without_one(None, 500)]
+#[case::the_usual_time_at_most(Some(60_000), 500)]
+fn the_longest_wait_is(#[case] target: Option<u64>, #[case] expected_ms: u64) {
+    let usual = AdmissionSettings::default().wait;
+    let until = bid(target).until(START, usual);
+    assert_eq!(until, Instant::from_millis(expected_ms));
+}
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use swiftcart_core::{
-    Admission, AdmissionSettings, Admit, CallResult, Deadline, Gate, Instant, Limits, Load,
-    RateShare, Reason, Refusal, Refused, Sample, Ticket,
+    Admission, AdmissionSettings, Admit, Bid, CallResult, Gate, Instant, Limits, Load, RateShare,
+    Reason, Refusal, Refused, Sample, Ticket,
 };
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -89,15 +89,15 @@
         self.lock().admission.load()
     }
 
-    /// Waits for the right to run a request whose answer is due by `due`.
+    /// Waits for the right to run a request.
     ///
     /// # Errors
     ///
     /// Returns why the request is not run.
-    pub async fn enter(self: &Arc<Self>, due: Deadline) -> Result<Slot, Refusal> {
+    pub async fn enter(self: &Arc<Self>, bid: Bid) -> Result<Slot, Refusal> {
         let now = self.clock.now();
-        let offered = self.offer(now, due, Rate::Taken)?;
-        self.wait(now, due, offered).await
+        let offered = self.offer(now, bid, Rate::Taken)?;
+        self.wait(now, bid, offered).await
     }
 
     /// Tells whether a request would be let in now, and takes its part of the rate.
@@ -105,9 +105,9 @@
     /// # Errors
     ///
     /// Returns why the request would not be run.
-    pub fn probe(self: &Arc<Self>, due: Deadline) -> Result<(), Refusal> {
+    pub fn probe(self: &Arc<Self>, bid: Bid) -> Result<(), Refusal> {
         let now = self.clock.now();
-        self.offer(now, due, Rate::Taken).map(drop)
+        self.offer(now, bid, Rate::Taken).map(drop)
     }
 
     /// Waits like [`enter`](Self::enter) after [`probe`](Self::probe) took the rate's part.
@@ -115,18 +115,18 @@
     /// # Errors
     ///
     /// Returns why the request is not run.
-    pub async fn enter_probed(self: &Arc<Self>, due: Deadline) -> Result<Slot, Refusal> {
+    pub async fn enter_probed(self: &Arc<Self>, bid: Bid) -> Result<Slot, Refusal> {
         let now = self.clock.now();
-        let offered = self.offer(now, due, Rate::Free)?;
-        self.wait(now, due, offered).await
+        let offered = self.offer(now, bid, Rate::Free)?;
+        self.wait(now, bid, offered).await
     }
 
-    async fn wait(&self, now: Instant, due: Deadline, offered: Offered) -> Result<Slot, Refusal> {
+    async fn wait(&self, now: Instant, bid: Bid, offered: Offered) -> Result<Slot, Refusal> {
         let (mut slot, waiter) = offered;
         let Some(mut waiter) = waiter else {
             return Ok(slot);
         };
-        let until = self.clock.tokio(due.within(now, self.wait).at());
+        let until = self.clock.tokio(bid.until(now, self.wait));
         let news = match timeout_at(until, &mut waiter).await {
             Ok(news) => news.ok(),
             Err(_) => {
@@ -143,14 +143,12 @@
     }
 
     /// Returns the slot, and whom to wait for when it is not free yet.
-    fn offer(
-        self: &Arc<Self>,
-        now: Instant,
-        due: Deadline,
-        rate: Rate,
-    ) -> Result<Offered, Refusal> {
+    fn offer(self: &Arc<Self>, now: Instant, bid: Bid, rate: Rate) -> Result<Offered, Refusal> {
         let mut state = self.lock();
-        let (ticket, waits) = match with_rng(|rng| state.admission.offer(now, due, rng)) {
+        let admit = with_rng(|rng| state.admission.offer(now, bid, rng));
+        let displaced = state.admission.displaced();
+        state.refuse(displaced);
+        let (ticket, waits) = match admit {
             Admit::Run(ticket) => (ticket, false),
             Admit::Queue(ticket) => (ticket, true),
             Admit::Refuse(refusal) => return Err(refusal),
--- a/crates/swiftcart-node/src/calls/ahead.rs
+++ b/crates/swiftcart-node/src/calls/ahead.rs
@@ -9,11 +9,14 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::BytesMut;
 use http::header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, Uri, Version};
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use super::answer::Answer;
@@ -42,6 +45,8 @@
 pub struct Scout {
     starter: Starter,
     state: Arc<Mutex<State>>,
+    /// Told when a request is taken or answered.
+    moved: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
@@ -55,6 +60,8 @@
     taken: u64,
     /// Requests whose answer the service has returned.
     answered: u64,
+    /// When it returned the last one.
+    rested: Option<Instant>,
     /// The answers under way, in the order of their requests.
     started: VecDeque<Ahead>,
 }
@@ -106,6 +113,7 @@
         Self {
             starter: starter.clone(),
             state: Arc::default(),
+            moved: Arc::default(),
         }
     }
 
@@ -132,10 +140,19 @@
     #[must_use]
     pub fn take(&self, head: &Parts) -> Option<Started> {
         let mut state = self.lock();
+        self.moved.notify_one();
         let number = state.taken;
         state.taken += 1;
         state.seen = state.seen.max(state.taken);
-        let ahead = state.started.pop_front_if(|ahead| ahead.number <= number)?;
+        let due = state
+            .started
+            .front()
+            .is_some_and(|ahead| ahead.number <= number);
+        let ahead = if due {
+            state.started.pop_front()?
+        } else {
+            return None;
+        };
         match ahead.number == number && is_same(&ahead.head, head) {
             true => Some(ahead.started),
             false => {
@@ -150,6 +167,33 @@
     pub fn answered(&self) {
         let mut state = self.lock();
         state.answered = state.taken;
+        state.rested = Some(Instant::now());
+        self.moved.notify_one();
+    }
+
+    /// Tells whether the caller has sent more than hyper has taken.
+    #[must_use]
+    pub fn has_more(&self) -> bool {
+        let state = self.lock();
+        state.seen > state.taken
+    }
+
+    /// Waits until the connection was unused for `time` after an answer.
+    pub async fn unused(&self, time: Duration) {
+        loop {
+            let rested = {
+                let state = self.lock();
+                state.rested.filter(|_| state.answered == state.taken)
+            };
+            let moved = self.moved.notified();
+            let Some(since) = rested else {
+                moved.await;
+                continue;
+            };
+            if timeout_at(since + time, moved).await.is_err() {
+                return;
+            }
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/swiftcart-node/src/calls/headers.rs
+++ b/crates/swiftcart-node/src/calls/headers.rs
@@ -30,10 +30,13 @@
 /// Marks an answer whose request was tried more than once.
 pub const RETRIED: HeaderName = HeaderName::from_static("swiftcart-retried");
 
+/// How long an unused connection is kept.
+pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Headers that mean something to one connection only.
 const HOP: [HeaderName; 9] = [
     CONNECTION,
-    HeaderName::from_static("keep-alive"),
+    KEEP_ALIVE,
     HeaderName::from_static("proxy-connection"),
     PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION,
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -5,7 +5,7 @@
 
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Version};
-use swiftcart_core::{Attempt, Deadline, Instant, Policy, Reason, ServiceEntry};
+use swiftcart_core::{Attempt, Bid, Deadline, Instant, Policy, Reason, ServiceEntry};
 
 use super::headers::{
     ATTEMPT, IDEMPOTENCY_KEY, SERVICE, TERMS, number, strip_caller, strip_hop, strip_internal,
@@ -116,6 +116,16 @@
         }
     }
 
+    /// Returns what the request asks of a guard.
+    #[must_use]
+    pub fn bid(&self) -> Bid {
+        let target = self.terms.map(|terms| terms.target());
+        match target {
+            Some(target) => Bid::new(self.due).with_target(target),
+            None => Bid::new(self.due),
+        }
+    }
+
     fn take_terms(&mut self, terms: CallTerms) {
         self.idempotent = terms.class.is_idempotent();
         self.terms = Some(terms);
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -1,7 +1,7 @@
 //! The listeners of the call path: bounded connections, and an end that cuts nothing off.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, pending};
 use std::io::{self, Write};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -30,6 +30,10 @@
 /// The pause after a connection could not be accepted, for want of descriptors perhaps.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for a request that is on its way while a caller's connection counts as unused: a
+/// round trip to callers, and a lost packet's.
+const CROSSING: Duration = Duration::from_secs(1);
+
 /// The most bytes read ahead on one connection.
 const READ_AHEAD: usize = 64 << 10;
 
@@ -139,11 +143,12 @@
         let silence = self.shared.settings.limits.body_timeout();
         let scout = self.starter.as_ref().map(Scout::new);
         let socket = Socket::new(stream, silence, scout.clone());
-        let service =
-            TowerToHyperService::new(service.map_request(move |mut request: Request<_>| {
-                request.extensions_mut().insert(scout.clone());
-                request
-            }));
+        let shown = scout.clone();
+        let service = service.map_request(move |mut request: Request<_>| {
+            request.extensions_mut().insert(shown.clone());
+            request
+        });
+        let service = TowerToHyperService::new(service);
         let gone = socket.clone();
         let mut conn = pin!(self.builder.serve_connection(socket, service));
         let mut gone = pin!(gone.gone());
@@ -155,6 +160,7 @@
                 () = gone.as_mut() => return None,
                 result = conn.as_mut() => return Some(result),
                 () = self.closing.cancelled() => {}
+                () = self.unused(scout.as_ref()) => {}
             }
             conn.as_mut().graceful_shutdown();
             tokio::select! {
@@ -172,6 +178,15 @@
         }
     }
 
+    /// Waits until a caller's connection was unused for longer than callers were told.
+    async fn unused(&self, scout: Option<&Scout>) {
+        let told = self.shared.settings.limits.keep_alive();
+        match (scout, told) {
+            (Some(scout), Some(told)) => scout.unused(told + CROSSING).await,
+            _ => pending().await,
+        }
+    }
+
     /// Counts how a connection failed; refusals that hyper answered itself among them.
     fn note(&self, err: &hyper::Error) {
         let counters = &self.shared.counters;
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -16,7 +16,7 @@
 use super::answer::{Answer, refuse};
 use super::body::{Outgoing, Source};
 use super::guard::Guard;
-use super::headers::LOAD;
+use super::headers::{KEEP_ALIVE, LOAD, OUTCOME};
 use super::ingress::Ingress;
 use super::request::Call;
 use super::serve::Answering;
@@ -60,11 +60,32 @@
         })
     }
 
+    /// Tells the caller how long its connection is kept, and not at all after a refusal: a
+    /// caller comes back on a connection of its own. What was sent ahead is answered first.
+    fn keep(&self, response: &mut Response<Answer>, has_more: bool) {
+        let Some(time) = self.shared.settings.limits.keep_alive() else {
+            return;
+        };
+        let (name, value) = match response.headers().contains_key(OUTCOME) && !has_more {
+            true => (CONNECTION, HeaderValue::from_static("close")),
+            false => {
+                let text = format!("timeout={}", time.as_secs());
+                // Digits after a word are always a header's value.
+                let value = HeaderValue::try_from(text);
+                (
+                    KEEP_ALIVE,
+                    value.unwrap_or_else(|_| HeaderValue::from_static("timeout=1")),
+                )
+            }
+        };
+        response.headers_mut().insert(name, value);
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
         let (mut head, body) = request.into_parts();
         let scout = head.extensions.remove::<Option<Scout>>().flatten();
         let started = scout.as_ref().and_then(|scout| scout.take(&head));
-        let response = match started {
+        let mut response = match started {
             Some(started) => match started.await {
                 Ok(response) => response,
                 Err(err) => self.ingress.fail(&err),
@@ -73,6 +94,7 @@
         };
         if let Some(scout) = scout {
             scout.answered();
+            self.keep(&mut response, scout.has_more());
         }
         response
     }
--- a/crates/swiftcart-node/src/calls/terms.rs
+++ b/crates/swiftcart-node/src/calls/terms.rs
@@ -1,6 +1,7 @@
 //! How a request is treated under its route's policy, as nodes tell each other.
 
 use std::str::FromStr;
+use std::time::Duration;
 
 use http::HeaderValue;
 use swiftcart_core::{Policy, Priority, Reason, RequestClass};
@@ -40,6 +41,12 @@
         })
     }
 
+    /// Returns the time within which an answer is worth most.
+    #[must_use]
+    pub const fn target(&self) -> Duration {
+        Duration::from_millis(self.target_ms as u64)
+    }
+
     /// Returns the header's value.
     #[must_use]
     pub fn value(&self) -> HeaderValue {
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -5,8 +5,8 @@
 use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use swiftcart_core::{
-    AdmissionSettings, Backend, Deadline, Gate, Instant, Limits, Load, Readiness, Reason, Refusal,
-    ServiceName,
+    AdmissionSettings, Backend, Deadline, Gate, Instant, LimitRule, LimitSettings, Limits, Load,
+    Readiness, Reason, Refusal, ServiceName,
 };
 
 use super::admissions::{Admissions, Slot};
@@ -46,6 +46,13 @@
                 let settings = AdmissionSettings {
                     queue: limits.queue,
                     wait: limits.queue_timeout(),
+                    limit: LimitSettings {
+                        rule: match limits.adaptive {
+                            true => LimitRule::Aimd,
+                            false => LimitRule::Fixed,
+                        },
+                        ..LimitSettings::default()
+                    },
                     ..AdmissionSettings::default()
                 };
                 Arc::new(Admissions::new(shared.clock, settings))
@@ -107,7 +114,7 @@
     ///
     /// Returns why the request is not run.
     pub async fn enter(&self, call: &Call) -> Result<Slot, Refusal> {
-        self.admissions.enter(call.due).await
+        self.admissions.enter(call.bid()).await
     }
 
     /// Tells whether a request would be let in now, and takes its part of the rate.
@@ -116,7 +123,7 @@
     ///
     /// Returns why the request would not be run.
     pub fn probe(&self, call: &Call) -> Result<(), Refusal> {
-        self.admissions.probe(call.due)
+        self.admissions.probe(call.bid())
     }
 
     /// Waits for the right to run a request after [`probe`](Self::probe).
@@ -125,7 +132,7 @@
     ///
     /// Returns why the request is not run.
     pub async fn enter_probed(&self, call: &Call) -> Result<Slot, Refusal> {
-        self.admissions.enter_probed(call.due).await
+        self.admissions.enter_probed(call.bid()).await
     }
 
     /// Hands `request` over, to be started before `until`, and waits for the answer's head.
--- a/crates/swiftcart-node/src/settings/limits.rs
+++ b/crates/swiftcart-node/src/settings/limits.rs
@@ -44,6 +44,13 @@
     /// Bytes of an answer that are read before its head is passed on, so that an answer that
     /// breaks off can still become another try; default 0.
     pub held_bytes: u32,
+    /// Whether the requests that run at once follow the backend server's latency below its
+    /// announced slots; default true. False where announcements are to be trusted.
+    pub adaptive: bool,
+    /// Time that a caller's unused connection is kept, which its callers are told, in whole
+    /// seconds; default 0: until `header_timeout_ms`, and they are not told. With it, a
+    /// connection ends after an answer that the node makes itself.
+    pub keep_alive_s: u32,
     /// Whether an answer may end with its connection, without a length; default false.
     pub unframed: bool,
     /// Longest time between two announcements of a backend server that names itself, in
@@ -58,6 +65,12 @@
         Duration::from_millis(self.header_timeout_ms as u64)
     }
 
+    /// Returns how long a caller's unused connection is kept, when callers are told.
+    #[must_use]
+    pub fn keep_alive(&self) -> Option<Duration> {
+        (self.keep_alive_s > 0).then(|| Duration::from_secs(self.keep_alive_s.into()))
+    }
+
     /// Returns the longest silence of a caller within its request's body.
     #[must_use]
     pub const fn body_timeout(&self) -> Duration {
@@ -114,6 +127,8 @@
             keyed_bytes: 1 << 20,
             answer_store_bytes: 64 << 20,
             held_bytes: 0,
+            adaptive: true,
+            keep_alive_s: 0,
             unframed: false,
             announce_ms: 5000,
         }
