Wait for the first version in place of asking for it again and again

Change: a reader of whole versions that finds none waits with a long poll, also while it joins; the others wait for the readers. Versions in quick succession are read every 600 ms in place of 250, and the long poll lasts 25 s.

--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -30,7 +30,11 @@
 
 /// The pause after a version that came as a whole. Versions in quick succession are read
 /// together: each read has its price, and a version has seconds to be in force.
-const SETTLE: Duration = Duration::from_millis(250);
+const SETTLE: Duration = Duration::from_millis(600);
+
+/// How long the platform holds a read of whole versions that has nothing to tell, below the
+/// 30 s that it allows. The connection's own probes tell when the platform is out of reach.
+const WHOLE_POLL: Duration = Duration::from_secs(25);
 
 /// What a read brought.
 #[derive(Debug)]
@@ -53,6 +57,8 @@
     limit: PageLimit,
     task: Option<JoinHandle<()>>,
     long: bool,
+    /// Whether the last read found that nothing was published yet, or nothing newer.
+    empty: bool,
     next: Instant,
     /// When this node found out how many others there are and drew its turn.
     turn: Option<Instant>,
@@ -91,6 +97,7 @@
             limit: PageLimit::new(PAGE),
             task: None,
             long: false,
+            empty: false,
             next: Instant::default(),
             turn: None,
             backoff: Backoff::new(),
@@ -106,7 +113,9 @@
                 self.next = now + self.standby(duty.rank);
             }
             None if self.task.is_some() || now < self.next => {}
-            None if self.is_due(now, duty) => self.start(from, is_reader && !duty.joining),
+            None if self.is_due(now, duty) => {
+                self.start(from, is_reader && (self.empty || !duty.joining));
+            }
             None => {}
         }
     }
@@ -118,10 +127,14 @@
             Ok(read) => {
                 self.backoff.succeeded();
                 self.limit.grow();
-                match (duty.rank < self.readers || duty.joining, read) {
-                    (true, Read::Newest(Some(_))) => SETTLE,
-                    (true, Read::Page(_) | Read::Newest(None)) => Duration::ZERO,
-                    (false, _) => self.standby(duty.rank),
+                self.empty = matches!(read, Read::Newest(None));
+                let is_reader = duty.rank < self.readers;
+                match read {
+                    Read::Newest(Some(_)) if is_reader => SETTLE,
+                    // Nothing was published yet: the readers wait for it, the others for them.
+                    Read::Newest(None) if is_reader => Duration::ZERO,
+                    Read::Page(_) if is_reader || duty.joining => Duration::ZERO,
+                    Read::Newest(_) | Read::Page(_) => self.standby(duty.rank),
                 }
             }
             Err(e) if self.limit.shrink(e) => Duration::ZERO,
@@ -156,9 +169,10 @@
     }
 
     fn start(&mut self, from: Offset, long: bool) {
-        let wait = match long {
-            true => LONG_POLL,
-            false => Duration::ZERO,
+        let wait = match (long, &self.whole) {
+            (true, None) => LONG_POLL,
+            (true, Some(_)) => WHOLE_POLL,
+            (false, _) => Duration::ZERO,
         };
         let (platform, inputs) = (self.platform.clone(), self.inputs.clone());
         let (shared, limit) = (Arc::clone(&self.shared), self.limit.records());
--- a/crates/swiftcart-node/src/control/stream.rs
+++ b/crates/swiftcart-node/src/control/stream.rs
@@ -68,8 +68,11 @@
                 self.join.on_platform(Offset(snapshot.version.0));
                 snapshots.on_read(snapshot)
             }
-            // Nothing newer: what is known is the newest, unless nothing was ever published.
-            (Source::Snapshots(_), Read::Newest(None)) => Vec::new(),
+            // Nothing was published yet; a node is as far as the platform with the first version.
+            (Source::Snapshots(_), Read::Newest(None)) => {
+                self.join.on_platform(Offset(1));
+                Vec::new()
+            }
             (Source::Log(_), Read::Newest(_)) | (Source::Snapshots(_), Read::Page(_)) => Vec::new(),
         };
         self.after(now, actions, witnesses)
