Choose backend servers by the pace that their guards tell

Cause: backend servers of one service differ threefold in speed, and the own one was taken whenever it had a place; latencies that one ingress sees are few and of mixed classes.

Change: a guard measures how long its calls take as a share of the time within which their answers are worth most, over all callers and classes, and tells it with its load. Where it is known, the expected time decides: pace, raised steeply as the slots fill. The own backend server is left for another of the failure domain that takes less than 0.8 of its time.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 
 use crate::rate::Promises;
-use crate::{CallResult, Instant, Limits, Load, Reason, Refusal, Sample};
+use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample};
 pub use bid::Bid;
 use limit::AdaptiveLimit;
 pub use limit::{LimitRule, LimitSettings};
@@ -140,6 +140,8 @@
     /// The mean and the shortest time that a call runs, in seconds.
     mean: Option<f64>,
     shortest: Option<f64>,
+    /// The mean quotient of the time that a call runs and its target.
+    pace: Option<f64>,
     promises: Promises,
     /// Requests that had to make room for more urgent ones.
     displaced: Vec<Refused>,
@@ -159,6 +161,7 @@
             next: 0,
             mean: None,
             shortest: None,
+            pace: None,
             promises: Promises::new(now),
             displaced: Vec::new(),
         }
@@ -297,6 +300,12 @@
         }
     }
 
+    /// Returns the backend server's pace, once calls with a target have ended.
+    #[must_use]
+    pub fn pace(&self) -> Option<Pace> {
+        self.pace.map(Pace::from_quotient)
+    }
+
     fn resize(&mut self, slots: u32, limits: Limits) {
         let concurrency = match limits.concurrency {
             0 => u32::MAX,
@@ -380,6 +389,11 @@
         *mean += TIME_WEIGHT * (secs - *mean);
         let shortest = self.shortest.get_or_insert(secs);
         *shortest = secs.min(*shortest * (1.0 + SHORTEST_DRIFT));
+        if let Some(target) = sample.target {
+            let quotient = secs / target.as_secs_f64().max(f64::MIN_POSITIVE);
+            let pace = self.pace.get_or_insert(quotient);
+            *pace += TIME_WEIGHT * (quotient - *pace);
+        }
         self.limit.learn(sample.latency, running);
     }
 
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -9,6 +9,10 @@
 /// The random draws for one choice before the candidates are gone through in order.
 const DRAWS: usize = 8;
 
+/// The part of the own backend server's time below which another one is worth a hop: two
+/// more connections and their handling, about 0.3 ms, and the loss of one certain place.
+const HOP_WORTH: f64 = 0.8;
+
 /// The part of another score below which a score counts as better; nearer ones are left to chance.
 const CLEARLY: f64 = 0.9;
 
@@ -34,10 +38,15 @@
         rng: &mut R,
     ) -> Option<Pick> {
         let own = entry.own().map(|c| self.know(c));
-        if let Some(own) = own.filter(|own| self.usable(*own) && !self.full(*own)) {
-            return Some(own.pick(PickRule::Own));
-        }
+        let own = own.filter(|own| self.usable(*own) && !self.full(*own));
         let near = self.best(entry.near(), rng);
+        match (own, near) {
+            (Some(own), Some(near)) if !self.much_faster(near, own) => {
+                return Some(own.pick(PickRule::Own));
+            }
+            (Some(own), None) => return Some(own.pick(PickRule::Own)),
+            _ => {}
+        }
         if let Some(near) = near.filter(|near| !self.full(*near)) {
             return Some(near.pick(PickRule::Near));
         }
@@ -50,6 +59,20 @@
         }
     }
 
+    /// Tells whether `a` is worth a hop in place of the own backend server `own`.
+    fn much_faster(&self, a: Known<'_>, own: Known<'_>) -> bool {
+        match (self.expected(a), self.expected(own)) {
+            (Some(there), Some(here)) => !self.full(a) && there < HOP_WORTH * here,
+            _ => false,
+        }
+    }
+
+    fn expected(&self, known: Known<'_>) -> Option<f64> {
+        let slots = known.candidate.slots;
+        let settings = &self.balancer.settings;
+        known.peer?.expected(self.now, slots, settings)
+    }
+
     /// Returns the better of two random candidates.
     ///
     /// Each draw meets a newly seen one with its share only, so that a small group
@@ -127,6 +150,9 @@
     }
 
     fn better(&self, a: Known<'_>, b: Known<'_>) -> bool {
+        if let (Some(a), Some(b)) = (self.expected(a), self.expected(b)) {
+            return a < CLEARLY * b;
+        }
         let s = &self.balancer.settings;
         match (a.peer, b.peer) {
             (Some(a), Some(b)) => {
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{BalanceSettings, CallResult, Sample};
+use super::{BalanceSettings, CallResult, Pace, Sample};
 use crate::Instant;
 
 /// The lowest share of its picks that a newly seen backend server gets.
@@ -14,6 +14,10 @@
 /// How much a failure rate of 1 raises the score.
 const FAILURE_COST: f64 = 10.0;
 
+/// How late the usage begins to count against a backend server whose pace is known: at
+/// half of its slots it adds a sixteenth, at nine tenths two thirds.
+const USAGE_POWER: i32 = 4;
+
 /// The usage that a refusal stands for: its guard has no place and no queue left.
 const REFUSED_USAGE: f64 = 1.5;
 
@@ -33,6 +37,8 @@
     heard: Instant,
     usage: f64,
     loaded: Instant,
+    /// The last pace heard of.
+    pace: Option<Pace>,
     failing: f64,
     judged: Instant,
     streak: u32,
@@ -51,6 +57,7 @@
             heard: now,
             usage: 0.0,
             loaded: now,
+            pace: None,
             failing: 0.0,
             judged: now,
             streak: 0,
@@ -66,6 +73,7 @@
             self.usage = load.usage();
             self.loaded = now;
         }
+        self.pace = sample.pace.or(self.pace);
         match sample.result {
             CallResult::Success => {
                 self.learn(now, sample.latency, s.memory);
@@ -140,6 +148,17 @@
         waiting * latency * usage * failing
     }
 
+    /// Returns the time to expect for one more call in targets, where the pace is known.
+    ///
+    /// Calls run side by side until the slots are taken, so the load counts little before.
+    pub(super) fn expected(&self, now: Instant, slots: u32, s: &BalanceSettings) -> Option<f64> {
+        let pace = self.pace?.quotient();
+        let own = f64::from(self.running) / f64::from(slots.max(1));
+        let usage = self.usage(now, s.load_age).max(own);
+        let failing = 1.0 + FAILURE_COST * self.failing(now, s.memory);
+        Some(pace * (1.0 + usage.powi(USAGE_POWER)) * failing)
+    }
+
     /// Returns the share of failed calls, decayed so that a failing one is tried again.
     fn failing(&self, now: Instant, memory: Duration) -> f64 {
         self.failing * decay(now.since(self.judged), memory)
--- a/crates/swiftcart-core/src/balance/sample.rs
+++ b/crates/swiftcart-core/src/balance/sample.rs
@@ -31,6 +31,35 @@
     }
 }
 
+/// Tells how long a backend server's calls take, in thousandths of the time within which
+/// their answers are worth most.
+///
+/// Calls of one service differ in length, and so do the times set for them; the quotient
+/// compares backend servers whatever calls each of them happened to get.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Pace(pub u32);
+
+impl Pace {
+    /// Returns the quotient.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(swiftcart_core::Pace(250).quotient(), 0.25);
+    /// ```
+    #[must_use]
+    pub fn quotient(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+
+    /// Creates a pace from the quotient.
+    #[must_use]
+    pub fn from_quotient(quotient: f64) -> Self {
+        Self((quotient * 1000.0).clamp(1.0, f64::from(u32::MAX)) as u32)
+    }
+}
+
 /// Tells how one call at a backend server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum CallResult {
@@ -53,6 +82,10 @@
     pub result: CallResult,
     /// The load that the answer carried.
     pub load: Option<Load>,
+    /// The backend server's pace, as the answer carried it.
+    pub pace: Option<Pace>,
+    /// The time within which the answer was worth most.
+    pub target: Option<Duration>,
 }
 
 impl Sample {
@@ -63,9 +96,25 @@
             latency,
             result,
             load: None,
+            pace: None,
+            target: None,
         }
     }
 
+    /// Adds the pace that the answer carried.
+    #[must_use]
+    pub const fn with_pace(mut self, pace: Pace) -> Self {
+        self.pace = Some(pace);
+        self
+    }
+
+    /// Adds the time within which the answer was worth most.
+    #[must_use]
+    pub const fn with_target(mut self, target: Duration) -> Self {
+        self.target = Some(target);
+        self
+    }
+
     /// Adds the load that the answer carried.
     #[must_use]
     pub const fn with_load(mut self, load: Load) -> Self {
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use swiftcart_core::{
-    Admission, AdmissionSettings, Admit, Bid, CallResult, Gate, Instant, Limits, Load, RateShare,
-    Reason, Refusal, Refused, Sample, Ticket,
+    Admission, AdmissionSettings, Admit, Bid, CallResult, Gate, Instant, Limits, Load, Pace,
+    RateShare, Reason, Refusal, Refused, Sample, Ticket,
 };
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -31,7 +32,7 @@
 #[derive(Debug)]
 pub struct Admissions {
     clock: Clock,
-    wait: std::time::Duration,
+    wait: Duration,
     state: Mutex<State>,
 }
 
@@ -48,6 +49,7 @@
     admissions: Arc<Admissions>,
     ticket: Ticket,
     start: Instant,
+    target: Option<Duration>,
     open: bool,
 }
 
@@ -89,6 +91,12 @@
         self.lock().admission.load()
     }
 
+    /// Returns the backend server's pace, once it is known.
+    #[must_use]
+    pub fn pace(&self) -> Option<Pace> {
+        self.lock().admission.pace()
+    }
+
     /// Waits for the right to run a request.
     ///
     /// # Errors
@@ -166,6 +174,7 @@
             admissions: Arc::clone(self),
             ticket,
             start: now,
+            target: bid.target,
             open: true,
         };
         let waiter = waits.then(|| {
@@ -226,7 +235,8 @@
     pub fn finish(mut self, result: CallResult) {
         self.open = false;
         let now = self.admissions.clock.now();
-        let sample = Sample::new(now.since(self.start), result);
+        let mut sample = Sample::new(now.since(self.start), result);
+        sample.target = self.target;
         let mut state = self.admissions.lock();
         let started = state.admission.done(self.ticket, now, &sample);
         state.wake(started);
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -5,7 +5,9 @@
 use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response};
 use slog::error;
-use swiftcart_core::{Backend, CallResult, Limits, Load, NodeId, Reason, Refusal, ServiceEntry};
+use swiftcart_core::{
+    Backend, CallResult, Limits, Load, NodeId, Pace, Reason, Refusal, ServiceEntry,
+};
 
 use super::admissions::Slot;
 use super::answer::Answer;
@@ -19,6 +21,15 @@
 use crate::logging::Event;
 use crate::shared::{Phase, Shared};
 
+/// What a guard tells of its backend server with each answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// What runs and waits.
+    pub load: Load,
+    /// How long calls take, once that is known.
+    pub pace: Option<Pace>,
+}
+
 /// Guards the backend server beside this node.
 #[derive(Debug)]
 pub struct Guard {
@@ -70,15 +81,30 @@
         &self.shared
     }
 
-    /// Returns the load to carry back to other nodes.
+    /// Returns the load and pace to carry back to other nodes.
     #[must_use]
     pub fn load(&self) -> Option<HeaderValue> {
         let upstream = self.upstream.load();
-        let load = upstream.as_ref()?.load();
-        let text = format!("{} {} {}", load.running, load.queued, load.limit);
+        let upstream = upstream.as_ref()?;
+        let load = upstream.load();
+        let mut text = format!("{} {} {}", load.running, load.queued, load.limit);
+        if let Some(Pace(pace)) = upstream.pace() {
+            text.push_str(&format!(" {pace}"));
+        }
         HeaderValue::try_from(text).ok()
     }
 
+    /// Returns what this node's own ingress is told after a request.
+    #[must_use]
+    pub fn report(&self) -> Option<Report> {
+        let upstream = self.upstream.load();
+        let upstream = upstream.as_ref()?;
+        Some(Report {
+            load: upstream.load(),
+            pace: upstream.pace(),
+        })
+    }
+
     /// Closes unused connections and shows the load.
     pub fn sweep(&self) {
         let upstream = self.upstream.load();
--- a/crates/swiftcart-node/src/calls/in_flight.rs
+++ b/crates/swiftcart-node/src/calls/in_flight.rs
@@ -2,9 +2,10 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use swiftcart_core::{Balancer, CallResult, Instant, Load, NodeId, Outcome, Reason, Sample};
+use swiftcart_core::{Balancer, CallResult, Instant, NodeId, Outcome, Reason, Sample};
 
 use super::answer::End;
+use super::guard::Report;
 use crate::shared::Shared;
 
 /// A try that runs at one node; the balancer learns how it ended, also when it is dropped.
@@ -14,7 +15,7 @@
     balancer: Arc<Mutex<Balancer>>,
     id: NodeId,
     start: Instant,
-    load: Option<Load>,
+    report: Option<Report>,
     open: bool,
 }
 
@@ -31,14 +32,14 @@
             balancer: Arc::clone(balancer),
             id,
             start: shared.clock.now(),
-            load: None,
+            report: None,
             open: true,
         }
     }
 
-    /// Adds the load that the answer carried.
-    pub const fn set_load(&mut self, load: Option<Load>) {
-        self.load = load;
+    /// Adds what the guard told.
+    pub const fn set_load(&mut self, report: Option<Report>) {
+        self.report = report;
     }
 
     /// Accounts for the end of the answer that the caller got.
@@ -56,7 +57,8 @@
         self.open = false;
         let now = self.shared.clock.now();
         let mut sample = Sample::new(now.since(self.start), result);
-        sample.load = self.load;
+        sample.load = self.report.map(|report| report.load);
+        sample.pace = self.report.and_then(|report| report.pace);
         let mut balancer = self.balancer.lock().unwrap_or_else(PoisonError::into_inner);
         let ejected = balancer.finished(self.id, now, &sample);
         drop(balancer);
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -10,14 +10,14 @@
 use hyper::body::Incoming;
 use slog::error;
 use swiftcart_core::{
-    BalanceSettings, Balancer, CallResult, Failure, FleetBudget, Load, NodeId, Outcome, Pick,
-    PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Terms, Tries,
+    BalanceSettings, Balancer, CallResult, Failure, FleetBudget, NodeId, Outcome, Pick, PickRule,
+    PolicyTries, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Terms, Tries,
 };
 
 use tokio::task::JoinError;
 
 use super::answer::{Answer, refuse};
-use super::guard::Guard;
+use super::guard::{Guard, Report};
 use super::headers::RETRIED;
 use super::in_flight::InFlight;
 use super::keyed::preference;
@@ -55,7 +55,7 @@
 struct Failed {
     refusal: Refusal,
     retried: bool,
-    load: Option<Load>,
+    load: Option<Report>,
 }
 
 impl Ingress {
@@ -318,7 +318,9 @@
             true => {
                 let request = original.request(None);
                 let result = self.guard.run(call, service, request).await;
-                self.hold(call, result.map_err(Failed::from)).await
+                let result = self.hold(call, result.map_err(Failed::from)).await;
+                in_flight.set_load(self.guard.report());
+                result
             }
             false => {
                 let result = self.forward(call, pick, service, original, tries).await;
@@ -327,7 +329,9 @@
         };
         match result {
             Ok(mut response) => {
-                in_flight.set_load(take_load(&mut response));
+                if let Some(report) = take_load(&mut response) {
+                    in_flight.set_load(Some(report));
+                }
                 if tries.retried() {
                     let headers = response.headers_mut();
                     headers.insert(RETRIED, HeaderValue::from_static("1"));
@@ -335,7 +339,9 @@
                 Ok(response.map(|answer| answer.with_in_flight(in_flight)))
             }
             Err(failed) => {
-                in_flight.set_load(failed.load);
+                if failed.load.is_some() {
+                    in_flight.set_load(failed.load);
+                }
                 in_flight.fail(blame(failed.refusal.reason));
                 Err(failed)
             }
--- a/crates/swiftcart-node/src/calls/ingress/forward.rs
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -1,13 +1,14 @@
 //! The hop to the guard beside another backend server.
 
 use http::{HeaderValue, Response};
-use swiftcart_core::{HOP_ALLOWANCE, Load, Pick, Reason, Refusal, Tries};
+use swiftcart_core::{HOP_ALLOWANCE, Load, Pace, Pick, Reason, Refusal, Tries};
 
 use super::original::Original;
 use super::{Failed, Ingress};
 use crate::calls::answer::{Answer, is_framed};
 use crate::calls::body::Gate;
 use crate::calls::exchange::exchange;
+use crate::calls::guard::Report;
 use crate::calls::headers::{
     ATTEMPT, LOAD, RETRIED, SERVICE, TERMS, retry_after, strip_hop, strip_internal, verdict,
 };
@@ -82,14 +83,17 @@
     Err(failed)
 }
 
-/// Takes the guard's load out of an answer.
-pub(super) fn take_load(response: &mut Response<Answer>) -> Option<Load> {
+/// Takes what the guard told out of an answer.
+pub(super) fn take_load(response: &mut Response<Answer>) -> Option<Report> {
     let value = response.headers_mut().remove(LOAD)?;
     let mut numbers = value.to_str().ok()?.split(' ').map(str::parse);
     let mut next = || numbers.next()?.ok();
-    Some(Load {
-        running: next()?,
-        queued: next()?,
-        limit: next()?,
+    Some(Report {
+        load: Load {
+            running: next()?,
+            queued: next()?,
+            limit: next()?,
+        },
+        pace: next().map(Pace),
     })
 }
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use swiftcart_core::{
     AdmissionSettings, Backend, Deadline, Gate, Instant, LimitRule, LimitSettings, Limits, Load,
-    Readiness, Reason, Refusal, ServiceName,
+    Pace, Readiness, Reason, Refusal, ServiceName,
 };
 
 use super::admissions::{Admissions, Slot};
@@ -103,6 +103,12 @@
         self.admissions.load()
     }
 
+    /// Returns the backend server's pace to carry back on answers.
+    #[must_use]
+    pub fn pace(&self) -> Option<Pace> {
+        self.admissions.pace()
+    }
+
     /// Closes unused connections.
     pub fn sweep(&self) {
         self.pool.sweep(tokio::time::Instant::now());
