Log each call, and go to another failure domain when it is faster by more than the way

Cause: Bogota's centro has one backend server for certificates, at half the speed of the others: 22 % of its bookings were late while the other failure domains had free slots. It took a log of each call to see it; nodes wrote none.

The balancer leaves the failure domain when the expected time there is shorter by a tenth of the target (by a whole target for uploads, whose way costs half of their worth).

--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -64,6 +64,30 @@
     Ejected,
 }
 
+/// Tells how much a request and its answer weigh on the way to another failure domain.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Haul {
+    /// A few kilobytes.
+    #[default]
+    Light,
+    /// A long body.
+    Heavy,
+}
+
+impl Haul {
+    /// Returns by how many targets another failure domain has to be faster.
+    ///
+    /// Traffic between failure domains costs about 0.02 of what a short answer is worth for
+    /// a kilobyte, and an answer that is expected a tenth of its target later is late about
+    /// 0.08 more often. An upload of 60 kB costs half of its worth, which no speed outweighs.
+    const fn penalty(self) -> f64 {
+        match self {
+            Self::Light => 0.1,
+            Self::Heavy => 1.0,
+        }
+    }
+}
+
 /// Names the chosen backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Pick {
@@ -82,7 +106,9 @@
 /// `(running + 1) * latency * (1 + usage) * (1 + failure rate)`; a reported load
 /// can only raise that score, so a backend server that claims to be idle gains
 /// nothing over one that reports nothing. Other failure domains are used when the
-/// own one is absent, ejected or full.
+/// own one is absent, ejected or full. Where guards tell their backend server's pace, the
+/// expected time takes the score's place, and another failure domain is also used when it
+/// is faster by more than the way there is worth.
 ///
 /// The state is one entry for each candidate of the view last given to
 /// [`Balancer::adopt`], and for departed ones with calls still running. Each
@@ -169,9 +195,22 @@
         entry: &ServiceEntry,
         exclude: &[NodeId],
         rng: &mut R,
+    ) -> Option<Pick> {
+        self.pick_for(Haul::Light, now, entry, exclude, rng)
+    }
+
+    /// Chooses like [`Balancer::pick`] for a request that weighs as `haul` says.
+    pub fn pick_for<R: Rng + ?Sized>(
+        &self,
+        haul: Haul,
+        now: Instant,
+        entry: &ServiceEntry,
+        exclude: &[NodeId],
+        rng: &mut R,
     ) -> Option<Pick> {
         let choice = Choice {
             balancer: self,
+            haul,
             now,
             exclude,
         };
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::peer::Peer;
-use super::{Balancer, Pick, PickRule};
+use super::{Balancer, Haul, Pick, PickRule};
 use crate::{Candidate, Instant, NodeId, ServiceEntry};
 
 /// The random draws for one choice before the candidates are gone through in order.
@@ -19,6 +19,7 @@
 /// Holds what is fixed while one choice is made.
 pub(super) struct Choice<'a> {
     pub(super) balancer: &'a Balancer,
+    pub(super) haul: Haul,
     pub(super) now: Instant,
     pub(super) exclude: &'a [NodeId],
 }
@@ -40,22 +41,31 @@
         let own = entry.own().map(|c| self.know(c));
         let own = own.filter(|own| self.usable(*own) && !self.full(*own));
         let near = self.best(entry.near(), rng);
-        match (own, near) {
-            (Some(own), Some(near)) if !self.much_faster(near, own) => {
-                return Some(own.pick(PickRule::Own));
+        let here = match (own, near) {
+            (Some(own), Some(near)) if self.much_faster(near, own) => Some((near, PickRule::Near)),
+            (Some(own), _) => Some((own, PickRule::Own)),
+            (None, Some(near)) if !self.full(near) => Some((near, PickRule::Near)),
+            (None, _) => None,
+        };
+        let far = self.best(entry.far(), rng);
+        match (here, near, far) {
+            (Some((here, _)), _, Some(far)) if self.worth_the_way(far, here) => {
+                Some(far.pick(PickRule::Spill))
             }
-            (Some(own), None) => return Some(own.pick(PickRule::Own)),
-            _ => {}
+            (Some((here, rule)), _, _) => Some(here.pick(rule)),
+            (None, _, Some(far)) if !self.full(far) => Some(far.pick(PickRule::Spill)),
+            (None, Some(near), _) => Some(near.pick(PickRule::Near)),
+            (None, None, Some(far)) => Some(far.pick(PickRule::Spill)),
+            (None, None, None) => self.any(entry.candidates(), rng),
         }
-        if let Some(near) = near.filter(|near| !self.full(*near)) {
-            return Some(near.pick(PickRule::Near));
-        }
-        let far = self.best(entry.far(), rng);
-        match (near, far) {
-            (_, Some(far)) if !self.full(far) => Some(far.pick(PickRule::Spill)),
-            (Some(near), _) => Some(near.pick(PickRule::Near)),
-            (None, Some(far)) => Some(far.pick(PickRule::Spill)),
-            (None, None) => self.any(entry.candidates(), rng),
+    }
+
+    /// Tells whether `far`, in another failure domain, is faster than `here` by more than the
+    /// way there is worth.
+    fn worth_the_way(&self, far: Known<'_>, here: Known<'_>) -> bool {
+        match (self.expected(far), self.expected(here)) {
+            (Some(there), Some(here)) => !self.full(far) && there + self.haul.penalty() < here,
+            _ => false,
         }
     }
 
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response};
-use slog::error;
+use slog::{error, info};
 use swiftcart_core::{
     Backend, CallResult, Limits, Load, NodeId, Pace, Reason, Refusal, ServiceEntry,
 };
@@ -135,10 +135,26 @@
             let counters = &self.shared.counters;
             let reason = refusal.reason.as_str();
             counters.count("swiftcart_guard_refusals_total", "reason", reason);
+            self.log(call, service, *refusal);
         }
         result
     }
 
+    /// Logs a request that was not handed over, or got no answer.
+    fn log(&self, call: &Call, service: &str, refusal: Refusal) {
+        let now = self.shared.clock.now();
+        let Some(log) = self.shared.call_log.failed(now) else {
+            return;
+        };
+        let load = self.report().map(|report| report.load).unwrap_or_default();
+        let instance = self.shared.beside().id().map(str::to_owned);
+        info!(log, ""; "event" => Event::Guard, "id" => %call.id, "service" => service,
+            "instance" => instance.as_deref().unwrap_or("-"),
+            "reason" => refusal.reason.as_str(), "running" => load.running,
+            "queued" => load.queued, "limit" => load.limit,
+            "left_ms" => u64::try_from(call.due.left(now).as_millis()).unwrap_or(u64::MAX));
+    }
+
     async fn admit(
         self: &Arc<Self>,
         call: &Call,
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -1,6 +1,7 @@
 //! The ingress: routes callers' requests to a guard, and tries again where that is safe.
 
 mod forward;
+mod log;
 mod original;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -10,8 +11,8 @@
 use hyper::body::Incoming;
 use slog::error;
 use swiftcart_core::{
-    BalanceSettings, Balancer, CallResult, Failure, FleetBudget, NodeId, Outcome, Pick, PickRule,
-    PolicyTries, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Terms, Tries,
+    BalanceSettings, Balancer, CallResult, Failure, FleetBudget, Instant, NodeId, Outcome, Pick,
+    PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Terms, Tries,
 };
 
 use tokio::task::JoinError;
@@ -44,6 +45,7 @@
 /// The tries that were made of one call.
 #[derive(Debug)]
 struct Made {
+    start: Instant,
     tries: Tries,
     under_policy: PolicyTries,
     /// The guards that were asked.
@@ -99,12 +101,15 @@
     /// Answers one request of a caller.
     pub async fn answer(&self, head: Parts, body: Option<Incoming>) -> Response<Answer> {
         let start = self.shared.clock.now();
+        let id = head.headers.get(&self.shared.headers.request_id.0).cloned();
         let result = self.route(head, body).await;
         let counters = &self.shared.counters;
-        counters.stage(Stage::Ingress, self.shared.clock.now().since(start));
+        let now = self.shared.clock.now();
+        counters.stage(Stage::Ingress, now.since(start));
         match result {
             Ok(response) => response,
             Err(failed) => {
+                self.log_refusal(id.as_ref(), failed.refusal, now.since(start));
                 let reason = failed.refusal.reason;
                 counters.refuse(reason.as_str());
                 counters.call(reason.outcome());
@@ -181,6 +186,7 @@
         original: &Original,
     ) -> Result<Response<Answer>, Failed> {
         let mut made = Made {
+            start: self.shared.clock.now(),
             tries: Tries::new(call.attempt),
             under_policy: PolicyTries::default(),
             ids: Vec::new(),
@@ -195,12 +201,17 @@
             };
             let tries = made.tries;
             let mut failed = match self.attempt(call, &pick, entry, original, tries).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    self.log_answer(call, entry, &made, &pick, response.status());
+                    return Ok(response);
+                }
                 Err(failed) => failed,
             };
             made.ids.push(pick.id);
             failed.retried |= made.tries.retried();
             let may = self.may_retry(call, entry, original, &mut made, &failed);
+            self.log_try(call, entry, &made, &pick, &failed, may);
+            let may = may.is_ok();
             // What may have run once is not told to be not run because of a later refusal.
             last = match last.take() {
                 Some(before) if before.outcome() == Outcome::Unknown => Some(before),
@@ -240,7 +251,8 @@
                 rule: PickRule::Near,
             })
         });
-        preferred.or_else(|| with_rng(|rng| balancer.pick(now, entry, tried, rng)))
+        let haul = call.haul();
+        preferred.or_else(|| with_rng(|rng| balancer.pick_for(haul, now, entry, tried, rng)))
     }
 
     /// Tells whether another try is allowed, and counts it.
@@ -251,7 +263,7 @@
         original: &Original,
         made: &mut Made,
         failed: &Failed,
-    ) -> bool {
+    ) -> Result<(), &'static str> {
         let counters = &self.shared.counters;
         let result = match (original.is_whole(), call.terms) {
             (false, _) => Err("body-sent"),
@@ -264,7 +276,7 @@
             Ok(()) => counters.retry(failed.refusal.reason.as_str()),
             Err(why) => counters.count("swiftcart_retry_refusals_total", "reason", why),
         }
-        result.is_ok()
+        result
     }
 
     fn retry(&self, call: &Call, made: &mut Made, failed: &Failed) -> Result<(), Reason> {
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -0,0 +1,83 @@
+//! The ingress' lines about single calls.
+
+use std::time::Duration;
+
+use http::{HeaderValue, StatusCode};
+use slog::info;
+use swiftcart_core::{Pick, Refusal, ServiceEntry};
+
+use super::{Failed, Ingress, Made};
+use crate::calls::request::Call;
+use crate::logging::Event;
+
+impl Ingress {
+    /// Logs the answer of a backend server, with a line among the failures when it is one or
+    /// took more than one try.
+    pub(super) fn log_answer(
+        &self,
+        call: &Call,
+        entry: &ServiceEntry,
+        made: &Made,
+        pick: &Pick,
+        status: StatusCode,
+    ) {
+        let now = self.shared.clock.now();
+        let ordinary = made.ids.is_empty() && !status.is_server_error();
+        let log = match ordinary {
+            true => self.shared.call_log.done(now),
+            false => self.shared.call_log.failed(now),
+        };
+        if let Some(log) = log {
+            info!(log, ""; "event" => Event::Answer, "id" => %call.id, "service" => %entry.name(),
+                "status" => status.as_u16(), "tries" => made.ids.len() + 1, "guard" => %pick.id,
+                "rule" => ?pick.rule, "ms" => ms(now.since(made.start)),
+                "left_ms" => ms(call.due.left(now)));
+        }
+    }
+
+    /// Logs a try without an answer, and why there is another one or none.
+    pub(super) fn log_try(
+        &self,
+        call: &Call,
+        entry: &ServiceEntry,
+        made: &Made,
+        pick: &Pick,
+        failed: &Failed,
+        next: Result<(), &'static str>,
+    ) {
+        let now = self.shared.clock.now();
+        let Some(log) = self.shared.call_log.failed(now) else {
+            return;
+        };
+        let load = failed.load.map(|report| report.load);
+        let load = load.map(|load| format!("{}/{}/{}", load.running, load.queued, load.limit));
+        info!(log, ""; "event" => Event::Try, "id" => %call.id, "service" => %entry.name(),
+            "try" => made.ids.len(), "guard" => %pick.id, "rule" => ?pick.rule,
+            "reason" => failed.refusal.reason.as_str(), "load" => load.as_deref().unwrap_or("-"),
+            "next" => next.err().unwrap_or("again"), "ms" => ms(now.since(made.start)),
+            "left_ms" => ms(call.due.left(now)));
+    }
+
+    /// Logs an answer that the node makes itself.
+    pub(super) fn log_refusal(
+        &self,
+        id: Option<&HeaderValue>,
+        refusal: Refusal,
+        elapsed: Duration,
+    ) {
+        let now = self.shared.clock.now();
+        let Some(log) = self.shared.call_log.failed(now) else {
+            return;
+        };
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+        let view = self.shared.view.load();
+        info!(log, ""; "event" => Event::Answer, "id" => id, "status" => "own",
+            "outcome" => refusal.reason.outcome().as_str(), "reason" => refusal.reason.as_str(),
+            "retry_after_ms" => refusal.retry_after.map(ms), "ms" => ms(elapsed),
+            "version" => view.version().0);
+    }
+}
+
+fn ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -5,7 +5,9 @@
 
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Version};
-use swiftcart_core::{Attempt, Bid, Deadline, Instant, Policy, Reason, ServiceEntry};
+use swiftcart_core::{
+    Attempt, Bid, Deadline, Haul, Instant, Policy, Reason, RequestClass, ServiceEntry,
+};
 
 use super::headers::{
     ATTEMPT, IDEMPOTENCY_KEY, SERVICE, TERMS, number, strip_caller, strip_hop, strip_internal,
@@ -126,6 +128,15 @@
         }
     }
 
+    /// Returns how much the request weighs on its way.
+    #[must_use]
+    pub fn haul(&self) -> Haul {
+        match self.terms.map(|terms| terms.class) {
+            Some(RequestClass::Upload) => Haul::Heavy,
+            _ => Haul::Light,
+        }
+    }
+
     fn take_terms(&mut self, terms: CallTerms) {
         self.idempotent = terms.class.is_idempotent();
         self.terms = Some(terms);
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -1,9 +1,17 @@
-//! The log of events: one line of key=value pairs for each, on standard error.
+//! The log of events: one line of key=value pairs for each, on standard output.
+//!
+//! Lines wait for a thread that writes them, a bounded number of them; nothing else waits
+//! for standard output. Lines of calls are limited besides, see [`CallLog`].
+
+mod call_log;
 
 use std::fmt;
 use std::io;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+pub use call_log::CallLog;
 use slog::{Drain, FnValue, Key, Level, Logger, Record, Serializer, Value, o};
 use slog_async::AsyncGuard;
 use slog_logfmt::Logfmt;
@@ -62,6 +70,14 @@
     Expired,
     /// A connection could not be accepted.
     Refused,
+    /// A caller's request has its answer.
+    Answer,
+    /// A try of a request did not end with an answer of its backend server.
+    Try,
+    /// The guard did not hand a request over, or got no answer to it.
+    Guard,
+    /// So many lines of calls were left out in the last second.
+    LeftOut,
 }
 
 impl Event {
@@ -92,6 +108,10 @@
             Self::Announced => "announced",
             Self::Expired => "expired",
             Self::Refused => "refused",
+            Self::Answer => "answer",
+            Self::Try => "try",
+            Self::Guard => "guard",
+            Self::LeftOut => "left-out",
         }
     }
 }
@@ -124,9 +144,24 @@
     }
 }
 
-/// Opens the log on standard error; dropping the guard writes what still waits.
+/// The longest time to write what still waits when the process ends.
+const CLOSE: Duration = Duration::from_millis(300);
+
+/// Writes what still waits and ends the log, unless standard output takes nothing.
+pub fn close(guard: AsyncGuard) {
+    let (done, written) = mpsc::channel();
+    thread::spawn(move || {
+        drop(guard);
+        // Nobody waits any more when it took too long.
+        done.send(()).ok();
+    });
+    // When nobody reads standard output, the process ends without its last lines.
+    written.recv_timeout(CLOSE).ok();
+}
+
+/// Opens the log on standard output; [`close`] writes what still waits.
 pub fn open(level: LogLevel) -> (Logger, AsyncGuard) {
-    let lines = Logfmt::new(io::stderr()).no_prefix().build().fuse();
+    let lines = Logfmt::new(io::stdout()).no_prefix().build().fuse();
     let (queue, guard) = slog_async::Async::new(lines)
         .chan_size(QUEUE)
         .build_with_guard();
--- a/crates/swiftcart-node/src/program.rs
+++ b/crates/swiftcart-node/src/program.rs
@@ -9,7 +9,7 @@
 
 use crate::args::Args;
 use crate::edge::Edges;
-use crate::logging::{Event, open as open_log};
+use crate::logging::{Event, close as close_log, open as open_log};
 use crate::node::Node;
 use crate::settings::Settings;
 
@@ -65,7 +65,7 @@
         Ok(runtime) => runtime.block_on(serve(file, settings, edges, logger)),
         Err(err) => fail(&logger, &err),
     };
-    drop(guard);
+    close_log(guard);
     code
 }
 
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::faults::Faults;
+use crate::logging::CallLog;
 use crate::settings::{Headers, Settings};
 
 /// Tells whether a node takes callers' requests, and if not, why.
@@ -60,6 +61,8 @@
     pub id: NodeId,
     /// Where events are logged.
     pub logger: Logger,
+    /// Where lines about single calls are logged.
+    pub call_log: CallLog,
     /// The node's metrics.
     pub counters: Counters,
     /// The immutable routing view; a request loads it once.
@@ -116,6 +119,7 @@
             headers: Arc::new(settings.headers.clone()),
             settings,
             id,
+            call_log: CallLog::new(logger.clone()),
             logger,
             counters: Counters::new(),
             view: ArcSwap::from_pointee(view),
--- a/crates/swiftcart-node/tests/mesh/mod.rs
+++ b/crates/swiftcart-node/tests/mesh/mod.rs
@@ -168,6 +168,7 @@
             .arg("--settings")
             .arg(file)
             .env("SWIFTCART_CUT_FROM", cut.join(","))
+            .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
--- a/crates/swiftcart-node/tests/stop.rs
+++ b/crates/swiftcart-node/tests/stop.rs
@@ -29,6 +29,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_swiftcartd"))
             .arg("--settings")
             .arg(settings.path())
+            .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
