Take an unheard backend server for a typical one, and weigh the way in milliseconds

Cause: a node knew the pace of another failure domain only after a request had gone there, and none went as long as the own one had a place: half of centro's bookings still took the slow backend server. And calls with a target of 120 ms crossed for 14 ms, which their parent's target of 400 does not notice, but the price of traffic does.

Change: the mean of all told paces stands in for one that was not told; the way to another failure domain has to save 40 ms, for uploads 500.

--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -15,6 +15,12 @@
 use peer::Peer;
 pub use sample::*;
 
+/// The target that stands in for an unknown one, in the middle of those of the users' routes.
+const USUAL_TARGET: Duration = Duration::from_millis(400);
+
+/// The weight of one told pace in the mean of all.
+const PACE_WEIGHT: f64 = 0.05;
+
 /// Sets how a node chooses among backend servers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BalanceSettings {
@@ -75,19 +81,37 @@
 }
 
 impl Haul {
-    /// Returns by how many targets another failure domain has to be faster.
+    /// Returns by how much another failure domain has to be faster.
     ///
     /// Traffic between failure domains costs about 0.02 of what a short answer is worth for
-    /// a kilobyte, and an answer that is expected a tenth of its target later is late about
-    /// 0.08 more often. An upload of 60 kB costs half of its worth, which no speed outweighs.
-    const fn penalty(self) -> f64 {
+    /// a kilobyte, and of answers that are expected 40 ms later about one in twelve more
+    /// misses a target of half a second. An upload of 60 kB costs half of its worth, which
+    /// no speed outweighs.
+    const fn penalty(self) -> Duration {
         match self {
-            Self::Light => 0.1,
-            Self::Heavy => 1.0,
+            Self::Light => Duration::from_millis(40),
+            Self::Heavy => Duration::from_millis(500),
         }
     }
 }
 
+/// Describes a request to the balancer.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Errand {
+    /// How much the request and its answer weigh.
+    pub haul: Haul,
+    /// The time within which the answer is worth most.
+    pub target: Option<Duration>,
+}
+
+impl Errand {
+    /// Returns by how many targets another failure domain has to be faster.
+    fn penalty(&self) -> f64 {
+        let target = self.target.unwrap_or(USUAL_TARGET);
+        self.haul.penalty().as_secs_f64() / target.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+}
+
 /// Names the chosen backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Pick {
@@ -153,6 +177,8 @@
     peers: HashMap<NodeId, Peer>,
     /// The candidates of each service of the view.
     groups: Vec<Vec<NodeId>>,
+    /// The mean of the paces that were told, which stands in for one that was not.
+    typical: Option<f64>,
 }
 
 impl Balancer {
@@ -164,6 +190,7 @@
             settings,
             peers: HashMap::new(),
             groups: Vec::new(),
+            typical: None,
         }
     }
 
@@ -196,13 +223,13 @@
         exclude: &[NodeId],
         rng: &mut R,
     ) -> Option<Pick> {
-        self.pick_for(Haul::Light, now, entry, exclude, rng)
+        self.pick_for(Errand::default(), now, entry, exclude, rng)
     }
 
-    /// Chooses like [`Balancer::pick`] for a request that weighs as `haul` says.
+    /// Chooses like [`Balancer::pick`] for the request that `errand` describes.
     pub fn pick_for<R: Rng + ?Sized>(
         &self,
-        haul: Haul,
+        errand: Errand,
         now: Instant,
         entry: &ServiceEntry,
         exclude: &[NodeId],
@@ -210,7 +237,7 @@
     ) -> Option<Pick> {
         let choice = Choice {
             balancer: self,
-            haul,
+            errand,
             now,
             exclude,
         };
@@ -230,6 +257,10 @@
             return false;
         };
         let failed = peer.finish(now, sample, &self.settings);
+        if let Some(pace) = sample.pace.map(Pace::quotient) {
+            let typical = self.typical.get_or_insert(pace);
+            *typical += PACE_WEIGHT * (pace - *typical);
+        }
         if peer.departed && peer.running == 0 {
             self.peers.remove(&id);
             return false;
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::peer::Peer;
-use super::{Balancer, Haul, Pick, PickRule};
+use super::{Balancer, Errand, Pick, PickRule};
 use crate::{Candidate, Instant, NodeId, ServiceEntry};
 
 /// The random draws for one choice before the candidates are gone through in order.
@@ -19,7 +19,7 @@
 /// Holds what is fixed while one choice is made.
 pub(super) struct Choice<'a> {
     pub(super) balancer: &'a Balancer,
-    pub(super) haul: Haul,
+    pub(super) errand: Errand,
     pub(super) now: Instant,
     pub(super) exclude: &'a [NodeId],
 }
@@ -64,7 +64,7 @@
     /// way there is worth.
     fn worth_the_way(&self, far: Known<'_>, here: Known<'_>) -> bool {
         match (self.expected(far), self.expected(here)) {
-            (Some(there), Some(here)) => !self.full(far) && there + self.haul.penalty() < here,
+            (Some(there), Some(here)) => !self.full(far) && there + self.errand.penalty() < here,
             _ => false,
         }
     }
@@ -77,10 +77,14 @@
         }
     }
 
+    /// Returns the time to expect in targets; what was never heard of counts as typical, so
+    /// that it is tried where the others are slow.
     fn expected(&self, known: Known<'_>) -> Option<f64> {
+        let typical = self.balancer.typical?;
         let slots = known.candidate.slots;
         let settings = &self.balancer.settings;
-        known.peer?.expected(self.now, slots, settings)
+        let peer = known.peer?;
+        Some(peer.expected(self.now, slots, typical, settings))
     }
 
     /// Returns the better of two random candidates.
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -148,15 +148,22 @@
         waiting * latency * usage * failing
     }
 
-    /// Returns the time to expect for one more call in targets, where the pace is known.
+    /// Returns the time to expect for one more call in targets; `typical` stands in for a pace
+    /// that was not told yet.
     ///
     /// Calls run side by side until the slots are taken, so the load counts little before.
-    pub(super) fn expected(&self, now: Instant, slots: u32, s: &BalanceSettings) -> Option<f64> {
-        let pace = self.pace?.quotient();
+    pub(super) fn expected(
+        &self,
+        now: Instant,
+        slots: u32,
+        typical: f64,
+        s: &BalanceSettings,
+    ) -> f64 {
+        let pace = self.pace.map_or(typical, Pace::quotient);
         let own = f64::from(self.running) / f64::from(slots.max(1));
         let usage = self.usage(now, s.load_age).max(own);
         let failing = 1.0 + FAILURE_COST * self.failing(now, s.memory);
-        Some(pace * (1.0 + usage.powi(USAGE_POWER)) * failing)
+        pace * (1.0 + usage.powi(USAGE_POWER)) * failing
     }
 
     /// Returns the share of failed calls, decayed so that a failing one is tried again.
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -251,8 +251,8 @@
                 rule: PickRule::Near,
             })
         });
-        let haul = call.haul();
-        preferred.or_else(|| with_rng(|rng| balancer.pick_for(haul, now, entry, tried, rng)))
+        let errand = call.errand();
+        preferred.or_else(|| with_rng(|rng| balancer.pick_for(errand, now, entry, tried, rng)))
     }
 
     /// Tells whether another try is allowed, and counts it.
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -6,7 +6,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Version};
 use swiftcart_core::{
-    Attempt, Bid, Deadline, Haul, Instant, Policy, Reason, RequestClass, ServiceEntry,
+    Attempt, Bid, Deadline, Errand, Haul, Instant, Policy, Reason, RequestClass, ServiceEntry,
 };
 
 use super::headers::{
@@ -128,12 +128,16 @@
         }
     }
 
-    /// Returns how much the request weighs on its way.
+    /// Returns what the balancer has to know of the request.
     #[must_use]
-    pub fn haul(&self) -> Haul {
-        match self.terms.map(|terms| terms.class) {
+    pub fn errand(&self) -> Errand {
+        let haul = match self.terms.map(|terms| terms.class) {
             Some(RequestClass::Upload) => Haul::Heavy,
             _ => Haul::Light,
+        };
+        Errand {
+            haul,
+            target: self.terms.map(|terms| terms.target()),
         }
     }
 
