Try again what a backend server refused to run or failed at, within the budget

Cause: a backend server that sheds was asked once, and attempts counted what it did not run; an answer that says that it has failed was passed on although another one might run the request; and half of the budget lay idle for the calls of retries, which are few.

Change: the attempts of a route bound the backend servers that a request is sent to; one that refused to run it may be asked again, five sends at most. A failure (500, 502, 503) of a request that may run more than once goes to another backend server when one is believed to have a place; if that goes no better the first answer is passed on. Calls count as retries by the share of retries among what the own backend server runs, so 0.85 of the budget may be used.

--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -121,6 +121,8 @@
     pub peer: SocketAddr,
     /// The rule that chose it.
     pub rule: PickRule,
+    /// Whether it is believed to have a place.
+    pub free: bool,
 }
 
 /// Chooses backend servers by what this node measures and by the load that answers carry back.
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -50,12 +50,12 @@
         let far = self.best(entry.far(), rng);
         match (here, near, far) {
             (Some((here, _)), _, Some(far)) if self.worth_the_way(far, here) => {
-                Some(far.pick(PickRule::Spill))
+                Some(self.pick(far, PickRule::Spill))
             }
-            (Some((here, rule)), _, _) => Some(here.pick(rule)),
-            (None, _, Some(far)) if !self.full(far) => Some(far.pick(PickRule::Spill)),
-            (None, Some(near), _) => Some(near.pick(PickRule::Near)),
-            (None, None, Some(far)) => Some(far.pick(PickRule::Spill)),
+            (Some((here, rule)), _, _) => Some(self.pick(here, rule)),
+            (None, _, Some(far)) if !self.full(far) => Some(self.pick(far, PickRule::Spill)),
+            (None, Some(near), _) => Some(self.pick(near, PickRule::Near)),
+            (None, None, Some(far)) => Some(self.pick(far, PickRule::Spill)),
             (None, None, None) => self.any(entry.candidates(), rng),
         }
     }
@@ -135,7 +135,16 @@
         let (head, tail) = all.split_at(rng.random_range(0..all.len()));
         let left = |c: &&Candidate| !self.exclude.contains(&c.id);
         let candidate = tail.iter().chain(head).find(left)?;
-        Some(self.know(candidate).pick(PickRule::Ejected))
+        Some(self.pick(self.know(candidate), PickRule::Ejected))
+    }
+
+    fn pick(&self, known: Known<'_>, rule: PickRule) -> Pick {
+        Pick {
+            id: known.candidate.id,
+            peer: known.candidate.peer,
+            rule,
+            free: !self.full(known),
+        }
     }
 
     fn know(&self, candidate: &'a Candidate) -> Known<'a> {
@@ -179,13 +188,3 @@
         }
     }
 }
-
-impl Known<'_> {
-    const fn pick(&self, rule: PickRule) -> Pick {
-        Pick {
-            id: self.candidate.id,
-            peer: self.candidate.peer,
-            rule,
-        }
-    }
-}
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -91,6 +91,12 @@
                 self.loaded = now;
                 false
             }
+            // It counts in the choice, where others fare better, and ejects nobody: what all
+            // of them call may be at fault.
+            CallResult::Erred => {
+                self.judge(now, 1.0, s.memory);
+                false
+            }
             CallResult::Cancelled => false,
         }
     }
--- a/crates/swiftcart-core/src/balance/sample.rs
+++ b/crates/swiftcart-core/src/balance/sample.rs
@@ -69,6 +69,8 @@
     Failure,
     /// The guard did not take the call; the backend server is not to blame.
     Refused,
+    /// The backend server answered that it has failed; calls that it made may be to blame.
+    Erred,
     /// The caller went away, or the call was given up; nothing is learnt.
     Cancelled,
 }
--- a/crates/swiftcart-core/src/budget.rs
+++ b/crates/swiftcart-core/src/budget.rs
@@ -5,12 +5,9 @@
 
 use crate::{Instant, ServiceName};
 
-/// The part of the mesh's budget that the nodes use.
-///
-/// A retry that is executed repeats the calls that its backend server makes, and those count
-/// as retries at the services that they go to, where nobody can tell them from first calls.
-/// A request makes up to 1.4 such calls on average, so that half of the budget is theirs.
-const USED_SHARE: f64 = 0.5;
+/// The part of the mesh's budget that the nodes use. The rest is for what they count
+/// differently: the number of live nodes while it changes, and the edges of the window.
+const USED_SHARE: f64 = 0.85;
 
 /// Sets the budget of the whole mesh at each service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -27,18 +24,19 @@
 ///
 /// A node may use the share of the requests that it took itself, and the floor divided by
 /// the number of live nodes; so the sum over all nodes stays below the mesh's budget while
-/// they agree on that number.
+/// they agree on that number. The calls that a backend server makes while it executes a
+/// retry are retries as well; nobody can tell them from first calls, so each call counts
+/// by the share of retries among what the backend server beside the node is executing.
 ///
 /// # Examples
 ///
 /// ```
 /// use swiftcart_core::{FleetBudget, FleetBudgetSettings, Instant, ServiceName};
 ///
-/// let settings = FleetBudgetSettings { share: 0.2, floor: 8.0, window_s: 10 };
+/// let settings = FleetBudgetSettings { share: 0.2, floor: 3.0, window_s: 10 };
 /// let mut budget = FleetBudget::new(settings);
 /// let (now, booking) = (Instant::from_millis(0), ServiceName::new("booking"));
 /// assert!(budget.take(now, &booking, 2));
-/// assert!(budget.take(now, &booking, 2));
 /// assert!(!budget.take(now, &booking, 2));
 /// ```
 #[derive(Debug, Clone, PartialEq)]
@@ -48,7 +46,7 @@
 }
 
 /// What happened at one service in each second of the window.
-#[derive(Debug, Default, Clone, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 struct Window {
     /// The number of the current second.
     second: u64,
@@ -57,10 +55,10 @@
     past: VecDeque<Counts>,
 }
 
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
 struct Counts {
     requests: u32,
-    retries: u32,
+    retries: f64,
 }
 
 impl FleetBudget {
@@ -73,10 +71,11 @@
         }
     }
 
-    /// Counts a request for `service`.
-    pub fn first(&mut self, now: Instant, service: &ServiceName) {
+    /// Counts a request for `service`, which may be a call of a retry by the chance `repeated`.
+    pub fn first(&mut self, now: Instant, service: &ServiceName, repeated: f64) {
         let counts = self.second(now, service);
         counts.requests = counts.requests.saturating_add(1);
+        counts.retries += repeated;
     }
 
     /// Takes one retry at `service` out of the budget, if `nodes` live nodes leave one.
@@ -89,10 +88,10 @@
         let total = window.total();
         let own = settings.share * f64::from(total.requests);
         let floor = settings.floor / nodes.max(1) as f64;
-        let there = f64::from(total.retries) + 1.0 <= USED_SHARE * (own + floor);
+        let there = total.retries + 1.0 <= USED_SHARE * (own + floor);
         if there {
             let counts = self.second(now, service);
-            counts.retries = counts.retries.saturating_add(1);
+            counts.retries += 1.0;
         }
         there
     }
@@ -122,7 +121,7 @@
         let seconds = self.past.iter().chain([&self.current]);
         seconds.fold(Counts::default(), |sum, second| Counts {
             requests: sum.requests.saturating_add(second.requests),
-            retries: sum.retries.saturating_add(second.retries),
+            retries: sum.retries + second.retries,
         })
     }
 }
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -153,6 +153,8 @@
     PeerUnreachable, "peer-unreachable", 502, NotRun;
     /// The answer broke off, or was no HTTP, after the hand-over.
     AnswerBroken, "answer-broken", 502, Unknown;
+    /// The backend server answered that it has failed.
+    ServerError, "server-error", 502, Unknown;
     /// No whole answer came within the deadline, after the hand-over.
     Timeout, "timeout", 504, Unknown;
     /// The caller went away.
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 
 use crate::rate::Bucket;
-use crate::{Deadline, HOP_ALLOWANCE, Instant, Outcome, Reason};
+use crate::{Deadline, HOP_ALLOWANCE, Instant, NodeId, Outcome, Reason};
 
 /// The tries that one call gets over all its levels.
 pub const MAX_TRIES: u8 = 3;
@@ -138,6 +138,12 @@
 /// on no budget; but under overload every guard refuses.
 pub const MAX_REFUSED: u8 = 4;
 
+/// The times that one request is sent to backend servers at most.
+///
+/// A route's attempts bound the backend servers that a request is sent to; one that has
+/// refused to run it may be asked again.
+pub const MAX_SENT: u8 = 5;
+
 /// Holds what a route's policy says of tries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Terms {
@@ -147,6 +153,15 @@
     pub attempts: u8,
 }
 
+/// Tells where the next try of a request may go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Next {
+    /// To a backend server that was not tried.
+    Other,
+    /// To one that it was sent to before; it may not be sent to any more of them.
+    Same,
+}
+
 /// Counts the tries of one request under a route's policy.
 ///
 /// Only what a backend server was sent counts against the attempts and the budget. A guard
@@ -156,29 +171,46 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use swiftcart_core::{Deadline, Instant, PolicyTries, Reason, Terms};
+/// use swiftcart_core::{Deadline, Instant, Next, NodeId, PolicyTries, Reason, Terms};
 ///
 /// let now = Instant::from_millis(0);
 /// let due = Deadline::new(now, Duration::from_secs(1));
-/// let terms = Terms { idempotent: false, attempts: 2 };
+/// let terms = Terms { idempotent: false, attempts: 1 };
+/// let guard = NodeId(([10, 0, 0, 1], 7000).into());
 /// let mut tries = PolicyTries::default();
-/// assert_eq!(tries.retry(now, Reason::QueueFull, terms, due, || false), Ok(()));
-/// let lost = tries.retry(now, Reason::AnswerBroken, terms, due, || true);
+/// let full = tries.retry(now, guard, Reason::QueueFull, terms, due, || false);
+/// assert_eq!(full, Ok(Next::Other));
+/// assert_eq!(tries.retry(now, guard, Reason::Shed, terms, due, || true), Ok(Next::Same));
+/// let lost = tries.retry(now, guard, Reason::AnswerBroken, terms, due, || true);
 /// assert_eq!(lost, Err(Reason::NotIdempotent));
 /// ```
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct PolicyTries {
-    /// Tries that reached a backend server, or may have.
-    arrived: u8,
+    /// The guards whose backend server got the request, or may have.
+    reached: Vec<NodeId>,
+    /// The times that a backend server got it, or may have.
+    sent: u8,
     /// Tries that a guard refused.
     refused: u8,
 }
 
 impl PolicyTries {
-    /// Decides whether the request may be tried again after it failed for `reason`.
+    /// Returns the guards whose backend server got the request, or may have.
+    #[must_use]
+    pub fn reached(&self) -> &[NodeId] {
+        &self.reached
+    }
+
+    /// Tells whether the next try is a repeat for the backend servers.
+    #[must_use]
+    pub const fn is_repeat(&self) -> bool {
+        self.sent > 0
+    }
+
+    /// Decides whether the request may be tried again after it failed for `reason` at `guard`.
     ///
-    /// `budget` takes one retry out of the budget; it is called last, and only when the
-    /// failed try reached a backend server.
+    /// `budget` takes one retry out of the budget; it is called last, and only when a
+    /// backend server got the request before.
     ///
     /// # Errors
     ///
@@ -188,25 +220,36 @@
     pub fn retry(
         &mut self,
         now: Instant,
+        guard: NodeId,
         reason: Reason,
         terms: Terms,
         due: Deadline,
         budget: impl FnOnce() -> bool,
-    ) -> Result<(), Reason> {
-        let arrived = has_arrived(reason);
-        self.arrived = self.arrived.saturating_add(u8::from(arrived));
-        self.refused = self.refused.saturating_add(u8::from(!arrived));
+    ) -> Result<Next, Reason> {
+        self.count(guard, reason);
+        let spent = self.reached.len() >= usize::from(terms.attempts);
         match reason {
             _ if !goes_better(reason) => Err(reason),
             _ if reason.outcome() == Outcome::Unknown && !terms.idempotent => {
                 Err(Reason::NotIdempotent)
             }
-            _ if self.arrived >= terms.attempts || self.refused > MAX_REFUSED => {
-                Err(Reason::TriesSpent)
-            }
+            _ if self.sent >= MAX_SENT || self.refused > MAX_REFUSED => Err(Reason::TriesSpent),
+            _ if spent && reason != Reason::Shed => Err(Reason::TriesSpent),
             _ if due.misses(now, HOP_ALLOWANCE) => Err(Reason::DeadlinePassed),
-            _ if arrived && !budget() => Err(Reason::RetryBudget),
-            _ => Ok(()),
+            _ if self.sent > 0 && !budget() => Err(Reason::RetryBudget),
+            _ if spent => Ok(Next::Same),
+            _ => Ok(Next::Other),
+        }
+    }
+
+    fn count(&mut self, guard: NodeId, reason: Reason) {
+        if !has_arrived(reason) {
+            self.refused = self.refused.saturating_add(1);
+            return;
+        }
+        self.sent = self.sent.saturating_add(1);
+        if !self.reached.contains(&guard) {
+            self.reached.push(guard);
         }
     }
 }
@@ -289,6 +332,7 @@
         | Reason::ConnectFailed
         | Reason::PeerUnreachable
         | Reason::AnswerBroken
+        | Reason::ServerError
         | Reason::Timeout => true,
         Reason::NoRoute
         | Reason::NoBackend
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -1,6 +1,7 @@
 //! The guard: what the backend server beside this node is given, and what became of it.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response};
@@ -37,6 +38,25 @@
     upstream: ArcSwapOption<Upstream>,
     /// None where requests with a key are not claimed.
     keyed: Option<Keyed>,
+    /// Requests that the backend server runs although one got them before.
+    repeats: Arc<AtomicU32>,
+}
+
+/// A repeat that the backend server runs, counted until it is dropped.
+#[derive(Debug)]
+struct Repeat(Arc<AtomicU32>);
+
+impl Repeat {
+    fn new(running: &Arc<AtomicU32>) -> Self {
+        running.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(running))
+    }
+}
+
+impl Drop for Repeat {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Guard {
@@ -47,6 +67,7 @@
             shared: Arc::clone(shared),
             upstream: ArcSwapOption::empty(),
             keyed: shared.settings.claims.then(|| Keyed::new(shared)),
+            repeats: Arc::default(),
         }
     }
 
@@ -94,6 +115,14 @@
         HeaderValue::try_from(text).ok()
     }
 
+    /// Returns the share of repeats among what the backend server runs.
+    #[must_use]
+    pub fn repeated(&self) -> f64 {
+        let repeats = self.repeats.load(Ordering::Relaxed);
+        let running = self.report().map_or(0, |report| report.load.running);
+        f64::from(repeats) / f64::from(running.max(repeats).max(1))
+    }
+
     /// Returns what this node's own ingress is told after a request.
     #[must_use]
     pub fn report(&self) -> Option<Report> {
@@ -209,6 +238,8 @@
         request: Request<Outgoing>,
     ) -> Result<Response<Answer>, Refusal> {
         let method = request.method().clone();
+        let repeat = call.terms.is_some_and(|terms| terms.repeat);
+        let _repeat = repeat.then(|| Repeat::new(&self.repeats));
         let sent = upstream.send(call, call.due.at(), request).await;
         let (response, pooled) = match sent {
             Ok(sent) => sent,
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -7,12 +7,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::request::Parts;
-use http::{HeaderValue, Response};
+use http::{HeaderValue, Response, StatusCode};
 use hyper::body::Incoming;
 use slog::error;
 use swiftcart_core::{
-    BalanceSettings, Balancer, CallResult, Failure, FleetBudget, Instant, NodeId, Outcome, Pick,
-    PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings, ServiceEntry, Terms, Tries,
+    BalanceSettings, Balancer, CallResult, Candidate, Failure, FleetBudget, Instant, Next, NodeId,
+    Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings,
+    ServiceEntry, Terms, Tries,
 };
 
 use tokio::task::JoinError;
@@ -58,6 +59,8 @@
     refusal: Refusal,
     retried: bool,
     load: Option<Report>,
+    /// The backend server's own answer, which is passed on when no other try goes better.
+    answer: Option<Box<Response<Answer>>>,
 }
 
 impl Ingress {
@@ -192,15 +195,14 @@
             ids: Vec::new(),
         };
         let mut last: Option<Failed> = None;
+        let mut next = Next::Other;
         self.count_first(entry);
         loop {
-            let pick = self.pick(call, entry, &made.ids);
-            let Some(pick) = pick else {
+            let Some(pick) = self.pick_next(call, entry, &made, next) else {
                 let shortage = entry.shortage().unwrap_or(Reason::NotReady);
-                return Err(last.unwrap_or_else(|| shortage.into()));
+                return last.unwrap_or_else(|| shortage.into()).into_result();
             };
-            let tries = made.tries;
-            let mut failed = match self.attempt(call, &pick, entry, original, tries).await {
+            let mut failed = match self.attempt(call, &pick, entry, original, &made).await {
                 Ok(response) => {
                     self.log_answer(call, entry, &made, &pick, response.status());
                     return Ok(response);
@@ -209,18 +211,37 @@
             };
             made.ids.push(pick.id);
             failed.retried |= made.tries.retried();
-            let may = self.may_retry(call, entry, original, &mut made, &failed);
-            self.log_try(call, entry, &made, &pick, &failed, may);
-            let may = may.is_ok();
-            // What may have run once is not told to be not run because of a later refusal.
-            last = match last.take() {
-                Some(before) if before.outcome() == Outcome::Unknown => Some(before),
-                Some(_) | None => Some(failed),
-            };
-            match (may, last.take()) {
-                (true, kept) => last = kept,
-                (false, Some(kept)) => return Err(kept),
-                (false, None) => return Err(Reason::NotReady.into()),
+            let again = self.may_retry(call, entry, original, &mut made, &pick, &failed);
+            self.log_try(call, entry, &made, &pick, &failed, again);
+            let kept = Failed::worse(last.take(), failed);
+            match again {
+                Ok(place) => next = place,
+                Err(_) => return kept.into_result(),
+            }
+            last = Some(kept);
+        }
+    }
+
+    /// Chooses the guard of the next try.
+    fn pick_next(
+        &self,
+        call: &Call,
+        entry: &ServiceEntry,
+        made: &Made,
+        next: Next,
+    ) -> Option<Pick> {
+        match next {
+            Next::Other => self.pick(call, entry, &made.ids),
+            Next::Same => {
+                let reached = made.under_policy.reached();
+                let again = |c: &&Candidate| reached.contains(&c.id);
+                let others: Vec<NodeId> = entry
+                    .candidates()
+                    .iter()
+                    .filter(|c| !again(c))
+                    .map(|c| c.id)
+                    .collect();
+                self.pick(call, entry, &others)
             }
         }
     }
@@ -229,7 +250,7 @@
         match &self.fleet {
             Some(fleet) => {
                 let now = self.shared.clock.now();
-                lock(fleet).first(now, entry.name());
+                lock(fleet).first(now, entry.name(), self.guard.repeated());
             }
             None => lock(&self.budget).first(),
         }
@@ -249,31 +270,36 @@
                 id,
                 peer: candidate.peer,
                 rule: PickRule::Near,
+                free: true,
             })
         });
         let errand = call.errand();
         preferred.or_else(|| with_rng(|rng| balancer.pick_for(errand, now, entry, tried, rng)))
     }
 
-    /// Tells whether another try is allowed, and counts it.
+    /// Tells whether another try is allowed and where it may go, and counts it.
     fn may_retry(
         &self,
         call: &Call,
         entry: &ServiceEntry,
         original: &Original,
         made: &mut Made,
+        pick: &Pick,
         failed: &Failed,
-    ) -> Result<(), &'static str> {
+    ) -> Result<Next, &'static str> {
         let counters = &self.shared.counters;
         let result = match (original.is_whole(), call.terms) {
             (false, _) => Err("body-sent"),
             (true, Some(terms)) => self
-                .retry_by_policy(call, terms.attempts, entry, made, failed)
+                .retry_by_policy(call, terms.attempts, entry, made, pick, failed)
+                .map_err(Reason::as_str),
+            (true, None) => self
+                .retry(call, made, failed)
+                .map(|()| Next::Other)
                 .map_err(Reason::as_str),
-            (true, None) => self.retry(call, made, failed).map_err(Reason::as_str),
         };
         match result {
-            Ok(()) => counters.retry(failed.refusal.reason.as_str()),
+            Ok(_) => counters.retry(failed.refusal.reason.as_str()),
             Err(why) => counters.count("swiftcart_retry_refusals_total", "reason", why),
         }
         result
@@ -299,21 +325,32 @@
         attempts: u8,
         entry: &ServiceEntry,
         made: &mut Made,
+        pick: &Pick,
         failed: &Failed,
-    ) -> Result<(), Reason> {
+    ) -> Result<Next, Reason> {
         let now = self.shared.clock.now();
         let terms = Terms {
             idempotent: call.idempotent,
             attempts,
         };
+        let reason = failed.refusal.reason;
+        // Under overload failures follow from refusals, and repeats would make more of them.
+        if reason == Reason::ServerError && !self.has_place(call, entry, made, pick) {
+            return Err(reason);
+        }
         let nodes = self.shared.members.load().len();
         let budget = || match &self.fleet {
             Some(fleet) => lock(fleet).take(now, entry.name(), nodes),
             None => lock(&self.budget).take(now),
         };
-        let reason = failed.refusal.reason;
         let tries = &mut made.under_policy;
-        tries.retry(now, reason, terms, call.due, budget)
+        tries.retry(now, pick.id, reason, terms, call.due, budget)
+    }
+
+    /// Tells whether another backend server than those tried is believed to have a place.
+    fn has_place(&self, call: &Call, entry: &ServiceEntry, made: &Made, pick: &Pick) -> bool {
+        let tried: Vec<NodeId> = made.ids.iter().copied().chain([pick.id]).collect();
+        self.pick(call, entry, &tried).is_some_and(|pick| pick.free)
     }
 
     async fn attempt(
@@ -322,8 +359,11 @@
         pick: &Pick,
         entry: &ServiceEntry,
         original: &Original,
-        tries: Tries,
+        made: &Made,
     ) -> Result<Response<Answer>, Failed> {
+        let repeated = made.under_policy.is_repeat().then(|| call.repeated());
+        let call = repeated.as_ref().unwrap_or(call);
+        let tries = made.tries;
         let mut in_flight = InFlight::new(&self.shared, &self.balancer, pick.id);
         let service = entry.name().as_str();
         let result = match pick.id == self.shared.id {
@@ -344,6 +384,10 @@
                 if let Some(report) = take_load(&mut response) {
                     in_flight.set_load(Some(report));
                 }
+                if has_failed(call, &response) {
+                    in_flight.fail(CallResult::Erred);
+                    return Err(Failed::with_answer(response));
+                }
                 if tries.retried() {
                     let headers = response.headers_mut();
                     headers.insert(RETRIED, HeaderValue::from_static("1"));
@@ -383,9 +427,41 @@
 }
 
 impl Failed {
-    const fn outcome(&self) -> Outcome {
-        self.refusal.reason.outcome()
+    fn with_answer(response: Response<Answer>) -> Self {
+        Self {
+            answer: Some(Box::new(response)),
+            ..Reason::ServerError.into()
+        }
+    }
+
+    /// Returns what the caller is told after two failed tries: what may have run once is not
+    /// told to be not run because of a later refusal, and a backend server's own answer goes
+    /// before what a node would say.
+    fn worse(before: Option<Self>, now: Self) -> Self {
+        match before {
+            Some(before) if now.answer.is_none() && before.is_unknown() => before,
+            Some(_) | None => now,
+        }
     }
+
+    fn into_result(self) -> Result<Response<Answer>, Self> {
+        match self.answer {
+            Some(answer) => Ok(*answer),
+            None => Err(self),
+        }
+    }
+
+    fn is_unknown(&self) -> bool {
+        self.refusal.reason.outcome() == Outcome::Unknown
+    }
+}
+
+/// Tells whether an answer says that the backend server has failed at a request that another
+/// one may run. What it says at the deadline leaves no time for another one.
+fn has_failed(call: &Call, response: &Response<Answer>) -> bool {
+    let status = response.status();
+    let failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
+    failed && call.idempotent && call.terms.is_some()
 }
 
 impl From<Reason> for Failed {
@@ -400,6 +476,7 @@
             refusal,
             retried: false,
             load: None,
+            answer: None,
         }
     }
 }
--- a/crates/swiftcart-node/src/calls/ingress/forward.rs
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -78,6 +78,7 @@
         refusal,
         retried: response.headers().contains_key(RETRIED),
         load: take_load(&mut response),
+        answer: None,
     };
     response.into_body().discard();
     Err(failed)
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, StatusCode};
 use slog::info;
-use swiftcart_core::{Pick, Refusal, ServiceEntry};
+use swiftcart_core::{Next, Pick, Refusal, ServiceEntry};
 
 use super::{Failed, Ingress, Made};
 use crate::calls::request::Call;
@@ -43,7 +43,7 @@
         made: &Made,
         pick: &Pick,
         failed: &Failed,
-        next: Result<(), &'static str>,
+        next: Result<Next, &'static str>,
     ) {
         let now = self.shared.clock.now();
         let Some(log) = self.shared.call_log.failed(now) else {
@@ -54,7 +54,7 @@
         info!(log, ""; "event" => Event::Try, "id" => %call.id, "service" => %entry.name(),
             "try" => made.ids.len(), "guard" => %pick.id, "rule" => ?pick.rule,
             "reason" => failed.refusal.reason.as_str(), "load" => load.as_deref().unwrap_or("-"),
-            "next" => next.err().unwrap_or("again"), "ms" => ms(now.since(made.start)),
+            "next" => next.map_or_else(|why| why, told), "ms" => ms(now.since(made.start)),
             "left_ms" => ms(call.due.left(now)));
     }
 
@@ -78,6 +78,13 @@
     }
 }
 
+const fn told(next: Next) -> &'static str {
+    match next {
+        Next::Other => "another",
+        Next::Same => "again",
+    }
+}
+
 fn ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -141,6 +141,19 @@
         }
     }
 
+    /// Returns the request as a try that follows one that reached a backend server.
+    #[must_use]
+    pub fn repeated(&self) -> Self {
+        let terms = self.terms.map(|terms| CallTerms {
+            repeat: true,
+            ..terms
+        });
+        Self {
+            terms,
+            ..self.clone()
+        }
+    }
+
     fn take_terms(&mut self, terms: CallTerms) {
         self.idempotent = terms.class.is_idempotent();
         self.terms = Some(terms);
--- a/crates/swiftcart-node/src/calls/terms.rs
+++ b/crates/swiftcart-node/src/calls/terms.rs
@@ -17,6 +17,8 @@
     pub priority: Priority,
     /// The time within which an answer is worth most, in milliseconds.
     pub target_ms: u32,
+    /// Whether a backend server got the request before.
+    pub repeat: bool,
 }
 
 impl CallTerms {
@@ -38,6 +40,7 @@
             attempts: next(&mut parts)?,
             priority: Priority(next(&mut parts)?),
             target_ms: next(&mut parts)?,
+            repeat: next::<u8>(&mut parts)? > 0,
         })
     }
 
@@ -59,9 +62,11 @@
             attempts,
             priority: Priority(priority),
             target_ms,
+            repeat,
             ..
         } = self;
-        let text = format!("{class} {attempts} {priority} {target_ms}");
+        let repeat = u8::from(*repeat);
+        let text = format!("{class} {attempts} {priority} {target_ms} {repeat}");
         // Letters, digits and spaces are always a header's value.
         HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
     }
@@ -74,6 +79,7 @@
             attempts: policy.attempts,
             priority: policy.priority,
             target_ms: policy.target_ms,
+            repeat: false,
         }
     }
 }
