--- a/crates/swiftcart-core/src/admission/bid.rs
+++ b/crates/swiftcart-core/src/admission/bid.rs
@@ -10,6 +10,11 @@
 /// for long and is refused all the same has cost its caller the chance to go elsewhere.
 const PATIENCE: f64 = 0.25;
 
+/// The shortest wait worth a refusal: the time in which the slots of a backend server are
+/// given anew about once. A short call that is refused fails the request that made it, and
+/// the work that was done for that.
+const LEAST_PATIENCE: Duration = Duration::from_millis(80);
+
 /// Says when an answer is due at the latest, and when it should be there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Bid {
@@ -45,8 +50,9 @@
 
     /// Returns the longest wait; `usual` is that of a request without a target.
     pub(super) fn patience(&self, usual: Duration) -> Duration {
-        self.target
-            .map_or(usual, |target| target.mul_f64(PATIENCE).min(usual))
+        self.target.map_or(usual, |target| {
+            target.mul_f64(PATIENCE).max(LEAST_PATIENCE).min(usual)
+        })
     }
 
     /// Returns when the answer is wanted; `usual` stands in for a target.
