Let the priority go before the wanted time

Change: waiting requests are ordered by priority, and by the wanted time among equals. A refusal's line names host and path.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -12,6 +12,7 @@
 use crate::rate::Promises;
 use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample};
 pub use bid::Bid;
+use bid::Urgency;
 use limit::AdaptiveLimit;
 pub use limit::{LimitRule, LimitSettings};
 pub use queue::Order;
@@ -205,9 +206,9 @@
         rng: &mut R,
     ) -> Admit {
         let bid = bid.into();
-        let wanted = bid.wanted(now, self.settings.wait);
+        let urgency = bid.urgency(now, self.settings.wait);
         let patience = bid.patience(self.settings.wait);
-        let wait = self.expected_wait(self.queue.ahead_of(wanted));
+        let wait = self.expected_wait(self.queue.ahead_of(urgency));
         let due = bid.due;
         match self.gate {
             Gate::Warming => self.elsewhere(Reason::Warming, rng),
@@ -219,14 +220,14 @@
             }
             // What waits was started as long as there was a place; the rest has expired.
             Gate::Open if self.running() < self.limit() => Admit::Run(self.run()),
-            Gate::Open if !self.has_room(wanted) => {
+            Gate::Open if !self.has_room(urgency) => {
                 Admit::Refuse(self.later(Reason::QueueFull, now, rng))
             }
             Gate::Open if wait > patience || due.misses(now, wait + self.quickest()) => {
                 Admit::Refuse(self.later(Reason::Overloaded, now, rng))
             }
             Gate::Open => {
-                self.make_room(now, wanted, rng);
+                self.make_room(now, urgency, rng);
                 Admit::Queue(self.enqueue(now, bid))
             }
         }
@@ -331,16 +332,16 @@
         self.running.insert(ticket, running);
     }
 
-    /// Tells whether a request whose answer is wanted at `wanted` would be within the queue's
-    /// places, if need be in that of a less urgent one.
-    fn has_room(&self, wanted: Instant) -> bool {
-        self.queue.ahead_of(wanted) < self.capacity()
+    /// Tells whether a request would be within the queue's places, if need be in that of a
+    /// less urgent one.
+    fn has_room(&self, urgency: Urgency) -> bool {
+        self.queue.ahead_of(urgency) < self.capacity()
     }
 
     /// Sends the least urgent requests away until there is a place.
-    fn make_room<R: Rng + ?Sized>(&mut self, now: Instant, wanted: Instant, rng: &mut R) {
+    fn make_room<R: Rng + ?Sized>(&mut self, now: Instant, urgency: Urgency, rng: &mut R) {
         while self.queue.len() >= self.capacity() {
-            let Some(least) = self.queue.displace(wanted) else {
+            let Some(least) = self.queue.displace(urgency) else {
                 return;
             };
             let refusal = self.later(Reason::QueueFull, now, rng);
@@ -359,7 +360,7 @@
         };
         self.queue.push(Waiting {
             ticket,
-            wanted: bid.wanted(now, self.settings.wait),
+            urgency: bid.urgency(now, self.settings.wait),
             until: latest.min(patience),
             reason,
         });
--- a/crates/swiftcart-core/src/admission/bid.rs
+++ b/crates/swiftcart-core/src/admission/bid.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{Deadline, Instant};
+use crate::{Deadline, Instant, Priority};
 
 /// The part of the time in which an answer is worth most that a request may wait for a slot.
 ///
@@ -15,25 +15,45 @@
 /// the work that was done for that.
 const LEAST_PATIENCE: Duration = Duration::from_millis(80);
 
-/// Says when an answer is due at the latest, and when it should be there.
+/// Says when an answer is due at the latest, when it should be there, and its rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Bid {
     /// When the answer is due.
     pub due: Deadline,
     /// The time within which it is worth most, where the configuration says so.
     pub target: Option<Duration>,
+    /// Its rank among the requests of the same service.
+    pub priority: Priority,
+}
+
+/// Orders waiting requests: by rank, then by the time at which their answers are wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct Urgency {
+    priority: Priority,
+    wanted: Instant,
 }
 
 impl Bid {
     /// Creates the bid of a request whose answer is due by `due`.
     #[must_use]
     pub const fn new(due: Deadline) -> Self {
-        Self { due, target: None }
+        Self {
+            due,
+            target: None,
+            priority: Priority(0),
+        }
+    }
+
+    /// Sets the rank.
+    #[must_use]
+    pub const fn with_priority(mut self, priority: Priority) -> Self {
+        self.priority = priority;
+        self
     }
 
     /// Sets the time within which the answer is worth most.
     ///
-    /// The request with the earliest wanted answer goes first, so short requests go before
+    /// Of one rank, the request with the earliest wanted answer goes first, so short requests go before
     /// long ones: the calls that a request makes while it runs are short, and they let work
     /// that has begun be finished.
     #[must_use]
@@ -55,9 +75,12 @@
         })
     }
 
-    /// Returns when the answer is wanted; `usual` stands in for a target.
-    pub(super) fn wanted(&self, now: Instant, usual: Duration) -> Instant {
-        now + self.target.unwrap_or(usual)
+    /// Returns the place in the order; `usual` stands in for a target.
+    pub(super) fn urgency(&self, now: Instant, usual: Duration) -> Urgency {
+        Urgency {
+            priority: self.priority,
+            wanted: now + self.target.unwrap_or(usual),
+        }
     }
 }
 
--- a/crates/swiftcart-core/src/admission/queue.rs
+++ b/crates/swiftcart-core/src/admission/queue.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use super::Ticket;
+use super::bid::Urgency;
 use crate::{Instant, Reason};
 
 /// Chooses which waiting request goes next.
@@ -19,8 +20,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Waiting {
     pub(super) ticket: Ticket,
-    /// When its answer should be there; the earliest goes first.
-    pub(super) wanted: Instant,
+    /// Its place in the order.
+    pub(super) urgency: Urgency,
     /// The last instant at which starting it makes sense.
     pub(super) until: Instant,
     /// Why it is refused after that.
@@ -38,19 +39,22 @@
         self.waiting.len()
     }
 
-    /// Returns how many requests would go before one whose answer is wanted at `wanted`.
-    pub(super) fn ahead_of(&self, wanted: Instant) -> usize {
-        self.waiting.partition_point(|w| w.wanted <= wanted)
+    /// Returns how many requests would go before one of this urgency.
+    pub(super) fn ahead_of(&self, urgency: Urgency) -> usize {
+        self.waiting.partition_point(|w| w.urgency <= urgency)
     }
 
     pub(super) fn push(&mut self, waiting: Waiting) {
-        let place = self.ahead_of(waiting.wanted);
+        let place = self.ahead_of(waiting.urgency);
         self.waiting.insert(place, waiting);
     }
 
-    /// Takes the least urgent request out if it is less urgent than one wanted at `wanted`.
-    pub(super) fn displace(&mut self, wanted: Instant) -> Option<Waiting> {
-        let less_urgent = self.waiting.back().is_some_and(|last| last.wanted > wanted);
+    /// Takes the least urgent request out if it is less urgent than `urgency`.
+    pub(super) fn displace(&mut self, urgency: Urgency) -> Option<Waiting> {
+        let less_urgent = self
+            .waiting
+            .back()
+            .is_some_and(|last| last.urgency > urgency);
         if less_urgent {
             self.waiting.pop_back()
         } else {
--- a/crates/swiftcart-core/tests/admission_order.rs
+++ b/crates/swiftcart-core/tests/admission_order.rs
@@ -57,6 +57,23 @@
     assert_eq!(started, expected);
 }
 
+#[test]
+fn the_lower_priority_number_goes_before_the_earlier_wanted_answer() {
+    let (mut guard, mut rng, running) = busy(2);
+    let mut wait = |bid: Bid| match guard.offer(START, bid, &mut rng) {
+        Admit::Queue(ticket) => ticket,
+        other => panic!("it waits, not {other:?}"),
+    };
+    let short = wait(bid(Some(120)).with_priority(Priority(2)));
+    let urgent = wait(bid(Some(1000)).with_priority(Priority(0)));
+    let sample = Sample::new(Duration::from_millis(CALL_MS), CallResult::Success);
+    let started: Vec<Ticket> = running
+        .into_iter()
+        .flat_map(|ticket| guard.done(ticket, START, &sample))
+        .collect();
+    assert_eq!(started, [urgent, short]);
+}
+
 #[rstest]
 #[case::the_least_urgent_one(Some(120), true)]
 #[case::nobody_for_a_request_that_is_no_more_urgent(Some(500), false)]
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -105,6 +105,7 @@
     pub async fn answer(&self, head: Parts, body: Option<Incoming>) -> Response<Answer> {
         let start = self.shared.clock.now();
         let id = head.headers.get(&self.shared.headers.request_id.0).cloned();
+        let target = format!("{}{}", host(&head).unwrap_or("-"), head.uri.path());
         let result = self.route(head, body).await;
         let counters = &self.shared.counters;
         let now = self.shared.clock.now();
@@ -112,7 +113,7 @@
         match result {
             Ok(response) => response,
             Err(failed) => {
-                self.log_refusal(id.as_ref(), failed.refusal, now.since(start));
+                self.log_refusal(id.as_ref(), &target, failed.refusal, now.since(start));
                 let reason = failed.refusal.reason;
                 counters.refuse(reason.as_str());
                 counters.call(reason.outcome());
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -62,6 +62,7 @@
     pub(super) fn log_refusal(
         &self,
         id: Option<&HeaderValue>,
+        target: &str,
         refusal: Refusal,
         elapsed: Duration,
     ) {
@@ -71,7 +72,7 @@
         };
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
         let view = self.shared.view.load();
-        info!(log, ""; "event" => Event::Answer, "id" => id, "status" => "own",
+        info!(log, ""; "event" => Event::Answer, "id" => id, "target" => target, "status" => "own",
             "outcome" => refusal.reason.outcome().as_str(), "reason" => refusal.reason.as_str(),
             "retry_after_ms" => refusal.retry_after.map(ms), "ms" => ms(elapsed),
             "version" => view.version().0);
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -121,11 +121,11 @@
     /// Returns what the request asks of a guard.
     #[must_use]
     pub fn bid(&self) -> Bid {
-        let target = self.terms.map(|terms| terms.target());
-        match target {
-            Some(target) => Bid::new(self.due).with_target(target),
-            None => Bid::new(self.due),
-        }
+        let bid = Bid::new(self.due);
+        self.terms.map_or(bid, |terms| {
+            bid.with_target(terms.target())
+                .with_priority(terms.priority)
+        })
     }
 
     /// Returns what the balancer has to know of the request.
