--- a/crates/swiftcart-core/tests/support/mod.rs
+++ b/crates/swiftcart-core/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! Members and views for the tests of the call policies.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::net::SocketAddr;
 
--- a/crates/swiftcart-node/src/admin/announce.rs
+++ b/crates/swiftcart-node/src/admin/announce.rs
@@ -215,7 +215,7 @@
     }
     let until = Instant::now() + Duration::from_millis(plain.ttl_ms);
     shared.expiry.send_replace(Some(until));
-    announce(&shared, Some(&plain.into()));
+    show(&shared, Some(&plain.into()), heard == Heard::Replaced);
     Ok(Json(Taken {}))
 }
 
@@ -262,8 +262,13 @@
 }
 
 fn announce(shared: &Shared, backend: Option<&Backend>) {
+    show(shared, backend, false);
+}
+
+/// Shows the backend server to the other parts, also an equal one with another id.
+fn show(shared: &Shared, backend: Option<&Backend>, replaced: bool) {
     let changed = shared.backend.send_if_modified(|now| {
-        let changed = now.as_ref() != backend;
+        let changed = replaced || now.as_ref() != backend;
         *now = backend.cloned();
         changed
     });
