--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -18,8 +18,9 @@
 
 use crate::settings::LogLevel;
 
-/// Lines that may wait to be written; more are dropped and counted by the drain.
-const QUEUE: usize = 4096;
+/// Lines that may wait to be written; more are dropped and counted by the drain. The queue
+/// takes its memory at once, about 100 bytes a line.
+const QUEUE: usize = 256;
 
 /// Names every event that a node logs, the value of the key `event`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
