Look for nodes that left, so that a restart needs no platform

Nodes that restarted while the platform was out asked it for the others' addresses and waited for its return, up to 3.6 s, with a backend server beside them that was ready. Once found, a node forgot that it knew the members as soon as the platform named some (ready to no-members at 26.31 s for 0.97 s). Ruled out: a missing version; it came 0.3 s after the first word of a peer. Change: nodes look about once a second for one that left or died within a minute, 50 probes a second in all. A node that knows nobody takes over the list of whoever finds it, asks another one after 0.5 s in place of 2 s, and keeps what it took over.

--- a/crates/swiftcart-core/src/member/list.rs
+++ b/crates/swiftcart-core/src/member/list.rs
@@ -97,6 +97,13 @@
             .map(|r| r.member.id)
     }
 
+    /// Returns the nodes that died or left within `memory`, which may be on their way back.
+    pub fn departed(&self, now: Instant, memory: Duration) -> impl Iterator<Item = NodeId> {
+        self.tombstones()
+            .filter(move |r| now.since(r.since) < memory)
+            .map(|r| r.member.id)
+    }
+
     pub fn get(&self, id: NodeId) -> Option<&Member> {
         self.records.get(&id).map(|r| &r.member)
     }
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -62,6 +62,8 @@
     pub(super) grace_until: Instant,
     pub(super) differs: Option<Difference>,
     pub(super) synced: bool,
+    /// Whether another node's list was ever taken over.
+    pub(super) merged: bool,
     /// How badly this node's own probes fare, from 0 to [`super::verdict::WORST_HEALTH`].
     pub(super) health: u32,
     pub(super) counts: MemberCounts,
@@ -84,6 +86,7 @@
         list.put(start, me.clone());
         Self {
             synced: seeds.is_empty(),
+            merged: false,
             me,
             seeds,
             head: Head::default(),
@@ -125,7 +128,7 @@
         }
         let unknown = |id: &&NodeId| !self.list.get(**id).is_some_and(|m| m.liveness.is_live());
         let asked: Vec<NodeId> = self.seeds.iter().filter(unknown).copied().collect();
-        self.synced = self.synced && self.seeds.is_empty();
+        self.synced = self.merged || (self.synced && self.seeds.is_empty());
         for id in asked.choose_multiple(&mut self.rng, SEEDS_AT_ONCE) {
             self.probe_as(now, *id, Kind::Stray);
         }
@@ -192,6 +195,7 @@
     pub fn merge(&mut self, now: Instant, entries: Vec<Member>) -> Vec<Action> {
         self.start(now);
         self.synced = true;
+        self.merged = true;
         self.differs = None;
         for member in entries {
             let id = member.id;
@@ -269,6 +273,8 @@
 
     /// Answers a beat; a sender that introduces itself gets this node's entry in return.
     fn answer(&mut self, now: Instant, from: NodeId, beat: Beat) -> Beat {
+        // Whoever finds a node that knows nobody has the list that it lacks.
+        self.synced = self.merged || (self.synced && !self.is_alone());
         let own = |n: &News| n.id() == from && matches!(n, News::Entry(_));
         let introduced = self.list.get(from).is_none() || beat.news.iter().any(own);
         let mut replies = self.hear(now, from, beat);
@@ -314,6 +320,9 @@
         match applied {
             Applied::Changed => {
                 self.last_change = now;
+                if self.list.get(id).is_some_and(|m| !m.liveness.is_live()) {
+                    self.expect_back(now);
+                }
                 self.out.push(Action::Changed(id));
             }
             Applied::Full => self.counts.full += 1,
--- a/crates/swiftcart-core/src/member/prober.rs
+++ b/crates/swiftcart-core/src/member/prober.rs
@@ -1,6 +1,7 @@
 //! Whom a node probes, and when.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
@@ -10,6 +11,16 @@
 use super::{Kind, Member, Membership, Probe};
 use crate::{Datagram, FailureDomain, Instant, Liveness, News, NodeId, Seq};
 
+/// How long after it left or died a node is expected back. A restart takes seconds, and a
+/// platform that cannot tell the node of the others is seldom out for longer than this.
+const RESTART: Duration = Duration::from_secs(60);
+
+/// The time between two looks for such a node.
+const RETURN: Duration = Duration::from_secs(1);
+
+/// What each live node adds to it, so that all of them together send 50 probes a second.
+const RETURN_SHARE: Duration = Duration::from_millis(20);
+
 impl Membership {
     /// Sets the first times, with jitter, so that nodes started together spread out.
     pub(super) fn start(&mut self, now: Instant) {
@@ -48,9 +59,10 @@
         if now < self.next_retry {
             return;
         }
-        let alone = self.list.live() <= 1;
-        let every = match alone {
-            true => self.settings.probe_interval * 2,
+        let fresh = self.list.departed(now, RESTART).next().is_some();
+        let every = match fresh {
+            _ if self.is_alone() => self.settings.probe_interval * 2,
+            true => self.return_every(),
             false => self.settings.retry_every,
         };
         self.next_retry = now + every.mul_f64(self.rng.random_range(0.75..1.25));
@@ -64,12 +76,28 @@
             .filter(lost)
             .choose(&mut self.rng)
             .copied();
-        let dead = self.list.dead().choose(&mut self.rng);
-        for id in seed.into_iter().chain(dead) {
+        let gone = match fresh {
+            true => self.list.departed(now, RESTART).choose(&mut self.rng),
+            false => self.list.dead().choose(&mut self.rng),
+        };
+        for id in seed.into_iter().chain(gone) {
             self.probe_as(now, id, Kind::Stray);
         }
     }
 
+    /// Looks soon for a node that just left or died: it may find nobody by itself.
+    pub(super) fn expect_back(&mut self, now: Instant) {
+        let soon = now + self.return_every().mul_f64(self.rng.random_range(0.5..1.5));
+        self.next_retry = self.next_retry.min(soon);
+    }
+
+    fn return_every(&self) -> Duration {
+        let live = u32::try_from(self.list.live()).unwrap_or(u32::MAX);
+        RETURN
+            .max(RETURN_SHARE.saturating_mul(live))
+            .min(self.settings.retry_every)
+    }
+
     /// Closes the probe that an answer belongs to.
     pub(super) fn on_ack(&mut self, seq: Seq, from: NodeId) {
         if let Some(relay) = self.probes.close_relay(seq, from) {
--- a/crates/swiftcart-core/src/member/spread.rs
+++ b/crates/swiftcart-core/src/member/spread.rs
@@ -171,7 +171,9 @@
     fn put_off_pull(&mut self, now: Instant) {
         let every = match self.synced {
             true if !self.is_flooded() => self.settings.pull_every,
-            _ => self.settings.pull_after,
+            true => self.settings.pull_after,
+            // Who was asked may be gone, and without the members there is nobody to route to.
+            false => self.settings.pull_after / 4,
         };
         self.next_pull = now + every.mul_f64(self.rng.random_range(1.0..1.5));
     }
--- a/crates/swiftcart-core/src/member/view.rs
+++ b/crates/swiftcart-core/src/member/view.rs
@@ -32,6 +32,12 @@
         self.list.domains()
     }
 
+    /// Tells whether this node knows of no other live one.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.list.live() <= 1
+    }
+
     /// Tells whether new work may go to a node: alive, not suspected, its domain reachable.
     #[must_use]
     pub fn routable(&self, id: NodeId) -> bool {
--- a/crates/swiftcart-core/tests/member.rs
+++ b/crates/swiftcart-core/tests/member.rs
@@ -52,6 +52,31 @@
     assert_eq!(net.sum(|c| c.declared + c.suspected), 0);
 }
 
+#[rstest]
+#[case::sixteen(&[6, 6, 4], true)]
+#[case::seventy_four(&[25, 25, 24], true)]
+#[case::after_its_death(&[25, 25, 24], false)]
+fn a_restarted_node_that_can_ask_nobody_is_found_within_three_seconds(
+    #[case] sizes: &[usize],
+    #[case] leaves: bool,
+) {
+    let mut net = Net::settled(sizes, 14);
+    if leaves {
+        net.call(2, Membership::leave);
+    }
+    net.run(500);
+    net.kill(2);
+    net.until("unrouted", 10_000, |net| net.none_routes(2));
+    net.run(3_000);
+    net.boot_with(2, 0, Vec::new());
+    let knows = |net: &Net| net.machine(2).is_synced() && !net.machine(2).is_alone();
+    net.until("found", 3_000, |net| knows(net) && net.all_route(2));
+    // What a directory names after that does not make it forget that it knows the members.
+    net.call(2, |m, now| m.add_seeds(now, vec![id(0), id(1)]));
+    assert!(net.machine(2).is_synced());
+    net.until("agreed", 10_000, Net::agree);
+}
+
 #[rstest]
 #[case::a_small_domain(&[6, 6, 6])]
 #[case::a_large_domain(&[60, 20, 20])]
--- a/crates/swiftcart-core/tests/support/net.rs
+++ b/crates/swiftcart-core/tests/support/net.rs
@@ -116,6 +116,11 @@
 
     /// Starts a node, `back` milliseconds behind the wall clock.
     pub fn boot(&mut self, at: usize, back: u64) {
+        self.boot_with(at, back, self.seeds.clone());
+    }
+
+    /// Starts a node that knows only `seeds`.
+    pub fn boot_with(&mut self, at: usize, back: u64, seeds: Vec<NodeId>) {
         let incarnation = Incarnation(WALL + self.now - back);
         let node = &mut self.nodes[at];
         let me = Member::new(id(at), domain(node.domain), incarnation);
@@ -125,7 +130,7 @@
         };
         let settings = self.settings.clone();
         let seed = self.rng.random();
-        node.machine = Some(Membership::new(me, settings, self.seeds.clone(), seed));
+        node.machine = Some(Membership::new(me, settings, seeds, seed));
         node.socket.clear();
         node.paused = false;
     }
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -213,7 +213,8 @@
     /// A node that knows no members has no backend servers to offer; but one that is cut
     /// off has to serve what it can.
     pub(super) fn met(&self, now: Instant) -> bool {
-        (self.found && self.membership.is_synced()) || now.elapsed() >= MEET
+        let joined = self.found || !self.membership.is_alone();
+        (joined && self.membership.is_synced()) || now.elapsed() >= MEET
     }
 
     /// Shows the view first, so that who reads a version or a phase finds it in force.
