Say in the log's documentation how its last lines are written

Ruled out: the tests and the models, which passed in the same run. Change: the sentence names the guard, whose drop writes what still waits. Before and after: cargo doc failed, and passes.

--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -160,7 +160,7 @@
     written.recv_timeout(CLOSE).ok();
 }
 
-/// Opens the log on standard output; [`close`] writes what still waits.
+/// Opens the log on standard output; dropping the guard writes what still waits.
 pub fn open(level: LogLevel) -> (Logger, AsyncGuard) {
     let lines = Logfmt::new(io::stdout()).no_prefix().build().fuse();
     let (queue, guard) = slog_async::Async::new(lines)
