Tell from the nodes' logs what became of a request

Cause: on-call engineers had the lines of one request spread over the logs of many nodes, and no page that led from its id to the cause; a caller that left before its answer left no line at all. Ruled out: a trace store of our own (one more thing to run); a call to the nodes (what matters may be gone with its node). Change: swiftcart explain ID FILE... joins the lines, shows what the nodes came to believe around them and says the outcome. A request whose caller goes away is logged.

--- a/crates/swiftcart-cli/src/args.rs
+++ b/crates/swiftcart-cli/src/args.rs
@@ -53,6 +53,17 @@
     History(usize),
     /// Show which nodes have which version.
     Status,
+    /// Tell from log files what became of a request.
+    Explain(Explain),
+}
+
+/// Options of `explain`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Explain {
+    /// The request's id.
+    pub id: String,
+    /// The log files of the nodes.
+    pub files: Vec<PathBuf>,
 }
 
 /// Options of `table pull`.
@@ -137,6 +148,7 @@
             ["table", "publish", ..] => (help::Name::Publish, 2),
             ["history", ..] => (help::Name::History, 1),
             ["status", ..] => (help::Name::Status, 1),
+            ["explain", ..] => (help::Name::Explain, 1),
             ["table", "--help" | "-h", ..] => {
                 return Ok(Self::plain(Command::Help(help::all())));
             }
@@ -168,12 +180,9 @@
             help::Name::Publish => Command::Publish(publishing(own)?),
             help::Name::History => Command::History(limit(own)?),
             help::Name::Status => Command::Status,
+            help::Name::Explain => Command::Explain(explain(own)?),
         };
-        let taken = usize::from(matches!(
-            name,
-            help::Name::Check | help::Name::Diff | help::Name::Publish
-        ));
-        match own.free.get(taken) {
+        match own.free.get(name.arguments()) {
             Some(extra) => Err(Error::Extra(extra.clone())),
             None => Ok(Self {
                 settings,
@@ -263,6 +272,17 @@
     })
 }
 
+fn explain(own: &Matches) -> Result<Explain, Error> {
+    match &own.free[..] {
+        [] => Err(Error::Missing("the request's id")),
+        [_] => Err(Error::Missing("the log file")),
+        [id, files @ ..] => Ok(Explain {
+            id: id.clone(),
+            files: files.iter().map(PathBuf::from).collect(),
+        }),
+    }
+}
+
 fn scope(own: &Matches) -> Scope {
     let only = own.opt_strs("only").into_iter().map(ServiceName::new);
     Scope {
--- a/crates/swiftcart-cli/src/args/help.rs
+++ b/crates/swiftcart-cli/src/args/help.rs
@@ -11,6 +11,7 @@
     Publish,
     History,
     Status,
+    Explain,
 }
 
 const ALL: &str = "\
@@ -23,6 +24,7 @@
     table publish   publish a sheet
     history         show the last publishes, rejected ones too
     status          show which nodes have which version
+    explain         tell from the nodes' logs what became of a request
 
 Exit codes:
     0  done
@@ -71,7 +73,23 @@
 
 Asks a node for all members and each member for its version.";
 
+const EXPLAIN: &str = "\
+Usage: swiftcart explain [OPTIONS] ID FILE...
+
+Joins the lines of the request ID in the nodes' log files, in order, with what
+decided each step, what these nodes came to believe meanwhile, and the outcome.
+A word before a line names its node; otherwise the file's name does.";
+
 impl Name {
+    /// Returns how many arguments the command takes at most.
+    pub(super) const fn arguments(self) -> usize {
+        match self {
+            Self::Pull | Self::History | Self::Status => 0,
+            Self::Check | Self::Diff | Self::Publish => 1,
+            Self::Explain => usize::MAX,
+        }
+    }
+
     /// Returns the options that the command takes.
     pub(super) fn options(self) -> Options {
         let mut options = Options::new();
@@ -83,7 +101,7 @@
                     .optopt("o", "output", "write to this file", "FILE")
                     .optflag("", "force", "overwrite the file");
             }
-            Self::Check | Self::Status => {}
+            Self::Check | Self::Status | Self::Explain => {}
             Self::Diff => {
                 options.optopt(
                     "",
@@ -123,6 +141,7 @@
             Self::Publish => format!("{PUBLISH}\n\n{SCOPE}"),
             Self::History => HISTORY.into(),
             Self::Status => STATUS.into(),
+            Self::Explain => EXPLAIN.into(),
         };
         self.options().usage(&brief)
     }
--- a/crates/swiftcart-cli/src/error.rs
+++ b/crates/swiftcart-cli/src/error.rs
@@ -118,6 +118,11 @@
         NoNode(tried: Vec<SocketAddr>) {
             display("none of the nodes {tried:?} answers; give another one by --node IP:PORT")
         }
+        /// No log file names the request.
+        NoRequest(id: String, files: usize) {
+            display("none of the {files} files has a line of the request {id:?}; \
+                give the logs of all nodes from the time of the request, and the id as the caller sent it")
+        }
         /// The runtime did not start.
         Runtime(e: io::Error) {
             display("the runtime did not start: {e}")
@@ -140,6 +145,7 @@
             Self::Unsettled(..) => Exit::Unknown,
             Self::File(..) | Self::NoCheckpoint(_) | Self::Expired | Self::Rule(_) => Exit::Failed,
             Self::Random(_) | Self::NoNode(_) | Self::Runtime(_) => Exit::Failed,
+            Self::NoRequest(..) => Exit::Failed,
         }
     }
 }
--- /dev/null
+++ b/crates/swiftcart-cli/src/explain.rs
@@ -0,0 +1,195 @@
+//! Tells from the logs of many nodes what became of one request.
+
+mod line;
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use serde_json::{Value, json};
+use swiftcart_core::Reason;
+
+use crate::{Error, render};
+pub use line::LogLine;
+
+/// How long before the request's first line a change of belief is shown, in milliseconds: a
+/// member that fails is known everywhere within about 3 s.
+const BEFORE_MS: u64 = 3000;
+
+/// How long after the request's last line a change of belief is shown, in milliseconds.
+const AFTER_MS: u64 = 500;
+
+/// Lines about changes of belief that are shown at most, the latest ones.
+const MOST_AROUND: usize = 60;
+
+/// What a node writes for a value that is not there.
+const NO_VALUE: &str = "None";
+
+/// Longest line that is read, in bytes; a node writes far shorter ones.
+const MOST_BYTES: u64 = 64 * 1024;
+
+/// Holds what the logs say of one request.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_cli::{LogLine, Story};
+///
+/// let text = "at=1200 level=INFO version=12 ms=4 retry_after_ms=180 reason=queue-full \
+///             outcome=not-run status=own id=9c41 event=answer";
+/// let line = LogLine::parse("node-1", text).expect("a line of a node");
+/// let story = Story::new("9c41", vec![line], Vec::new());
+/// assert!(story.verdict().starts_with("not-run: queue-full"));
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Story {
+    /// The request.
+    pub id: String,
+    /// The lines that name the request, in order of their times.
+    pub lines: Vec<LogLine>,
+    /// What the nodes of these lines came to believe around that time.
+    pub around: Vec<LogLine>,
+}
+
+impl Story {
+    /// Creates the story of the request `id`.
+    #[must_use]
+    pub fn new(id: &str, mut lines: Vec<LogLine>, mut around: Vec<LogLine>) -> Self {
+        lines.sort_by_key(|line| line.at_ms);
+        around.sort_by_key(|line| line.at_ms);
+        let extra = around.len().saturating_sub(MOST_AROUND);
+        around.drain(..extra);
+        Self {
+            id: id.to_owned(),
+            lines,
+            around,
+        }
+    }
+
+    /// Reads the story of the request `id` from log files.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::File`] when a file cannot be read, [`Error::NoRequest`] when none names it.
+    pub fn read(id: &str, files: &[PathBuf]) -> Result<Self, Error> {
+        let mut lines = Vec::new();
+        for file in files {
+            scan(file, |line| {
+                if line.value("id") == Some(id) && line.is_of_request() {
+                    lines.push(line);
+                }
+            })?;
+        }
+        let (Some(first), Some(last)) = (
+            lines.iter().map(|line| line.at_ms).min(),
+            lines.iter().map(|line| line.at_ms).max(),
+        ) else {
+            return Err(Error::NoRequest(id.to_owned(), files.len()));
+        };
+        let span = first.saturating_sub(BEFORE_MS)..=last.saturating_add(AFTER_MS);
+        let mut around = Vec::new();
+        for file in files {
+            scan(file, |line| {
+                let touched = lines.iter().any(|known| known.node == line.node);
+                if touched && !line.is_of_request() && span.contains(&line.at_ms) {
+                    around.push(line);
+                }
+            })?;
+        }
+        Ok(Self::new(id, lines, around))
+    }
+
+    /// Returns what became of the request in one sentence.
+    #[must_use]
+    pub fn verdict(&self) -> String {
+        let answers = self.lines.iter().rev();
+        match answers.into_iter().find(|line| line.event == "answer") {
+            Some(line) => answered(line),
+            None => "no node logged an answer: the line was left out (event=left-out), the node \
+                     ended before it, or its log is not among the files"
+                .into(),
+        }
+    }
+
+    /// Returns the story as text for people.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let first = self.lines.first().map_or(0, |line| line.at_ms);
+        let rows = self.lines.iter().map(|line| row(line, first)).collect();
+        let headings = ["ms", "node", "event", "what decided it"];
+        let mut text = format!("request {}\n\n", self.id);
+        text += &render::grid(headings, rows);
+        if !self.around.is_empty() {
+            let rows = self.around.iter().map(|line| row(line, first)).collect();
+            text += "\n\naround it, at the same nodes:\n\n";
+            text += &render::grid(headings, rows);
+        }
+        text + &format!("\n\n{}", self.verdict())
+    }
+
+    /// Returns the story for scripts.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        json!({
+            "id": self.id,
+            "verdict": self.verdict(),
+            "lines": self.lines,
+            "around": self.around,
+        })
+    }
+}
+
+/// Calls `take` for each line of a node in the file.
+fn scan(path: &Path, mut take: impl FnMut(LogLine)) -> Result<(), Error> {
+    let failed = |e| Error::File(path.into(), e);
+    let name = path.file_stem().unwrap_or(path.as_os_str());
+    let name = name.to_string_lossy();
+    let mut reader = BufReader::new(File::open(path).map_err(failed)?);
+    let mut bytes = Vec::new();
+    loop {
+        bytes.clear();
+        let mut bounded = std::io::Read::take(&mut reader, MOST_BYTES);
+        if bounded.read_until(b'\n', &mut bytes).map_err(failed)? == 0 {
+            return Ok(());
+        }
+        if let Some(line) = LogLine::parse(&name, &String::from_utf8_lossy(&bytes)) {
+            take(line);
+        }
+    }
+}
+
+fn row(line: &LogLine, first: u64) -> [String; 4] {
+    let at = i128::from(line.at_ms) - i128::from(first);
+    [
+        at.to_string(),
+        line.node.clone(),
+        line.event.clone(),
+        line.inputs(),
+    ]
+}
+
+/// Says what an answer's line means.
+fn answered(line: &LogLine) -> String {
+    let tries = line.value("tries").unwrap_or("1");
+    match (line.value("status"), line.value("reason")) {
+        (Some("own") | None, Some(reason)) => {
+            let outcome = line.value("outcome").unwrap_or("unknown");
+            let meaning = meaning(reason);
+            let after = line.value("retry_after_ms").filter(|ms| *ms != NO_VALUE);
+            let again = after.map_or(String::new(), |ms| {
+                format!(" The caller was told to come back after {ms} ms.")
+            });
+            format!("{outcome}: {reason}: {meaning}{again}")
+        }
+        (Some(status), _) => {
+            let guard = line.value("guard").unwrap_or("an unknown node");
+            format!("done: the backend server beside {guard} answered {status}, tries: {tries}")
+        }
+        (None, None) => "the answer's line has neither a status nor a reason".into(),
+    }
+}
+
+fn meaning(reason: &str) -> &'static str {
+    let known = Reason::ALL.iter().find(|known| known.as_str() == reason);
+    known.map_or("a reason of another release", |known| known.meaning())
+}
--- a/crates/swiftcart-cli/src/run.rs
+++ b/crates/swiftcart-cli/src/run.rs
@@ -15,8 +15,8 @@
 use swiftcart_platform::{DEFAULT_TIMEOUT, Platform};
 
 use crate::{
-    Admin, Answer, Command, Decided, Error, Fleet, Invocation, Journal, Keep, Node, Report, Retry,
-    Settings, Sheet, render,
+    Admin, Answer, Command, Decided, Error, Explain, Fleet, Invocation, Journal, Keep, Node,
+    Report, Retry, Settings, Sheet, Story, render,
 };
 
 /// The largest sheet that is read, in bytes.
@@ -47,6 +47,7 @@
         Command::Publish(wanted) => publishing::publish(settings, wanted).await,
         Command::History(limit) => history(settings, *limit).await,
         Command::Status => status(settings).await,
+        Command::Explain(wanted) => explain(wanted),
     }
 }
 
@@ -58,6 +59,11 @@
     )
 }
 
+fn explain(wanted: &Explain) -> Result<Report, Error> {
+    let story = Story::read(&wanted.id, &wanted.files)?;
+    Ok(Report::new(story.text(), story.json()))
+}
+
 async fn history(settings: &Settings, limit: usize) -> Result<Report, Error> {
     let keep = Keep {
         decided: limit,
--- a/crates/swiftcart-cli/tests/arguments.rs
+++ b/crates/swiftcart-cli/tests/arguments.rs
@@ -34,6 +34,11 @@
     "table check a.csv b.csv",
     "the argument \"b.csv\" is one too many; see --help of the command"
 )]
+#[case::explain_without_an_id("explain", "the request's id is missing; see --help of the command")]
+#[case::explain_without_a_file(
+    "explain 9c41",
+    "the log file is missing; see --help of the command"
+)]
 #[case::host_name(
     "--platform localhost:7000 history",
     "--platform: \"localhost:7000\" is not valid; write IP:PORT, for example 127.0.0.1:7000"
--- /dev/null
+++ b/crates/swiftcart-cli/tests/explain.rs
@@ -0,0 +1,125 @@
+//! What the tool makes of the logs of several nodes.
+
+use std::fs;
+use std::path::PathBuf;
+
+use rstest::rstest;
+use swiftcart_cli::{Error, LogLine, Story};
+use tempfile::TempDir;
+
+/// The ingress: one request refused, one lost, one without an answer yet.
+const INGRESS: &str = "\
+at=900 level=INFO digest=3da0 version=12 event=applied
+at=1000 level=WARN domain=sur event=domain-cut
+at=1100 level=INFO left_ms=1192 ms=7 next=another load=12/9/12 reason=overloaded rule=Spill guard=\"10.1.0.22:7000\" try=1 service=booking id=refused event=try
+at=1120 level=INFO version=12 ms=27 retry_after_ms=403 reason=overloaded outcome=not-run status=own target=a.example/order/7 id=refused event=answer
+at=1200 level=INFO version=12 ms=3 retry_after_ms=None reason=answer-broken outcome=unknown status=own target=a.example/order/8 id=lost event=answer
+at=1300 level=INFO left_ms=379 ms=19 rule=Near guard=\"10.1.0.23:7000\" tries=2 status=200 service=booking id=served event=answer
+at=1400 level=INFO left_ms=379 ms=19 next=again load=- reason=shed rule=Near guard=\"10.1.0.23:7000\" try=1 service=booking id=open event=try
+at=9000 level=INFO liveness=Dead id=10.1.0.22:7000 event=member
+";
+
+/// The guard, and lines that are none.
+const GUARD: &str = "\
+no line of a node
+at=soon event=guard id=refused
+at=1098 level=INFO left_ms=1193 limit=12 queued=9 running=12 reason=overloaded instance=i-1 service=booking id=refused event=guard
+at=1099 level=WARN error=\"the connection to the platform ended before its answer\" event=platform-down
+";
+
+/// The other nodes, which do not know these requests.
+const OTHER: &str = "at=1100 level=INFO reason= phase=ready event=phase\n";
+
+struct Logs {
+    _dir: TempDir,
+    files: Vec<PathBuf>,
+}
+
+fn logs() -> Logs {
+    let dir = tempfile::tempdir().expect("a folder");
+    let texts = [("ingress", INGRESS), ("guard", GUARD), ("other", OTHER)];
+    let files = texts.map(|(name, text)| {
+        let path = dir.path().join(format!("{name}.log"));
+        fs::write(&path, text).expect("a file");
+        path
+    });
+    Logs {
+        _dir: dir,
+        files: files.into(),
+    }
+}
+
+fn events(lines: &[LogLine]) -> Vec<String> {
+    let name = |line: &LogLine| format!("{} {} {}", line.at_ms, line.node, line.event);
+    lines.iter().map(name).collect()
+}
+
+#[rstest]
+#[case::refused(
+    "refused",
+    "not-run: overloaded: The guard expects the wait in its queue to be too long. \
+     The caller was told to come back after 403 ms."
+)]
+#[case::lost(
+    "lost",
+    "unknown: answer-broken: The answer broke off, or was no HTTP, after the hand-over."
+)]
+#[case::served(
+    "served",
+    "done: the backend server beside 10.1.0.23:7000 answered 200, tries: 2"
+)]
+#[case::without_an_answer(
+    "open",
+    "no node logged an answer: the line was left out (event=left-out), the node ended before it, \
+     or its log is not among the files"
+)]
+fn the_last_answer_decides_the_verdict(#[case] id: &str, #[case] verdict: &str) {
+    let story = Story::read(id, &logs().files).expect("a story");
+    assert_eq!(story.verdict(), verdict);
+}
+
+#[rstest]
+fn lines_of_a_request_are_joined_in_order_over_the_nodes() {
+    let story = Story::read("refused", &logs().files).expect("a story");
+    let lines = [
+        "1098 guard guard",
+        "1100 ingress try",
+        "1120 ingress answer",
+    ];
+    assert_eq!(events(&story.lines), lines);
+    let inputs = story.lines[0].inputs();
+    assert!(inputs.starts_with("service=booking instance=i-1 reason=overloaded running=12"));
+}
+
+#[rstest]
+fn changes_of_belief_around_it_are_shown_at_the_nodes_that_it_touched() {
+    let story = Story::read("refused", &logs().files).expect("a story");
+    let around = [
+        "900 ingress applied",
+        "1000 ingress domain-cut",
+        "1099 guard platform-down",
+    ];
+    assert_eq!(events(&story.around), around);
+    let text = story.text();
+    assert!(text.contains("error=the connection to the platform ended before its answer"));
+    assert!(text.ends_with(&story.verdict()));
+}
+
+#[rstest]
+fn a_word_before_the_line_names_the_node() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("all.log");
+    let text = "   1.2345 norte-1 at=10 level=INFO reason=timeout id=a event=guard\n";
+    fs::write(&path, text).expect("a file");
+    let story = Story::read("a", &[path]).expect("a story");
+    assert_eq!(events(&story.lines), ["10 norte-1 guard"]);
+}
+
+#[rstest]
+#[case::unknown_request("nobody", "has a line of the request \"nobody\"")]
+#[case::part_of_an_id("refuse", "has a line of the request \"refuse\"")]
+fn an_unknown_request_is_an_error_that_says_what_to_give(#[case] id: &str, #[case] told: &str) {
+    let error = Story::read(id, &logs().files).expect_err("no story");
+    assert!(matches!(error, Error::NoRequest(..)));
+    assert!(error.to_string().contains(told), "{error}");
+}
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -75,6 +75,22 @@
                 }
             }
 
+            /// Returns what has happened, in one sentence.
+            ///
+            /// # Examples
+            ///
+            /// ```
+            /// let meaning = swiftcart_core::Reason::CallerGone.meaning();
+            /// assert_eq!(meaning, "The caller went away.");
+            /// ```
+            #[must_use]
+            pub fn meaning(self) -> &'static str {
+                let text = match self {
+                    $(Self::$variant => concat!($($doc),+),)+
+                };
+                text.trim()
+            }
+
             /// Returns the HTTP status of an answer that a node makes for this reason.
             #[must_use]
             pub const fn status(self) -> u16 {
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -30,6 +30,7 @@
 use crate::logging::Event;
 use crate::shared::{Phase, Shared};
 use forward::take_load;
+use log::Pending;
 use original::Original;
 
 /// Takes callers' requests to a backend server, beside this node or another.
@@ -106,7 +107,9 @@
         let start = self.shared.clock.now();
         let id = head.headers.get(&self.shared.headers.request_id.0).cloned();
         let target = format!("{}{}", host(&head).unwrap_or("-"), head.uri.path());
+        let pending = Pending::new(self, id.as_ref(), &target, start);
         let result = self.route(head, body).await;
+        pending.settle();
         let counters = &self.shared.counters;
         let now = self.shared.clock.now();
         counters.stage(Stage::Ingress, now.since(start));
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -4,12 +4,56 @@
 
 use http::{HeaderValue, StatusCode};
 use slog::info;
-use swiftcart_core::{Next, Pick, Refusal, ServiceEntry};
+use swiftcart_core::{Instant, Next, Pick, Reason, Refusal, ServiceEntry};
 
 use super::{Failed, Ingress, Made};
 use crate::calls::request::Call;
 use crate::logging::Event;
 
+/// A request without an answer yet; dropped before one, it logs that its caller went away.
+pub(super) struct Pending<'a> {
+    ingress: &'a Ingress,
+    id: Option<&'a HeaderValue>,
+    target: &'a str,
+    start: Instant,
+    open: bool,
+}
+
+impl<'a> Pending<'a> {
+    /// Watches the request that came at `start`.
+    pub(super) const fn new(
+        ingress: &'a Ingress,
+        id: Option<&'a HeaderValue>,
+        target: &'a str,
+        start: Instant,
+    ) -> Self {
+        Self {
+            ingress,
+            id,
+            target,
+            start,
+            open: true,
+        }
+    }
+
+    /// Notes that there is an answer.
+    pub(super) fn settle(mut self) {
+        self.open = false;
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if self.open {
+            let now = self.ingress.shared.clock.now();
+            let gone = Reason::CallerGone.into();
+            let elapsed = now.since(self.start);
+            self.ingress
+                .log_refusal(self.id, self.target, gone, elapsed);
+        }
+    }
+}
+
 impl Ingress {
     /// Logs the answer of a backend server, with a line among the failures when it is one or
     /// took more than one try.
