Ask guards for a place before waiting at one of them

Cause: an ingress knows the load elsewhere as of its last answer from there, a second or more on 74 instances. Ruled out: slots (half of them free), the link between client and ingress (own backend server: 173 ms p50), telling the load by gossip (too old as well). Change: a guard that is believed to have a place is asked with hardly any patience and says no at once; the request waits when none is believed to have one. Long bodies wait once in their own failure domain, then ask in others. The budget is asked once for each arrival at a backend server, no longer for each guard that is asked in between. A guard that names no time to come back does not hide that of an earlier one.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -11,8 +11,8 @@
 
 use crate::rate::Promises;
 use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample};
-pub use bid::Bid;
 use bid::Urgency;
+pub use bid::{Bid, Patience};
 use limit::AdaptiveLimit;
 pub use limit::{LimitRule, LimitSettings};
 pub use queue::Order;
@@ -207,7 +207,7 @@
     ) -> Admit {
         let bid = bid.into();
         let urgency = bid.urgency(now, self.settings.wait);
-        let patience = bid.patience(self.settings.wait);
+        let patience = bid.longest_wait(self.settings.wait);
         let wait = self.expected_wait(self.queue.ahead_of(urgency));
         let due = bid.due;
         match self.gate {
@@ -221,10 +221,10 @@
             // What waits was started as long as there was a place; the rest has expired.
             Gate::Open if self.running() < self.limit() => Admit::Run(self.run()),
             Gate::Open if !self.has_room(urgency) => {
-                Admit::Refuse(self.later(Reason::QueueFull, now, rng))
+                Admit::Refuse(self.crowded(Reason::QueueFull, bid.patience, now, rng))
             }
             Gate::Open if wait > patience || due.misses(now, wait + self.quickest()) => {
-                Admit::Refuse(self.later(Reason::Overloaded, now, rng))
+                Admit::Refuse(self.crowded(Reason::Overloaded, bid.patience, now, rng))
             }
             Gate::Open => {
                 self.make_room(now, urgency, rng);
@@ -353,7 +353,7 @@
     fn enqueue(&mut self, now: Instant, bid: Bid) -> Ticket {
         let ticket = self.ticket();
         let latest = bid.due.less(self.quickest()).at();
-        let patience = now + bid.patience(self.settings.wait);
+        let patience = now + bid.longest_wait(self.settings.wait);
         let reason = match patience < latest {
             true => Reason::Overloaded,
             false => Reason::DeadlinePassed,
@@ -428,6 +428,21 @@
         Admit::Refuse(Refusal::new(reason).with_retry(after))
     }
 
+    /// Refuses a request for want of a place; one that asks on elsewhere needs no time to
+    /// come back, and keeps none from others.
+    fn crowded<R: Rng + ?Sized>(
+        &mut self,
+        reason: Reason,
+        patience: Patience,
+        now: Instant,
+        rng: &mut R,
+    ) -> Refusal {
+        match patience {
+            Patience::Short => Refusal::new(reason),
+            Patience::Full => self.later(reason, now, rng),
+        }
+    }
+
     fn later<R: Rng + ?Sized>(&mut self, reason: Reason, now: Instant, rng: &mut R) -> Refusal {
         let wait = self.expected_wait(self.queue.len());
         let rate = self.throughput().unwrap_or(1.0);
--- a/crates/swiftcart-core/src/admission/bid.rs
+++ b/crates/swiftcart-core/src/admission/bid.rs
@@ -15,6 +15,20 @@
 /// the work that was done for that.
 const LEAST_PATIENCE: Duration = Duration::from_millis(80);
 
+/// The part of that time that it may wait while other guards may have a place: what a round
+/// trip to another failure domain and back takes, about 3 ms, is well below it for all routes.
+const SHORT_PATIENCE: f64 = 0.025;
+
+/// Tells how long a request may wait for a slot.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Patience {
+    /// Hardly at all: another guard may have a place.
+    Short,
+    /// As long as waiting is worth it.
+    #[default]
+    Full,
+}
+
 /// Says when an answer is due at the latest, when it should be there, and its rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Bid {
@@ -24,6 +38,8 @@
     pub target: Option<Duration>,
     /// Its rank among the requests of the same service.
     pub priority: Priority,
+    /// How long it may wait.
+    pub patience: Patience,
 }
 
 /// Orders waiting requests: by rank, then by the time at which their answers are wanted.
@@ -41,9 +57,17 @@
             due,
             target: None,
             priority: Priority(0),
+            patience: Patience::Full,
         }
     }
 
+    /// Sets how long it may wait.
+    #[must_use]
+    pub const fn with_patience(mut self, patience: Patience) -> Self {
+        self.patience = patience;
+        self
+    }
+
     /// Sets the rank.
     #[must_use]
     pub const fn with_priority(mut self, priority: Priority) -> Self {
@@ -65,14 +89,17 @@
     /// Returns when the wait for a slot ends; `usual` is the longest wait without a target.
     #[must_use]
     pub fn until(&self, now: Instant, usual: Duration) -> Instant {
-        self.due.within(now, self.patience(usual)).at()
+        self.due.within(now, self.longest_wait(usual)).at()
     }
 
     /// Returns the longest wait; `usual` is that of a request without a target.
-    pub(super) fn patience(&self, usual: Duration) -> Duration {
-        self.target.map_or(usual, |target| {
-            target.mul_f64(PATIENCE).max(LEAST_PATIENCE).min(usual)
-        })
+    pub(super) fn longest_wait(&self, usual: Duration) -> Duration {
+        let target = self.target.unwrap_or(usual);
+        match (self.patience, self.target) {
+            (Patience::Short, _) => target.mul_f64(SHORT_PATIENCE).min(usual),
+            (Patience::Full, Some(_)) => target.mul_f64(PATIENCE).max(LEAST_PATIENCE).min(usual),
+            (Patience::Full, None) => usual,
+        }
     }
 
     /// Returns the place in the order; `usual` stands in for a target.
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::peer::Peer;
-use super::{Balancer, Errand, Pick, PickRule};
+use super::{Balancer, Errand, Haul, Pick, PickRule};
 use crate::{Candidate, Instant, NodeId, ServiceEntry};
 
 /// The random draws for one choice before the candidates are gone through in order.
@@ -53,6 +53,9 @@
                 Some(self.pick(far, PickRule::Spill))
             }
             (Some((here, rule)), _, _) => Some(self.pick(here, rule)),
+            (None, Some(near), _) if self.errand.haul == Haul::Heavy => {
+                Some(self.pick(near, PickRule::Near))
+            }
             (None, _, Some(far)) if !self.full(far) => Some(self.pick(far, PickRule::Spill)),
             (None, Some(near), _) => Some(self.pick(near, PickRule::Near)),
             (None, None, Some(far)) => Some(self.pick(far, PickRule::Spill)),
--- a/crates/swiftcart-core/src/lib.rs
+++ b/crates/swiftcart-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! that tests drive the machines in virtual time and other programs embed them.
 
 mod admission;
+mod asking;
 mod balance;
 mod budget;
 mod claim;
@@ -20,6 +21,7 @@
 mod wire;
 
 pub use admission::*;
+pub use asking::*;
 pub use balance::*;
 pub use budget::*;
 pub use claim::*;
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -136,7 +136,7 @@
 ///
 /// A guard's refusal costs a round trip and nothing at a backend server, so that it draws
 /// on no budget; but under overload every guard refuses.
-pub const MAX_REFUSED: u8 = 4;
+pub const MAX_REFUSED: u8 = 6;
 
 /// The times that one request is sent to backend servers at most.
 ///
@@ -192,6 +192,8 @@
     sent: u8,
     /// Tries that a guard refused.
     refused: u8,
+    /// Whether the budget was asked for the next arrival at a backend server.
+    paid: bool,
 }
 
 impl PolicyTries {
@@ -209,8 +211,8 @@
 
     /// Decides whether the request may be tried again after it failed for `reason` at `guard`.
     ///
-    /// `budget` takes one retry out of the budget; it is called last, and only when a
-    /// backend server got the request before.
+    /// `budget` takes one retry out of the budget; it is called last, only when a backend
+    /// server got the request before, and once for each time that another one may get it.
     ///
     /// # Errors
     ///
@@ -236,9 +238,11 @@
             _ if self.sent >= MAX_SENT || self.refused > MAX_REFUSED => Err(Reason::TriesSpent),
             _ if spent && reason != Reason::Shed => Err(Reason::TriesSpent),
             _ if due.misses(now, HOP_ALLOWANCE) => Err(Reason::DeadlinePassed),
-            _ if self.sent > 0 && !budget() => Err(Reason::RetryBudget),
-            _ if spent => Ok(Next::Same),
-            _ => Ok(Next::Other),
+            _ if self.sent > 0 && !self.paid && !budget() => Err(Reason::RetryBudget),
+            _ => {
+                self.paid = self.sent > 0;
+                Ok(if spent { Next::Same } else { Next::Other })
+            }
         }
     }
 
@@ -248,6 +252,7 @@
             return;
         }
         self.sent = self.sent.saturating_add(1);
+        self.paid = false;
         if !self.reached.contains(&guard) {
             self.reached.push(guard);
         }
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -11,9 +11,9 @@
 use hyper::body::Incoming;
 use slog::error;
 use swiftcart_core::{
-    BalanceSettings, Balancer, CallResult, Candidate, Failure, FleetBudget, Instant, Next, NodeId,
-    Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetryCause, RetrySettings,
-    ServiceEntry, Terms, Tries,
+    Asking, BalanceSettings, Balancer, CallResult, Candidate, Failure, FleetBudget, Instant, Next,
+    NodeId, Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetryCause,
+    RetrySettings, ServiceEntry, Terms, Tries,
 };
 
 use tokio::task::JoinError;
@@ -50,8 +50,9 @@
     start: Instant,
     tries: Tries,
     under_policy: PolicyTries,
-    /// The guards that were asked.
-    ids: Vec<NodeId>,
+    asking: Asking,
+    /// The tries that failed.
+    asked: u32,
 }
 
 /// A try that brought no answer of a backend server.
@@ -196,13 +197,21 @@
             start: self.shared.clock.now(),
             tries: Tries::new(call.attempt),
             under_policy: PolicyTries::default(),
-            ids: Vec::new(),
+            asking: match call.terms {
+                Some(_) => Asking::new(entry.candidates().len(), call.errand().haul),
+                None => Asking::waiting(),
+            },
+            asked: 0,
         };
         let mut last: Option<Failed> = None;
         let mut next = Next::Other;
         self.count_first(entry);
         loop {
-            let Some(pick) = self.pick_next(call, entry, &made, next) else {
+            let pick = self.pick_next(call, entry, &made, next);
+            if made.asking.turns(pick.as_ref()) {
+                continue;
+            }
+            let Some(pick) = pick else {
                 let shortage = entry.shortage().unwrap_or(Reason::NotReady);
                 return last.unwrap_or_else(|| shortage.into()).into_result();
             };
@@ -213,13 +222,18 @@
                 }
                 Err(failed) => failed,
             };
-            made.ids.push(pick.id);
+            made.asked += 1;
+            made.asking.failed(pick.id, failed.refusal.reason);
             failed.retried |= made.tries.retried();
             let again = self.may_retry(call, entry, original, &mut made, &pick, &failed);
             self.log_try(call, entry, &made, &pick, &failed, again);
             let kept = Failed::worse(last.take(), failed);
             match again {
-                Ok(place) => next = place,
+                Ok(Next::Other) => next = Next::Other,
+                Ok(Next::Same) => {
+                    made.asking.settle();
+                    next = Next::Same;
+                }
                 Err(_) => return kept.into_result(),
             }
             last = Some(kept);
@@ -235,7 +249,7 @@
         next: Next,
     ) -> Option<Pick> {
         match next {
-            Next::Other => self.pick(call, entry, &made.ids),
+            Next::Other => self.pick(call, entry, made.asking.excluded()),
             Next::Same => {
                 let reached = made.under_policy.reached();
                 let again = |c: &&Candidate| reached.contains(&c.id);
@@ -357,7 +371,8 @@
 
     /// Tells whether another backend server than those tried is believed to have a place.
     fn has_place(&self, call: &Call, entry: &ServiceEntry, made: &Made, pick: &Pick) -> bool {
-        let tried: Vec<NodeId> = made.ids.iter().copied().chain([pick.id]).collect();
+        let tried = made.asking.excluded().iter().copied();
+        let tried: Vec<NodeId> = tried.chain([pick.id]).collect();
         self.pick(call, entry, &tried).is_some_and(|pick| pick.free)
     }
 
@@ -369,8 +384,7 @@
         original: &Original,
         made: &Made,
     ) -> Result<Response<Answer>, Failed> {
-        let repeated = made.under_policy.is_repeat().then(|| call.repeated());
-        let call = repeated.as_ref().unwrap_or(call);
+        let call = &call.attempt(made.under_policy.is_repeat(), made.asking.patience());
         let tries = made.tries;
         let mut in_flight = InFlight::new(&self.shared, &self.balancer, pick.id);
         let service = entry.name().as_str();
@@ -458,11 +472,16 @@
 
     /// Returns what the caller is told after two failed tries: what may have run once is not
     /// told to be not run because of a later refusal, and a backend server's own answer goes
-    /// before what a node would say.
-    fn worse(before: Option<Self>, now: Self) -> Self {
+    /// before what a node would say. The last guard that named a time to come back is heeded.
+    fn worse(before: Option<Self>, mut now: Self) -> Self {
         match before {
             Some(before) if now.answer.is_none() && before.is_unknown() => before,
-            Some(_) | None => now,
+            Some(before) => {
+                let after = now.refusal.retry_after.or(before.refusal.retry_after);
+                now.refusal.retry_after = after;
+                now
+            }
+            None => now,
         }
     }
 
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -66,14 +66,14 @@
         status: StatusCode,
     ) {
         let now = self.shared.clock.now();
-        let ordinary = made.ids.is_empty() && !status.is_server_error();
+        let ordinary = made.asked == 0 && !status.is_server_error();
         let log = match ordinary {
             true => self.shared.call_log.done(now),
             false => self.shared.call_log.failed(now),
         };
         if let Some(log) = log {
             info!(log, ""; "event" => Event::Answer, "id" => %call.id, "service" => %entry.name(),
-                "status" => status.as_u16(), "tries" => made.ids.len() + 1, "guard" => %pick.id,
+                "status" => status.as_u16(), "tries" => made.asked + 1, "guard" => %pick.id,
                 "rule" => ?pick.rule, "ms" => ms(now.since(made.start)),
                 "left_ms" => ms(call.due.left(now)));
         }
@@ -96,7 +96,7 @@
         let load = failed.load.map(|report| report.load);
         let load = load.map(|load| format!("{}/{}/{}", load.running, load.queued, load.limit));
         info!(log, ""; "event" => Event::Try, "id" => %call.id, "service" => %entry.name(),
-            "try" => made.ids.len(), "guard" => %pick.id, "rule" => ?pick.rule,
+            "try" => made.asked, "guard" => %pick.id, "rule" => ?pick.rule,
             "reason" => failed.refusal.reason.as_str(), "load" => load.as_deref().unwrap_or("-"),
             "next" => next.map_or_else(|why| why, told), "ms" => ms(now.since(made.start)),
             "left_ms" => ms(call.due.left(now)));
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -6,7 +6,8 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Version};
 use swiftcart_core::{
-    Attempt, Bid, Deadline, Errand, Haul, Instant, Policy, Reason, RequestClass, ServiceEntry,
+    Attempt, Bid, Deadline, Errand, Haul, Instant, Patience, Policy, Reason, RequestClass,
+    ServiceEntry,
 };
 
 use super::headers::{
@@ -125,6 +126,7 @@
         self.terms.map_or(bid, |terms| {
             bid.with_target(terms.target())
                 .with_priority(terms.priority)
+                .with_patience(terms.patience)
         })
     }
 
@@ -148,11 +150,13 @@
         }
     }
 
-    /// Returns the request as a try that follows one that reached a backend server.
+    /// Returns the request as one try: whether it follows one that reached a backend server,
+    /// and how long it may wait.
     #[must_use]
-    pub fn repeated(&self) -> Self {
+    pub fn attempt(&self, repeat: bool, patience: Patience) -> Self {
         let terms = self.terms.map(|terms| CallTerms {
-            repeat: true,
+            repeat,
+            patience,
             ..terms
         });
         Self {
--- a/crates/swiftcart-node/src/calls/terms.rs
+++ b/crates/swiftcart-node/src/calls/terms.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::HeaderValue;
-use swiftcart_core::{Policy, Priority, Reason, RequestClass};
+use swiftcart_core::{Patience, Policy, Priority, Reason, RequestClass};
 
 /// What a guard has to know of the policy of a request's route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +19,8 @@
     pub target_ms: u32,
     /// Whether a backend server got the request before.
     pub repeat: bool,
+    /// How long it may wait at the guard.
+    pub patience: Patience,
 }
 
 impl CallTerms {
@@ -41,6 +43,10 @@
             priority: Priority(next(&mut parts)?),
             target_ms: next(&mut parts)?,
             repeat: next::<u8>(&mut parts)? > 0,
+            patience: match next::<u8>(&mut parts)? {
+                0 => Patience::Short,
+                _ => Patience::Full,
+            },
         })
     }
 
@@ -66,7 +72,8 @@
             ..
         } = self;
         let repeat = u8::from(*repeat);
-        let text = format!("{class} {attempts} {priority} {target_ms} {repeat}");
+        let waits = u8::from(self.patience == Patience::Full);
+        let text = format!("{class} {attempts} {priority} {target_ms} {repeat} {waits}");
         // Letters, digits and spaces are always a header's value.
         HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
     }
@@ -80,6 +87,7 @@
             priority: policy.priority,
             target_ms: policy.target_ms,
             repeat: false,
+            patience: Patience::Full,
         }
     }
 }
