Tell all nodes when a backend server has become much faster or slower

Cause: answers carry a backend server's pace to whoever asked. And a slow backend server ends few calls, so that its own guard learnt late. Ruled out: load on every probe (four nodes a second hear it, of 74). Half of the mean age of running calls is the least pace that a guard tells. The first calls are averaged evenly.

--- a/crates/swiftcart-cli/tests/status.rs
+++ b/crates/swiftcart-cli/tests/status.rs
@@ -64,6 +64,7 @@
             connections: 130,
             readiness: Readiness::Ready,
         }),
+        pace: None,
     }
 }
 
--- a/crates/swiftcart-core/examples/call_cost/fleet.rs
+++ b/crates/swiftcart-core/examples/call_cost/fleet.rs
@@ -151,6 +151,7 @@
                 connections: 130,
                 readiness: Readiness::Ready,
             }),
+            pace: None,
         }
     };
     let members: Vec<_> = (0..count).map(member).collect();
--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -27,6 +27,13 @@
 /// The share by which the shortest time seen grows with each sample.
 const SHORTEST_DRIFT: f64 = 0.001;
 
+/// Running calls below which their ages say nothing of the backend server.
+const OVERDUE_LEAST: usize = 3;
+
+/// The part of the running calls' mean age that counts as a pace. In steady state that age
+/// is about the mean time that calls take, so that half of it does not count by chance.
+const OVERDUE_SHARE: f64 = 0.5;
+
 /// The time to come back after, when another backend server has to be found.
 const ELSEWHERE: Duration = Duration::from_millis(500);
 
@@ -95,6 +102,16 @@
     }
 }
 
+/// A request that runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Running {
+    /// How many ran when it started, itself included.
+    among: u32,
+    start: Instant,
+    /// The time within which its answer is worth most.
+    target: Option<Duration>,
+}
+
 /// Decides at a guard what its backend server is given.
 ///
 /// At most `min(announced slots, the table's concurrency, the adaptive limit)`
@@ -134,8 +151,7 @@
     /// The announced slots, cut to the table's concurrency.
     slots: u32,
     limit: AdaptiveLimit,
-    /// The running requests with the number that ran when each started.
-    running: HashMap<Ticket, u32>,
+    running: HashMap<Ticket, Running>,
     queue: Queue,
     next: u64,
     /// The mean and the shortest time that a call runs, in seconds.
@@ -143,6 +159,8 @@
     shortest: Option<f64>,
     /// The mean quotient of the time that a call runs and its target.
     pace: Option<f64>,
+    /// The calls that it is the mean of, as long as they are few.
+    paced: u32,
     promises: Promises,
     /// Requests that had to make room for more urgent ones.
     displaced: Vec<Refused>,
@@ -163,6 +181,7 @@
             mean: None,
             shortest: None,
             pace: None,
+            paced: 0,
             promises: Promises::new(now),
             displaced: Vec::new(),
         }
@@ -219,7 +238,7 @@
                 Admit::Refuse(Refusal::new(Reason::DeadlinePassed))
             }
             // What waits was started as long as there was a place; the rest has expired.
-            Gate::Open if self.running() < self.limit() => Admit::Run(self.run()),
+            Gate::Open if self.running() < self.limit() => Admit::Run(self.run(now, bid.target)),
             Gate::Open if !self.has_room(urgency) => {
                 Admit::Refuse(self.crowded(Reason::QueueFull, bid.patience, now, rng))
             }
@@ -241,7 +260,7 @@
     /// Takes in a finished request; returns the waiting requests to start.
     pub fn done(&mut self, ticket: Ticket, now: Instant, sample: &Sample) -> Vec<Ticket> {
         if let Some(running) = self.running.remove(&ticket) {
-            self.learn(sample, running);
+            self.learn(sample, running.among);
         }
         self.start(now)
     }
@@ -302,9 +321,13 @@
     }
 
     /// Returns the backend server's pace, once calls with a target have ended.
+    ///
+    /// Calls that run for long show a backend server that became slow before one of them
+    /// ends.
     #[must_use]
-    pub fn pace(&self) -> Option<Pace> {
-        self.pace.map(Pace::from_quotient)
+    pub fn pace(&self, now: Instant) -> Option<Pace> {
+        let ended = self.pace?;
+        Some(Pace::from_quotient(ended.max(self.overdue(now))))
     }
 
     fn resize(&mut self, slots: u32, limits: Limits) {
@@ -321,17 +344,34 @@
         Ticket(self.next)
     }
 
-    fn run(&mut self) -> Ticket {
+    fn run(&mut self, now: Instant, target: Option<Duration>) -> Ticket {
         let ticket = self.ticket();
-        self.hand_over(ticket);
+        self.hand_over(now, ticket, target);
         ticket
     }
 
-    fn hand_over(&mut self, ticket: Ticket) {
-        let running = self.running() + 1;
+    fn hand_over(&mut self, now: Instant, ticket: Ticket, target: Option<Duration>) {
+        let running = Running {
+            among: self.running() + 1,
+            start: now,
+            target,
+        };
         self.running.insert(ticket, running);
     }
 
+    /// Returns the least pace that the running calls let expect, 0 when they are few.
+    fn overdue(&self, now: Instant) -> f64 {
+        let quotient = |running: &Running| {
+            let target = running.target?.as_secs_f64();
+            Some(now.since(running.start).as_secs_f64() / target.max(f64::MIN_POSITIVE))
+        };
+        let quotients: Vec<f64> = self.running.values().filter_map(quotient).collect();
+        match quotients.len() {
+            n if n < OVERDUE_LEAST => 0.0,
+            n => OVERDUE_SHARE * quotients.iter().sum::<f64>() / n as f64,
+        }
+    }
+
     /// Tells whether a request would be within the queue's places, if need be in that of a
     /// less urgent one.
     fn has_room(&self, urgency: Urgency) -> bool {
@@ -363,6 +403,7 @@
             urgency: bid.urgency(now, self.settings.wait),
             until: latest.min(patience),
             reason,
+            target: bid.target,
         });
         ticket
     }
@@ -372,11 +413,11 @@
         let mut started = Vec::new();
         while self.running() < self.limit() {
             let capacity = self.capacity();
-            let Some(ticket) = self.queue.pop(now, self.settings.order, capacity) else {
+            let Some(next) = self.queue.pop(now, self.settings.order, capacity) else {
                 break;
             };
-            self.hand_over(ticket);
-            started.push(ticket);
+            self.hand_over(now, next.ticket, next.target);
+            started.push(next.ticket);
         }
         started
     }
@@ -392,8 +433,10 @@
         *shortest = secs.min(*shortest * (1.0 + SHORTEST_DRIFT));
         if let Some(target) = sample.target {
             let quotient = secs / target.as_secs_f64().max(f64::MIN_POSITIVE);
+            self.paced = self.paced.saturating_add(1);
+            let weight = f64::from(self.paced).recip().max(TIME_WEIGHT);
             let pace = self.pace.get_or_insert(quotient);
-            *pace += TIME_WEIGHT * (quotient - *pace);
+            *pace += weight * (quotient - *pace);
         }
         self.limit.learn(sample.latency, running);
     }
--- a/crates/swiftcart-core/src/admission/queue.rs
+++ b/crates/swiftcart-core/src/admission/queue.rs
@@ -1,6 +1,7 @@
 //! The short queue in front of one backend server.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use super::Ticket;
 use super::bid::Urgency;
@@ -26,6 +27,8 @@
     pub(super) until: Instant,
     /// Why it is refused after that.
     pub(super) reason: Reason,
+    /// The time within which its answer is worth most.
+    pub(super) target: Option<Duration>,
 }
 
 /// Holds the waiting requests, the most urgent first and the oldest first among equals.
@@ -63,14 +66,14 @@
     }
 
     /// Takes the next request that can still be started at `now`.
-    pub(super) fn pop(&mut self, now: Instant, order: Order, capacity: usize) -> Option<Ticket> {
+    pub(super) fn pop(&mut self, now: Instant, order: Order, capacity: usize) -> Option<Waiting> {
         let mut live = self.waiting.iter();
         let fits = |w: &Waiting| w.until > now;
         let i = match order {
             Order::AdaptiveLifo if self.waiting.len() * 2 > capacity => live.rposition(fits),
             Order::AdaptiveLifo | Order::Fifo => live.position(fits),
         };
-        self.waiting.remove(i?).map(|w| w.ticket)
+        self.waiting.remove(i?)
     }
 
     /// Takes a request out; returns whether it was there.
--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod peer;
 mod sample;
+mod telling;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 use choice::Choice;
 use peer::Peer;
 pub use sample::*;
+pub use telling::*;
 
 /// The target that stands in for an unknown one, in the middle of those of the users' routes.
 const USUAL_TARGET: Duration = Duration::from_millis(400);
@@ -158,7 +160,7 @@
 /// # };
 /// # let member = Member {
 /// #     id: NodeId(addr), sync: addr, peer: addr, admin: addr, domain: domain.clone(),
-/// #     incarnation: Incarnation(1), liveness: Liveness::Alive, backend: Some(backend),
+/// #     incarnation: Incarnation(1), liveness: Liveness::Alive, backend: Some(backend), pace: None,
 /// # };
 /// # let table = Table::new().with_service("sensor", Limits::default());
 /// # let view = View::new(Version(1), &table, [&member].into_iter(), me, &domain);
@@ -212,6 +214,11 @@
                 peer.service = service;
                 peer.departed = false;
             }
+            for candidate in entry.candidates() {
+                if let Some(peer) = self.peers.get_mut(&candidate.id) {
+                    peer.hear(candidate.pace);
+                }
+            }
             self.groups.push(ids);
         }
         self.peers.retain(|_, p| !p.departed || p.running > 0);
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -43,6 +43,8 @@
     loaded: Instant,
     /// The last pace heard of.
     pace: Option<Pace>,
+    /// The last one that was told to all nodes.
+    told: Option<Pace>,
     failing: f64,
     judged: Instant,
     streak: u32,
@@ -62,6 +64,7 @@
             usage: 0.0,
             loaded: now,
             pace: None,
+            told: None,
             failing: 0.0,
             judged: now,
             streak: 0,
@@ -110,6 +113,14 @@
         }
     }
 
+    /// Takes the pace that its node has told all others, unless it is known already.
+    pub(super) fn hear(&mut self, told: Option<Pace>) {
+        if self.told != told {
+            self.told = told;
+            self.pace = told.or(self.pace);
+        }
+    }
+
     /// Takes it out of the choice, for twice as long as the last time.
     pub(super) fn eject(&mut self, now: Instant, s: &BalanceSettings) {
         let factor = 1 << self.ejections.min(MOST_DOUBLINGS);
--- a/crates/swiftcart-core/src/member/entry.rs
+++ b/crates/swiftcart-core/src/member/entry.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ServiceName;
+use crate::{Pace, ServiceName};
 
 /// Names a node by the address of its membership datagrams; a restart keeps it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -122,6 +122,8 @@
     pub liveness: Liveness,
     /// The backend server beside it, when one has announced itself.
     pub backend: Option<Backend>,
+    /// How long that one's calls take, when it is known; not told again for each change.
+    pub pace: Option<Pace>,
 }
 
 impl Member {
@@ -137,6 +139,7 @@
             incarnation,
             liveness: Liveness::Alive,
             backend: None,
+            pace: None,
         }
     }
 
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -10,7 +10,9 @@
 use super::spread::{Difference, status_of};
 use super::verdict::Watch;
 use super::{Action, Applied, Gossip, Kind, List, MemberCounts, NewsQueue, Probes, Reach, Relay};
-use crate::{Backend, Beat, Datagram, Head, Incarnation, Instant, Liveness, Member, News, NodeId};
+use crate::{
+    Backend, Beat, Datagram, Head, Incarnation, Instant, Liveness, Member, News, NodeId, Pace,
+};
 
 /// Seeds that are asked at once; some of those that a directory names may be gone.
 const SEEDS_AT_ONCE: usize = 6;
@@ -220,6 +222,16 @@
     pub fn update_me(&mut self, now: Instant, backend: Option<Backend>) -> Vec<Action> {
         if self.me.backend != backend {
             self.me.backend = backend;
+            self.me.pace = None;
+            self.step_over(now, self.me.incarnation);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Tells all nodes how long the calls of the own backend server take.
+    pub fn tell_pace(&mut self, now: Instant, pace: Pace) -> Vec<Action> {
+        if self.me.backend.is_some() && self.me.pace != Some(pace) {
+            self.me.pace = Some(pace);
             self.step_over(now, self.me.incarnation);
         }
         std::mem::take(&mut self.out)
--- a/crates/swiftcart-core/src/view/entry.rs
+++ b/crates/swiftcart-core/src/view/entry.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{Backend, FailureDomain, Limits, Member, NodeId, Readiness, Reason, ServiceName};
+use crate::{Backend, FailureDomain, Limits, Member, NodeId, Pace, Readiness, Reason, ServiceName};
 
 /// Names a backend server that may be given a request, by the node beside it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -15,6 +15,8 @@
     pub slots: u32,
     /// Whether it is in the failure domain of the view's node.
     pub near: bool,
+    /// How long its calls take, as its node has told all others.
+    pub pace: Option<Pace>,
 }
 
 /// Holds what a node knows of one service: its limits and its backend servers.
@@ -103,6 +105,7 @@
             peer: member.peer,
             slots: backend.slots,
             near: member.domain == *domain,
+            pace: member.pace,
         };
         if member.id == me {
             self.own = Some(candidate);
--- a/crates/swiftcart-core/tests/support/mod.rs
+++ b/crates/swiftcart-core/tests/support/mod.rs
@@ -28,6 +28,7 @@
             connections: 130,
             readiness: Readiness::Ready,
         }),
+        pace: None,
     }
 }
 
--- a/crates/swiftcart-core/tests/wire.rs
+++ b/crates/swiftcart-core/tests/wire.rs
@@ -31,6 +31,7 @@
             connections: 130,
             readiness: Readiness::Ready,
         }),
+        pace: Some(Pace(250)),
     }
 }
 
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -94,7 +94,7 @@
     /// Returns the backend server's pace, once it is known.
     #[must_use]
     pub fn pace(&self) -> Option<Pace> {
-        self.lock().admission.pace()
+        self.lock().admission.pace(self.clock.now())
     }
 
     /// Waits for the right to run a request.
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -108,8 +108,9 @@
         let upstream = self.upstream.load();
         let upstream = upstream.as_ref()?;
         let load = upstream.load();
+        let pace = self.note_pace(upstream);
         let mut text = format!("{} {} {}", load.running, load.queued, load.limit);
-        if let Some(Pace(pace)) = upstream.pace() {
+        if let Some(Pace(pace)) = pace {
             text.push_str(&format!(" {pace}"));
         }
         HeaderValue::try_from(text).ok()
@@ -130,10 +131,18 @@
         let upstream = upstream.as_ref()?;
         Some(Report {
             load: upstream.load(),
-            pace: upstream.pace(),
+            pace: self.note_pace(upstream),
         })
     }
 
+    /// Returns the pace, and shows it to the part of the node that tells all others.
+    fn note_pace(&self, upstream: &Upstream) -> Option<Pace> {
+        let pace = upstream.pace();
+        let shown = pace.map_or(0, |Pace(pace)| pace);
+        self.shared.pace.store(shown, Ordering::Relaxed);
+        pace
+    }
+
     /// Closes unused connections and shows the load.
     pub fn sweep(&self) {
         let upstream = self.upstream.load();
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -8,7 +8,7 @@
 use slog::{info, warn};
 use swiftcart_core::{
     Backend, Datagram, Incarnation, Instant, Liveness, Member, Membership, MeshKey, NodeId,
-    SyncReply, SyncRequest,
+    PaceTelling, SyncReply, SyncRequest,
 };
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
@@ -53,6 +53,8 @@
     pub(super) found: bool,
     /// Held open for as long as the node runs.
     _finder: Option<Finder>,
+    /// When the pace of the own backend server is told to all nodes.
+    pub(super) telling: PaceTelling,
     pub(super) left: bool,
     /// Whether members or the version changed since the view was built.
     pub(super) stale: bool,
@@ -87,6 +89,7 @@
             backend: shared.backend.subscribe(),
             found: finder.is_none(),
             _finder: finder,
+            telling: PaceTelling::default(),
             left: false,
             stale: true,
             down: false,
@@ -134,6 +137,7 @@
         self.membership.set_head(self.stream.source.head());
         let actions = self.membership.tick(now);
         self.act(actions);
+        self.tell_pace();
         let todo = self.stream.on_tick(now, &self.roster.witnesses);
         self.follow_up(todo);
         let duty = self.duty(now);
@@ -242,5 +246,6 @@
         incarnation: Incarnation(unix_ms()),
         liveness: Liveness::Alive,
         backend: shared.backend.borrow().clone(),
+        pace: None,
     }
 }
--- a/crates/swiftcart-node/src/control/members.rs
+++ b/crates/swiftcart-node/src/control/members.rs
@@ -1,7 +1,9 @@
 //! Carries out what the membership asks for.
 
+use std::sync::atomic::Ordering;
+
 use slog::{info, warn};
-use swiftcart_core::{Action, NodeId, SyncRequest};
+use swiftcart_core::{Action, NodeId, Pace, PaceTelling, SyncRequest};
 
 use super::control_loop::Control;
 use super::roster::Roster;
@@ -12,10 +14,26 @@
         let backend = self.backend.borrow_and_update().clone();
         let now = self.now();
         let actions = self.membership.update_me(now, backend);
+        // What is known of the pace may be another backend server's.
+        self.telling = PaceTelling::default();
+        self.shared.pace.store(0, Ordering::Relaxed);
         self.act(actions);
         self.stale = true;
     }
 
+    /// Tells all nodes when the own backend server has become much faster or slower.
+    pub(super) fn tell_pace(&mut self) {
+        let now = self.now();
+        let pace = match self.shared.pace.load(Ordering::Relaxed) {
+            0 => None,
+            pace => Some(Pace(pace)),
+        };
+        if let Some(pace) = self.telling.due(now, pace) {
+            let actions = self.membership.tell_pace(now, pace);
+            self.act(actions);
+        }
+    }
+
     /// Takes the nodes that the directory names.
     pub(super) fn on_found(&mut self, found: Vec<NodeId>) {
         self.found = true;
@@ -61,7 +79,8 @@
     fn log_member(&self, id: NodeId) {
         if let Some(member) = self.membership.member(id) {
             info!(self.shared.logger, ""; "event" => Event::Member, "id" => %id,
-                "liveness" => ?member.liveness, "incarnation" => member.incarnation.0);
+                "liveness" => ?member.liveness, "incarnation" => member.incarnation.0,
+                "pace" => member.pace.map(|pace| pace.0));
         }
     }
 
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the parts of one node share: settings, routing view, state and the stop signal.
 
 use std::fmt;
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -84,6 +85,8 @@
     pub backend: watch::Sender<Option<Backend>>,
     /// The id by which the backend server calls itself, and those of its predecessors.
     pub beside: Mutex<Beside>,
+    /// The backend server's pace in thousandths, 0 while it is not known.
+    pub pace: AtomicU32,
     /// When the announcement ends unless it is renewed.
     pub expiry: watch::Sender<Option<tokio::time::Instant>>,
     /// What this node is cut off from, in builds for failure tests.
@@ -132,6 +135,7 @@
             phase: watch::Sender::new(Phase::default()),
             backend: watch::Sender::new(None),
             beside: Mutex::default(),
+            pace: AtomicU32::new(0),
             expiry: watch::Sender::new(None),
             faults: Faults::from_env(),
             stopping: CancellationToken::new(),
