Add a soak that plays random faults from seeds against the real programs

Ruled out: a cluster simulator (the core has virtual time for decisions). Change: cargo xtask soak draws faults from a seed: nodes killed, stopped, paused and restarted by signals, the log's and backend servers' stand-ins misbehaving, loopback proxies before the platform and each node that delay, reset, silence or cut one way. It checks what callers were told against what backend servers counted, that versions never go back, and that everything is served afterwards.

--- a/xtask/src/child.rs
+++ b/xtask/src/child.rs
@@ -105,8 +105,30 @@
     ///
     /// Returns an [`Error`] when the process cannot be waited for.
     pub fn terminate(&mut self) -> Result<(), Error> {
+        self.signal(libc::SIGTERM)
+    }
+
+    /// Makes it stand still until [`resume`](Self::resume).
+    ///
+    /// # Errors
+    ///
+    /// Its state cannot be asked.
+    pub fn pause(&mut self) -> Result<(), Error> {
+        self.signal(libc::SIGSTOP)
+    }
+
+    /// Lets it go on.
+    ///
+    /// # Errors
+    ///
+    /// Its state cannot be asked.
+    pub fn resume(&mut self) -> Result<(), Error> {
+        self.signal(libc::SIGCONT)
+    }
+
+    fn signal(&mut self, signal: libc::c_int) -> Result<(), Error> {
         if self.ended()?.is_none() {
-            send_term(self.process.id());
+            send(self.process.id(), signal);
         }
         Ok(())
     }
@@ -125,7 +147,9 @@
 impl Drop for Child {
     fn drop(&mut self) {
         if matches!(self.process.try_wait(), Ok(None)) {
-            send_term(self.process.id());
+            // A process that stands still ends only once it goes on.
+            send(self.process.id(), libc::SIGTERM);
+            send(self.process.id(), libc::SIGCONT);
         }
         if !self.wait_until(Instant::now() + GRACE) {
             self.kill();
@@ -161,13 +185,13 @@
 
 /// Sends SIGTERM to a child that has not been waited for.
 #[expect(unsafe_code, reason = "the standard library can only send SIGKILL")]
-fn send_term(id: u32) {
+fn send(id: u32, signal: libc::c_int) {
     let Ok(id) = libc::pid_t::try_from(id) else {
         return;
     };
     // SAFETY: `kill` takes no pointers. The id is that of a child of ours which was
     // not waited for, so it cannot have been given to another process.
     unsafe {
-        libc::kill(id, libc::SIGTERM);
+        libc::kill(id, signal);
     }
 }
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,11 +1,11 @@
 //! A whole mesh on this machine: real processes, a real table, load and failures.
 
 mod added;
-mod audit;
-mod calls;
+pub(crate) mod audit;
+pub(crate) mod calls;
 mod failures;
-mod figures;
-mod publishing;
+pub(crate) mod figures;
+pub(crate) mod publishing;
 mod restart;
 mod tool;
 
--- a/xtask/src/demo/audit.rs
+++ b/xtask/src/demo/audit.rs
@@ -7,7 +7,7 @@
 use crate::fleet::Fleet;
 
 /// Returns the executions of all backend servers that run.
-pub(super) async fn ledger(fleet: &Fleet) -> Result<Ledger, Error> {
+pub(crate) async fn ledger(fleet: &Fleet) -> Result<Ledger, Error> {
     let mut sum = Ledger::default();
     for instance in fleet.instances.iter().filter(|i| i.backend.is_some()) {
         let addr = instance.addrs.backend;
@@ -18,13 +18,13 @@
 }
 
 /// Returns what a backend server has counted.
-pub(super) async fn stats(fleet: &Fleet, i: usize) -> Result<BackendStats, Error> {
+pub(crate) async fn stats(fleet: &Fleet, i: usize) -> Result<BackendStats, Error> {
     let addr = fleet.instances[i].addrs.backend;
     fleet.client.json(addr, "/standin/stats").await
 }
 
 /// Checks the promises that hold for every call, whatever fails meanwhile.
-pub(super) fn check(figures: &mut Figures, reports: &[&Report], ledger: &Ledger) {
+pub(crate) fn check(figures: &mut Figures, reports: &[&Report], ledger: &Ledger) {
     let told = || reports.iter().flat_map(|report| &report.told);
     let count = |verdict: &str| told().filter(|t| t.verdict == verdict).count();
     let wrong = count("foreign") + count("corrupt");
@@ -60,7 +60,7 @@
 }
 
 /// Checks that no request without a key was executed twice.
-pub(super) fn check_once(figures: &mut Figures, report: &Report, ledger: &Ledger) {
+pub(crate) fn check_once(figures: &mut Figures, report: &Report, ledger: &Ledger) {
     let runs = |id: &str| ledger.callers.get(id).map_or(0, |runs| runs.started);
     let most = report
         .told
@@ -79,7 +79,7 @@
 }
 
 /// Checks that no key was executed twice.
-pub(super) fn check_keys(figures: &mut Figures, ledger: &Ledger) {
+pub(crate) fn check_keys(figures: &mut Figures, ledger: &Ledger) {
     let most = ledger
         .keys
         .values()
@@ -97,7 +97,7 @@
 }
 
 /// Checks that every call of an undisturbed load had a good answer.
-pub(super) fn check_all_good(figures: &mut Figures, what: &str, report: &Report) {
+pub(crate) fn check_all_good(figures: &mut Figures, what: &str, report: &Report) {
     let lost = report.offered - report.good;
     figures.promise(
         what,
--- a/xtask/src/demo/calls.rs
+++ b/xtask/src/demo/calls.rs
@@ -15,13 +15,13 @@
 const ANSWER: u64 = 20_000;
 
 /// Mean time of a keyed request at the backend server, in milliseconds.
-pub(super) const KEYED_MS: f64 = 20.0;
+pub(crate) const KEYED_MS: f64 = 20.0;
 
 /// How long a caller waits, in milliseconds.
 const TIMEOUT_MS: u64 = 10_000;
 
 /// Returns what each instance of a mesh is, spread over the failure domains.
-pub(super) fn roles(mesh: &Mesh) -> Vec<Role> {
+pub(crate) fn roles(mesh: &Mesh) -> Vec<Role> {
     let domain = |i: usize| mesh.domains[i % mesh.domains.len()].to_owned();
     let placed = mesh.placement().enumerate();
     placed
@@ -47,7 +47,7 @@
 }
 
 /// Returns one kind of call of the mesh's callers.
-pub(super) fn shape(mesh: &Mesh, kind: Kind) -> Shape {
+pub(crate) fn shape(mesh: &Mesh, kind: Kind) -> Shape {
     let path = mesh.service(kind).prefix;
     match kind {
         Kind::Read | Kind::Next => Shape::read(path).with_bytes(ANSWER),
@@ -57,7 +57,7 @@
 }
 
 /// Returns a load without repeats, so that each answer speaks for one try.
-pub(super) fn load(targets: Vec<SocketAddr>, rate: f64, ms: u64, seed: u64) -> Load {
+pub(crate) fn load(targets: Vec<SocketAddr>, rate: f64, ms: u64, seed: u64) -> Load {
     Load::new(targets)
         .with_rate(rate)
         .with_duration_ms(ms)
@@ -70,7 +70,7 @@
 }
 
 /// Returns a load of every kind of call: many reads, some bookings, a few uploads.
-pub(super) fn mixed(mesh: &Mesh, targets: Vec<SocketAddr>, rate: f64, ms: u64, seed: u64) -> Load {
+pub(crate) fn mixed(mesh: &Mesh, targets: Vec<SocketAddr>, rate: f64, ms: u64, seed: u64) -> Load {
     load(targets, rate, ms, seed)
         .with_shape(shape(mesh, Kind::Read), 80)
         .with_shape(shape(mesh, Kind::Keyed), 16)
@@ -78,7 +78,7 @@
 }
 
 /// Returns where callers reach the nodes with these numbers.
-pub(super) fn targets(fleet: &Fleet, numbers: &[usize]) -> Vec<SocketAddr> {
+pub(crate) fn targets(fleet: &Fleet, numbers: &[usize]) -> Vec<SocketAddr> {
     let addr = |&i: &usize| fleet.instances[i].addrs.calls;
     numbers.iter().map(addr).collect()
 }
--- a/xtask/src/demo/figures.rs
+++ b/xtask/src/demo/figures.rs
@@ -12,7 +12,7 @@
 
 /// Collects the demo's figures and checked promises, in the order of the run.
 #[derive(Debug, Default)]
-pub(super) struct Figures {
+pub(crate) struct Figures {
     lines: Vec<Line>,
 }
 
@@ -29,18 +29,18 @@
 
 impl Figures {
     /// Begins a part of the report.
-    pub(super) fn section(&mut self, title: &'static str) {
+    pub(crate) fn section(&mut self, title: &'static str) {
         println!("==> {title}");
         self.lines.push(Line::Section(title));
     }
 
     /// Adds a figure that decides nothing.
-    pub(super) fn figure(&mut self, name: impl Into<String>, value: impl Into<String>) {
+    pub(crate) fn figure(&mut self, name: impl Into<String>, value: impl Into<String>) {
         self.lines.push(Line::Figure(name.into(), value.into()));
     }
 
     /// Adds a promise with what was measured of it.
-    pub(super) fn promise(
+    pub(crate) fn promise(
         &mut self,
         text: impl Into<String>,
         measured: impl fmt::Display,
@@ -58,7 +58,7 @@
     }
 
     /// Adds what became of the calls of a load.
-    pub(super) fn calls(&mut self, name: &str, report: &Report) {
+    pub(crate) fn calls(&mut self, name: &str, report: &Report) {
         let list = |counts: &std::collections::BTreeMap<String, u64>| {
             let pairs = counts.iter().map(|(name, count)| format!("{name} {count}"));
             pairs.collect::<Vec<_>>().join(", ")
@@ -87,12 +87,12 @@
     }
 
     /// Returns whether every promise held.
-    pub(super) fn verdict(&self) -> Verdict {
+    pub(crate) fn verdict(&self) -> Verdict {
         self.broken().next().is_none().into()
     }
 
     /// Returns the promises that broke.
-    pub(super) fn broken(&self) -> impl Iterator<Item = &str> {
+    pub(crate) fn broken(&self) -> impl Iterator<Item = &str> {
         self.lines.iter().filter_map(|line| match line {
             Line::Promise {
                 text, holds: false, ..
@@ -145,16 +145,16 @@
 }
 
 /// Returns p50 and p99 in words.
-pub(super) fn quantiles(q: &Quantiles) -> String {
+pub(crate) fn quantiles(q: &Quantiles) -> String {
     format!("p50 {} ms, p99 {} ms", millis(q.p50), millis(q.p99))
 }
 
 /// Returns microseconds as milliseconds.
-pub(super) fn millis(us: u64) -> String {
+pub(crate) fn millis(us: u64) -> String {
     format!("{:.2}", us as f64 / 1000.0)
 }
 
 /// Returns a duration in seconds.
-pub(super) fn seconds(time: Duration) -> String {
+pub(crate) fn seconds(time: Duration) -> String {
     format!("{:.2} s", time.as_secs_f64())
 }
--- a/xtask/src/demo/publishing.rs
+++ b/xtask/src/demo/publishing.rs
@@ -27,7 +27,7 @@
 const CHANGE_MS: u64 = 8000;
 
 /// Publishes the mesh's table through the operators' tool.
-pub(super) async fn first(
+pub(crate) async fn first(
     mesh: &Mesh,
     fleet: &mut Fleet,
     figures: &mut Figures,
@@ -40,7 +40,7 @@
 }
 
 /// Changes weights while callers call, and measures the shares afterwards.
-pub(super) async fn weights(
+pub(crate) async fn weights(
     mesh: &Mesh,
     fleet: &mut Fleet,
     figures: &mut Figures,
@@ -73,7 +73,7 @@
 }
 
 /// Publishes two sheets that were made from the same version and change the same row.
-pub(super) async fn race(
+pub(crate) async fn race(
     mesh: &Mesh,
     fleet: &mut Fleet,
     figures: &mut Figures,
--- a/xtask/src/demo/tool.rs
+++ b/xtask/src/demo/tool.rs
@@ -14,7 +14,7 @@
 
 /// How a publish ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum Publish {
+pub(crate) enum Publish {
     /// The table has this version.
     Accepted(Version),
     /// Nothing changed; what the tool said.
@@ -23,7 +23,7 @@
 
 /// Knows the platform and a node to ask.
 #[derive(Debug, Clone)]
-pub(super) struct Tool {
+pub(crate) struct Tool {
     options: Vec<String>,
 }
 
@@ -36,7 +36,7 @@
 
 impl Tool {
     /// Creates the tool for a mesh, with every node that runs as one to ask.
-    pub(super) fn new(fleet: &Fleet) -> Self {
+    pub(crate) fn new(fleet: &Fleet) -> Self {
         let nodes = fleet.running().into_iter().take(8).flat_map(|i| {
             let admin = fleet.instances[i].addrs.admin;
             ["--node".to_owned(), admin.to_string()]
@@ -48,18 +48,18 @@
     }
 
     /// Checks a sheet without the platform.
-    pub(super) async fn check(&self, sheet: &Path) -> Result<(), Error> {
+    pub(crate) async fn check(&self, sheet: &Path) -> Result<(), Error> {
         self.run(&["table", "check"], &[], sheet).await.map(drop)
     }
 
     /// Writes the table in force to `sheet`.
-    pub(super) async fn pull(&self, sheet: &Path) -> Result<(), Error> {
+    pub(crate) async fn pull(&self, sheet: &Path) -> Result<(), Error> {
         let words = ["table", "pull", "--force", "--output"];
         self.run(&words, &self.options, sheet).await.map(drop)
     }
 
     /// Publishes a sheet and waits until its version is in force on every node.
-    pub(super) async fn publish(&self, sheet: &Path, author: &str) -> Result<Publish, Error> {
+    pub(crate) async fn publish(&self, sheet: &Path, author: &str) -> Result<Publish, Error> {
         let words = [
             "table",
             "publish",
@@ -107,7 +107,7 @@
 }
 
 /// Returns the committed table of a mesh.
-pub(super) fn example(mesh: &str) -> PathBuf {
+pub(crate) fn example(mesh: &str) -> PathBuf {
     let name = format!("examples/tables/{mesh}.csv");
     crate::command::root().join(name)
 }
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -16,6 +16,7 @@
 mod proc;
 mod prom;
 mod red;
+mod soak;
 mod spec;
 mod summary;
 mod test;
@@ -30,6 +31,7 @@
 pub use proc::Usage;
 pub use prom::Scrape;
 pub use red::{KnownRed, Ledger};
+pub use soak::{Fault, Proxy, REGRESSIONS, Step, Wire, draw};
 pub use spec::{Model, SpecRun, read_models};
 pub use summary::Summary;
 pub use verdict::Verdict;
@@ -44,6 +46,7 @@
   demo     a whole mesh on this machine, with a report; `--mesh lima|bogota`
   check    format, lint and docs only
   bench    measure against the baselines; `bench --help` lists the options
+  soak     the real programs under random faults, by seed; `soak --help` lists the options
   spec     check the models in specs/, with each guard in place and taken out
   help     print this text
 
@@ -58,6 +61,7 @@
     match args.split_first().map(|(name, rest)| (name.as_str(), rest)) {
         Some(("demo", rest)) => live::run(rest, demo::run),
         Some(("bench", rest)) => live::run(rest, bench::run),
+        Some(("soak", rest)) => live::run(rest, soak::run),
         Some(("poller", rest)) => live::poll(rest),
         Some(("test", [])) => test::run(),
         Some(("check", [])) => check::run(),
