--- /dev/null
+++ b/crates/swiftcart-node/src/calls/ingress/retrying.rs
@@ -0,0 +1,92 @@
+//! Whether a request is tried again, and where.
+
+use swiftcart_core::{
+    Failure, Next, NodeId, Outcome, Pick, Reason, RetryCause, ServiceEntry, Terms,
+};
+
+use super::original::Original;
+use super::{Failed, Ingress, Made, lock};
+use crate::calls::request::Call;
+
+impl Ingress {
+    /// Tells whether another try is allowed and where it may go, and counts it.
+    pub(super) fn may_retry(
+        &self,
+        call: &Call,
+        entry: &ServiceEntry,
+        original: &Original,
+        made: &mut Made,
+        pick: &Pick,
+        failed: &Failed,
+    ) -> Result<Next, &'static str> {
+        let counters = &self.shared.counters;
+        let result = match (original.is_whole(), call.terms) {
+            (false, _) => Err("body-sent"),
+            (true, Some(terms)) => self
+                .retry_by_policy(call, terms.attempts, entry, made, pick, failed)
+                .map_err(Reason::as_str),
+            (true, None) => self
+                .retry(call, made, failed)
+                .map(|()| Next::Other)
+                .map_err(Reason::as_str),
+        };
+        match result {
+            Ok(_) => counters.retry(failed.refusal.reason.as_str()),
+            Err(why) => counters.count("swiftcart_retry_refusals_total", "reason", why),
+        }
+        result
+    }
+
+    fn retry(&self, call: &Call, made: &mut Made, failed: &Failed) -> Result<(), Reason> {
+        let failure = Failure {
+            reason: failed.refusal.reason,
+            retried: failed.retried && !made.tries.retried(),
+        };
+        let now = self.shared.clock.now();
+        let budget = &mut lock(&self.budget);
+        // A key makes a repeat harmless only once its claim decides; the guards' answers say so.
+        let tries = &mut made.tries;
+        tries
+            .retry(now, failure, call.idempotent, call.due, budget)
+            .map(drop)
+    }
+
+    fn retry_by_policy(
+        &self,
+        call: &Call,
+        attempts: u8,
+        entry: &ServiceEntry,
+        made: &mut Made,
+        pick: &Pick,
+        failed: &Failed,
+    ) -> Result<Next, Reason> {
+        let now = self.shared.clock.now();
+        let terms = Terms {
+            idempotent: call.idempotent,
+            attempts,
+        };
+        let reason = failed.refusal.reason;
+        // Under overload failures follow from refusals, and repeats would make more of them.
+        if reason == Reason::ServerError && !self.has_place(call, entry, made, pick) {
+            return Err(reason);
+        }
+        let cause = match reason.outcome() {
+            Outcome::NotRun => RetryCause::Refused,
+            Outcome::Unknown | Outcome::Done => RetryCause::Failed,
+        };
+        let nodes = self.shared.members.load().len();
+        let budget = || match &self.fleet {
+            Some(fleet) => lock(fleet).take(now, entry.name(), nodes, cause),
+            None => lock(&self.budget).take(now),
+        };
+        let tries = &mut made.under_policy;
+        tries.retry(now, pick.id, reason, terms, call.due, budget)
+    }
+
+    /// Tells whether another backend server than those tried is believed to have a place.
+    fn has_place(&self, call: &Call, entry: &ServiceEntry, made: &Made, pick: &Pick) -> bool {
+        let tried = made.asking.excluded().iter().copied();
+        let tried: Vec<NodeId> = tried.chain([pick.id]).collect();
+        self.pick(call, entry, &tried).is_some_and(|pick| pick.free)
+    }
+}
