Start and await the soak's callers as the demo does

Cause: the soak had a copy of the demo's way to start and join a load, and its fresh seeds fell back to a constant which a comment called the clock. Change: the soak uses the demo's functions; a fresh seed is one drawn number.

--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -3,7 +3,7 @@
 mod added;
 pub(crate) mod audit;
 pub(crate) mod calls;
-mod failures;
+pub(crate) mod failures;
 pub(crate) mod figures;
 pub(crate) mod publishing;
 mod restart;
--- a/xtask/src/demo/failures.rs
+++ b/xtask/src/demo/failures.rs
@@ -210,13 +210,13 @@
     Ok(reports)
 }
 
-type Run = JoinHandle<Result<Report, swiftcart_standin::Error>>;
+pub(crate) type Run = JoinHandle<Result<Report, swiftcart_standin::Error>>;
 
-fn start(load: Load) -> Run {
+pub(crate) fn start(load: Load) -> Run {
     tokio::spawn(load.run())
 }
 
-async fn join(run: Run) -> Result<Report, Error> {
+pub(crate) async fn join(run: Run) -> Result<Report, Error> {
     let ended = run.await;
     Ok(ended.map_err(|e| Error::Program("load".to_owned(), e.into()))??)
 }
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -12,8 +12,8 @@
 use std::time::{Duration, Instant};
 
 use getopts::Options;
-use rand::RngCore;
-use rand::rngs::OsRng;
+use rand::rngs::SmallRng;
+use rand::{RngCore, SeedableRng};
 
 use crate::{Error, Verdict};
 
@@ -93,13 +93,9 @@
     Ok(failed.is_empty().into())
 }
 
+/// Draws a seed that a person can type.
 fn fresh_seed() -> u64 {
-    // Numbers that a person can type; without random numbers the clock has to do.
-    let mut bytes = [0; 4];
-    match rand::TryRngCore::try_fill_bytes(&mut OsRng, &mut bytes) {
-        Ok(()) => u64::from(u32::from_le_bytes(bytes)),
-        Err(_) => rand::rngs::SmallRng::next_u64(&mut rand::SeedableRng::seed_from_u64(0)),
-    }
+    u64::from(SmallRng::from_os_rng().next_u32())
 }
 
 fn bad(err: impl std::fmt::Display) -> Error {
--- a/xtask/src/soak/run.rs
+++ b/xtask/src/soak/run.rs
@@ -6,11 +6,11 @@
 
 use serde_json::{Value, json};
 use swiftcart_core::Version;
-use swiftcart_standin::{BackendFaults, Load, LogFaults, Report, Shape};
-use tokio::task::JoinHandle;
+use swiftcart_standin::{BackendFaults, Load, LogFaults, Shape};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{Fault, Proxy, Step, Wire, draw};
+use crate::demo::failures::{Run, join, start};
 use crate::demo::figures::Figures;
 use crate::demo::{audit, calls, publishing};
 use crate::fleet::Fleet;
@@ -120,8 +120,8 @@
                 .with_timeout_ms(DEADLINE_MS)
         };
         (
-            tokio::spawn(bounded(mixed).run()),
-            tokio::spawn(bounded(single.with_shape(post, 1)).run()),
+            start(bounded(mixed)),
+            start(bounded(single.with_shape(post, 1))),
         )
     }
 
@@ -265,10 +265,3 @@
         self.fleet.client.put(addr, "/standin/faults", faults).await
     }
 }
-
-type Run = JoinHandle<Result<Report, swiftcart_standin::Error>>;
-
-async fn join(run: Run) -> Result<Report, Error> {
-    let ended = run.await;
-    Ok(ended.map_err(|e| Error::Program("load".to_owned(), e.into()))??)
-}
