Let failed connections raise the doubt in a failure domain, and give it up sooner

Cause: a failure domain that is cut off was named 3 to 5 s after the cut: a node probes each other domain every 2 to 4 s and then waited 3 s. Until then requests went there, and each waited 150 ms for a connection or lost its answer. Ruled out: naming the domain by failed connections alone (one dead node would do it); telling the others of it (the cut may be on this side). Change: the ingress notes nodes to which no connection opened, the control loop hands them to the membership, and their domain is in doubt and probed at once. A domain in doubt is given up after 1.2 s without a word from any of its nodes, in place of 3 s.

--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -237,6 +237,21 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Notes that a connection to `node`, tried at `tried`, did not open.
+    ///
+    /// Requests meet a failure domain that is cut off before the next probe does. The domain is
+    /// in doubt from then on: it is probed at once, and given up unless one of its nodes is
+    /// heard of.
+    pub fn unreached(&mut self, now: Instant, tried: Instant, node: NodeId) {
+        let far = self.list.get(node).filter(|member| !self.is_own(member));
+        let Some(domain) = far.map(|member| member.domain.clone()) else {
+            return;
+        };
+        if now >= self.grace_until && self.reach.missed(&domain, tried, now) {
+            self.next_probe = now;
+        }
+    }
+
     /// Leaves: tells some nodes at once, and answers every later probe with it.
     pub fn leave(&mut self, now: Instant) -> Vec<Action> {
         self.me.liveness = Liveness::Left;
--- a/crates/swiftcart-core/src/member/reach.rs
+++ b/crates/swiftcart-core/src/member/reach.rs
@@ -35,12 +35,14 @@
         was
     }
 
-    /// Notes a missed probe that was sent at `sent`.
-    pub fn missed(&mut self, domain: &FailureDomain, sent: Instant, now: Instant) {
+    /// Notes a missed probe that was sent at `sent`; returns whether it raised the doubt.
+    pub fn missed(&mut self, domain: &FailureDomain, sent: Instant, now: Instant) -> bool {
         let contact = self.contacts.entry(domain.clone()).or_default();
-        if contact.heard <= sent {
-            contact.failed.get_or_insert(now);
+        let raised = contact.heard <= sent && contact.failed.is_none();
+        if raised {
+            contact.failed = Some(now);
         }
+        raised
     }
 
     /// Takes the failure domains that have now been silent for too long.
--- a/crates/swiftcart-core/src/member/settings.rs
+++ b/crates/swiftcart-core/src/member/settings.rs
@@ -39,7 +39,9 @@
     pub pause: Duration,
     /// How long a process accuses nobody after a pause.
     pub grace: Duration,
-    /// How long a failure domain stays silent after a missed probe until it is unreachable.
+    /// How long a failure domain stays silent after a missed probe until it is unreachable. A
+    /// domain in doubt is probed with every round; two more lost probes say enough where one
+    /// in twenty is lost, and each second of waiting costs requests that are sent there.
     pub cut_after: Duration,
     /// How long the hash of the member list may differ from a peer's before a pull.
     pub pull_after: Duration,
@@ -66,7 +68,7 @@
             bound: 4096,
             pause: Duration::from_secs(1),
             grace: Duration::from_secs(3),
-            cut_after: Duration::from_secs(3),
+            cut_after: Duration::from_millis(1200),
             pull_after: Duration::from_secs(2),
             pull_every: Duration::from_secs(5),
             retry_every: Duration::from_secs(10),
--- a/crates/swiftcart-core/tests/member.rs
+++ b/crates/swiftcart-core/tests/member.rs
@@ -128,6 +128,49 @@
     assert!(net.none_routes(1));
 }
 
+/// Tells how long `at` routes to a domain after it was cut off, and after its first request
+/// found no connection there where `told`.
+fn routed_into_a_cut(told: bool, seed: u64) -> Duration {
+    let mut net = Net::settled(&[8, 8, 8], seed);
+    net.cut_off(2);
+    net.run(150);
+    if told {
+        let tried = Instant::from_millis(net.now - 150);
+        net.call(0, |m, now| {
+            m.unreached(now, tried, id(20));
+            Vec::new()
+        });
+    }
+    net.until("given up", 15_000, |net| !net.machine(0).routable(id(20)))
+}
+
+#[rstest]
+fn a_failed_connection_has_a_cut_domain_given_up_within_a_second_and_a_half(
+    #[values(5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let (told, silent) = (
+        routed_into_a_cut(true, seed),
+        routed_into_a_cut(false, seed),
+    );
+    assert!(told <= Duration::from_millis(1_500), "{told:?}");
+    assert!(silent <= Duration::from_millis(5_000), "{silent:?}");
+}
+
+#[test]
+fn failed_connections_to_one_dead_node_do_not_give_its_domain_up() {
+    let mut net = Net::settled(&[8, 8, 8], 11);
+    net.kill(20);
+    for _ in 0..40 {
+        net.run(250);
+        let tried = Instant::from_millis(net.now - 150);
+        net.call(0, |m, now| {
+            m.unreached(now, tried, id(20));
+            Vec::new()
+        });
+        assert!(net.machine(0).routable(id(21)));
+    }
+}
+
 #[test]
 fn a_domain_that_dies_and_returns_as_a_herd_is_routed_again() {
     let mut net = Net::settled(&[20, 20, 20], 6);
--- a/crates/swiftcart-node/src/calls/in_flight.rs
+++ b/crates/swiftcart-node/src/calls/in_flight.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Returns when the try started.
+    #[must_use]
+    pub const fn start(&self) -> Instant {
+        self.start
+    }
+
     /// Adds what the guard told.
     pub const fn set_load(&mut self, report: Option<Report>) {
         self.report = report;
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -339,6 +339,9 @@
                 if failed.load.is_some() {
                     in_flight.set_load(failed.load);
                 }
+                if failed.refusal.reason == Reason::PeerUnreachable {
+                    self.shared.misses.note(pick.id, in_flight.start());
+                }
                 in_flight.fail(blame(failed.refusal.reason));
                 Err(failed)
             }
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -135,6 +135,7 @@
     fn on_tick(&mut self) {
         let now = self.now();
         self.membership.set_head(self.stream.source.head());
+        self.take_misses();
         let actions = self.membership.tick(now);
         self.act(actions);
         self.tell_pace();
--- a/crates/swiftcart-node/src/control/members.rs
+++ b/crates/swiftcart-node/src/control/members.rs
@@ -34,6 +34,14 @@
         }
     }
 
+    /// Tells the membership of the nodes to which requests found no connection.
+    pub(super) fn take_misses(&mut self) {
+        let now = self.now();
+        for (node, tried) in self.shared.misses.take() {
+            self.membership.unreached(now, tried, node);
+        }
+    }
+
     /// Takes the nodes that the directory names.
     pub(super) fn on_found(&mut self, found: Vec<NodeId>) {
         self.found = true;
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod edge;
 mod faults;
 mod logging;
+mod misses;
 mod node;
 mod program;
 mod settings;
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::counters::Counters;
 use crate::faults::Faults;
 use crate::logging::CallLog;
+use crate::misses::Misses;
 use crate::settings::{Headers, Settings};
 
 /// Tells whether a node takes callers' requests, and if not, why.
@@ -110,6 +111,8 @@
     pub pace: AtomicU32,
     /// When the announcement ends unless it is renewed.
     pub expiry: watch::Sender<Option<tokio::time::Instant>>,
+    /// The nodes to which no connection opened lately.
+    pub misses: Misses,
     /// What this node is cut off from, in builds for failure tests.
     pub faults: Faults,
     /// Cancelled when the node is asked to stop.
@@ -159,6 +162,7 @@
             beside: Mutex::default(),
             pace: AtomicU32::new(0),
             expiry: watch::Sender::new(None),
+            misses: Misses::default(),
             faults: Faults::from_env(),
             stopping: CancellationToken::new(),
             started: Instant::now(),
