Deny no route in a node that stops before it has a configuration

A node that lingers after SIGTERM takes requests in the phases leaving and finishing. When the signal came before its first configuration, the view was empty and every route unknown: 404, which callers do not repeat. Found by reading which phases reach the view. Ruled out: a version applied in part (digests are checked), a view shown after its phase (the loop publishes the view first). Change: without a version in force a request is answered not-ready, whatever the phase.

--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -14,7 +14,7 @@
 use swiftcart_core::{
     Asking, BalanceSettings, Balancer, CallResult, Candidate, FleetBudget, Instant, Next, NodeId,
     Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings,
-    ServiceEntry, Tries,
+    ServiceEntry, Tries, Version,
 };
 
 use tokio::task::JoinError;
@@ -168,6 +168,11 @@
             }
         }
         let view = self.shared.view.load_full();
+        if view.version() == Version::NONE {
+            // A node may be asked to stop before it has a configuration; it knows of no route
+            // whether there is one.
+            return Err(Reason::NotReady.into());
+        }
         let (host, path) = (host(&head), head.uri.path());
         let routed = with_rng(|rng| view.find(host, path, rng))?;
         call.take_route(routed.entry, routed.policy, now);
--- a/crates/swiftcart-node/tests/stop.rs
+++ b/crates/swiftcart-node/tests/stop.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use common::{SERVICE, log_with, own_ip, settings_json, until_async};
+use common::{SERVICE, dead_addr, log_with, own_ip, settings_json, until_async};
 use rstest::rstest;
 use swiftcart_core::Limits;
 use swiftcart_standin::{BackendServer, BackendSettings};
@@ -230,3 +230,16 @@
         .expect("the connection ends with the process")
         .ok();
 }
+
+#[tokio::test]
+async fn a_node_that_stops_before_it_knew_a_configuration_denies_no_route() {
+    let mut daemon = Daemon::start_with(dead_addr(), &[], 3_000);
+    until_async(async || phase(&daemon).await == "no-config").await;
+    daemon.signal("-TERM");
+    until_async(async || phase(&daemon).await == "leaving").await;
+    let get = "GET / HTTP/1.1\r\nhost: mesh\r\nconnection: close\r\n\r\n";
+    let got = exchange(daemon.addr(7001), get).await;
+    assert!(got.starts_with("HTTP/1.1 503"), "{got}");
+    assert!(got.contains("swiftcart-reason: not-ready"), "{got}");
+    assert_eq!(daemon.exit_code().await, Some(0));
+}
