Derive the times of a stop and of a silent backend server from the deployment

Cause: deploy/ fixed the end of a stop at 5.3 s and a backend server's silence at 5 s. They fit the four deployments known (6 s of grace, heartbeats every 0.87 or 1.5 s) and no other: with 4 s of grace every stop would be cut off, with rare heartbeats every backend server would come and go. Ruled out: arithmetic in the template (it has none). Change: stop.kill_s and limits.heartbeat_ms take the platform's figures; the node ends 0.7 s before it is killed, lingers for half of its time at most, and lets a backend server be silent for 3.5 heartbeats, 5 s at least. Checked, documented. Before and after: on the four sites the values are those of before (5.3 s, 2.5 s, 5 s; tests).

--- a/crates/swiftcart-node/src/admin/announce.rs
+++ b/crates/swiftcart-node/src/admin/announce.rs
@@ -196,7 +196,7 @@
     Path(id): Path<String>,
     body: Bytes,
 ) -> Result<Json<Taken>, AnnounceError> {
-    let (found, plain) = Named::parse(&body, shared.settings.limits.announce_ms)?;
+    let (found, plain) = Named::parse(&body, shared.settings.limits.silence_ms())?;
     let heard = shared.beside().hear(&id, found.seq);
     match heard {
         Heard::Malformed => return Err(AnnounceError::Id(id)),
--- a/crates/swiftcart-node/src/settings/check.rs
+++ b/crates/swiftcart-node/src/settings/check.rs
@@ -20,6 +20,7 @@
         })?;
     domain(file, &settings.domain.0)?;
     retries(file, settings.retries)?;
+    kill(file, settings.stop.kill_s)?;
     mesh_key(file, &settings.mesh_key)?;
     addresses(file, settings)
 }
@@ -113,6 +114,12 @@
             0,
             60_000,
         ),
+        (
+            "limits.heartbeat_ms",
+            limits.heartbeat_ms.into(),
+            0,
+            150_000,
+        ),
         ("stop.linger_ms", stop.linger_ms.into(), 0, 600_000),
         ("stop.notice_ms", stop.notice_ms.into(), 0, 60_000),
         ("stop.grace_ms", stop.grace_ms.into(), 0, 3_600_000),
@@ -136,6 +143,22 @@
     ]
 }
 
+fn kill(file: &str, secs: f64) -> Result<(), SettingsError> {
+    match secs {
+        0.0 | 1.0..=3600.0 => Ok(()),
+        _ => {
+            let value = secs.to_string();
+            let cure = "use 0 or a number from 1 to 3600";
+            Err(SettingsError::Rule(
+                file.into(),
+                "stop.kill_s".into(),
+                value,
+                cure,
+            ))
+        }
+    }
+}
+
 fn retries(file: &str, retries: Option<Retries>) -> Result<(), SettingsError> {
     let refuse = |path: &str, value: String, cure| {
         let path = format!("retries.{path}");
--- a/crates/swiftcart-node/src/settings/limits.rs
+++ b/crates/swiftcart-node/src/settings/limits.rs
@@ -4,6 +4,10 @@
 
 use serde::Deserialize;
 
+/// The halves of the time between two announcements that a backend server may be silent: three
+/// lost or late ones and a half, as is usual for heartbeats.
+const HEARTBEATS: u32 = 7;
+
 /// Bounds every buffer, queue and connection count of the call path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -59,6 +63,10 @@
     /// Longest time between two announcements of a backend server that names itself, in
     /// milliseconds; default 5000. It is taken out of routing when none came for so long.
     pub announce_ms: u32,
+    /// Time between two announcements of such a backend server, in milliseconds; default 0:
+    /// not known. Where three and a half of them take longer than `announce_ms`, it may be
+    /// silent for so long.
+    pub heartbeat_ms: u32,
     /// Longest time that requests wait for a node which has just started and does not know
     /// the mesh yet, counted from its start, in milliseconds; default 300.
     pub start_wait_ms: u32,
@@ -101,6 +109,13 @@
         Duration::from_millis(self.longest_ms as u64)
     }
 
+    /// Returns how long a backend server that names itself may be silent, in milliseconds.
+    #[must_use]
+    pub fn silence_ms(&self) -> u32 {
+        let beats = self.heartbeat_ms.saturating_mul(HEARTBEATS) / 2;
+        self.announce_ms.max(beats)
+    }
+
     /// Returns how long after its start a node lets requests wait for it.
     #[must_use]
     pub const fn start_wait(&self) -> Duration {
@@ -144,6 +159,7 @@
             keep_alive_s: 0,
             unframed: false,
             announce_ms: 5000,
+            heartbeat_ms: 0,
             // On the users' platform a node is ready 0.11 to 0.28 s after its start, also when
             // all of them start at once.
             start_wait_ms: 300,
--- a/crates/swiftcart-node/src/settings/stop.rs
+++ b/crates/swiftcart-node/src/settings/stop.rs
@@ -4,8 +4,12 @@
 
 use serde::Deserialize;
 
+/// Time between the end of whatever is in flight and the signal that kills the process: a
+/// busy instance with a tenth of a core has needed half a second to close its connections.
+const MARGIN: Duration = Duration::from_millis(700);
+
 /// Times of a graceful stop.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Stop {
     /// Time for which the node still takes callers' requests although it is not ready any
@@ -18,13 +22,18 @@
     /// Time from the signal after which the process ends whatever is in flight, in
     /// milliseconds; default 0: never.
     pub grace_ms: u32,
+    /// Time from the signal after which whoever sent it kills the process, in seconds; default
+    /// 0: not known. The process ends whatever is in flight 0.7 s before that, unless
+    /// `grace_ms` ends it sooner, and lingers for half of that time at most.
+    pub kill_s: f64,
 }
 
 impl Stop {
     /// Returns how long callers are still served.
     #[must_use]
-    pub const fn linger(&self) -> Duration {
-        Duration::from_millis(self.linger_ms as u64)
+    pub fn linger(&self) -> Duration {
+        let linger = Duration::from_millis(self.linger_ms.into());
+        self.grace().map_or(linger, |grace| linger.min(grace / 2))
     }
 
     /// Returns how long new requests are still answered.
@@ -36,7 +45,10 @@
     /// Returns after which time the process ends in any case.
     #[must_use]
     pub fn grace(&self) -> Option<Duration> {
-        (self.grace_ms > 0).then(|| Duration::from_millis(self.grace_ms.into()))
+        let own = (self.grace_ms > 0).then(|| Duration::from_millis(self.grace_ms.into()));
+        let kill = Duration::try_from_secs_f64(self.kill_s).unwrap_or_default();
+        let killed = (!kill.is_zero()).then(|| kill.saturating_sub(MARGIN));
+        own.into_iter().chain(killed).min()
     }
 }
 
@@ -46,6 +58,7 @@
             linger_ms: 0,
             notice_ms: 1000,
             grace_ms: 0,
+            kill_s: 0.0,
         }
     }
 }
--- a/crates/swiftcart-node/tests/settings.rs
+++ b/crates/swiftcart-node/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings and the command line: what is refused, and with which words.
 
 use std::process::Command;
+use std::time::Duration;
 
 use rstest::rstest;
 use swiftcart_node::{Gossip, Limits, LogLevel, Settings};
@@ -63,6 +64,11 @@
     r#""domain": "norte", "gossip": {"ack_ms": 501},"#,
     "f: gossip.ack_ms: 501 is refused: use a whole number from 1 to 500"
 )]
+#[case::killed_at_once(
+    r#""domain": "norte","#,
+    r#""domain": "norte", "stop": {"kill_s": 0.5},"#,
+    "f: stop.kill_s: 0.5 is refused: use 0 or a number from 1 to 3600"
+)]
 #[case::domain_with_a_space(
     "norte",
     "nor te",
@@ -107,6 +113,34 @@
     assert_eq!(err.to_string(), message);
 }
 
+#[rstest]
+#[case::by_itself(r#"{"linger_ms": 2500}"#, 2_500, None)]
+#[case::killed_after_six_seconds(r#"{"linger_ms": 2500, "kill_s": 6}"#, 2_500, Some(5_300))]
+#[case::killed_soon(r#"{"linger_ms": 2500, "kill_s": 3.5}"#, 1_400, Some(2_800))]
+#[case::ends_sooner_than_killed(r#"{"grace_ms": 4000, "kill_s": 6}"#, 0, Some(4_000))]
+fn a_stop_leaves_time_for_what_is_in_flight(
+    #[case] stop: &str,
+    #[case] linger_ms: u64,
+    #[case] grace_ms: Option<u64>,
+) {
+    let text = GOOD.replacen("{", &format!("{{ \"stop\": {stop},"), 1);
+    let stop = Settings::parse("f", text.as_bytes()).unwrap().stop;
+    assert_eq!(stop.linger(), Duration::from_millis(linger_ms));
+    assert_eq!(stop.grace(), grace_ms.map(Duration::from_millis));
+}
+
+#[rstest]
+#[case::unknown(0, 5_000)]
+#[case::frequent(870, 5_000)]
+#[case::rare(4_000, 14_000)]
+fn a_backend_server_may_be_silent_for(#[case] heartbeat_ms: u32, #[case] expected: u32) {
+    let limits = Limits {
+        heartbeat_ms,
+        ..Limits::default()
+    };
+    assert_eq!(limits.silence_ms(), expected);
+}
+
 #[rstest]
 #[case::checked(&["--check"], GOOD, 0, "")]
 #[case::refused(
