Have the kernel give up connections whose other side is silent

Cause: a connection between nodes or to a backend server that falls silent without a reset holds what waits on it until its time is over. Only the client of the store had probes. Ruled out: a shorter time for the answer (a backend server's silence is no fault); idle connections (they live 0.2 s between nodes, 4 s to a backend server). Change: TCP_USER_TIMEOUT of 1.5 s and keep-alive probes after 1 s on each connection that a node opens, through socket2.

--- a/crates/swiftcart-node/src/calls/conn.rs
+++ b/crates/swiftcart-node/src/calls/conn.rs
@@ -20,11 +20,21 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 use super::body::Outgoing;
 
+/// How long what was sent may stay without the other kernel's word. On a full link packets wait
+/// for up to a second, and a lost one is sent again after 0.2 s and 0.6 s.
+const SILENCE: Duration = Duration::from_millis(1500);
+
+/// How long a connection has nothing to send before the other kernel is asked, and how often it
+/// is asked then: the least that the socket takes.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
 quick_error! {
     /// Tells why no connection could be opened.
     #[derive(Debug)]
@@ -83,6 +93,7 @@
         let opened = timeout(limit, TcpStream::connect(addr)).await;
         let socket = opened.map_err(|_| OpenError::Slow)??;
         socket.set_nodelay(true)?;
+        bound_silence(&socket)?;
         let wrote = Arc::new(AtomicBool::new(false));
         let io = Watched {
             io: TokioIo::new(socket),
@@ -162,6 +173,20 @@
     }
 }
 
+/// Has the kernel give the connection up when the other side's kernel is silent for too long.
+///
+/// A connection may fall silent without a reset while new ones open. What waits for an answer
+/// on it would wait for its whole time otherwise. A backend server that takes long keeps its
+/// kernel answering, so that no answer is ended for that.
+fn bound_silence(socket: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(socket);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_EVERY);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(SILENCE))
+}
+
 impl Read for Watched {
     fn poll_read(
         mut self: Pin<&mut Self>,
