Move the measure of a backend server's pace out of the admission

Ruled out: a change of behaviour: the calculation is the same, line by line. Change: admission/gauge.rs, with PaceGauge.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -1,6 +1,7 @@
 //! Admission at the guard of one backend server: how much runs, waits or is refused.
 
 mod bid;
+mod gauge;
 mod limit;
 mod queue;
 
@@ -13,6 +14,7 @@
 use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample};
 use bid::Urgency;
 pub use bid::{Bid, Patience};
+use gauge::{PaceGauge, in_targets};
 use limit::AdaptiveLimit;
 pub use limit::{LimitRule, LimitSettings};
 pub use queue::Order;
@@ -27,13 +29,6 @@
 /// The share by which the shortest time seen grows with each sample.
 const SHORTEST_DRIFT: f64 = 0.001;
 
-/// Running calls below which their ages say nothing of the backend server.
-const OVERDUE_LEAST: usize = 3;
-
-/// The part of the running calls' mean age that counts as a pace. In steady state that age
-/// is about the mean time that calls take, so that half of it does not count by chance.
-const OVERDUE_SHARE: f64 = 0.5;
-
 /// The time to come back after, when another backend server has to be found.
 const ELSEWHERE: Duration = Duration::from_millis(500);
 
@@ -157,15 +152,20 @@
     /// The mean and the shortest time that a call runs, in seconds.
     mean: Option<f64>,
     shortest: Option<f64>,
-    /// The mean quotient of the time that a call runs and its target.
-    pace: Option<f64>,
-    /// The calls that it is the mean of, as long as they are few.
-    paced: u32,
+    gauge: PaceGauge,
     promises: Promises,
     /// Requests that had to make room for more urgent ones.
     displaced: Vec<Refused>,
 }
 
+impl Running {
+    /// Returns for how many targets it has run.
+    fn quotient(&self, now: Instant) -> Option<f64> {
+        let ran = now.since(self.start);
+        self.target.map(|target| in_targets(ran, target))
+    }
+}
+
 impl Admission {
     /// Creates an admission without slots.
     #[must_use]
@@ -180,8 +180,7 @@
             next: 0,
             mean: None,
             shortest: None,
-            pace: None,
-            paced: 0,
+            gauge: PaceGauge::default(),
             promises: Promises::new(now),
             displaced: Vec::new(),
         }
@@ -326,8 +325,9 @@
     /// ends.
     #[must_use]
     pub fn pace(&self, now: Instant) -> Option<Pace> {
-        let ended = self.pace?;
-        Some(Pace::from_quotient(ended.max(self.overdue(now))))
+        let ages = self.running.values();
+        self.gauge
+            .pace(ages.filter_map(|running| running.quotient(now)))
     }
 
     fn resize(&mut self, slots: u32, limits: Limits) {
@@ -359,19 +359,6 @@
         self.running.insert(ticket, running);
     }
 
-    /// Returns the least pace that the running calls let expect, 0 when they are few.
-    fn overdue(&self, now: Instant) -> f64 {
-        let quotient = |running: &Running| {
-            let target = running.target?.as_secs_f64();
-            Some(now.since(running.start).as_secs_f64() / target.max(f64::MIN_POSITIVE))
-        };
-        let quotients: Vec<f64> = self.running.values().filter_map(quotient).collect();
-        match quotients.len() {
-            n if n < OVERDUE_LEAST => 0.0,
-            n => OVERDUE_SHARE * quotients.iter().sum::<f64>() / n as f64,
-        }
-    }
-
     /// Tells whether a request would be within the queue's places, if need be in that of a
     /// less urgent one.
     fn has_room(&self, urgency: Urgency) -> bool {
@@ -431,13 +418,7 @@
         *mean += TIME_WEIGHT * (secs - *mean);
         let shortest = self.shortest.get_or_insert(secs);
         *shortest = secs.min(*shortest * (1.0 + SHORTEST_DRIFT));
-        if let Some(target) = sample.target {
-            let quotient = secs / target.as_secs_f64().max(f64::MIN_POSITIVE);
-            self.paced = self.paced.saturating_add(1);
-            let weight = f64::from(self.paced).recip().max(TIME_WEIGHT);
-            let pace = self.pace.get_or_insert(quotient);
-            *pace += weight * (quotient - *pace);
-        }
+        self.gauge.learn(sample);
         self.limit.learn(sample.latency, running);
     }
 
