--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -42,7 +42,7 @@
 Usage: cargo xtask COMMAND [OPTIONS]
 
 Commands:
-  test     everything that decides: packages, format, lint, docs, models, tests
+  test     everything that decides: packages, format, lint, docs, models, tests, a short soak
   demo     a whole mesh on this machine, with a report; `--mesh lima|bogota`
   check    format, lint and docs only
   bench    measure against the baselines; `bench --help` lists the options
--- a/xtask/src/test.rs
+++ b/xtask/src/test.rs
@@ -1,14 +1,18 @@
 //! The command that decides: everything that has to hold, in one run.
 
+use std::env;
 use std::io::{self, BufRead, BufReader, PipeReader};
 use std::process::Command;
 
-use crate::command::{cargo, root};
+use crate::command::{cargo, root, succeeds};
 use crate::{Error, Ledger, Summary, Verdict, check, packages, spec};
 
 const RED_FILE: &str = "KNOWN-RED.txt";
 
-/// Runs the checks, the models and every test, the tests last.
+/// The seeds of the soak that every run plays: seed 1, about 20 s, behind those that ever failed.
+const SOAK: [&str; 3] = ["soak", "--seeds", "1"];
+
+/// Runs the checks, the models, every test and a short soak.
 pub(crate) fn run() -> Result<Verdict, Error> {
     packages::ensure()?;
     let ledger = Ledger::read(&root().join(RED_FILE))?;
@@ -16,10 +20,12 @@
     let models = spec::run()?;
     let (summary, succeeded) = tests()?;
     let tests = judge(&summary, succeeded, &ledger);
-    let verdict = checks & models & tests;
+    let soak = soak()?;
+    let verdict = checks & models & tests & soak;
     report(checks, "format, lint and docs");
     report(models, "models");
     report(tests, "tests");
+    report(soak, "soak");
     println!("{summary}");
     Ok(verdict)
 }
@@ -48,6 +54,15 @@
     Ok((summary, status.success()))
 }
 
+/// Plays the soak's first seeds in a program of its own, which builds the mesh for release.
+fn soak() -> Result<Verdict, Error> {
+    let name = format!("cargo xtask {}", SOAK.join(" "));
+    println!("==> {name}");
+    let own = env::current_exe().map_err(|e| Error::Program(name.clone(), e))?;
+    let played = succeeds(&name, Command::new(own).args(SOAK))?;
+    Ok(played.into())
+}
+
 /// Sends both outputs into one pipe, so that each test stands after its target's name.
 fn merged(command: &mut Command) -> io::Result<PipeReader> {
     let (reader, writer) = io::pipe()?;
