--- a/crates/swiftcart-core/tests/policy_tries.rs
+++ b/crates/swiftcart-core/tests/policy_tries.rs
@@ -85,6 +85,15 @@
     assert_eq!(allowed, usize::from(MAX_REFUSED));
 }
 
+/// A budget of 10 s of which nothing is used.
+fn budget(share: f64, floor: f64) -> FleetBudget {
+    FleetBudget::new(FleetBudgetSettings {
+        share,
+        floor,
+        window_s: 10,
+    })
+}
+
 #[rstest]
 #[case::alone(1, 100, RetryCause::Refused, 14)]
 #[case::of_two(2, 100, RetryCause::Refused, 12)]
@@ -97,12 +106,7 @@
     #[case] cause: RetryCause,
     #[case] expected: usize,
 ) {
-    let settings = FleetBudgetSettings {
-        share: 0.2,
-        floor: 9.0,
-        window_s: 10,
-    };
-    let mut budget = FleetBudget::new(settings);
+    let mut budget = budget(0.2, 9.0);
     let service = ServiceName::new("booking");
     for _ in 0..requests {
         budget.first(START, &service, 0.0);
@@ -115,12 +119,7 @@
 #[case::within_the_window(9_999, 0)]
 #[case::after_it(10_000, 3)]
 fn retries_are_forgotten(#[case] ms: u64, #[case] expected: usize) {
-    let settings = FleetBudgetSettings {
-        share: 0.0,
-        floor: 6.0,
-        window_s: 10,
-    };
-    let mut budget = FleetBudget::new(settings);
+    let mut budget = budget(0.0, 6.0);
     let service = ServiceName::new("booking");
     let mut take_all = |now| {
         (0..100)
@@ -133,12 +132,7 @@
 
 #[test]
 fn calls_of_retries_use_up_the_budget_of_the_service_that_is_called() {
-    let settings = FleetBudgetSettings {
-        share: 0.2,
-        floor: 0.0,
-        window_s: 10,
-    };
-    let mut budget = FleetBudget::new(settings);
+    let mut budget = budget(0.2, 0.0);
     let service = ServiceName::new("booking");
     for _ in 0..100 {
         budget.first(START, &service, 0.085);
@@ -149,12 +143,7 @@
 
 #[test]
 fn requests_that_run_once_keep_a_part_of_the_budget_for_themselves() {
-    let settings = FleetBudgetSettings {
-        share: 0.2,
-        floor: 0.0,
-        window_s: 10,
-    };
-    let mut budget = FleetBudget::new(settings);
+    let mut budget = budget(0.2, 0.0);
     let service = ServiceName::new("booking");
     (0..100).for_each(|_| budget.first(START, &service, 0.0));
     let mut taken = |cause| {
