Refuse at once again while a node starts

Those who wait meet the few backend servers known so far all at once; callers that come back twice do better. On Bogota they come back once, and a wait would serve them better: a choice by the deployment was not tried.

--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -4,7 +4,6 @@
 mod log;
 mod original;
 mod retrying;
-mod waiting;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -30,7 +29,7 @@
 use super::rng::with_rng;
 use crate::counters::Stage;
 use crate::logging::Event;
-use crate::shared::Shared;
+use crate::shared::{Phase, Shared};
 use forward::take_load;
 use log::Pending;
 use original::Original;
@@ -160,7 +159,14 @@
         let settings = &self.shared.settings;
         let now = self.shared.clock.now();
         let mut call = Call::from_caller(&mut head, settings, now)?;
-        self.ready(&call).await?;
+        let phase = *self.shared.phase.borrow();
+        match phase {
+            Phase::Ready | Phase::Leaving | Phase::Finishing => {}
+            Phase::Stopping => return Err(Reason::Stopping.into()),
+            Phase::NoConfig | Phase::BelowFloor | Phase::NoMembers => {
+                return Err(Reason::NotReady.into());
+            }
+        }
         let view = self.shared.view.load_full();
         if view.version() == Version::NONE {
             // A node may be asked to stop before it has a configuration; it knows of no route
@@ -169,20 +175,11 @@
         }
         let (host, path) = (host(&head), head.uri.path());
         let routed = with_rng(|rng| view.find(host, path, rng))?;
-        let entry = routed.entry;
-        call.take_route(entry, routed.policy, now);
+        call.take_route(routed.entry, routed.policy, now);
         self.name_caller(&mut head);
         let limits = &settings.limits;
         let original = Original::new(head, body, limits.replay_bytes, limits.body_timeout());
-        let later;
-        let entry = match entry.shortage() {
-            Some(shortage) if call.terms.is_some() => {
-                later = self.staffed(&call, entry.name()).await;
-                later.service(entry.name().as_str()).ok_or(shortage)?
-            }
-            _ => entry,
-        };
-        self.tries(&call, entry, &original).await
+        self.tries(&call, routed.entry, &original).await
     }
 
     /// Tells the backend server which service the request comes from.
--- a/crates/swiftcart-node/src/settings/check.rs
+++ b/crates/swiftcart-node/src/settings/check.rs
@@ -108,12 +108,6 @@
             100,
             600_000,
         ),
-        (
-            "limits.start_wait_ms",
-            limits.start_wait_ms.into(),
-            0,
-            60_000,
-        ),
         (
             "limits.heartbeat_ms",
             limits.heartbeat_ms.into(),
--- a/crates/swiftcart-node/src/settings/limits.rs
+++ b/crates/swiftcart-node/src/settings/limits.rs
@@ -67,9 +67,6 @@
     /// not known. Where three and a half of them take longer than `announce_ms`, it may be
     /// silent for so long.
     pub heartbeat_ms: u32,
-    /// Longest time that requests wait for a node which has just started and does not know
-    /// the mesh yet, counted from its start, in milliseconds; default 300.
-    pub start_wait_ms: u32,
 }
 
 impl Limits {
@@ -116,12 +113,6 @@
         self.announce_ms.max(beats)
     }
 
-    /// Returns how long after its start a node lets requests wait for it.
-    #[must_use]
-    pub const fn start_wait(&self) -> Duration {
-        Duration::from_millis(self.start_wait_ms as u64)
-    }
-
     /// Returns the longest time to open a connection.
     #[must_use]
     pub const fn connect_timeout(&self) -> Duration {
@@ -160,9 +151,6 @@
             unframed: false,
             announce_ms: 5000,
             heartbeat_ms: 0,
-            // On the users' platform a node is ready 0.11 to 0.28 s after its start, also when
-            // all of them start at once.
-            start_wait_ms: 300,
         }
     }
 }
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -52,12 +52,6 @@
         }
     }
 
-    /// Tells whether the node has not taken a request yet.
-    #[must_use]
-    pub const fn is_start(self) -> bool {
-        matches!(self, Self::NoConfig | Self::BelowFloor | Self::NoMembers)
-    }
-
     /// Tells whether the node was asked to stop.
     #[must_use]
     pub const fn is_stop(self) -> bool {
