Let what can still be in time go before what is late, and keep long answers near

Callers that come back carry the rest of their deadline, and a guard could not tell them from first tries: queues full of what was late already turned first tries away.

Change: a node learns for each route the time that first tries come with; what a request lacks of it is its age, which travels to the guard. Of one rank, requests whose age is above 0.6 of the target go behind all others. Download routes are idempotent; a route whose answers are long on average counts as heavy, whatever its class.

What binds next are waits at full guards and shed requests.

--- a/crates/swiftcart-core/src/admission/bid.rs
+++ b/crates/swiftcart-core/src/admission/bid.rs
@@ -19,6 +19,10 @@
 /// trip to another failure domain and back takes, about 3 ms, is well below it for all routes.
 const SHORT_PATIENCE: f64 = 0.025;
 
+/// The part of its target for which a request's caller may have tried before, and the answer can
+/// still come within the target: calls take a third of it on average.
+const TOO_OLD: f64 = 0.6;
+
 /// Tells how long a request may wait for a slot.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Patience {
@@ -40,12 +44,23 @@
     pub priority: Priority,
     /// How long it may wait.
     pub patience: Patience,
+    /// For how long its caller has been trying to get an answer.
+    pub age: Duration,
+}
+
+/// Tells whether an answer can still come within the time in which it is worth most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Chance {
+    InTime,
+    Late,
 }
 
-/// Orders waiting requests: by rank, then by the time at which their answers are wanted.
+/// Orders waiting requests: by rank, then those that can be in time before those that are late
+/// in any case, then by the time at which their answers are wanted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Urgency {
     priority: Priority,
+    chance: Chance,
     wanted: Instant,
 }
 
@@ -58,9 +73,17 @@
             target: None,
             priority: Priority(0),
             patience: Patience::Full,
+            age: Duration::ZERO,
         }
     }
 
+    /// Sets for how long the caller has been trying.
+    #[must_use]
+    pub const fn with_age(mut self, age: Duration) -> Self {
+        self.age = age;
+        self
+    }
+
     /// Sets how long it may wait.
     #[must_use]
     pub const fn with_patience(mut self, patience: Patience) -> Self {
@@ -106,9 +129,17 @@
     pub(super) fn urgency(&self, now: Instant, usual: Duration) -> Urgency {
         Urgency {
             priority: self.priority,
+            chance: self.chance(),
             wanted: now + self.target.unwrap_or(usual),
         }
     }
+
+    fn chance(&self) -> Chance {
+        match self.target {
+            Some(target) if self.age > target.mul_f64(TOO_OLD) => Chance::Late,
+            _ => Chance::InTime,
+        }
+    }
 }
 
 impl From<Deadline> for Bid {
--- a/crates/swiftcart-core/src/config/policy.rs
+++ b/crates/swiftcart-core/src/config/policy.rs
@@ -18,6 +18,8 @@
     NonIdempotent,
     /// Once at most, and with a long body.
     Upload,
+    /// More than once without harm, and with a long answer.
+    Download,
 }
 
 impl RequestClass {
@@ -29,11 +31,12 @@
     /// use swiftcart_core::RequestClass;
     ///
     /// assert!(RequestClass::Idempotent.is_idempotent());
+    /// assert!(RequestClass::Download.is_idempotent());
     /// assert!(!RequestClass::Upload.is_idempotent());
     /// ```
     #[must_use]
     pub const fn is_idempotent(self) -> bool {
-        matches!(self, Self::Idempotent)
+        matches!(self, Self::Idempotent | Self::Download)
     }
 
     /// Returns the name used in logs and between nodes.
@@ -43,6 +46,7 @@
             Self::Idempotent => "idempotent",
             Self::NonIdempotent => "non-idempotent",
             Self::Upload => "upload",
+            Self::Download => "download",
         }
     }
 }
--- /dev/null
+++ b/crates/swiftcart-core/src/profile.rs
@@ -0,0 +1,66 @@
+//! What a node learns of one route from the requests that it takes there.
+
+mod given;
+mod store;
+
+use std::time::Duration;
+
+use crate::Haul;
+pub use given::TimeGiven;
+pub use store::RouteProfiles;
+
+/// The mean length of an answer from which on it weighs like an upload, in bytes. A kilobyte on
+/// the way to another failure domain costs about a hundredth of what a short answer is worth;
+/// at 32 kB it is a third, about what a late answer keeps.
+const HEAVY_BYTES: f64 = 32_768.0;
+
+/// The weight of one answer in the mean length of a route's answers.
+const LENGTH_WEIGHT: f64 = 1.0 / 16.0;
+
+/// Holds what one node has learned of a route.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use swiftcart_core::{Haul, RouteProfile};
+///
+/// let mut plots = RouteProfile::default();
+/// assert_eq!(plots.haul(), Haul::Light);
+/// plots.answered(90_000);
+/// assert_eq!(plots.haul(), Haul::Heavy);
+/// for _ in 0..20 {
+///     plots.age(Duration::from_millis(1_500));
+/// }
+/// assert_eq!(plots.age(Duration::from_millis(1_100)), Duration::from_millis(400));
+/// ```
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct RouteProfile {
+    given: TimeGiven,
+    /// The mean length of the answers, in bytes.
+    length: Option<f64>,
+}
+
+impl RouteProfile {
+    /// Takes in the time that a caller gives a request, and returns for how long it has been
+    /// trying.
+    pub fn age(&mut self, given: Duration) -> Duration {
+        self.given.age(given)
+    }
+
+    /// Takes in the length of an answer, in bytes.
+    pub fn answered(&mut self, bytes: u64) {
+        let bytes = bytes as f64;
+        let mean = self.length.get_or_insert(bytes);
+        *mean += LENGTH_WEIGHT * (bytes - *mean);
+    }
+
+    /// Returns how much the answers weigh on the way; short as long as none was seen.
+    #[must_use]
+    pub fn haul(&self) -> Haul {
+        match self.length {
+            Some(mean) if mean >= HEAVY_BYTES => Haul::Heavy,
+            _ => Haul::Light,
+        }
+    }
+}
--- a/crates/swiftcart-core/src/view.rs
+++ b/crates/swiftcart-core/src/view.rs
@@ -1,6 +1,7 @@
 //! One immutable picture of where requests go: the table joined with the members.
 
 mod entry;
+mod key;
 mod routes;
 mod segment;
 
@@ -11,6 +12,7 @@
 
 use crate::{FailureDomain, Member, NodeId, Policy, Reason, RequestLimits, Table, Version};
 pub use entry::*;
+pub use key::*;
 pub use routes::*;
 
 /// Tells where a request goes and how it is treated.
@@ -20,6 +22,8 @@
     pub entry: &'a ServiceEntry,
     /// How the request is treated; without one its method decides.
     pub policy: Option<Policy>,
+    /// Names the route that was found.
+    pub route: RouteKey,
 }
 
 /// Holds one configuration version joined with one state of the membership.
@@ -158,6 +162,7 @@
         Ok(Routed {
             entry: entry.ok_or(Reason::NoBackend)?,
             policy: choice.policy(),
+            route: choice.route(),
         })
     }
 
--- a/crates/swiftcart-core/src/view/routes.rs
+++ b/crates/swiftcart-core/src/view/routes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::segment::{Choice, Segment, Slash};
-use crate::{Limits, Policies, RequestLimits, ServiceName, Snapshot, Table, Version};
+use crate::{Limits, Policies, RequestLimits, RouteKey, ServiceName, Snapshot, Table, Version};
 
 /// Holds the services and routes of one version, ready for lookups.
 ///
@@ -48,6 +48,7 @@
         for (prefix, name, weight) in table.routes() {
             if let Some(service) = routes.place(name.as_str()) {
                 let choice = routes.choice(prefix);
+                choice.set_route(RouteKey::new(prefix));
                 choice.set_policy(policies.get(prefix).copied());
                 choice.add(service, weight);
             }
--- a/crates/swiftcart-core/src/view/segment.rs
+++ b/crates/swiftcart-core/src/view/segment.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::ServiceEntry;
-use crate::{Policy, Reason};
+use crate::{Policy, Reason, RouteKey};
 
 /// One node of the prefix tree; its depth is the number of path segments.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -32,6 +32,8 @@
     targets: Vec<Target>,
     /// How the requests of the prefix are treated, where the configuration says so.
     policy: Option<Policy>,
+    /// Names the prefix.
+    route: RouteKey,
 }
 
 /// One service of a choice, by its place among the services, and its weight above 0.
@@ -74,6 +76,16 @@
 }
 
 impl Choice {
+    /// Sets the name of the prefix.
+    pub(super) const fn set_route(&mut self, route: RouteKey) {
+        self.route = route;
+    }
+
+    /// Returns the name of the prefix.
+    pub(super) const fn route(&self) -> RouteKey {
+        self.route
+    }
+
     /// Sets how the requests are treated.
     pub(super) const fn set_policy(&mut self, policy: Option<Policy>) {
         self.policy = policy;
--- a/crates/swiftcart-core/tests/admission_order.rs
+++ b/crates/swiftcart-core/tests/admission_order.rs
@@ -74,6 +74,40 @@
     assert_eq!(started, [urgent, short]);
 }
 
+#[test]
+fn what_can_be_in_time_goes_before_what_is_late_in_any_case() {
+    let (mut guard, mut rng, running) = busy(2);
+    let mut wait = |age_ms| {
+        let bid = bid(Some(200)).with_age(Duration::from_millis(age_ms));
+        match guard.offer(START, bid, &mut rng) {
+            Admit::Queue(ticket) => ticket,
+            other => panic!("it waits, not {other:?}"),
+        }
+    };
+    let late = wait(400);
+    let first = wait(0);
+    let sample = Sample::new(Duration::from_millis(CALL_MS), CallResult::Success);
+    let started: Vec<Ticket> = running
+        .into_iter()
+        .flat_map(|ticket| guard.done(ticket, START, &sample))
+        .collect();
+    assert_eq!(started, [first, late]);
+}
+
+#[test]
+fn a_first_try_is_never_turned_away_for_one_that_is_late() {
+    let (mut guard, mut rng, _running) = busy(2);
+    let late = bid(Some(200)).with_age(Duration::from_millis(400));
+    let waiting = [(); 2].map(|()| guard.offer(START, late, &mut rng));
+    let admit = guard.offer(START, bid(Some(200)), &mut rng);
+    assert!(matches!(admit, Admit::Queue(_)), "{admit:?}");
+    let [_, Admit::Queue(last)] = waiting else {
+        panic!("both wait, not {waiting:?}")
+    };
+    let displaced: Vec<Ticket> = guard.displaced().iter().map(|r| r.ticket).collect();
+    assert_eq!(displaced, [last]);
+}
+
 #[rstest]
 #[case::the_least_urgent_one(Some(120), true)]
 #[case::nobody_for_a_request_that_is_no_more_urgent(Some(500), false)]
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -191,7 +191,8 @@
             "instance" => instance.as_deref().unwrap_or("-"),
             "reason" => refusal.reason.as_str(), "running" => load.running,
             "queued" => load.queued, "limit" => load.limit,
-            "left_ms" => u64::try_from(call.due.left(now).as_millis()).unwrap_or(u64::MAX));
+            "left_ms" => u64::try_from(call.due.left(now).as_millis()).unwrap_or(u64::MAX),
+            "age_ms" => u64::try_from(call.age().as_millis()).unwrap_or(u64::MAX));
     }
 
     async fn admit(
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -9,12 +9,12 @@
 
 use http::request::Parts;
 use http::{HeaderValue, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use slog::error;
 use swiftcart_core::{
     Asking, BalanceSettings, Balancer, CallResult, Candidate, FleetBudget, Instant, Next, NodeId,
     Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings,
-    ServiceEntry, Tries, Version,
+    RouteProfiles, ServiceEntry, Tries, Version,
 };
 
 use tokio::task::JoinError;
@@ -43,6 +43,7 @@
     balancer: Arc<Mutex<Balancer>>,
     budget: Mutex<RetryBudget>,
     fleet: Option<Mutex<FleetBudget>>,
+    profiles: Mutex<RouteProfiles>,
 }
 
 /// The tries that were made of one call.
@@ -82,6 +83,7 @@
                 .settings
                 .retries
                 .map(|retries| Mutex::new(FleetBudget::new(retries.budget()))),
+            profiles: Mutex::default(),
         }
     }
 
@@ -175,11 +177,18 @@
         }
         let (host, path) = (host(&head), head.uri.path());
         let routed = with_rng(|rng| view.find(host, path, rng))?;
-        call.take_route(routed.entry, routed.policy, now);
+        call.take_route(&routed, lock(&self.profiles).of(routed.route), now);
         self.name_caller(&mut head);
         let limits = &settings.limits;
         let original = Original::new(head, body, limits.replay_bytes, limits.body_timeout());
-        self.tries(&call, routed.entry, &original).await
+        let result = self.tries(&call, routed.entry, &original).await;
+        if let Ok(response) = &result
+            && response.status().is_success()
+        {
+            let bytes = response.body().size_hint().lower();
+            lock(&self.profiles).of(routed.route).answered(bytes);
+        }
+        result
     }
 
     /// Tells the backend server which service the request comes from.
@@ -204,7 +213,7 @@
             tries: Tries::new(call.attempt),
             under_policy: PolicyTries::default(),
             asking: match call.terms {
-                Some(_) => Asking::new(entry.candidates().len(), call.haul()),
+                Some(_) => Asking::new(entry.candidates().len(), call.haul),
                 None => Asking::waiting(),
             },
             asked: 0,
@@ -297,7 +306,7 @@
                 free: true,
             })
         });
-        let haul = call.haul();
+        let haul = call.haul;
         preferred.or_else(|| with_rng(|rng| balancer.pick_for(haul, now, entry, tried, rng)))
     }
 
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -6,7 +6,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Version};
 use swiftcart_core::{
-    Attempt, Bid, Deadline, Haul, Instant, Patience, Policy, Reason, RequestClass, ServiceEntry,
+    Attempt, Bid, Deadline, Haul, Instant, Patience, Reason, RequestClass, RouteProfile, Routed,
 };
 
 use super::headers::{
@@ -41,6 +41,8 @@
     pub key: Option<HeaderValue>,
     /// How the route's policy treats the request; without one its method decides.
     pub terms: Option<CallTerms>,
+    /// How much the request and its answer weigh on the way.
+    pub haul: Haul,
 }
 
 impl RequestId {
@@ -105,8 +107,11 @@
         Ok((call, service))
     }
 
-    /// Takes over what the configuration says of the request's route.
-    pub fn take_route(&mut self, entry: &ServiceEntry, policy: Option<Policy>, now: Instant) {
+    /// Takes over what the configuration says of the request's route, and what was learned of it.
+    pub fn take_route(&mut self, routed: &Routed<'_>, profile: &mut RouteProfile, now: Instant) {
+        let (entry, policy) = (routed.entry, routed.policy);
+        // The time that the caller gave shows its age, whatever the route's timeout leaves of it.
+        let age = profile.age(self.due.left(now));
         let limit = |due: Deadline, ms: u32| match ms {
             0 => due,
             ms => due.within(now, Duration::from_millis(ms.into())),
@@ -114,8 +119,12 @@
         self.due = limit(self.due, entry.limits().timeout_ms);
         if let Some(policy) = policy {
             self.due = limit(self.due, policy.timeout_ms);
-            self.take_terms(CallTerms::from(policy));
+            self.take_terms(CallTerms::from(policy).with_age(age));
         }
+        self.haul = match self.terms.map(|terms| terms.class) {
+            Some(RequestClass::Upload | RequestClass::Download) => Haul::Heavy,
+            Some(RequestClass::Idempotent | RequestClass::NonIdempotent) | None => profile.haul(),
+        };
     }
 
     /// Returns what the request asks of a guard.
@@ -126,9 +135,16 @@
             bid.with_target(terms.target())
                 .with_priority(terms.priority)
                 .with_patience(terms.patience)
+                .with_age(terms.age())
         })
     }
 
+    /// Returns for how long the caller has been trying; zero where that is not known.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.terms.map_or(Duration::ZERO, |terms| terms.age())
+    }
+
     /// Tells whether the request is an upload by its route's policy.
     #[must_use]
     pub fn is_upload(&self) -> bool {
@@ -136,15 +152,6 @@
             .is_some_and(|terms| terms.class == RequestClass::Upload)
     }
 
-    /// Returns how much the request and its answer weigh on the way.
-    #[must_use]
-    pub fn haul(&self) -> Haul {
-        match self.is_upload() {
-            true => Haul::Heavy,
-            false => Haul::Light,
-        }
-    }
-
     /// Returns the request as one try: whether it follows one that reached a backend server,
     /// and how long it may wait.
     #[must_use]
@@ -190,6 +197,7 @@
             idempotent,
             key,
             terms: None,
+            haul: Haul::Light,
         })
     }
 }
--- a/crates/swiftcart-node/src/calls/terms.rs
+++ b/crates/swiftcart-node/src/calls/terms.rs
@@ -21,6 +21,8 @@
     pub repeat: bool,
     /// How long it may wait at the guard.
     pub patience: Patience,
+    /// For how long its caller has been trying, in milliseconds.
+    pub age_ms: u32,
 }
 
 impl CallTerms {
@@ -35,6 +37,7 @@
             Some("i") => RequestClass::Idempotent,
             Some("n") => RequestClass::NonIdempotent,
             Some("u") => RequestClass::Upload,
+            Some("d") => RequestClass::Download,
             _ => return Err(Reason::BadRequest),
         };
         Ok(Self {
@@ -47,6 +50,7 @@
                 0 => Patience::Short,
                 _ => Patience::Full,
             },
+            age_ms: next(&mut parts)?,
         })
     }
 
@@ -56,6 +60,19 @@
         Duration::from_millis(self.target_ms as u64)
     }
 
+    /// Returns for how long the caller has been trying.
+    #[must_use]
+    pub const fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms as u64)
+    }
+
+    /// Sets for how long the caller has been trying.
+    #[must_use]
+    pub fn with_age(mut self, age: Duration) -> Self {
+        self.age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        self
+    }
+
     /// Returns the header's value.
     #[must_use]
     pub fn value(&self) -> HeaderValue {
@@ -63,17 +80,19 @@
             RequestClass::Idempotent => 'i',
             RequestClass::NonIdempotent => 'n',
             RequestClass::Upload => 'u',
+            RequestClass::Download => 'd',
         };
         let Self {
             attempts,
             priority: Priority(priority),
             target_ms,
             repeat,
+            age_ms,
             ..
         } = self;
         let repeat = u8::from(*repeat);
         let waits = u8::from(self.patience == Patience::Full);
-        let text = format!("{class} {attempts} {priority} {target_ms} {repeat} {waits}");
+        let text = format!("{class} {attempts} {priority} {target_ms} {repeat} {waits} {age_ms}");
         // Letters, digits and spaces are always a header's value.
         HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
     }
@@ -88,6 +107,7 @@
             target_ms: policy.target_ms,
             repeat: false,
             patience: Patience::Full,
+            age_ms: 0,
         }
     }
 }
