Bind long answers by the rate of the instance's link

Cause: on the grown site downloads of 90 kB fill the links of 15 Mbit/s in front of the documents service. Answers to new connections waited as well, longer than the 150 ms for connecting: 5,000 peer-unreachable in 8 s, which ejected the guards with fast backend servers and filled the slow ones (two guards of eight had 18 running and 15 waiting, one had one running).

Change: the link's rate comes from the deployment's settings (link.mbit_s). The node follows what it has handed to the link; a guard takes as many requests with long answers as the link carries while one is made, and two, and refuses others with a reason of their own (link-busy), which counts against the guard for long answers only. Long answers are held back while the link's queue is above 20 ms. Calls with short targets wait as long as the longest targets at the same guard may, half of their own at most, in place of a fixed 80 ms below 150 ms, which suited one size of mesh only.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -3,7 +3,9 @@
 mod bid;
 mod gauge;
 mod limit;
+mod outflow;
 mod queue;
+mod targets;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -11,14 +13,16 @@
 use rand::Rng;
 
 use crate::rate::Promises;
-use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample};
+use crate::{CallResult, Instant, Limits, LinkRate, Load, Pace, Reason, Refusal, Sample};
 use bid::Urgency;
-pub use bid::{Bid, Patience};
+pub use bid::{AnswerLength, Bid, Patience};
 use gauge::{PaceGauge, in_targets};
 use limit::AdaptiveLimit;
 pub use limit::{LimitRule, LimitSettings};
+pub use outflow::Outflow;
 pub use queue::Order;
 use queue::{Queue, Waiting};
+use targets::Targets;
 
 /// The slots that are believed at most, so that no announcement grows the state without bound.
 const MOST_SLOTS: u32 = 4096;
@@ -83,6 +87,8 @@
     pub order: Order,
     /// How the limit follows the latency.
     pub limit: LimitSettings,
+    /// The rate of the instance's link, where it is known.
+    pub link: Option<LinkRate>,
 }
 
 impl Default for AdmissionSettings {
@@ -93,6 +99,7 @@
             wait: Duration::from_millis(500),
             order: Order::default(),
             limit: LimitSettings::default(),
+            link: None,
         }
     }
 }
@@ -105,6 +112,7 @@
     start: Instant,
     /// The time within which its answer is worth most.
     target: Option<Duration>,
+    answer: AnswerLength,
 }
 
 /// Decides at a guard what its backend server is given.
@@ -153,6 +161,10 @@
     mean: Option<f64>,
     shortest: Option<f64>,
     gauge: PaceGauge,
+    outflow: Outflow,
+    /// How long what leaves the instance waits for its link.
+    delay: Duration,
+    targets: Targets,
     promises: Promises,
     /// Requests that had to make room for more urgent ones.
     displaced: Vec<Refused>,
@@ -181,6 +193,9 @@
             mean: None,
             shortest: None,
             gauge: PaceGauge::default(),
+            outflow: Outflow::new(settings.link),
+            delay: Duration::ZERO,
+            targets: Targets::default(),
             promises: Promises::new(now),
             displaced: Vec::new(),
         }
@@ -225,7 +240,8 @@
     ) -> Admit {
         let bid = bid.into();
         let urgency = bid.urgency(now, self.settings.wait);
-        let patience = bid.longest_wait(self.settings.wait);
+        self.targets.note(bid.target);
+        let patience = self.patience(&bid);
         let wait = self.expected_wait(self.queue.ahead_of(urgency));
         let due = bid.due;
         match self.gate {
@@ -236,8 +252,9 @@
             Gate::Open if due.misses(now, self.quickest()) => {
                 Admit::Refuse(Refusal::new(Reason::DeadlinePassed))
             }
+            Gate::Open if !self.may_leave(bid.answer) => Admit::Refuse(self.link_busy()),
             // What waits was started as long as there was a place; the rest has expired.
-            Gate::Open if self.running() < self.limit() => Admit::Run(self.run(now, bid.target)),
+            Gate::Open if self.running() < self.limit() => Admit::Run(self.run(now, &bid)),
             Gate::Open if !self.has_room(urgency) => {
                 Admit::Refuse(self.crowded(Reason::QueueFull, bid.patience, now, rng))
             }
@@ -258,15 +275,31 @@
 
     /// Takes in a finished request; returns the waiting requests to start.
     pub fn done(&mut self, ticket: Ticket, now: Instant, sample: &Sample) -> Vec<Ticket> {
-        if let Some(running) = self.running.remove(&ticket) {
+        if let Some(running) = self.remove(ticket) {
             self.learn(sample, running.among);
         }
         self.start(now)
     }
 
+    /// Notes that the head of a running request's answer is there, and how many bytes follow;
+    /// none when the head does not tell.
+    pub fn head(&mut self, ticket: Ticket, now: Instant, bytes: u64) {
+        match self.running.get(&ticket) {
+            Some(running) if running.answer == AnswerLength::Long => {
+                self.outflow.head(now.since(running.start), bytes);
+            }
+            Some(_) | None => {}
+        }
+    }
+
+    /// Takes in how long what leaves the instance waits for its link.
+    pub const fn set_delay(&mut self, delay: Duration) {
+        self.delay = delay;
+    }
+
     /// Takes out a request whose caller went away; returns the waiting requests to start.
     pub fn cancel(&mut self, ticket: Ticket, now: Instant) -> Vec<Ticket> {
-        if self.running.remove(&ticket).is_none() {
+        if self.remove(ticket).is_none() {
             self.queue.remove(ticket);
         }
         self.start(now)
@@ -291,6 +324,12 @@
         self.queue.next_expiry()
     }
 
+    /// Returns when a waiting request's wait ends, or `None` when it does not wait.
+    #[must_use]
+    pub fn waits_until(&self, ticket: Ticket) -> Option<Instant> {
+        self.queue.until(ticket)
+    }
+
     /// Returns the requests that may run at once.
     #[must_use]
     pub fn limit(&self) -> u32 {
@@ -344,21 +383,56 @@
         Ticket(self.next)
     }
 
-    fn run(&mut self, now: Instant, target: Option<Duration>) -> Ticket {
+    fn run(&mut self, now: Instant, bid: &Bid) -> Ticket {
         let ticket = self.ticket();
-        self.hand_over(now, ticket, target);
+        self.hand_over(now, ticket, bid.target, bid.answer);
         ticket
     }
 
-    fn hand_over(&mut self, now: Instant, ticket: Ticket, target: Option<Duration>) {
+    fn hand_over(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        target: Option<Duration>,
+        answer: AnswerLength,
+    ) {
+        if answer == AnswerLength::Long {
+            self.outflow.begin();
+        }
         let running = Running {
             among: self.running() + 1,
             start: now,
             target,
+            answer,
         };
         self.running.insert(ticket, running);
     }
 
+    fn remove(&mut self, ticket: Ticket) -> Option<Running> {
+        let running = self.running.remove(&ticket)?;
+        if running.answer == AnswerLength::Long {
+            self.outflow.end();
+        }
+        Some(running)
+    }
+
+    /// Tells whether the way out has room for an answer of this length.
+    fn may_leave(&self, answer: AnswerLength) -> bool {
+        match answer {
+            AnswerLength::Short => true,
+            AnswerLength::Long => self.outflow.has_room(self.delay),
+        }
+    }
+
+    /// Refuses a request whose answer would only wait; one like it fits when the next is sent.
+    fn link_busy(&self) -> Refusal {
+        let refusal = Refusal::new(Reason::LinkBusy);
+        match self.outflow.each() {
+            Some(each) => refusal.with_retry(each + self.delay),
+            None => refusal,
+        }
+    }
+
     /// Tells whether a request would be within the queue's places, if need be in that of a
     /// less urgent one.
     fn has_room(&self, urgency: Urgency) -> bool {
@@ -377,10 +451,15 @@
         }
     }
 
+    fn patience(&self, bid: &Bid) -> Duration {
+        let usual = self.settings.wait;
+        bid.longest_wait(usual, self.targets.longest().unwrap_or(usual))
+    }
+
     fn enqueue(&mut self, now: Instant, bid: Bid) -> Ticket {
         let ticket = self.ticket();
         let latest = bid.due.less(self.quickest()).at();
-        let patience = now + bid.longest_wait(self.settings.wait);
+        let patience = now + self.patience(&bid);
         let reason = match patience < latest {
             true => Reason::Overloaded,
             false => Reason::DeadlinePassed,
@@ -391,6 +470,7 @@
             until: latest.min(patience),
             reason,
             target: bid.target,
+            answer: bid.answer,
         });
         ticket
     }
@@ -403,7 +483,7 @@
             let Some(next) = self.queue.pop(now, self.settings.order, capacity) else {
                 break;
             };
-            self.hand_over(now, next.ticket, next.target);
+            self.hand_over(now, next.ticket, next.target, next.answer);
             started.push(next.ticket);
         }
         started
--- a/crates/swiftcart-core/src/admission/bid.rs
+++ b/crates/swiftcart-core/src/admission/bid.rs
@@ -13,17 +13,17 @@
 /// A request that waited and is refused all the same has lost the chance to go elsewhere, too.
 const PATIENCE: f64 = 0.125;
 
-/// The target below which a request counts as short, one that another request makes while it runs.
-const SHORT_TARGET: Duration = Duration::from_millis(150);
-
-/// The wait of short requests: the time in which the slots of a backend server are given anew
-/// about once. A short call that is refused fails the request that made it, and the work that was
-/// done for that. Short requests go first, so that they wait for so long only among themselves.
-const SHORT_WAIT: Duration = Duration::from_millis(80);
+/// The part of its own target that a request may wait when others with longer targets may.
+///
+/// It answers calls that running requests make. They have short targets, and one that is refused
+/// fails the request that made it, with all the work that was done for that. They go before
+/// requests with longer targets, so they may wait for as long as those do: an eighth of the
+/// longest target, a quarter to a half of their own on all known meshes.
+const OWN_PATIENCE: f64 = 0.5;
 
-/// The part of that time that it may wait while other guards may have a place: what a round
+/// The part of the target that a request may wait while other guards may have a place: what a round
 /// trip to another failure domain and back takes, about 3 ms, is well below it for all routes.
-const SHORT_PATIENCE: f64 = 0.025;
+const ASKING_PATIENCE: f64 = 0.025;
 
 /// The part of its target for which a request's caller may have tried before, and the answer can
 /// still come within the target: calls take a third of it on average.
@@ -39,6 +39,16 @@
     Full,
 }
 
+/// Tells how much an answer takes of the way out of its instance.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AnswerLength {
+    /// Some kilobytes.
+    #[default]
+    Short,
+    /// Enough that others wait behind it on a slow link.
+    Long,
+}
+
 /// Says when an answer is due at the latest, when it should be there, and its rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Bid {
@@ -52,6 +62,8 @@
     pub patience: Patience,
     /// For how long its caller has been trying to get an answer.
     pub age: Duration,
+    /// How long its answer is expected to be.
+    pub answer: AnswerLength,
 }
 
 /// Tells whether an answer can still come within the time in which it is worth most.
@@ -80,9 +92,17 @@
             priority: Priority(0),
             patience: Patience::Full,
             age: Duration::ZERO,
+            answer: AnswerLength::Short,
         }
     }
 
+    /// Sets how long the answer is expected to be.
+    #[must_use]
+    pub const fn with_answer(mut self, answer: AnswerLength) -> Self {
+        self.answer = answer;
+        self
+    }
+
     /// Sets for how long the caller has been trying.
     #[must_use]
     pub const fn with_age(mut self, age: Duration) -> Self {
@@ -115,19 +135,26 @@
         self
     }
 
-    /// Returns when the wait for a slot ends; `usual` is the longest wait without a target.
+    /// Returns when the wait for a slot ends, when no request beside it has a longer target;
+    /// `usual` is the longest wait without a target.
     #[must_use]
     pub fn until(&self, now: Instant, usual: Duration) -> Instant {
-        self.due.within(now, self.longest_wait(usual)).at()
+        let longest = self.target.unwrap_or(usual);
+        self.due.within(now, self.longest_wait(usual, longest)).at()
     }
 
-    /// Returns the longest wait; `usual` is that of a request without a target.
-    pub(super) fn longest_wait(&self, usual: Duration) -> Duration {
+    /// Returns the longest wait; `usual` is that of a request without a target, `longest` the
+    /// longest target of those that the guard gets.
+    pub(super) fn longest_wait(&self, usual: Duration, longest: Duration) -> Duration {
         let target = self.target.unwrap_or(usual);
         match (self.patience, self.target) {
-            (Patience::Short, _) => target.mul_f64(SHORT_PATIENCE).min(usual),
-            (Patience::Full, Some(target)) if target < SHORT_TARGET => SHORT_WAIT.min(usual),
-            (Patience::Full, Some(target)) => target.mul_f64(PATIENCE).min(usual),
+            (Patience::Short, _) => target.mul_f64(ASKING_PATIENCE).min(usual),
+            (Patience::Full, Some(target)) => {
+                let among_longer = longest.mul_f64(PATIENCE);
+                let own = target.mul_f64(OWN_PATIENCE);
+                let wait = among_longer.min(own).max(target.mul_f64(PATIENCE));
+                wait.min(usual)
+            }
             (Patience::Full, None) => usual,
         }
     }
--- a/crates/swiftcart-core/src/admission/queue.rs
+++ b/crates/swiftcart-core/src/admission/queue.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Ticket;
-use super::bid::Urgency;
+use super::bid::{AnswerLength, Urgency};
 use crate::{Instant, Reason};
 
 /// Chooses which waiting request goes next.
@@ -29,6 +29,8 @@
     pub(super) reason: Reason,
     /// The time within which its answer is worth most.
     pub(super) target: Option<Duration>,
+    /// How much its answer takes of the way out.
+    pub(super) answer: AnswerLength,
 }
 
 /// Holds the waiting requests, the most urgent first and the oldest first among equals.
@@ -83,6 +85,12 @@
         self.waiting.len() < before
     }
 
+    /// Returns until when a request waits, or `None` when it does not.
+    pub(super) fn until(&self, ticket: Ticket) -> Option<Instant> {
+        let found = self.waiting.iter().find(|w| w.ticket == ticket);
+        found.map(|w| w.until)
+    }
+
     /// Takes out the requests that it makes no sense to start any more.
     pub(super) fn expire(&mut self, now: Instant) -> VecDeque<Waiting> {
         let (late, live) = self.waiting.iter().partition(|w| w.until <= now);
--- a/crates/swiftcart-core/src/asking.rs
+++ b/crates/swiftcart-core/src/asking.rs
@@ -117,7 +117,10 @@
     /// Notes that the try at `guard` failed for `reason`.
     pub fn failed(&mut self, guard: NodeId, reason: Reason) {
         self.excluded.push(guard);
-        let full = matches!(reason, Reason::QueueFull | Reason::Overloaded);
+        let full = matches!(
+            reason,
+            Reason::QueueFull | Reason::LinkBusy | Reason::Overloaded
+        );
         match (self.stage, self.haul) {
             (Stage::Ask, _) if full => self.full.push(guard),
             (Stage::Wait, Haul::Heavy) if full => self.stage = Stage::Rest,
--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -258,7 +258,13 @@
             (Some(domain), CallResult::Unreachable) => {
                 self.cuts.failed(domain, id, now);
             }
-            (Some(domain), CallResult::Success | CallResult::Refused | CallResult::Erred) => {
+            (
+                Some(domain),
+                CallResult::Success
+                | CallResult::Refused
+                | CallResult::LinkBusy
+                | CallResult::Erred,
+            ) => {
                 self.cuts.reached(domain);
             }
             (None, _) | (_, CallResult::Failure | CallResult::Cancelled) => {}
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -180,9 +180,10 @@
     fn full(&self, known: Known<'_>) -> bool {
         let age = self.balancer.settings.load_age;
         let slots = known.candidate.slots;
-        known
-            .peer
-            .is_some_and(|p| p.running >= slots || p.usage(self.now, age) >= 1.0)
+        known.peer.is_some_and(|p| {
+            let link = self.haul == Haul::Heavy && p.is_link_busy(self.now);
+            link || p.running >= slots || p.usage(self.now, age) >= 1.0
+        })
     }
 
     fn warm<R: Rng + ?Sized>(&self, known: Known<'_>, rng: &mut R) -> bool {
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -21,6 +21,10 @@
 /// The usage that a refusal stands for: its guard has no place and no queue left.
 const REFUSED_USAGE: f64 = 1.5;
 
+/// How long a link that had no room for a long answer is left aside for others like it: about
+/// four answers of 90 kB over 15 Mbit/s, after which a place is likely again.
+const LINK_MEMORY: Duration = Duration::from_millis(200);
+
 /// The failures that a failed connection stands for: two in a row eject by default. It says
 /// more than a missing answer, and a trial costs no more than the time to connect.
 const UNREACHABLE: u32 = 3;
@@ -47,6 +51,8 @@
     pace: Option<Pace>,
     /// The last one that was told to all nodes.
     told: Option<Pace>,
+    /// When it last had no room for a long answer.
+    link_busy: Option<Instant>,
     failing: f64,
     judged: Instant,
     streak: u32,
@@ -68,6 +74,7 @@
             loaded: now,
             pace: None,
             told: None,
+            link_busy: None,
             failing: 0.0,
             judged: now,
             streak: 0,
@@ -112,6 +119,10 @@
                 self.judge(now, 1.0, s.memory);
                 false
             }
+            CallResult::LinkBusy => {
+                self.link_busy = Some(now);
+                false
+            }
             CallResult::Cancelled => false,
         }
     }
@@ -169,6 +180,12 @@
         self.usage * decay(now.since(self.loaded), age)
     }
 
+    /// Tells whether it had no room for a long answer of late.
+    pub(super) fn is_link_busy(&self, now: Instant) -> bool {
+        self.link_busy
+            .is_some_and(|then| now.since(then) < LINK_MEMORY)
+    }
+
     /// Returns the latency, decayed so that a slow one is looked at again.
     pub(super) fn latency(&self, now: Instant, s: &BalanceSettings) -> Option<f64> {
         let fresh = decay(now.since(self.heard), s.memory);
--- a/crates/swiftcart-core/src/balance/sample.rs
+++ b/crates/swiftcart-core/src/balance/sample.rs
@@ -71,6 +71,8 @@
     Unreachable,
     /// The guard did not take the call; the backend server is not to blame.
     Refused,
+    /// The guard has no room for a long answer on its link; others may have a place there.
+    LinkBusy,
     /// The backend server answered that it has failed; calls that it made may be to blame.
     Erred,
     /// The caller went away, or the call was given up; nothing is learnt.
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -119,6 +119,8 @@
     NotReady, "not-ready", 503, NotRun;
     /// The guard's queue holds as many requests as it may.
     QueueFull, "queue-full", 503, NotRun;
+    /// Long answers fill the link of the guard's instance.
+    LinkBusy, "link-busy", 503, NotRun;
     /// The guard expects the wait in its queue to be too long.
     Overloaded, "overloaded", 503, NotRun;
     /// The deadline passed, or cannot be met any more, before the hand-over.
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -321,6 +321,7 @@
     match reason {
         Reason::NotReady
         | Reason::QueueFull
+        | Reason::LinkBusy
         | Reason::Overloaded
         | Reason::RateLimited
         | Reason::Draining
--- a/crates/swiftcart-core/tests/balance.rs
+++ b/crates/swiftcart-core/tests/balance.rs
@@ -339,3 +339,25 @@
     let now = Instant::from_millis(ms);
     assert_eq!(rig.pick(now, &[]).map(|pick| pick.rule), Some(expected));
 }
+
+#[test]
+fn a_link_without_room_for_long_answers_is_left_to_short_ones() {
+    let mut rig = rig(&[2, 4]);
+    rig.feed(
+        2,
+        START,
+        Sample::new(Duration::ZERO, CallResult::LinkBusy),
+        1,
+    );
+    let entry = rig.view.service("a").expect("the table has it").clone();
+    let mut free = |haul, ms| {
+        let now = Instant::from_millis(ms);
+        let pick = rig
+            .balancer
+            .pick_for(haul, now, &entry, &[node(4)], &mut rig.rng);
+        pick.expect("one is left").free
+    };
+    assert!(free(Haul::Light, 10));
+    assert!(!free(Haul::Heavy, 10));
+    assert!(free(Haul::Heavy, 250), "links clear soon");
+}
--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -11,6 +11,7 @@
 mod in_flight;
 mod ingress;
 mod keyed;
+mod pacing;
 mod peers;
 mod pool;
 mod request;
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -14,12 +14,20 @@
 use super::answer::End;
 use super::rng::with_rng;
 use crate::clock::Clock;
+use crate::outlet::Outlet;
 
 /// What a waiting request is told.
 type News = Result<(), Refusal>;
 
-/// A slot, and whom to wait for when it is not free yet.
-type Offered = (Slot, Option<oneshot::Receiver<News>>);
+/// A slot, and what to wait for when it is not free yet.
+type Offered = (Slot, Option<Wait>);
+
+/// Where a waiting request hears that it may run, and until when it listens.
+#[derive(Debug)]
+struct Wait {
+    news: oneshot::Receiver<News>,
+    until: Instant,
+}
 
 /// Tells whether a request takes a part of the service's rate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,8 +39,8 @@
 /// Decides what one backend server is given, for many requests at once.
 #[derive(Debug)]
 pub struct Admissions {
+    link: Arc<Outlet>,
     clock: Clock,
-    wait: Duration,
     state: Mutex<State>,
 }
 
@@ -56,11 +64,11 @@
 impl Admissions {
     /// Creates admissions that lets nothing run before [`resize`](Self::resize).
     #[must_use]
-    pub fn new(clock: Clock, settings: AdmissionSettings) -> Self {
+    pub fn new(link: &Arc<Outlet>, clock: Clock, settings: AdmissionSettings) -> Self {
         let now = clock.now();
         Self {
+            link: Arc::clone(link),
             clock,
-            wait: settings.wait,
             state: Mutex::new(State {
                 admission: Admission::new(now, settings),
                 rate: RateShare::new(now),
@@ -105,7 +113,7 @@
     pub async fn enter(self: &Arc<Self>, bid: Bid) -> Result<Slot, Refusal> {
         let now = self.clock.now();
         let offered = self.offer(now, bid, Rate::Taken)?;
-        self.wait(now, bid, offered).await
+        self.wait(offered).await
     }
 
     /// Tells whether a request would be let in now, and takes its part of the rate.
@@ -126,20 +134,20 @@
     pub async fn enter_probed(self: &Arc<Self>, bid: Bid) -> Result<Slot, Refusal> {
         let now = self.clock.now();
         let offered = self.offer(now, bid, Rate::Free)?;
-        self.wait(now, bid, offered).await
+        self.wait(offered).await
     }
 
-    async fn wait(&self, now: Instant, bid: Bid, offered: Offered) -> Result<Slot, Refusal> {
-        let (mut slot, waiter) = offered;
-        let Some(mut waiter) = waiter else {
+    async fn wait(&self, offered: Offered) -> Result<Slot, Refusal> {
+        let (mut slot, wait) = offered;
+        let Some(mut wait) = wait else {
             return Ok(slot);
         };
-        let until = self.clock.tokio(bid.until(now, self.wait));
-        let news = match timeout_at(until, &mut waiter).await {
+        let until = self.clock.tokio(wait.until);
+        let news = match timeout_at(until, &mut wait.news).await {
             Ok(news) => news.ok(),
             Err(_) => {
                 self.expire();
-                waiter.try_recv().ok()
+                wait.news.try_recv().ok()
             }
         };
         slot.start = self.clock.now();
@@ -153,6 +161,7 @@
     /// Returns the slot, and whom to wait for when it is not free yet.
     fn offer(self: &Arc<Self>, now: Instant, bid: Bid, rate: Rate) -> Result<Offered, Refusal> {
         let mut state = self.lock();
+        state.admission.set_delay(self.link.delay());
         let admit = with_rng(|rng| state.admission.offer(now, bid, rng));
         let displaced = state.admission.displaced();
         state.refuse(displaced);
@@ -177,12 +186,15 @@
             target: bid.target,
             open: true,
         };
-        let waiter = waits.then(|| {
-            let (tx, rx) = oneshot::channel();
+        let wait = waits.then(|| {
+            let (tx, news) = oneshot::channel();
             state.waiting.insert(ticket, tx);
-            rx
+            let until = state.admission.waits_until(ticket);
+            // What is not in the queue any more has its news already.
+            let until = until.unwrap_or(now);
+            Wait { news, until }
         });
-        Ok((slot, waiter))
+        Ok((slot, wait))
     }
 
     /// Refuses those whose time to wait is over.
@@ -226,6 +238,13 @@
         self.start
     }
 
+    /// Notes that the head of the answer is there, and how many bytes follow.
+    pub fn head(&self, bytes: u64) {
+        let now = self.admissions.clock.now();
+        let mut state = self.admissions.lock();
+        state.admission.head(self.ticket, now, bytes);
+    }
+
     /// Gives the slot back after the answer ended.
     pub fn close(self, end: End) {
         self.finish(end.result());
--- a/crates/swiftcart-node/src/calls/answer.rs
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::pin::Pin;
-use std::task::{Context, Poll, Waker};
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +19,9 @@
 use super::admissions::Slot;
 use super::headers::{OUTCOME, REASON, RETRIED};
 use super::in_flight::InFlight;
+use super::pacing::Pacing;
 use super::pool::Pooled;
+use crate::outlet::Outlet;
 use crate::settings::Answers;
 
 /// When a caller should come back after a refusal that names no time: by then a dead node
@@ -110,6 +113,8 @@
     held: VecDeque<Bytes>,
     ending: Ending,
     ended: Option<End>,
+    /// None while it is not known where the answer goes.
+    pacing: Option<Pacing>,
 }
 
 impl Answer {
@@ -129,6 +134,7 @@
             held: VecDeque::new(),
             ending: Ending::default(),
             ended: None,
+            pacing: None,
         };
         if streaming.body.is_end_stream() {
             streaming.finish(End::Whole);
@@ -145,6 +151,18 @@
         self
     }
 
+    /// Has the answer leave by `outlet`, at the pace of its link when it is long.
+    #[must_use]
+    pub fn paced(mut self, outlet: &Arc<Outlet>) -> Self {
+        let bytes = self.size_hint().lower();
+        let pacing = Pacing::new(outlet, bytes);
+        match &mut self {
+            Self::Text(_) => pacing.sent(bytes as usize),
+            Self::Stream(streaming) => streaming.pacing = Some(pacing),
+        }
+        self
+    }
+
     /// Has `call` told how the answer ended.
     #[must_use]
     pub fn with_in_flight(mut self, call: InFlight) -> Self {
@@ -235,11 +253,18 @@
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
-        match (self.held.pop_front(), self.ended) {
-            (Some(data), _) => Poll::Ready(Some(Ok(Frame::data(data)))),
-            (None, Some(End::Whole)) => Poll::Ready(None),
-            (None, _) => self.poll_body(cx),
+        if let Some(pacing) = &mut self.pacing {
+            ready!(pacing.poll_turn(cx));
+        }
+        let frame = match (self.held.pop_front(), self.ended) {
+            (Some(data), _) => Some(Ok(Frame::data(data))),
+            (None, Some(End::Whole)) => None,
+            (None, _) => ready!(self.poll_body(cx)),
+        };
+        if let (Some(pacing), Some(Ok(frame))) = (&self.pacing, &frame) {
+            pacing.sent(frame.data_ref().map_or(0, Bytes::len));
         }
+        Poll::Ready(frame)
     }
 
     fn poll_body(
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response};
+use hyper::body::Body;
 use slog::{error, info};
 use swiftcart_core::{
     Backend, CallResult, Limits, Load, NodeId, Pace, Reason, Refusal, ServiceEntry,
@@ -261,6 +262,7 @@
         };
         let elapsed = self.shared.clock.now().since(slot.start());
         self.shared.counters.stage(Stage::Backend, elapsed);
+        slot.head(response.body().size_hint().lower());
         if let Err(reason) = judge(&self.shared.settings, call, &method, &response) {
             slot.finish(blame(reason));
             if reason == Reason::Shed {
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -476,6 +476,7 @@
     match (reason, reason.outcome()) {
         (Reason::CallerGone, _) => CallResult::Cancelled,
         (Reason::PeerUnreachable | Reason::ConnectFailed, _) => CallResult::Unreachable,
+        (Reason::LinkBusy, _) => CallResult::LinkBusy,
         (_, Outcome::NotRun) => CallResult::Refused,
         (_, Outcome::Unknown | Outcome::Done) => CallResult::Failure,
     }
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -6,7 +6,8 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Version};
 use swiftcart_core::{
-    Attempt, Bid, Deadline, Haul, Instant, Patience, Reason, RequestClass, RouteProfile, Routed,
+    AnswerLength, Attempt, Bid, Deadline, Haul, Instant, Patience, Reason, RequestClass,
+    RouteProfile, Routed,
 };
 
 use super::headers::{
@@ -119,11 +120,18 @@
         self.due = limit(self.due, entry.limits().timeout_ms);
         if let Some(policy) = policy {
             self.due = limit(self.due, policy.timeout_ms);
-            self.take_terms(CallTerms::from(policy).with_age(age));
+            let terms = CallTerms::from(policy).with_age(age);
+            let answer = match (terms.class, profile.haul()) {
+                (RequestClass::Download, _) | (_, Haul::Heavy) => AnswerLength::Long,
+                (_, Haul::Light) => AnswerLength::Short,
+            };
+            self.take_terms(CallTerms { answer, ..terms });
         }
-        self.haul = match self.terms.map(|terms| terms.class) {
-            Some(RequestClass::Upload | RequestClass::Download) => Haul::Heavy,
-            Some(RequestClass::Idempotent | RequestClass::NonIdempotent) | None => profile.haul(),
+        self.haul = match self.terms {
+            Some(terms) if terms.class == RequestClass::Upload => Haul::Heavy,
+            Some(terms) if terms.answer == AnswerLength::Long => Haul::Heavy,
+            Some(_) => Haul::Light,
+            None => profile.haul(),
         };
     }
 
@@ -136,6 +144,7 @@
                 .with_priority(terms.priority)
                 .with_patience(terms.patience)
                 .with_age(terms.age())
+                .with_answer(terms.answer)
         })
     }
 
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -125,7 +125,7 @@
             response.headers_mut().insert(LOAD, load);
         }
         retire(&self.shared, &mut response);
-        response
+        response.map(|answer| answer.paced(&self.shared.link))
     }
 
     async fn run(&self, request: Request<Incoming>) -> Result<Response<Answer>, Refusal> {
@@ -200,7 +200,7 @@
         Box::pin(async move {
             let mut response = service.answer(request).await;
             retire(&service.shared, &mut response);
-            Ok(response)
+            Ok(response.map(|answer| answer.paced(&service.shared.link)))
         })
     }
 }
--- a/crates/swiftcart-node/src/calls/terms.rs
+++ b/crates/swiftcart-node/src/calls/terms.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::HeaderValue;
-use swiftcart_core::{Patience, Policy, Priority, Reason, RequestClass};
+use swiftcart_core::{AnswerLength, Patience, Policy, Priority, Reason, RequestClass};
 
 /// What a guard has to know of the policy of a request's route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,6 +23,8 @@
     pub patience: Patience,
     /// For how long its caller has been trying, in milliseconds.
     pub age_ms: u32,
+    /// How long its answer is expected to be.
+    pub answer: AnswerLength,
 }
 
 impl CallTerms {
@@ -51,6 +53,10 @@
                 _ => Patience::Full,
             },
             age_ms: next(&mut parts)?,
+            answer: match next::<u8>(&mut parts)? {
+                0 => AnswerLength::Short,
+                _ => AnswerLength::Long,
+            },
         })
     }
 
@@ -91,8 +97,10 @@
             ..
         } = self;
         let repeat = u8::from(*repeat);
+        let long = u8::from(self.answer == AnswerLength::Long);
         let waits = u8::from(self.patience == Patience::Full);
-        let text = format!("{class} {attempts} {priority} {target_ms} {repeat} {waits} {age_ms}");
+        let text =
+            format!("{class} {attempts} {priority} {target_ms} {repeat} {waits} {age_ms} {long}");
         // Letters, digits and spaces are always a header's value.
         HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
     }
@@ -108,6 +116,7 @@
             repeat: false,
             patience: Patience::Full,
             age_ms: 0,
+            answer: AnswerLength::Short,
         }
     }
 }
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -53,9 +53,10 @@
                         },
                         ..LimitSettings::default()
                     },
+                    link: shared.settings.link.rate(),
                     ..AdmissionSettings::default()
                 };
-                Arc::new(Admissions::new(shared.clock, settings))
+                Arc::new(Admissions::new(&shared.link, shared.clock, settings))
             },
             |old| Arc::clone(&old.admissions),
         );
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod headers;
 mod limits;
+mod link;
 mod load;
 mod retries;
 mod stop;
@@ -22,6 +23,7 @@
 pub use gossip::Gossip;
 pub use headers::{Headers, Name};
 pub use limits::Limits;
+pub use link::LinkSettings;
 pub use retries::Retries;
 pub use stop::Stop;
 
@@ -58,6 +60,9 @@
     /// The statuses of the answers that the node makes itself.
     #[serde(default)]
     pub answers: Answers,
+    /// The instance's link.
+    #[serde(default)]
+    pub link: LinkSettings,
     /// The budget of retries that all nodes share; without one each node has its own.
     #[serde(default)]
     pub retries: Option<Retries>,
--- a/crates/swiftcart-node/src/settings/check.rs
+++ b/crates/swiftcart-node/src/settings/check.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{MeshKey, Retries, Settings, SettingsError};
+use super::{LinkSettings, MeshKey, Retries, Settings, SettingsError};
 
 /// The most characters of a failure domain's name.
 const MAX_DOMAIN: usize = 63;
@@ -20,6 +20,7 @@
         })?;
     domain(file, &settings.domain.0)?;
     retries(file, settings.retries)?;
+    link(file, settings.link)?;
     kill(file, settings.stop.kill_s)?;
     mesh_key(file, &settings.mesh_key)?;
     addresses(file, settings)
@@ -174,6 +175,18 @@
     }
 }
 
+fn link(file: &str, link: LinkSettings) -> Result<(), SettingsError> {
+    match (0.0..=1e6).contains(&link.mbit_s) {
+        true => Ok(()),
+        false => Err(SettingsError::Rule(
+            file.into(),
+            "link.mbit_s".into(),
+            link.mbit_s.to_string(),
+            "use a number from 0 to 1e6",
+        )),
+    }
+}
+
 fn domain(file: &str, name: &str) -> Result<(), SettingsError> {
     let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
     match name.len() {
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::faults::Faults;
 use crate::logging::CallLog;
 use crate::misses::Misses;
+use crate::outlet::Outlet;
 use crate::settings::{Headers, Settings};
 
 /// Tells whether a node takes callers' requests, and if not, why.
@@ -111,6 +112,8 @@
     pub pace: AtomicU32,
     /// When the announcement ends unless it is renewed.
     pub expiry: watch::Sender<Option<tokio::time::Instant>>,
+    /// The instance's link.
+    pub link: Arc<Outlet>,
     /// The nodes to which no connection opened lately.
     pub misses: Misses,
     /// What this node is cut off from, in builds for failure tests.
@@ -144,6 +147,8 @@
         let id = NodeId(settings.listen.gossip);
         let table = Table::new();
         let view = View::new(Version::NONE, &table, [].into_iter(), id, &settings.domain);
+        let clock = Clock::new();
+        let link = Outlet::new(clock, settings.link.rate());
         Arc::new(Self {
             headers: Arc::new(settings.headers.clone()),
             settings,
@@ -153,7 +158,8 @@
             counters: Counters::new(),
             view: ArcSwap::from_pointee(view),
             views: watch::Sender::new(()),
-            clock: Clock::new(),
+            clock,
+            link: Arc::new(link),
             config: ArcSwap::default(),
             progress: ArcSwap::default(),
             members: ArcSwap::default(),
