--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -453,7 +453,7 @@
 
     fn patience(&self, bid: &Bid) -> Duration {
         let usual = self.settings.wait;
-        bid.longest_wait(usual, self.targets.longest().unwrap_or(usual))
+        bid.longest_wait(usual, self.targets.long().unwrap_or(usual))
     }
 
     fn enqueue(&mut self, now: Instant, bid: Bid) -> Ticket {
--- a/crates/swiftcart-core/src/admission/bid.rs
+++ b/crates/swiftcart-core/src/admission/bid.rs
@@ -17,8 +17,8 @@
 ///
 /// It answers calls that running requests make. They have short targets, and one that is refused
 /// fails the request that made it, with all the work that was done for that. They go before
-/// requests with longer targets, so they may wait for as long as those do: an eighth of the
-/// longest target, a quarter to a half of their own on all known meshes.
+/// requests with longer targets, so they may wait for as long as those do: an eighth of a
+/// long target, a quarter to a half of their own on all known meshes.
 const OWN_PATIENCE: f64 = 0.5;
 
 /// The part of the target that a request may wait while other guards may have a place: what a round
@@ -143,14 +143,14 @@
         self.due.within(now, self.longest_wait(usual, longest)).at()
     }
 
-    /// Returns the longest wait; `usual` is that of a request without a target, `longest` the
-    /// longest target of those that the guard gets.
-    pub(super) fn longest_wait(&self, usual: Duration, longest: Duration) -> Duration {
+    /// Returns the longest wait; `usual` is that of a request without a target, `long` the
+    /// target that most requests at the guard do not exceed.
+    pub(super) fn longest_wait(&self, usual: Duration, long: Duration) -> Duration {
         let target = self.target.unwrap_or(usual);
         match (self.patience, self.target) {
             (Patience::Short, _) => target.mul_f64(ASKING_PATIENCE).min(usual),
             (Patience::Full, Some(target)) => {
-                let among_longer = longest.mul_f64(PATIENCE);
+                let among_longer = long.mul_f64(PATIENCE);
                 let own = target.mul_f64(OWN_PATIENCE);
                 let wait = among_longer.min(own).max(target.mul_f64(PATIENCE));
                 wait.min(usual)
