Let requests with long answers wait for room on the link

Cause: a guard without room for a long answer refused it at once.

Ruled out: other crossing traffic (calls and look-ups of 1 to 3 kB: a tenth of the bytes).

Change: it waits in the guard's queue for as long as its patience allows, when the link is expected to have room by then; what waits for the link does not keep others from slots.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -252,7 +252,10 @@
             Gate::Open if due.misses(now, self.quickest()) => {
                 Admit::Refuse(Refusal::new(Reason::DeadlinePassed))
             }
-            Gate::Open if !self.may_leave(bid.answer) => Admit::Refuse(self.link_busy()),
+            Gate::Open if !self.may_leave(bid.answer) => match self.link_wait() <= patience {
+                true => Admit::Queue(self.enqueue(now, bid)),
+                false => Admit::Refuse(self.link_busy()),
+            },
             // What waits was started as long as there was a place; the rest has expired.
             Gate::Open if self.running() < self.limit() => Admit::Run(self.run(now, &bid)),
             Gate::Open if !self.has_room(urgency) => {
@@ -424,13 +427,15 @@
         }
     }
 
-    /// Refuses a request whose answer would only wait; one like it fits when the next is sent.
+    /// Returns when the link has room for one more long answer, behind those that wait for it.
+    fn link_wait(&self) -> Duration {
+        let each = self.outflow.each().unwrap_or(Duration::ZERO);
+        self.delay + each * (to_u32(self.queue.long()) + 1)
+    }
+
+    /// Refuses a request whose answer would only wait.
     fn link_busy(&self) -> Refusal {
-        let refusal = Refusal::new(Reason::LinkBusy);
-        match self.outflow.each() {
-            Some(each) => refusal.with_retry(each + self.delay),
-            None => refusal,
-        }
+        Refusal::new(Reason::LinkBusy).with_retry(self.link_wait())
     }
 
     /// Tells whether a request would be within the queue's places, if need be in that of a
@@ -480,7 +485,8 @@
         let mut started = Vec::new();
         while self.running() < self.limit() {
             let capacity = self.capacity();
-            let Some(next) = self.queue.pop(now, self.settings.order, capacity) else {
+            let room = self.outflow.has_room(self.delay);
+            let Some(next) = self.queue.pop(now, self.settings.order, capacity, room) else {
                 break;
             };
             self.hand_over(now, next.ticket, next.target, next.answer);
--- a/crates/swiftcart-core/src/admission/queue.rs
+++ b/crates/swiftcart-core/src/admission/queue.rs
@@ -67,10 +67,23 @@
         }
     }
 
-    /// Takes the next request that can still be started at `now`.
-    pub(super) fn pop(&mut self, now: Instant, order: Order, capacity: usize) -> Option<Waiting> {
+    /// Counts those that wait with a long answer.
+    pub(super) fn long(&self) -> usize {
+        let long = |w: &&Waiting| w.answer == AnswerLength::Long;
+        self.waiting.iter().filter(long).count()
+    }
+
+    /// Takes the next request that can still be started at `now`; those with a long answer only
+    /// when there is `room` for it on the link.
+    pub(super) fn pop(
+        &mut self,
+        now: Instant,
+        order: Order,
+        capacity: usize,
+        room: bool,
+    ) -> Option<Waiting> {
         let mut live = self.waiting.iter();
-        let fits = |w: &Waiting| w.until > now;
+        let fits = |w: &Waiting| w.until > now && (room || w.answer == AnswerLength::Short);
         let i = match order {
             Order::AdaptiveLifo if self.waiting.len() * 2 > capacity => live.rposition(fits),
             Order::AdaptiveLifo | Order::Fifo => live.position(fits),
