Keep one spare long answer on the way out of a guard

Cause: the bound left two long answers beyond those that the link carries while one is made. What leaves an instance beside them is not in the model (acknowledgements, heads, retransmissions), so that the link is fuller than the node believes.

The guard also looks at the link before it starts what waits.

The test that plays the load lets requests wait as the product does now, and has the same bounds.

--- a/crates/swiftcart-core/src/admission/outflow.rs
+++ b/crates/swiftcart-core/src/admission/outflow.rs
@@ -4,9 +4,12 @@
 
 use crate::LinkRate;
 
-/// Long answers that may be under way beyond those that keep the link busy: the one that is being
-/// sent and the one right behind it. Each one more would only wait, 48 ms for 90 kB over 15 Mbit/s.
-const SPARE: f64 = 2.0;
+/// Long answers that may be under way beyond those that the link carries while one is made.
+///
+/// Each one more keeps the link a little busier and makes the others wait for its length, 48 ms for
+/// 90 kB over 15 Mbit/s, and what is shorter for a part of that. With five more documents were not
+/// served more often, and 705 in place of 229 of 6,985 charges were late; with one 159 were.
+const SPARE: f64 = 1.0;
 
 /// The weight of one answer in the means.
 const WEIGHT: f64 = 1.0 / 16.0;
@@ -31,7 +34,7 @@
 /// assert!(out.has_room(Duration::ZERO), "nothing is known yet");
 /// out.begin();
 /// out.head(Duration::from_millis(200), 50_000);
-/// for _ in 0..5 {
+/// for _ in 0..4 {
 ///     assert!(out.has_room(Duration::ZERO));
 ///     out.begin();
 /// }
--- a/crates/swiftcart-core/tests/outflow.rs
+++ b/crates/swiftcart-core/tests/outflow.rs
@@ -1,7 +1,7 @@
 //! Long answers on a short link: what a guard takes, and how long others wait behind them.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -47,6 +47,7 @@
     let mut guard = Admission::new(Instant::from_millis(0), settings).with_slots(18);
     let mut link = Link::new(RATE);
     let mut played = Played::default();
+    let mut waiting: HashMap<Ticket, bool> = HashMap::new();
     let mut ending: BinaryHeap<Reverse<(u64, Ticket, bool)>> = BinaryHeap::new();
     for ms in 0..PLAYED_MS {
         let now = Instant::from_millis(ms);
@@ -63,7 +64,15 @@
                 played.short += 1;
             }
             let sample = Sample::new(Duration::from_millis(MADE_MS), CallResult::Success);
-            guard.done(ticket, now, &sample);
+            guard.set_delay(link.delay(now));
+            for started in guard.done(ticket, now, &sample) {
+                let long = waiting.remove(&started).expect("it waited");
+                ending.push(Reverse((ms + MADE_MS, started, long)));
+            }
+        }
+        for refused in guard.expire(now, &mut rng) {
+            let long = waiting.remove(&refused.ticket).expect("it waited");
+            played.refused_short += u32::from(!long);
         }
         for (long, rate) in [(true, long_s), (false, short_s)] {
             if rng.random::<f64>() >= rate / 1000.0 {
@@ -72,7 +81,6 @@
             guard.set_delay(link.delay(now));
             let bid = Bid::new(Deadline::new(now, Duration::from_secs(5)))
                 .with_target(Duration::from_millis(if long { 1000 } else { 600 }))
-                .with_patience(Patience::Short)
                 .with_answer(if long {
                     AnswerLength::Long
                 } else {
@@ -81,13 +89,17 @@
             match guard.offer(now, bid, &mut rng) {
                 Admit::Run(ticket) => ending.push(Reverse((ms + MADE_MS, ticket, long))),
                 Admit::Queue(ticket) => {
-                    guard.cancel(ticket, now);
+                    waiting.insert(ticket, long);
                 }
                 Admit::Refuse(refusal) if long => {
                     assert!(refusal.retry_after.is_some() || refusal.reason != Reason::LinkBusy);
                 }
                 Admit::Refuse(_) => played.refused_short += 1,
             }
+            for refused in guard.displaced() {
+                let long = waiting.remove(&refused.ticket).expect("it waited");
+                played.refused_short += u32::from(!long);
+            }
         }
     }
     played
@@ -101,6 +113,7 @@
     assert!(bound_ms <= 150, "{bound_ms} ms");
     assert!(unbound_ms >= 1000, "{unbound_ms} ms without the bound");
     assert!(bound.refused_short <= unbound.refused_short);
+    assert!(bound.short >= unbound.short);
 }
 
 #[test]
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -256,7 +256,9 @@
         let now = self.admissions.clock.now();
         let mut sample = Sample::new(now.since(self.start), result);
         sample.target = self.target;
+        let delay = self.admissions.link.delay();
         let mut state = self.admissions.lock();
+        state.admission.set_delay(delay);
         let started = state.admission.done(self.ticket, now, &sample);
         state.wake(started);
     }
