Start what waited for the link before a later request, and split the admission by concept

Cause: a request with a long answer that waited started only when another one ended; one that came after the link had cleared was taken before it. The admission had grown to 566 lines.

Change: the guard looks at what waits before each offer. Settings, gate, tickets, running requests and the times of calls have files of their own; no other decision changes.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -1,11 +1,16 @@
 //! Admission at the guard of one backend server: how much runs, waits or is refused.
 
 mod bid;
+mod gate;
 mod gauge;
 mod limit;
 mod outflow;
 mod queue;
+mod running;
+mod settings;
 mod targets;
+mod ticket;
+mod times;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -13,16 +18,21 @@
 use rand::Rng;
 
 use crate::rate::Promises;
-use crate::{CallResult, Instant, Limits, LinkRate, Load, Pace, Reason, Refusal, Sample};
+use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample};
 use bid::Urgency;
 pub use bid::{AnswerLength, Bid, Patience};
-use gauge::{PaceGauge, in_targets};
+pub use gate::Gate;
+use gauge::PaceGauge;
 use limit::AdaptiveLimit;
 pub use limit::{LimitRule, LimitSettings};
 pub use outflow::Outflow;
 pub use queue::Order;
 use queue::{Queue, Waiting};
+use running::Running;
+pub use settings::AdmissionSettings;
 use targets::Targets;
+pub use ticket::{Admit, Refused, Ticket};
+use times::Times;
 
 /// The slots that are believed at most, so that no announcement grows the state without bound.
 const MOST_SLOTS: u32 = 4096;
@@ -30,91 +40,9 @@
 /// The weight of one sample in the mean time that a call runs.
 const TIME_WEIGHT: f64 = 1.0 / 32.0;
 
-/// The share by which the shortest time seen grows with each sample.
-const SHORTEST_DRIFT: f64 = 0.001;
-
 /// The time to come back after, when another backend server has to be found.
 const ELSEWHERE: Duration = Duration::from_millis(500);
 
-/// Names one request inside one [`Admission`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(u64);
-
-/// Tells what becomes of an offered request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Admit {
-    /// It is handed over now.
-    Run(Ticket),
-    /// It waits until its ticket is returned as started or as refused.
-    Queue(Ticket),
-    /// It is answered at once.
-    Refuse(Refusal),
-}
-
-/// Names a waiting request that is refused after all.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Refused {
-    /// The request.
-    pub ticket: Ticket,
-    /// What it is answered.
-    pub refusal: Refusal,
-}
-
-/// Tells whether new work is taken.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Gate {
-    /// New work is taken.
-    #[default]
-    Open,
-    /// The backend server is starting.
-    Warming,
-    /// The backend server takes no new work; what waits is refused, since it is new to it.
-    Draining,
-    /// The node is stopping; what waits was accepted and is still run.
-    Stopping,
-}
-
-/// Sets how much may wait.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct AdmissionSettings {
-    /// Requests that wait at most.
-    pub queue: u32,
-    /// Requests that wait at most for each one that may run.
-    pub depth: f64,
-    /// The longest wait.
-    pub wait: Duration,
-    /// Which waiting request goes next.
-    pub order: Order,
-    /// How the limit follows the latency.
-    pub limit: LimitSettings,
-    /// The rate of the instance's link, where it is known.
-    pub link: Option<LinkRate>,
-}
-
-impl Default for AdmissionSettings {
-    fn default() -> Self {
-        Self {
-            queue: 128,
-            depth: 1.0,
-            wait: Duration::from_millis(500),
-            order: Order::default(),
-            limit: LimitSettings::default(),
-            link: None,
-        }
-    }
-}
-
-/// A request that runs.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Running {
-    /// How many ran when it started, itself included.
-    among: u32,
-    start: Instant,
-    /// The time within which its answer is worth most.
-    target: Option<Duration>,
-    answer: AnswerLength,
-}
-
 /// Decides at a guard what its backend server is given.
 ///
 /// At most `min(announced slots, the table's concurrency, the adaptive limit)`
@@ -157,9 +85,7 @@
     running: HashMap<Ticket, Running>,
     queue: Queue,
     next: u64,
-    /// The mean and the shortest time that a call runs, in seconds.
-    mean: Option<f64>,
-    shortest: Option<f64>,
+    times: Times,
     gauge: PaceGauge,
     outflow: Outflow,
     /// How long what leaves the instance waits for its link.
@@ -170,14 +96,6 @@
     displaced: Vec<Refused>,
 }
 
-impl Running {
-    /// Returns for how many targets it has run.
-    fn quotient(&self, now: Instant) -> Option<f64> {
-        let ran = now.since(self.start);
-        self.target.map(|target| in_targets(ran, target))
-    }
-}
-
 impl Admission {
     /// Creates an admission without slots.
     #[must_use]
@@ -190,8 +108,7 @@
             running: HashMap::new(),
             queue: Queue::default(),
             next: 0,
-            mean: None,
-            shortest: None,
+            times: Times::default(),
             gauge: PaceGauge::default(),
             outflow: Outflow::new(settings.link),
             delay: Duration::ZERO,
@@ -249,7 +166,7 @@
             Gate::Draining => self.elsewhere(Reason::Draining, rng),
             Gate::Stopping => self.elsewhere(Reason::Stopping, rng),
             Gate::Open if self.limit() == 0 => self.elsewhere(Reason::NotReady, rng),
-            Gate::Open if due.misses(now, self.quickest()) => {
+            Gate::Open if due.misses(now, self.times.quickest()) => {
                 Admit::Refuse(Refusal::new(Reason::DeadlinePassed))
             }
             Gate::Open if !self.may_leave(bid.answer) => match self.link_wait() <= patience {
@@ -261,7 +178,7 @@
             Gate::Open if !self.has_room(urgency) => {
                 Admit::Refuse(self.crowded(Reason::QueueFull, bid.patience, now, rng))
             }
-            Gate::Open if wait > patience || due.misses(now, wait + self.quickest()) => {
+            Gate::Open if wait > patience || due.misses(now, wait + self.times.quickest()) => {
                 Admit::Refuse(self.crowded(Reason::Overloaded, bid.patience, now, rng))
             }
             Gate::Open => {
@@ -271,6 +188,12 @@
         }
     }
 
+    /// Starts what waits and has a place by now: the link may have cleared since. Returns the
+    /// requests to start.
+    pub fn resume(&mut self, now: Instant) -> Vec<Ticket> {
+        self.start(now)
+    }
+
     /// Returns the waiting requests that had to make room since the last call.
     pub fn displaced(&mut self) -> Vec<Refused> {
         std::mem::take(&mut self.displaced)
@@ -463,7 +386,7 @@
 
     fn enqueue(&mut self, now: Instant, bid: Bid) -> Ticket {
         let ticket = self.ticket();
-        let latest = bid.due.less(self.quickest()).at();
+        let latest = bid.due.less(self.times.quickest()).at();
         let patience = now + self.patience(&bid);
         let reason = match patience < latest {
             true => Reason::Overloaded,
@@ -499,11 +422,7 @@
         if sample.result != CallResult::Success {
             return;
         }
-        let secs = sample.latency.as_secs_f64();
-        let mean = self.mean.get_or_insert(secs);
-        *mean += TIME_WEIGHT * (secs - *mean);
-        let shortest = self.shortest.get_or_insert(secs);
-        *shortest = secs.min(*shortest * (1.0 + SHORTEST_DRIFT));
+        self.times.learn(sample.latency);
         self.gauge.learn(sample);
         self.limit.learn(sample.latency, running);
     }
@@ -516,8 +435,7 @@
 
     /// Returns the calls that the backend server finishes in a second.
     fn throughput(&self) -> Option<f64> {
-        let mean = self.mean?.max(f64::MIN_POSITIVE);
-        Some(f64::from(self.limit()) / mean)
+        self.times.throughput(self.limit())
     }
 
     /// Returns the wait to expect for a request that joins the queue behind `ahead` others.
@@ -527,12 +445,6 @@
         Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
     }
 
-    /// Returns the shortest time in which a call can be answered.
-    fn quickest(&self) -> Duration {
-        let secs = self.shortest.unwrap_or(0.0);
-        Duration::try_from_secs_f64(secs).unwrap_or(Duration::ZERO)
-    }
-
     fn elsewhere<R: Rng + ?Sized>(&self, reason: Reason, rng: &mut R) -> Admit {
         let after = ELSEWHERE.mul_f64(1.0 + rng.random::<f64>());
         Admit::Refuse(Refusal::new(reason).with_retry(after))
--- a/crates/swiftcart-core/tests/outflow.rs
+++ b/crates/swiftcart-core/tests/outflow.rs
@@ -142,3 +142,31 @@
     link.sent(Instant::from_millis(0), 1_000);
     assert!(link.delay(Instant::from_millis(0)) > Duration::ZERO);
 }
+
+#[test]
+fn what_waits_for_the_link_goes_before_a_later_request() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let (at, ms) = (Instant::from_millis, Duration::from_millis);
+    let settings = AdmissionSettings {
+        link: Some(RATE),
+        ..AdmissionSettings::default()
+    };
+    let mut guard = Admission::new(at(0), settings).with_slots(18);
+    let bid = |now| {
+        Bid::new(Deadline::new(now, Duration::from_secs(5)))
+            .with_target(ms(1000))
+            .with_answer(AnswerLength::Long)
+    };
+    let Admit::Run(first) = guard.offer(at(0), bid(at(0)), &mut rng) else {
+        panic!("there is room")
+    };
+    guard.head(first, at(10), LONG_BYTES);
+    guard.set_delay(ms(60));
+    let Admit::Queue(waiting) = guard.offer(at(10), bid(at(10)), &mut rng) else {
+        panic!("the link is busy")
+    };
+    assert_eq!(guard.resume(at(20)), []);
+    guard.done(first, at(30), &Sample::new(ms(30), CallResult::Success));
+    guard.set_delay(Duration::ZERO);
+    assert_eq!(guard.resume(at(70)), [waiting]);
+}
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -162,6 +162,8 @@
     fn offer(self: &Arc<Self>, now: Instant, bid: Bid, rate: Rate) -> Result<Offered, Refusal> {
         let mut state = self.lock();
         state.admission.set_delay(self.link.delay());
+        let started = state.admission.resume(now);
+        state.wake(started);
         let admit = with_rng(|rng| state.admission.offer(now, bid, rng));
         let displaced = state.admission.displaced();
         state.refuse(displaced);
