--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -93,9 +93,23 @@
     node
 }
 
+/// Starts a node whose instance's link carries `mbit_s` and waits until it is ready.
+pub async fn node_on_link(log: &Log, mbit_s: f64) -> Node {
+    let mut settings = settings(log, &[]);
+    settings.link.mbit_s = mbit_s;
+    start_with(settings).await
+}
+
 async fn start(log: &Log, seeds: &[SocketAddr]) -> Node {
+    start_with(settings(log, seeds)).await
+}
+
+fn settings(log: &Log, seeds: &[SocketAddr]) -> Settings {
     let text = settings_json(own_ip(), log.addr(), seeds);
-    let settings = Settings::parse("test", text.as_bytes()).unwrap();
+    Settings::parse("test", text.as_bytes()).unwrap()
+}
+
+async fn start_with(settings: Settings) -> Node {
     let node = Node::start(settings, silent_log()).await.unwrap();
     let mut phase = node.shared().phase.subscribe();
     let ready = phase.wait_for(|phase| *phase == Phase::Ready);
