Bound what waits for the link by the queue's places

Cause: a request that waited for the link took no place of the queue into account; its own patience alone bounded how many there were.

Change: it waits when the queue has a place for it, that of a less urgent one if need be, like every other request.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -170,8 +170,8 @@
                 Admit::Refuse(Refusal::new(Reason::DeadlinePassed))
             }
             Gate::Open if !self.may_leave(bid.answer) => match self.link_wait() <= patience {
-                true => Admit::Queue(self.enqueue(now, bid)),
-                false => Admit::Refuse(self.link_busy()),
+                true if self.has_room(urgency) => Admit::Queue(self.wait(now, bid, rng)),
+                true | false => Admit::Refuse(self.link_busy()),
             },
             // What waits was started as long as there was a place; the rest has expired.
             Gate::Open if self.running() < self.limit() => Admit::Run(self.run(now, &bid)),
@@ -181,10 +181,7 @@
             Gate::Open if wait > patience || due.misses(now, wait + self.times.quickest()) => {
                 Admit::Refuse(self.crowded(Reason::Overloaded, bid.patience, now, rng))
             }
-            Gate::Open => {
-                self.make_room(now, urgency, rng);
-                Admit::Queue(self.enqueue(now, bid))
-            }
+            Gate::Open => Admit::Queue(self.wait(now, bid, rng)),
         }
     }
 
@@ -384,7 +381,9 @@
         bid.longest_wait(usual, self.targets.long().unwrap_or(usual))
     }
 
-    fn enqueue(&mut self, now: Instant, bid: Bid) -> Ticket {
+    /// Has a request wait, in the place of a less urgent one if need be.
+    fn wait<R: Rng + ?Sized>(&mut self, now: Instant, bid: Bid, rng: &mut R) -> Ticket {
+        self.make_room(now, bid.urgency(now, self.settings.wait), rng);
         let ticket = self.ticket();
         let latest = bid.due.less(self.times.quickest()).at();
         let patience = now + self.patience(&bid);
--- a/crates/swiftcart-node/src/outlet.rs
+++ b/crates/swiftcart-node/src/outlet.rs
@@ -7,8 +7,9 @@
 
 use crate::clock::Clock;
 
-/// The queue on the link up to which long answers are passed on: one of 64 kB at 15 Mbit/s, behind
-/// which a short one waits for no more than a tenth of its target.
+/// The queue on the link up to which long answers are passed on: 37 kB at 15 Mbit/s. With the part
+/// that is passed on next, 64 kB at most, a short answer waits for 55 ms behind it, a fifth of the
+/// target of the shortest calls on such links.
 const SHORT_QUEUE: Duration = Duration::from_millis(20);
 
 /// Follows what the node has handed to its instance's link.
