--- a/crates/swiftcart-core/src/admission/bid.rs
+++ b/crates/swiftcart-core/src/admission/bid.rs
@@ -27,6 +27,9 @@
 
 /// The part of its target for which a request's caller may have tried before, and the answer can
 /// still come within the target: calls take a third of it on average.
+///
+/// It answers callers that come back under overload. Their requests are late in any case, and
+/// with the earliest wanted answer alone as the order they took the places of first tries.
 const TOO_OLD: f64 = 0.6;
 
 /// Tells how long a request may wait for a slot.
