--- a/crates/swiftcart-core/src/admission/ticket.rs
+++ b/crates/swiftcart-core/src/admission/ticket.rs
@@ -2,7 +2,7 @@
 
 use crate::Refusal;
 
-/// Names one request inside one [`Admission`].
+/// Names one request inside one [`Admission`](crate::Admission).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub(super) u64);
 
