State the length of a long answer once

Cause: reading the change as a newcomer: 32 kB stood in the core, for the weight of a route, and in the node, for holding answers back, with two reasons for one threshold. A comment said that all targets are 150 ms and more, which calls of running requests are not.

Ruled out: two thresholds; nothing measured asks for a second one.

Change: one constant in the core, with both reasons; the comment names callers' own requests. The value is the same, so that nothing decides otherwise.

--- a/crates/swiftcart-core/src/profile.rs
+++ b/crates/swiftcart-core/src/profile.rs
@@ -9,10 +9,12 @@
 pub use given::TimeGiven;
 pub use store::RouteProfiles;
 
-/// The mean length of an answer from which on it weighs like an upload, in bytes. A kilobyte on
-/// the way to another failure domain costs about a hundredth of what a short answer is worth;
-/// at 32 kB it is a third, about what a late answer keeps.
-const HEAVY_BYTES: f64 = 32_768.0;
+/// The length from which on an answer counts as long, in bytes.
+///
+/// A kilobyte on the way to another failure domain costs about a hundredth of what a short answer is
+/// worth; at 32 kB it is a third, about what a late answer keeps. On a link of 15 Mbit/s others
+/// wait 17 ms behind it.
+pub const LONG_ANSWER: u64 = 32 << 10;
 
 /// The weight of one answer in the mean length of a route's answers.
 const LENGTH_WEIGHT: f64 = 1.0 / 16.0;
@@ -59,7 +61,7 @@
     #[must_use]
     pub fn haul(&self) -> Haul {
         match self.length {
-            Some(mean) if mean >= HEAVY_BYTES => Haul::Heavy,
+            Some(mean) if mean >= LONG_ANSWER as f64 => Haul::Heavy,
             _ => Haul::Light,
         }
     }
--- a/crates/swiftcart-node/src/calls/answer.rs
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -29,8 +29,8 @@
 const COME_BACK: Duration = Duration::from_millis(250);
 
 /// When a caller should come back whose request backend servers have turned away although they had
-/// places: at once, since the next one may take it. Targets are 150 ms and more, and a caller is
-/// back after this and its way here, some milliseconds.
+/// places: at once, since the next one may take it. With its way here it is back after some
+/// 15 ms, a tenth of the shortest target that callers' own requests have.
 const NEXT_SERVER: Duration = Duration::from_millis(10);
 
 quick_error! {
--- a/crates/swiftcart-node/src/calls/pacing.rs
+++ b/crates/swiftcart-node/src/calls/pacing.rs
@@ -6,14 +6,11 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use swiftcart_core::LONG_ANSWER;
 use tokio::time::{Sleep, sleep};
 
 use crate::outlet::Outlet;
 
-/// The length from which on an answer is held back, in bytes: it takes 17 ms of 15 Mbit/s, and
-/// shorter ones are what others must not wait for.
-const LONG: u64 = 32 << 10;
-
 /// The least time of one hold, so that a queue of a few bytes costs no wake-up.
 const LEAST_HOLD: Duration = Duration::from_millis(2);
 
@@ -35,7 +32,7 @@
         outlet.sent(HEAD);
         Self {
             outlet: Arc::clone(outlet),
-            long: bytes >= LONG,
+            long: bytes >= LONG_ANSWER,
             timer: None,
         }
     }
