Follow backend servers that start again under their ids, and pass over what other writers send

Cause: a backend server that tells when it started was refused with 400, since its announcement held a field that was not known; one that came back under its id was late for good, since its numbers began anew; one that had left stayed away for good. An announcement that lacked its readiness counted as ready. One unreadable record hid a whole page of the store, and an unreadable newest configuration was an outage.

Ruled out: a further field in the members' entries, which the release before could not read (postcard tells no fields apart): the pace that a node withdraws says the same. A rule by seq alone: it begins anew with each start.

Change: an announcement is ordered by id, start and number (`Succession` in the core); a greater start voids what was held of the one before: admission, connections, who waits for an answer that cannot come, pace and ejections at the other nodes. A start by a clock that was set back counts 20 s after the last word of the later one. Announcements of other writers are refused, counted by reason and logged, five lines a second at most. Records of a page are decoded one by one; the last configuration that can be read stays in force, and the next read waits for another record.

--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -203,7 +203,7 @@
             }
             for candidate in entry.candidates() {
                 if let Some(peer) = self.peers.get_mut(&candidate.id) {
-                    peer.hear(candidate.pace);
+                    peer.hear(now, candidate.pace);
                     peer.domain = Some(candidate.domain).filter(|_| !candidate.near);
                 }
             }
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -128,11 +128,24 @@
     }
 
     /// Takes the pace that its node has told all others, unless it is known already.
-    pub(super) fn hear(&mut self, told: Option<Pace>) {
-        if self.told != told {
-            self.told = told;
-            self.pace = told.or(self.pace);
+    ///
+    /// A node withdraws it when another process has taken its backend server's place: what was
+    /// learnt is void then, ejections too. Calls that still run are counted on.
+    pub(super) fn hear(&mut self, now: Instant, told: Option<Pace>) {
+        match (self.told, told) {
+            (old, new) if old == new => return,
+            (Some(_), None) => {
+                *self = Self {
+                    domain: self.domain,
+                    running: self.running,
+                    since: self.since,
+                    ..Self::new(now, self.service, None)
+                }
+            }
+            (_, Some(pace)) => self.pace = Some(pace),
+            (None, None) => {}
         }
+        self.told = told;
     }
 
     /// Takes it out of the choice, for twice as long as the last time.
--- a/crates/swiftcart-core/src/member.rs
+++ b/crates/swiftcart-core/src/member.rs
@@ -14,6 +14,7 @@
 mod reach;
 mod settings;
 mod spread;
+mod succession;
 mod verdict;
 mod view;
 
@@ -22,6 +23,7 @@
 pub use gate::*;
 pub use membership::*;
 pub use settings::*;
+pub use succession::*;
 
 pub use list::BUCKETS;
 
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -220,11 +220,20 @@
 
     /// Announces the backend server beside this node, its changes, or its absence.
     pub fn update_me(&mut self, now: Instant, backend: Option<Backend>) -> Vec<Action> {
-        if self.me.backend != backend {
-            self.me.backend = backend;
-            self.me.pace = None;
-            self.step_over(now, self.me.incarnation);
+        match self.me.backend == backend {
+            true => std::mem::take(&mut self.out),
+            false => self.replace_me(now, backend),
         }
+    }
+
+    /// Announces a backend server that took the place of the one before, and may equal it in all
+    /// that is told of it.
+    ///
+    /// The pace is withdrawn, by which the other nodes know that theirs was another's.
+    pub fn replace_me(&mut self, now: Instant, backend: Option<Backend>) -> Vec<Action> {
+        self.me.backend = backend;
+        self.me.pace = None;
+        self.step_over(now, self.me.incarnation);
         std::mem::take(&mut self.out)
     }
 
--- a/crates/swiftcart-core/tests/balance.rs
+++ b/crates/swiftcart-core/tests/balance.rs
@@ -361,3 +361,42 @@
     assert!(!free(Haul::Heavy, 10));
     assert!(free(Haul::Heavy, 250), "links clear soon");
 }
+
+/// Has node `n` tell `pace` to all others.
+fn spread(rig: &mut Rig, now: Instant, n: u16, pace: Option<Pace>) {
+    let mut members: Vec<_> = [1, 3, 5].map(|n| member(n, "a", "norte")).into();
+    members.retain_mut(|m| {
+        m.pace = pace.filter(|_| m.id == node(n));
+        true
+    });
+    let table = Table::new().with_service("a", Limits::default());
+    rig.view = view(&table, &members);
+    rig.balancer.adopt(now, &rig.view);
+}
+
+#[rstest]
+#[case::withdrawn(None, false)]
+#[case::told_anew(Some(Pace(900)), true)]
+fn an_ejection_outlasts_a_pace_that_is(#[case] pace: Option<Pace>, #[case] ejected: bool) {
+    let mut rig = rig(&[1, 3, 5]);
+    spread(&mut rig, START, 3, Some(Pace(300)));
+    rig.feed(3, START, failed(), 5);
+    assert!(rig.balancer.ejected(node(3), START));
+    spread(&mut rig, START, 3, pace);
+    assert_eq!(rig.balancer.ejected(node(3), START), ejected);
+}
+
+#[test]
+fn calls_under_way_are_counted_on_when_a_pace_is_withdrawn() {
+    let mut rig = rig(&[1, 3, 5]);
+    spread(&mut rig, START, 3, Some(Pace(300)));
+    for _ in 0..10 {
+        rig.balancer.started(node(3));
+    }
+    spread(&mut rig, START, 3, None);
+    let free = (0..100).filter_map(|_| rig.pick(START, &[node(1), node(5)]));
+    assert!(
+        free.into_iter().all(|pick| !pick.free),
+        "ten calls fill its ten slots"
+    );
+}
--- a/crates/swiftcart-core/tests/member.rs
+++ b/crates/swiftcart-core/tests/member.rs
@@ -38,6 +38,24 @@
     net.until("known", 5_000, |net| net.running().all(|(_, m)| known(m)));
 }
 
+#[test]
+fn a_backend_server_that_equals_the_one_before_is_told_everywhere_and_its_pace_is_withdrawn() {
+    let mut net = Net::settled(&[40, 40, 40], 2);
+    let same = Some(backend(2, Readiness::Ready));
+    net.call(2, |m, now| m.update_me(now, same.clone()));
+    net.call(2, |m, now| m.tell_pace(now, Pace(300)));
+    let pace = |m: &Membership| m.member(id(2)).unwrap().pace;
+    net.until("told", 5_000, |net| {
+        net.running().all(|(_, m)| pace(m).is_some())
+    });
+    net.call(2, |m, now| m.replace_me(now, same.clone()));
+    net.until("void", 5_000, |net| {
+        net.running().all(|(_, m)| pace(m).is_none())
+    });
+    let shown = |m: &Membership| m.member(id(2)).unwrap().backend == same;
+    assert!(net.running().all(|(_, m)| shown(m)));
+}
+
 #[test]
 fn a_leaving_node_is_unrouted_within_two_seconds_and_is_no_death() {
     let mut net = Net::settled(&[40, 40, 40], 3);
--- a/crates/swiftcart-node/src/beside.rs
+++ b/crates/swiftcart-node/src/beside.rs
@@ -1,99 +1,65 @@
-//! What a node remembers of the backend server beside it: its own id, and its predecessors'.
-//!
-//! A backend server that names itself numbers its announcements. They may arrive late and out
-//! of order, also after the backend server has left or another one has taken its address.
-
-use std::collections::VecDeque;
+//! What a node knows of the identity of the backend server beside it.
 
 use http::HeaderValue;
+use swiftcart_core::{Announced, Heard, Instant, StartTime, Succession};
 
-/// Ids of backend servers that left which are remembered; instances replace theirs a few
-/// times a day, and an announcement is late by seconds.
-const MOST_RETIRED: usize = 16;
+use crate::logging::unix_ms;
 
-/// Holds the id of the backend server that announced itself last, and those that left.
-#[derive(Debug, Default, Clone)]
-pub struct Beside {
-    current: Option<Current>,
-    retired: VecDeque<String>,
+/// Names one process of a backend server: its id, and its start where it tells that.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// The id by which the backend server calls itself, as it is told in a header.
+    pub id: HeaderValue,
+    /// When the process started.
+    pub start: Option<StartTime>,
 }
 
-#[derive(Debug, Clone)]
-struct Current {
-    id: String,
-    value: HeaderValue,
-    seq: u64,
+impl Identity {
+    /// Tells whether this is a later process of the backend server `old`, whose process is gone
+    /// then.
+    #[must_use]
+    pub fn succeeds(&self, old: &Self) -> bool {
+        self.id == old.id && self.start != old.start
+    }
 }
 
-/// Tells whether an announcement counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Heard {
-    /// It is the newest one of the backend server that is known.
-    Newer,
-    /// It is the first one of another backend server.
-    Replaced,
-    /// It is older than one that came before.
-    Late,
-    /// Its backend server has left.
-    Retired,
-    /// Its id cannot be passed on in a header.
-    Malformed,
+/// Holds which backend server announced itself last, and which ones left.
+#[derive(Debug, Default, Clone)]
+pub struct Beside {
+    succession: Succession,
+    identity: Option<Identity>,
 }
 
 impl Beside {
-    /// Takes the announcement number `seq` of the backend server `id`.
-    pub fn hear(&mut self, id: &str, seq: u64) -> Heard {
-        match &mut self.current {
-            _ if self.retired.iter().any(|gone| gone == id) => Heard::Retired,
-            Some(current) if current.id == id && seq <= current.seq => Heard::Late,
-            Some(current) if current.id == id => {
-                current.seq = seq;
-                Heard::Newer
-            }
-            _ => self.replace(id, seq),
+    /// Takes an announcement; `None` when its id cannot be passed on in a header.
+    pub fn hear(&mut self, now: Instant, said: Announced<'_>) -> Option<Heard> {
+        let id = HeaderValue::from_str(said.id).ok()?;
+        let heard = self.succession.hear(now, said);
+        if heard.counts() {
+            let start = said.start;
+            self.identity = Some(Identity { id, start });
         }
+        Some(heard)
     }
 
     /// Notes that the backend server `id` has left; returns whether it was the current one.
-    pub fn leave(&mut self, id: &str) -> bool {
-        let current = self.current.take_if(|current| current.id == id).is_some();
-        self.retire(id.into());
-        current
+    pub fn leave(&mut self, now: Instant, id: &str, start: Option<StartTime>) -> bool {
+        let left = self.succession.leave(now, id, start, StartTime(unix_ms()));
+        if left {
+            self.identity = None;
+        }
+        left
     }
 
-    /// Returns the current id, as backend servers are told it.
+    /// Returns the identity of the backend server whose announcement counted last.
     #[must_use]
-    pub fn instance(&self) -> Option<HeaderValue> {
-        self.current.as_ref().map(|current| current.value.clone())
+    pub fn identity(&self) -> Option<&Identity> {
+        self.identity.as_ref()
     }
 
-    /// Returns the current id.
+    /// Returns its id.
     #[must_use]
     pub fn id(&self) -> Option<&str> {
-        self.current.as_ref().map(|current| current.id.as_str())
-    }
-
-    fn replace(&mut self, id: &str, seq: u64) -> Heard {
-        let Ok(value) = HeaderValue::from_str(id) else {
-            return Heard::Malformed;
-        };
-        let new = Current {
-            id: id.into(),
-            value,
-            seq,
-        };
-        if let Some(old) = self.current.replace(new) {
-            self.retire(old.id);
-        }
-        Heard::Replaced
-    }
-
-    fn retire(&mut self, id: String) {
-        if !self.retired.contains(&id) {
-            self.retired.push_back(id);
-        }
-        if self.retired.len() > MOST_RETIRED {
-            self.retired.pop_front();
-        }
+        self.succession.id()
     }
 }
--- a/crates/swiftcart-node/src/calls/exchange.rs
+++ b/crates/swiftcart-node/src/calls/exchange.rs
@@ -17,7 +17,7 @@
 /// Sends `request` and waits until `until` for the answer's head.
 ///
 /// A connection that turns out to be closed before anything was written is
-/// replaced by another one.
+/// replaced by another one. When the pool is ended, no answer can come any more.
 ///
 /// # Errors
 ///
@@ -35,7 +35,16 @@
             Ok(Err(_)) => return Err(unreachable),
             Err(_) => return Err(Reason::DeadlinePassed),
         };
-        match timeout_at(until, pooled.conn().send(request)).await {
+        let sent = tokio::select! {
+            sent = timeout_at(until, pooled.conn().send(request)) => sent,
+            () = pool.ended() => {
+                return Err(match pooled.conn().wrote() {
+                    true => Reason::AnswerBroken,
+                    false => unreachable,
+                });
+            }
+        };
+        match sent {
             Ok(Ok(response)) => return Ok((response, pooled)),
             Ok(Err(SendError::Unsent(Some(back)))) if pooled.is_reused() => request = *back,
             Ok(Err(SendError::Unsent(_))) => return Err(unreachable),
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -287,6 +287,9 @@
             return;
         };
         let upstream = Upstream::new(&self.shared, old.as_deref(), backend);
+        if let Some(old) = old {
+            old.give_way(&upstream);
+        }
         let view = self.shared.view.load();
         let entry = view.service(upstream.service().as_str());
         let limits = entry.map_or(Limits::default(), ServiceEntry::limits);
--- a/crates/swiftcart-node/src/calls/pool.rs
+++ b/crates/swiftcart-node/src/calls/pool.rs
@@ -1,11 +1,13 @@
 //! Connections to one address, kept open between requests and bounded in number.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::conn::{Conn, OpenError};
 
@@ -22,6 +24,8 @@
     kept: usize,
     idle_time: Duration,
     connect_time: Duration,
+    /// Cancelled when whoever is at the address has lost what it was given.
+    ended: Option<CancellationToken>,
 }
 
 /// A connection in use.
@@ -50,6 +54,32 @@
             kept: bound,
             idle_time,
             connect_time,
+            ended: None,
+        }
+    }
+
+    /// Lets the pool be ended while requests wait for answers.
+    #[must_use]
+    pub fn with_end(mut self) -> Self {
+        self.ended = Some(CancellationToken::new());
+        self
+    }
+
+    /// Closes the unused connections and has those who wait for an answer give up.
+    pub fn end(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+        drop(idle);
+        if let Some(ended) = &self.ended {
+            ended.cancel();
+        }
+    }
+
+    /// Waits until the pool is ended.
+    pub async fn ended(&self) {
+        match &self.ended {
+            Some(ended) => ended.cancelled().await,
+            None => pending().await,
         }
     }
 
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -15,6 +15,7 @@
 use super::headers::DEADLINE;
 use super::pool::{Pool, Pooled};
 use super::request::Call;
+use crate::beside::Identity;
 use crate::clock::Clock;
 use crate::settings::Headers;
 use crate::shared::Shared;
@@ -23,8 +24,8 @@
 #[derive(Debug, Clone)]
 pub struct Upstream {
     backend: Backend,
-    /// The id by which the backend server calls itself.
-    instance: Option<HeaderValue>,
+    /// Which process of which backend server it is, where that is known.
+    identity: Option<Identity>,
     headers: Arc<Headers>,
     clock: Clock,
     pool: Arc<Pool>,
@@ -36,10 +37,10 @@
     #[must_use]
     pub fn new(shared: &Shared, old: Option<&Self>, backend: Backend) -> Self {
         let limits = &shared.settings.limits;
-        let instance = shared.beside().instance();
+        let identity = shared.beside().identity().cloned();
         let same = old.filter(|old| {
             let same_addr = old.backend.addr == backend.addr;
-            same_addr && old.backend.service == backend.service && old.instance == instance
+            same_addr && old.backend.service == backend.service && old.identity == identity
         });
         let admissions = same.map_or_else(
             || {
@@ -66,13 +67,13 @@
                 || {
                     let bound = backend.connections as usize;
                     let (idle, connect) = (limits.idle_timeout(), limits.connect_timeout());
-                    Arc::new(Pool::new(backend.addr, bound, idle, connect))
+                    Arc::new(Pool::new(backend.addr, bound, idle, connect).with_end())
                 },
                 |old| Arc::clone(&old.pool),
             );
         Self {
             backend,
-            instance,
+            identity,
             headers: Arc::clone(&shared.headers),
             clock: shared.clock,
             pool,
@@ -87,11 +88,27 @@
         self.admissions.resize(self.backend.slots, limits, guards);
     }
 
-    /// Takes no new work any more.
+    /// Takes no new work any more; what waits is refused, since it has not run.
     pub fn close(&self) {
         self.admissions.set_gate(Gate::Draining);
     }
 
+    /// Makes way for `next`, which has taken this backend server's place.
+    ///
+    /// When it is a later process of the same backend server, this one is gone, and so are the
+    /// answers to what it was running. Another backend server may have started while this one
+    /// finishes its work.
+    pub fn give_way(&self, next: &Self) {
+        if Arc::ptr_eq(&self.admissions, &next.admissions) {
+            return;
+        }
+        self.close();
+        match (&self.identity, &next.identity) {
+            (Some(old), Some(new)) if new.succeeds(old) => self.pool.end(),
+            _ => {}
+        }
+    }
+
     /// Returns the service that the backend server belongs to.
     #[must_use]
     pub const fn service(&self) -> &ServiceName {
@@ -173,8 +190,8 @@
                 headers.insert(DEADLINE, unix);
             }
         }
-        if let (Some(name), Some(id)) = (&names.target, &self.instance) {
-            headers.insert(name.0.clone(), id.clone());
+        if let (Some(name), Some(identity)) = (&names.target, &self.identity) {
+            headers.insert(name.0.clone(), identity.id.clone());
         }
         headers.insert(names.request_id.0.clone(), call.id.0.clone());
         Ok(())
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use slog::error;
+use slog::{error, warn};
 use swiftcart_core::NodeId;
 use swiftcart_platform::PlatformError;
 
@@ -68,6 +68,13 @@
     }
 }
 
+/// Counts and logs records of the platform that were passed over.
+fn note_odd(shared: &Shared, topic: &'static str, odd: u64) {
+    let name = "swiftcart_platform_records_skipped_total";
+    shared.counters.add(name, "topic", topic, odd);
+    warn!(shared.logger, ""; "event" => Event::Skipped, "topic" => topic, "records" => odd);
+}
+
 /// Tells whether the fault switch lets packets to and from `addr` pass.
 fn reachable(shared: &Shared, addr: SocketAddr) -> bool {
     shared.faults.reaches(addr)
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -22,6 +22,7 @@
 use super::stream::Stream;
 use super::sync_server::{Pending, SyncServer};
 use super::{ControlError, Input};
+use crate::beside::Identity;
 use crate::edge::Edges;
 use crate::logging::{Event, unix_ms};
 use crate::shared::Shared;
@@ -53,6 +54,8 @@
     /// Held open for as long as the node runs.
     _server: SyncServer,
     pub(super) backend: watch::Receiver<Option<Backend>>,
+    /// Which process of which backend server was told to the other nodes.
+    pub(super) identity: Option<Identity>,
     /// Whether the other nodes were looked up, where there is a place to look.
     pub(super) found: bool,
     /// Held open for as long as the node runs.
@@ -94,6 +97,7 @@
         Ok(Self {
             roster: Roster::new(&membership),
             backend: shared.backend.subscribe(),
+            identity: None,
             found: finder.is_none(),
             _finder: finder,
             telling: PaceTelling::default(),
--- a/crates/swiftcart-node/src/control/finder.rs
+++ b/crates/swiftcart-node/src/control/finder.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::Input;
+use super::{Input, note_odd};
 use crate::edge::Directory;
 use crate::logging::Event;
 use crate::shared::Shared;
@@ -30,9 +30,9 @@
         directory: Arc<dyn Directory>,
         inputs: mpsc::Sender<Input>,
     ) -> Self {
-        let (id, logger) = (shared.id, shared.logger.clone());
+        let shared = Arc::clone(shared);
         Self(tokio::spawn(async move {
-            let found = look(id, &*directory, &logger).await;
+            let found = look(&shared, &*directory).await;
             // The control loop is gone when the node has stopped.
             drop(inputs.send(Input::Found(found)).await);
         }))
@@ -45,13 +45,17 @@
     }
 }
 
-async fn look(id: NodeId, directory: &dyn Directory, logger: &Logger) -> Vec<NodeId> {
+async fn look(shared: &Shared, directory: &dyn Directory) -> Vec<NodeId> {
+    let logger = &shared.logger;
     let mut backoff = Backoff::new();
     let mut rng = SmallRng::from_os_rng();
     loop {
-        match directory.enter(id).await {
+        match directory.enter(shared.id).await {
             Ok(found) => {
                 info!(logger, ""; "event" => Event::Found, "nodes" => found.len());
+                if directory.odd() > 0 {
+                    note_odd(shared, "directory", directory.odd());
+                }
                 return found;
             }
             Err(err) => {
--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -8,12 +8,12 @@
 };
 use swiftcart_platform::PlatformError;
 
-use super::Input;
 use super::control_loop::Control;
 use super::net::{Traffic, count};
 use super::pulls::Pulled;
 use super::reader::{Duty, Read, STREAM};
 use super::stream::Todo;
+use super::{Input, note_odd};
 use crate::logging::Event;
 
 /// The longest encoded records that are pushed; longer ones are offered for a pull.
@@ -34,7 +34,10 @@
     pub(super) fn on_read(&mut self, result: Result<Read, PlatformError>) {
         let now = self.now();
         let duty = self.duty(now);
-        self.reader.done(now, duty, &result);
+        let odd = self.reader.done(now, duty, &result);
+        if odd > 0 {
+            note_odd(&self.shared, "config", odd);
+        }
         match result {
             Ok(read) => {
                 self.note_platform(None);
--- a/crates/swiftcart-node/src/control/members.rs
+++ b/crates/swiftcart-node/src/control/members.rs
@@ -12,7 +12,12 @@
     pub(super) fn on_backend(&mut self) {
         let backend = self.backend.borrow_and_update().clone();
         let now = self.now();
-        let actions = self.membership.update_me(now, backend);
+        let identity = self.shared.beside().identity().cloned();
+        let actions = match self.identity == identity {
+            true => self.membership.update_me(now, backend),
+            false => self.membership.replace_me(now, backend),
+        };
+        self.identity = identity;
         // What is known of the pace may be another backend server's.
         self.telling = PaceTelling::default();
         self.shared.pace.store(0, Ordering::Relaxed);
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -60,6 +60,8 @@
     long: bool,
     /// Whether the last read found that nothing was published yet, or nothing newer.
     empty: bool,
+    /// Records that were passed over so far, since they could not be read.
+    odd: u64,
     next: Instant,
     /// When this node found out how many others there are and drew its turn.
     turn: Option<Instant>,
@@ -101,6 +103,7 @@
             task: None,
             long: false,
             empty: false,
+            odd: 0,
             next: Instant::default(),
             turn: None,
             backoff: Backoff::new(),
@@ -125,8 +128,16 @@
     }
 
     /// Notes the end of a read; the next one waits when it failed or was a stand-in's.
-    pub(super) fn done(&mut self, now: Instant, duty: Duty, result: &Result<Read, PlatformError>) {
+    ///
+    /// Returns how many records it passed over, since they could not be read.
+    pub(super) fn done(
+        &mut self,
+        now: Instant,
+        duty: Duty,
+        result: &Result<Read, PlatformError>,
+    ) -> u64 {
         self.task = None;
+        let odd = self.take_odd();
         let wait = match result {
             Ok(read) => {
                 self.backoff.succeeded();
@@ -135,6 +146,8 @@
                 let is_reader = duty.rank < self.readers;
                 match read {
                     Read::Newest(Some(_)) if is_reader => SETTLE,
+                    // Whoever writes what nobody can read does not set the pace of reads.
+                    Read::Newest(None) if odd > 0 => SETTLE,
                     // Nothing was published yet: the readers wait for it, the others for them.
                     Read::Newest(None) if is_reader => Duration::ZERO,
                     Read::Page(_) if is_reader || duty.joining => Duration::ZERO,
@@ -145,6 +158,13 @@
             Err(e) => self.backoff.failed(e, &mut self.rng),
         };
         self.next = now + wait;
+        odd
+    }
+
+    /// Returns how many more records were passed over since the last call.
+    fn take_odd(&mut self) -> u64 {
+        let odd = self.whole.as_ref().map_or(0, |whole| whole.odd());
+        odd - std::mem::replace(&mut self.odd, odd)
     }
 
     /// Returns how many nodes of a failure domain read the log all the time.
--- a/crates/swiftcart-node/src/edge.rs
+++ b/crates/swiftcart-node/src/edge.rs
@@ -22,6 +22,11 @@
     ///
     /// Any [`PlatformError`]; nothing is known then.
     fn newest(&self, known: Version, wait: Duration) -> Asked<'_, Option<Snapshot>>;
+
+    /// Returns how many records were passed over so far, since they could not be read.
+    fn odd(&self) -> u64 {
+        0
+    }
 }
 
 /// A place outside the mesh through which its nodes find each other.
@@ -41,6 +46,11 @@
     ///
     /// Any [`PlatformError`]; whether they were removed is then not known.
     fn remove(&self, ids: Vec<NodeId>) -> Asked<'_, ()>;
+
+    /// Returns how many entries were passed over so far, since they are no node's.
+    fn odd(&self) -> u64 {
+        0
+    }
 }
 
 /// What a node has of the platform besides the log; without any it follows the log.
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -33,7 +33,7 @@
 pub use node::{Node, NodeError};
 pub use program::run_program;
 pub use settings::{
-    Answers, Gossip, Headers, Limits, LinkSettings, Listen, Log, LogLevel, MeshKey, Name, Platform,
-    Retries, Settings, SettingsError, Stop,
+    Announcements, Answers, Gossip, Headers, Limits, LinkSettings, Listen, Log, LogLevel, MeshKey,
+    Name, Platform, Retries, Settings, SettingsError, Stop,
 };
 pub use shared::{Phase, Progress, Shared};
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -51,6 +51,8 @@
     Member,
     /// The directory named the other nodes, or could not be reached.
     Found,
+    /// Records of the platform were passed over, since they could not be read.
+    Skipped,
     /// A failure domain cannot be reached any more.
     DomainCut,
     /// A failure domain is reached again.
@@ -99,6 +101,7 @@
             Self::Stalled => "stalled",
             Self::Member => "member",
             Self::Found => "found",
+            Self::Skipped => "skipped",
             Self::DomainCut => "domain-cut",
             Self::DomainBack => "domain-back",
             Self::Checkpoint => "checkpoint",
--- a/crates/swiftcart-node/src/logging/call_log.rs
+++ b/crates/swiftcart-node/src/logging/call_log.rs
@@ -15,12 +15,17 @@
 /// have a share that no success can take.
 const FAILED_LINES: u32 = 300;
 
+/// Lines a second for announcements that are refused: each says what is wrong, and whoever sends
+/// many of them is known by the first ones.
+const ODD_LINES: u32 = 5;
+
 /// Writes lines about calls and counts those that it leaves out.
 #[derive(Debug)]
 pub struct CallLog {
     logger: Logger,
     done: Mutex<Share>,
     failed: Mutex<Share>,
+    odd: Mutex<Share>,
 }
 
 /// The lines of one kind in the current second.
@@ -39,6 +44,7 @@
             logger,
             done: Mutex::default(),
             failed: Mutex::default(),
+            odd: Mutex::default(),
         }
     }
 
@@ -54,6 +60,12 @@
         self.admit(&self.failed, FAILED_LINES, "failed", now)
     }
 
+    /// Returns the log for a line about a refused announcement, if there is room for it.
+    #[must_use]
+    pub fn odd(&self, now: Instant) -> Option<&Logger> {
+        self.admit(&self.odd, ODD_LINES, "odd", now)
+    }
+
     fn admit(
         &self,
         share: &Mutex<Share>,
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -3,6 +3,7 @@
 //! Unknown keys and values out of range are refused with the file, the path of
 //! the key, the value and the cure. Every default is stated at its field.
 
+mod announcements;
 mod check;
 mod error;
 mod gossip;
@@ -19,6 +20,7 @@
 use serde::Deserialize;
 use swiftcart_core::{FailureDomain, ServiceName};
 
+pub use announcements::Announcements;
 pub use error::SettingsError;
 pub use gossip::Gossip;
 pub use headers::{Headers, Name};
@@ -57,6 +59,9 @@
     /// The headers of callers and backend servers.
     #[serde(default)]
     pub headers: Headers,
+    /// How backend servers that name themselves announce themselves.
+    #[serde(default)]
+    pub announcements: Announcements,
     /// The statuses of the answers that the node makes itself.
     #[serde(default)]
     pub answers: Answers,
