--- a/crates/swiftcart-standin/src/backend.rs
+++ b/crates/swiftcart-standin/src/backend.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod lagging;
 mod ledger;
+mod life;
 mod onward;
 mod routes;
 mod settings;
@@ -17,7 +18,7 @@
 
 use tokio_util::task::AbortOnDropHandle;
 
-pub use faults::BackendFaults;
+pub use faults::{BackendFaults, Restart};
 pub use ledger::{Ledger, Runs};
 pub use settings::{BackendSettings, ServiceTime};
 pub use stats::BackendStats;
--- a/crates/swiftcart-standin/src/backend/announce.rs
+++ b/crates/swiftcart-standin/src/backend/announce.rs
@@ -20,6 +20,15 @@
 /// Longest wait for the node's answer.
 const PATIENCE: Duration = Duration::from_secs(1);
 
+/// Bodies that another program might send, one after the other.
+const ODD: [&str; 5] = [
+    "{",
+    "{\"service\":7}",
+    "{\"service\":\"nobody\",\"addr\":\"10.0.0.1:1\",\"slots\":1,\"readiness\":\"asleep\"}",
+    "[null]",
+    "\u{feff}ready",
+];
+
 #[derive(Debug, Serialize)]
 struct Announcement<'a> {
     service: &'a str,
@@ -30,6 +39,26 @@
     ttl_ms: u64,
 }
 
+/// What a backend server with an id says.
+#[derive(Debug, Serialize)]
+struct Named<'a> {
+    service: &'a str,
+    addr: SocketAddr,
+    slots: u32,
+    readiness: Readiness,
+    warmup_ms: u128,
+    domain: &'a str,
+    release: &'a str,
+    seq: u64,
+    start_ms: u64,
+}
+
+/// What one that leaves says.
+#[derive(Debug, Serialize)]
+struct Departure {
+    start_ms: u64,
+}
+
 /// Sends announcements; a clone sends the same.
 #[derive(Debug, Clone)]
 pub(super) struct Announcer {
@@ -65,10 +94,46 @@
 
     /// Withdraws the announcement; an unreachable node lets it expire.
     pub(super) async fn withdraw(&self) {
-        self.send(Method::DELETE, Body::empty()).await;
+        let start_ms = self.shared.next_word().start_ms;
+        let departure = serde_json::to_vec(&Departure { start_ms });
+        match (&self.shared.settings.id, departure) {
+            (Some(_), Ok(json)) => self.send(Method::DELETE, Body::from(json)).await,
+            _ => self.send(Method::DELETE, Body::empty()).await,
+        }
     }
 
     async fn announce(&self) {
+        if self.shared.faults().odd {
+            let life = self.shared.next_word();
+            let odd = ODD[life.seq as usize % ODD.len()];
+            self.send(Method::PUT, Body::from(odd)).await;
+        }
+        match &self.shared.settings.id {
+            Some(_) => self.announce_named().await,
+            None => self.announce_plain().await,
+        }
+    }
+
+    async fn announce_named(&self) {
+        let settings = &self.shared.settings;
+        let life = self.shared.next_word();
+        let named = Named {
+            service: &settings.service,
+            addr: self.addr,
+            slots: settings.slots,
+            readiness: self.shared.readiness(),
+            warmup_ms: self.shared.warming_left().as_millis(),
+            domain: &settings.domain,
+            release: "standin",
+            seq: life.seq,
+            start_ms: life.start_ms,
+        };
+        if let Ok(json) = serde_json::to_vec(&named) {
+            self.send(Method::PUT, Body::from(json)).await;
+        }
+    }
+
+    async fn announce_plain(&self) {
         let settings = &self.shared.settings;
         let announcement = Announcement {
             service: &settings.service,
@@ -92,10 +157,16 @@
         }
     }
 
+    fn target(&self) -> String {
+        let id = self.shared.settings.id.as_ref();
+        let id = id.map_or_else(String::new, |id| format!("/{id}"));
+        format!("http://{}/v1/backend{id}", self.admin)
+    }
+
     async fn send(&self, method: Method, body: Body) {
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{}/v1/backend", self.admin))
+            .uri(self.target())
             .header(CONTENT_TYPE, "application/json")
             .body(body);
         let Ok(request) = request else { return };
--- a/crates/swiftcart-standin/src/backend/faults.rs
+++ b/crates/swiftcart-standin/src/backend/faults.rs
@@ -3,6 +3,16 @@
 use serde::{Deserialize, Serialize};
 use swiftcart_core::Readiness;
 
+/// Tells how a backend server starts again under its id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Restart {
+    /// Its start lies after the one before.
+    Later,
+    /// Its clock was set back, so that its start lies before the one before.
+    SetBack,
+}
+
 /// Holds the faults in force; the default is none.
 ///
 /// `PUT /standin/faults` takes the same fields as JSON and replaces all of them.
@@ -26,6 +36,11 @@
     pub readiness: Option<Readiness>,
     /// Breaks the connection after the work, before the answer's first byte.
     pub lose_answers: u32,
+    /// Crashes once, when it is set, and starts again at once: what was in work is cancelled,
+    /// its connections break, and announcements are numbered anew.
+    pub restart: Option<Restart>,
+    /// Sends an announcement that is none before each sound one.
+    pub odd: bool,
 }
 
 impl BackendFaults {
@@ -90,4 +105,18 @@
         self.lose_answers = count;
         self
     }
+
+    /// Has the backend server start again.
+    #[must_use]
+    pub const fn with_restart(mut self, restart: Restart) -> Self {
+        self.restart = Some(restart);
+        self
+    }
+
+    /// Sets whether odd announcements are sent.
+    #[must_use]
+    pub const fn with_odd(mut self, odd: bool) -> Self {
+        self.odd = odd;
+        self
+    }
 }
--- a/crates/swiftcart-standin/src/backend/routes.rs
+++ b/crates/swiftcart-standin/src/backend/routes.rs
@@ -61,9 +61,18 @@
     key: Option<String>,
 }
 
+/// Answers a request, unless the backend server crashes meanwhile.
 async fn any(State(app): State<App>, request: Request) -> Response {
+    let mut crashes = app.shared.watch_crashes();
+    tokio::select! {
+        answer = work(&app, request) => answer,
+        _ = crashes.changed() => broken(),
+    }
+}
+
+async fn work(app: &App, request: Request) -> Response {
     let mut answer = match Work::start(&app.shared, request.headers()).await {
-        Ok(work) => within(work.deadline, run(&app, work, request))
+        Ok(work) => within(work.deadline, run(app, work, request))
             .await
             .unwrap_or_else(|| fail(StatusCode::GATEWAY_TIMEOUT, "deadline")),
         Err(refusal) => {
--- a/crates/swiftcart-standin/src/backend/settings.rs
+++ b/crates/swiftcart-standin/src/backend/settings.rs
@@ -54,6 +54,10 @@
     pub admin: Option<SocketAddr>,
     /// How long an announcement is valid; it is repeated three times as often.
     pub ttl_ms: u64,
+    /// The id under which it announces itself, with its start; without one it has no name.
+    pub id: Option<String>,
+    /// The failure domain that announcements under an id name.
+    pub domain: String,
     /// The callers' address of its own node, for the calls of `downstream`.
     pub node: Option<SocketAddr>,
     /// Paths that every request calls in turn through `node`.
@@ -78,6 +82,8 @@
             load_lag_ms: 0,
             admin: None,
             ttl_ms: 3000,
+            id: None,
+            domain: String::new(),
             node: None,
             downstream: Vec::new(),
         }
@@ -148,6 +154,14 @@
         self
     }
 
+    /// Sets the id and the failure domain under which it announces itself.
+    #[must_use]
+    pub fn with_id(mut self, id: impl Into<String>, domain: impl Into<String>) -> Self {
+        self.id = Some(id.into());
+        self.domain = domain.into();
+        self
+    }
+
     /// Adds a path that every request calls through the node at `node`.
     #[must_use]
     pub fn with_downstream(mut self, node: SocketAddr, path: impl Into<String>) -> Self {
--- a/crates/swiftcart-standin/src/backend/state.rs
+++ b/crates/swiftcart-standin/src/backend/state.rs
@@ -12,6 +12,7 @@
 
 use super::lagging::Lagging;
 use super::ledger::{Ledger, Names, Runs};
+use super::life::Life;
 use super::stats::{BackendStats, Refusal};
 use super::{BackendFaults, BackendSettings};
 use crate::serve::Connections;
@@ -23,6 +24,8 @@
     pub(super) slots: Arc<Semaphore>,
     pub(super) conns: Arc<Connections>,
     faults: watch::Sender<BackendFaults>,
+    /// The life that runs; each change is a crash.
+    life: watch::Sender<Life>,
     state: Mutex<State>,
     active: watch::Sender<u64>,
     started: Instant,
@@ -45,6 +48,7 @@
             slots: Arc::new(Semaphore::new(settings.slots as usize)),
             conns: Arc::default(),
             faults: watch::Sender::default(),
+            life: watch::Sender::new(Life::new()),
             state: Mutex::new(State {
                 rng: SmallRng::seed_from_u64(settings.seed),
                 ledger: Ledger::default(),
@@ -61,9 +65,27 @@
     }
 
     pub(super) fn set_faults(&self, faults: BackendFaults) {
+        if let Some(restart) = faults.restart {
+            self.life.send_modify(|life| *life = life.again(restart));
+        }
         self.faults.send_replace(faults);
     }
 
+    /// Wakes when the backend server crashes.
+    pub(super) fn watch_crashes(&self) -> watch::Receiver<Life> {
+        self.life.subscribe()
+    }
+
+    /// Returns the life that runs, with the number of its next announcement.
+    pub(super) fn next_word(&self) -> Life {
+        // A number is no crash.
+        self.life.send_if_modified(|life| {
+            life.next_seq();
+            false
+        });
+        *self.life.borrow()
+    }
+
     pub(super) fn faults(&self) -> BackendFaults {
         self.faults.borrow().clone()
     }
--- a/crates/swiftcart-standin/tests/backend.rs
+++ b/crates/swiftcart-standin/tests/backend.rs
@@ -14,7 +14,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use swiftcart_standin::{
-    BackendFaults, BackendServer, BackendSettings, Readiness, Runs, ServiceTime,
+    BackendFaults, BackendServer, BackendSettings, Readiness, Restart, Runs, ServiceTime,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::timeout;
@@ -348,3 +348,52 @@
     };
     assert_eq!(sent, [call("/b"), call("/c")]);
 }
+
+#[rstest]
+#[case::later(Restart::Later, |start, before| start > before)]
+#[case::by_a_clock_that_was_set_back(Restart::SetBack, |start, before| start < before)]
+#[tokio::test]
+async fn a_restart_cancels_the_work_and_numbers_announcements_anew(
+    #[case] restart: Restart,
+    #[case] fits: fn(u64, u64) -> bool,
+) {
+    let (admin, seen) = node().await;
+    let settings = BackendSettings::new("booking").with_id("s-1", "norte");
+    let backend = start(settings.with_admin(admin).with_ttl_ms(60_000)).await;
+    until(|| seen.lock().unwrap().len() == 1).await;
+    backend.set_faults(BackendFaults::new().with_hang(true));
+    let addr = backend.addr();
+    let call = tokio::spawn(async move { fetch(addr, "/").await });
+    until(|| backend.stats().active == 1).await;
+    until(|| seen.lock().unwrap().len() == 2).await;
+    backend.set_faults(BackendFaults::new().with_restart(restart));
+    assert!(call.await.unwrap().is_none(), "its connection breaks");
+    until(|| seen.lock().unwrap().len() == 3).await;
+    assert_eq!(backend.stats().runs, runs(1, 0, 1));
+    let words: Vec<Value> = seen.lock().unwrap().iter().map(word).collect();
+    let start = |i: usize| words[i]["start_ms"].as_u64().unwrap();
+    let seqs: Vec<_> = words.iter().map(|word| word["seq"].as_u64()).collect();
+    assert_eq!(seqs, [Some(1), Some(2), Some(1)]);
+    assert!(fits(start(2), start(1)) && start(0) == start(1));
+}
+
+/// Returns what one announcement under an id says.
+fn word((method, path, _, body): &(Method, String, HeaderMap, Bytes)) -> Value {
+    assert_eq!((method, path.as_str()), (&Method::PUT, "/v1/backend/s-1"));
+    serde_json::from_slice(body).expect("an announcement")
+}
+
+#[tokio::test]
+async fn odd_announcements_come_before_sound_ones() {
+    let (admin, seen) = node().await;
+    let settings = BackendSettings::new("booking").with_id("s-1", "norte");
+    let backend = start(settings.with_admin(admin).with_ttl_ms(60_000)).await;
+    until(|| seen.lock().unwrap().len() == 1).await;
+    backend.set_faults(BackendFaults::new().with_odd(true));
+    until(|| seen.lock().unwrap().len() == 3).await;
+    let sound = |(_, _, _, body): &(Method, String, HeaderMap, Bytes)| {
+        serde_json::from_slice::<Value>(body).is_ok_and(|body| body["seq"].is_u64())
+    };
+    let sound: Vec<_> = seen.lock().unwrap().iter().map(sound).collect();
+    assert_eq!(sound, [true, false, true]);
+}
--- /dev/null
+++ b/specs/succession.pml
@@ -0,0 +1,136 @@
+/*
+ * Which announcement of a backend server counts (crates/swiftcart-core, member/succession.rs).
+ *
+ * A backend server starts up to three times under one id. Each process numbers its
+ * announcements from one and may announce its departure. What was said arrives at the
+ * node at any later moment, in any order and any number of times. The node may restart,
+ * which takes its memory.
+ *
+ * Promises, in each life of the node:
+ *   - a start that is shown is never older than one that was shown;
+ *   - a process whose departure was acknowledged is not shown again;
+ *   - the latest announcement of the running process is in force once it has arrived.
+ *
+ * Guards, each of which -D takes out of the model:
+ *   NO_START   a greater start goes before a smaller one, whatever their numbers
+ *   NO_NUMBER  within one start the greater number wins
+ *   NO_NAMED   a departure ends the start that it names, and no later one
+ *   NO_RETIRE  departures are remembered
+ *
+ * spin -a succession.pml && cc -DSAFETY -O2 -o pan pan.c && ./pan -E -m100000
+ * spin -DNO_START -a succession.pml && ...
+ */
+
+#define STARTS 3
+#define NUMBERS 2
+
+/* What the backend server said: the greatest number of each start, and departures. */
+byte running = 1;
+byte said[4];
+bit left[4];
+
+/* The node's memory: whom it shows, the newest start with its number, and who left. */
+bit here;
+byte newest;
+byte number;
+byte until;
+
+/* What was seen, for the promises. */
+byte most;
+bit acked[4];
+byte latest;
+
+#ifdef NO_RETIRE
+#define retired(s) false
+#else
+#define retired(s) ((s) <= until)
+#endif
+
+#ifdef NO_NUMBER
+#define older(n) false
+#else
+#define older(n) ((n) <= number)
+#endif
+
+#ifdef NO_START
+#define late(s, n) (here && older(n))
+#else
+#define late(s, n) ((s) < newest || ((s) == newest && here && older(n)))
+#endif
+
+inline hear(s, n) {
+	if
+	:: retired(s) || late(s, n)
+	:: else ->
+		here = 1;
+		newest = s;
+		number = n;
+		assert(s >= most);
+		assert(!acked[s]);
+		assert(s < running || n >= latest);
+		most = s;
+	fi;
+	if
+	:: s == running && n == said[s] && !acked[s] ->
+		assert(here && newest == s && number == n);
+		latest = n
+	:: else
+	fi
+}
+
+inline depart(s) {
+#ifdef NO_NAMED
+	until = newest;
+	here = 0;
+#else
+	if
+	:: here && newest <= s -> here = 0
+	:: else
+	fi;
+	if
+	:: s > until -> until = s
+	:: else
+	fi;
+#endif
+	acked[s] = 1
+}
+
+proctype Server() {
+	do
+	:: atomic { !left[running] && said[running] < NUMBERS -> said[running]++ }
+	:: atomic { said[running] > 0 && !left[running] -> left[running] = 1 }
+	/* A crash or a departure, and another start. */
+	:: atomic { running < STARTS -> running++; latest = 0 }
+	:: break
+	od
+}
+
+proctype Node() {
+	byte s, n;
+	bit again;
+	do
+	:: atomic {
+		select(s : 1 .. STARTS);
+		select(n : 1 .. NUMBERS);
+		if
+		:: n <= said[s] -> hear(s, n)
+		:: left[s] -> depart(s)
+		:: else
+		fi;
+		s = 0; n = 0
+	}
+	:: atomic { !again ->
+		again = 1;
+		here = 0; newest = 0; number = 0; until = 0;
+		most = 0; latest = 0;
+		acked[1] = 0; acked[2] = 0; acked[3] = 0
+	}
+	od
+}
+
+init {
+	atomic {
+		run Server();
+		run Node()
+	}
+}
--- a/xtask/src/demo/calls.rs
+++ b/xtask/src/demo/calls.rs
@@ -27,11 +27,21 @@
     placed
         .map(|(i, service)| Role {
             domain: domain(i),
-            backend: Some(backend(mesh, service)),
+            backend: Some(match service.kind {
+                Kind::Keyed => named(backend(mesh, service), i, &domain(i)),
+                Kind::Read | Kind::Next | Kind::Upload => backend(mesh, service),
+            }),
         })
         .collect()
 }
 
+/// Has a backend server announce itself under an id and with its start.
+fn named(mut settings: Value, i: usize, domain: &str) -> Value {
+    settings["id"] = json!(format!("server-{i}"));
+    settings["domain"] = json!(domain);
+    settings
+}
+
 fn backend(mesh: &Mesh, service: &Service) -> Value {
     let mean = match service.kind {
         Kind::Read | Kind::Next => 5.0,
--- a/xtask/src/demo/failures.rs
+++ b/xtask/src/demo/failures.rs
@@ -1,9 +1,9 @@
 //! Failures under load: kills, a drain, and keys that are sent again through other nodes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
-use swiftcart_standin::{Load, Report, Shape};
+use swiftcart_standin::{BackendFaults, Load, Report, Restart, Shape};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -116,6 +116,8 @@
     let keyed = start(keyed);
 
     sleep(PAUSE).await;
+    let again = mesh.numbers(Kind::Keyed)[1];
+    start_again(fleet, again, figures).await?;
     fleet.kill(whole);
     figures.figure(
         "killed with SIGKILL",
@@ -164,6 +166,30 @@
     fleet.client.put(backend, "/standin/faults", &none).await
 }
 
+/// Has a backend server crash with what it is running and start again under its id.
+async fn start_again(fleet: &Fleet, i: usize, figures: &mut Figures) -> Result<(), Error> {
+    let backend = fleet.instances[i].addrs.backend;
+    let faults = BackendFaults::new().with_restart(Restart::Later);
+    let put = |faults: BackendFaults| {
+        let faults = json!(faults);
+        async move { fleet.client.put(backend, "/standin/faults", &faults).await }
+    };
+    put(faults).await?;
+    let start = Instant::now();
+    let heard = [("outcome", "restarted")];
+    let name = "swiftcart_announcements_total";
+    while fleet.scrape(i).await?.sum(name, &heard) < 1.0 && start.elapsed() < PAUSE {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let took = start.elapsed();
+    figures.promise(
+        "a backend server that starts again under its id is known for a new one at once",
+        format!("{} ms after its start", took.as_millis()),
+        took < PAUSE,
+    );
+    put(BackendFaults::new()).await
+}
+
 /// Brings back what was killed.
 pub(super) async fn recover(
     mesh: &Mesh,
--- a/xtask/src/soak/plan.rs
+++ b/xtask/src/soak/plan.rs
@@ -2,7 +2,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use swiftcart_standin::{BackendFaults, LogFaults, Outage};
+use swiftcart_standin::{BackendFaults, LogFaults, Outage, Restart};
 
 use super::proxy::Wire;
 
@@ -104,7 +104,7 @@
 
 fn backend(rng: &mut SmallRng) -> BackendFaults {
     let faults = BackendFaults::new();
-    match rng.random_range(0..5) {
+    match rng.random_range(0..8) {
         0 => faults.with_slow_ms(rng.random_range(50..400)),
         1 => BackendFaults {
             hang: true,
@@ -118,10 +118,13 @@
             break_body: Some(rng.random_range(0..5000)),
             ..faults
         },
-        _ => BackendFaults {
+        4 => BackendFaults {
             fail_status: Some(500),
             ..faults
         },
+        5 => faults.with_restart(Restart::Later),
+        6 => faults.with_restart(Restart::SetBack),
+        _ => faults.with_odd(true),
     }
 }
 
