Look into the directory before writing to it, and let the readers read for a mesh that starts

Cause: each start cost three calls to the platform's store (enter, list, configuration), and a first start a fourth: for a moment after it joined a node knew nobody of its failure domain, took itself for a reader and polled.

Ruled out: waiting for a peer's configuration at every start, which delays a restart of all by what a call costs; entering without listing, by which two newcomers beside dead nodes would never meet.

Change: a node that is listed still looks once and writes nothing; one that is not enters and looks again after 2 s if it has met nobody. While a whole mesh starts for the first time nodes enter before they look, and only readers ask for the configuration; the others have a ready peer vouch for what they pulled, and read by themselves after 4 s. A rank counts 1 s after the start.

--- a/crates/swiftcart-node/src/control/finder.rs
+++ b/crates/swiftcart-node/src/control/finder.rs
@@ -1,4 +1,4 @@
-//! Enters the node into the directory, through which nodes find each other.
+//! Finds the other nodes through the directory, and enters this one.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,20 +7,24 @@
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
 use swiftcart_core::NodeId;
-use swiftcart_platform::{Backoff, PlatformError};
+use swiftcart_platform::Backoff;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use super::{Input, note_odd};
-use crate::edge::Directory;
+use crate::edge::{Asked, Directory};
 use crate::logging::Event;
 use crate::shared::Shared;
 
 /// The longest pause between two tries; others look for lost nodes as well.
 const LONGEST: Duration = Duration::from_secs(2);
 
-/// Looks the other nodes up once, however often that has to be tried.
+/// When a node that entered after it had looked looks again, unless it has met somebody: those
+/// who were listed are gone, and another one may have entered at the same time.
+const AGAIN: Duration = Duration::from_secs(2);
+
+/// Looks the other nodes up, however often that has to be tried.
 #[derive(Debug)]
 pub(super) struct Finder(JoinHandle<()>);
 
@@ -32,9 +36,7 @@
     ) -> Self {
         let shared = Arc::clone(shared);
         Self(tokio::spawn(async move {
-            let found = look(&shared, &*directory).await;
-            // The control loop is gone when the node has stopped.
-            drop(inputs.send(Input::Found(found)).await);
+            look(&shared, &*directory, &inputs).await;
         }))
     }
 }
@@ -45,27 +47,50 @@
     }
 }
 
-async fn look(shared: &Shared, directory: &dyn Directory) -> Vec<NodeId> {
-    let logger = &shared.logger;
+/// Enters this node where it has to, and tells the control loop whom it found.
+///
+/// A node that starts again is listed still, so that one call is enough. While a whole mesh
+/// starts for the first time nobody is, and each node enters before it looks.
+async fn look(shared: &Shared, directory: &dyn Directory, inputs: &mpsc::Sender<Input>) {
+    let id = shared.id;
+    if shared.settings.first_start {
+        persist(&shared.logger, || directory.enter(id)).await;
+    }
+    let found = list(shared, directory).await;
+    let listed = found.contains(&id);
+    // The control loop is gone when the node has stopped.
+    drop(inputs.send(Input::Found(found)).await);
+    if listed {
+        return;
+    }
+    persist(&shared.logger, || directory.enter(id)).await;
+    sleep(AGAIN).await;
+    if shared.members.load().len() <= 1 {
+        let found = list(shared, directory).await;
+        drop(inputs.send(Input::Found(found)).await);
+    }
+}
+
+async fn list(shared: &Shared, directory: &dyn Directory) -> Vec<NodeId> {
+    let found = persist(&shared.logger, || directory.list()).await;
+    info!(shared.logger, ""; "event" => Event::Found, "nodes" => found.len());
+    if directory.odd() > 0 {
+        note_odd(shared, "directory", directory.odd());
+    }
+    found
+}
+
+/// Asks until there is an answer.
+async fn persist<'a, T>(logger: &Logger, ask: impl Fn() -> Asked<'a, T>) -> T {
     let mut backoff = Backoff::new();
     let mut rng = SmallRng::from_os_rng();
     loop {
-        match directory.enter(shared.id).await {
-            Ok(found) => {
-                info!(logger, ""; "event" => Event::Found, "nodes" => found.len());
-                if directory.odd() > 0 {
-                    note_odd(shared, "directory", directory.odd());
-                }
-                return found;
-            }
+        match ask().await {
+            Ok(answer) => return answer,
             Err(err) => {
-                note(logger, &err);
+                warn!(logger, ""; "event" => Event::Found, "error" => %err);
                 sleep(backoff.failed(&err, &mut rng).min(LONGEST)).await;
             }
         }
     }
 }
-
-fn note(logger: &Logger, err: &PlatformError) {
-    warn!(logger, ""; "event" => Event::Found, "error" => %err);
-}
--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -1,5 +1,7 @@
 //! Carries out what following the configuration stream asks for.
 
+use std::time::Duration;
+
 use serde::Serialize;
 use slog::{info, warn};
 use swiftcart_core::{
@@ -19,6 +21,14 @@
 /// The longest encoded records that are pushed; longer ones are offered for a pull.
 const PUSH_BYTES: usize = 1100;
 
+/// The time after its start from which a node knows those of its failure domain, so that it does
+/// not take itself for a reader beside all others: half of them are known after 0.5 s.
+const RANKED: Duration = Duration::from_secs(1);
+
+/// How long a node waits for the readers' first configuration while the whole mesh starts for the
+/// first time. Callers come seconds later, and one read for each node is what the platform can spare least.
+const FIRST_WAIT: Duration = Duration::from_secs(4);
+
 impl Control {
     pub(super) fn on_push(&mut self, now: Instant, from: NodeId, origin: NodeId, entries: &[u8]) {
         let witnesses = &self.roster.witnesses;
@@ -193,7 +203,8 @@
 
     /// Asks peers how far this node was, while the platform is out of reach.
     pub(super) fn ask_floors(&mut self, now: Instant, duty: Duty) {
-        if !duty.joining || !self.down {
+        let answers = self.down || self.stream.asks_peers();
+        if !duty.joining || !answers {
             return;
         }
         for peer in self.stream.join.asks(now, &self.roster.asked) {
@@ -202,11 +213,15 @@
     }
 
     pub(super) fn duty(&mut self, now: Instant) -> Duty {
+        let settled = self.met(now) && now.elapsed() >= RANKED;
+        let reads = settled && self.roster.rank < self.reader.readers();
+        let first = self.shared.settings.first_start;
         Duty {
             rank: self.roster.rank,
             joining: self.stream.served(now).is_err(),
             known: self.roster.known,
-            settled: self.met(now),
+            settled,
+            waits: first && !reads && now.elapsed() < FIRST_WAIT,
         }
     }
 }
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -77,8 +77,10 @@
     pub(super) joining: bool,
     /// How many nodes are known.
     pub(super) known: usize,
-    /// Whether the rank follows from the members, and not from knowing none.
+    /// Whether the rank follows from the members, and not from knowing none or few.
     pub(super) settled: bool,
+    /// Whether others read for this node, which waits for them.
+    pub(super) waits: bool,
 }
 
 impl Reader {
@@ -179,6 +181,7 @@
 
     fn is_due(&mut self, now: Instant, duty: Duty) -> bool {
         match duty.joining {
+            true if duty.waits => false,
             true => now >= self.turn(now, duty.known),
             false => duty.rank < self.readers + STANDBYS,
         }
--- a/crates/swiftcart-node/src/control/stream.rs
+++ b/crates/swiftcart-node/src/control/stream.rs
@@ -25,6 +25,8 @@
     enforced: Config,
     /// The platform's clock at a time of ours.
     clock: Option<(Instant, u64)>,
+    /// Whether a peer that is ready may vouch for the version, as when the platform is away.
+    peers: bool,
 }
 
 /// What the control loop has to do after an event.
@@ -54,9 +56,19 @@
             floor: Floor::new(),
             waiting: BTreeMap::new(),
             clock: None,
+            peers: whole && settings.first_start,
         }
     }
 
+    /// Tells whether peers are to vouch for the version that this node has.
+    pub(super) fn asks_peers(&mut self) -> bool {
+        let asks = self.peers && self.source.version() > Version::NONE;
+        if asks {
+            self.join.on_outage();
+        }
+        asks
+    }
+
     /// Takes what was read from the platform.
     pub(super) fn on_read(&mut self, now: Instant, read: Read, witnesses: &[NodeId]) -> Todo {
         let actions = match (&mut self.source, read) {
--- a/crates/swiftcart-node/src/edge.rs
+++ b/crates/swiftcart-node/src/edge.rs
@@ -31,14 +31,21 @@
 
 /// A place outside the mesh through which its nodes find each other.
 pub trait Directory: fmt::Debug + Send + Sync {
-    /// Enters `id` and returns everyone who is entered.
-    ///
-    /// Of two nodes that enter at the same time at least one finds the other.
+    /// Enters `id`; entering again changes nothing.
     ///
     /// # Errors
     ///
     /// Any [`PlatformError`]; whether `id` was entered is then not known.
-    fn enter(&self, id: NodeId) -> Asked<'_, Vec<NodeId>>;
+    fn enter(&self, id: NodeId) -> Asked<'_, ()>;
+
+    /// Returns everyone who is entered.
+    ///
+    /// Of two nodes that enter first and list then, the one that entered later finds both.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`].
+    fn list(&self) -> Asked<'_, Vec<NodeId>>;
 
     /// Removes `ids`, which are gone for good.
     ///
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -78,6 +78,10 @@
     /// default true. Without, the key is a header like any other.
     #[serde(default = "Settings::default_claims")]
     pub claims: bool,
+    /// Whether the whole mesh starts for the first time, when no node knows any other and no
+    /// configuration may be there yet; default false.
+    #[serde(default)]
+    pub first_start: bool,
     /// Threads that the node runs on; default 0: one for each processor.
     #[serde(default)]
     pub threads: u32,
