Give nodes that start the version from others, with its place at the platform

Cause: each node that starts read the newest version at the platform's store, 0.66 MB with 2,500 routes. The store gives out 80 MB a second to all: of 295 nodes that start at once half were ready 1.4 s after their power was back, the last after 2.4 s, in the order of their starts.

A peer's word in place of the platform's: a version might go back over a restart. The node's own processor and link: the ten times faster ones wait as long.

Change: a version travels as `Compact` (prefixes without what they share, policies and services once: a third of its plain form), with the place at which the platform's versions go on behind it. A node that starts asks others for it and then looks behind that place, which takes a few bytes and shows that it is the newest. The release before does not know the question; such a peer is asked for the version as before.

--- a/crates/swiftcart-core/src/config.rs
+++ b/crates/swiftcart-core/src/config.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod checkpoint;
+mod compact;
 mod delta;
 mod diff;
 mod envelope;
@@ -18,6 +19,7 @@
 
 pub use check::*;
 pub use checkpoint::*;
+pub use compact::*;
 pub use delta::*;
 pub use diff::*;
 pub use envelope::*;
--- a/crates/swiftcart-core/src/wire/sync.rs
+++ b/crates/swiftcart-core/src/wire/sync.rs
@@ -5,7 +5,7 @@
 
 use super::seal::{Frame, Kind};
 use super::{MeshKey, WireError};
-use crate::{Member, NodeId, Offset, PullAnswer};
+use crate::{Compact, Member, NodeId, Offset, PullAnswer};
 
 /// The greatest length of a sealed message of a state pull in bytes.
 pub const MAX_SYNC: usize = 8 << 20;
@@ -23,6 +23,9 @@
         /// The hashes of the asker's list, part by part.
         buckets: Vec<u32>,
     },
+    /// Asks for the newest whole version with its place at the platform; the release before does not
+    /// know this, and answers nothing.
+    Whole,
 }
 
 /// Answers a [`SyncRequest`].
@@ -37,6 +40,19 @@
         /// When the asker should come back, in milliseconds.
         retry_ms: u32,
     },
+    /// Answers [`SyncRequest::Whole`].
+    Whole(Placed),
+}
+
+/// A whole version, and where the platform's versions go on behind it.
+///
+/// Who gets it looks behind that place, and knows by a few bytes whether it is the newest one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// The place behind the version.
+    pub next: u64,
+    /// The version.
+    pub compact: Compact,
 }
 
 /// Encodes and authenticates a message of a state pull.
--- /dev/null
+++ b/crates/swiftcart-core/tests/compact.rs
@@ -0,0 +1,91 @@
+//! A version survives its compact form, and no form that another program wrote breaks it.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use proptest::collection::{btree_map, vec};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use swiftcart_core::*;
+
+fn policy() -> impl Strategy<Value = Policy> {
+    (0..3_u32, 1..4_u8).prop_map(|(n, attempts)| Policy {
+        class: RequestClass::Idempotent,
+        attempts,
+        timeout_ms: 500 * n,
+        target_ms: 100 * n,
+        priority: Priority(n as u8),
+    })
+}
+
+fn snapshot() -> impl Strategy<Value = Snapshot> {
+    let prefix = "//[a-cä]{1,3}\\.example/[a-dé]{0,3}/";
+    let routes = btree_map((prefix, 0..4_usize), any::<u32>(), 0..40);
+    let policies = btree_map(prefix, policy(), 0..20);
+    (any::<u64>(), routes, policies).prop_map(|(version, routes, policies)| {
+        let names = ["a", "b", "c", "d"];
+        let table = names.iter().fold(Table::new(), |table, name| {
+            table.with_service(*name, Limits::default())
+        });
+        let table = routes
+            .into_iter()
+            .fold(table, |table, ((prefix, at), weight)| {
+                table.with_route(prefix, names[at], weight)
+            });
+        Snapshot::new(Version(version), table).with_policies(policies)
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(5), ..ProptestConfig::with_cases(400) })]
+
+    #[test]
+    fn a_version_expands_to_itself(snapshot in snapshot()) {
+        let compact = Compact::new(&snapshot).unwrap();
+        let bytes = postcard::to_stdvec(&compact).unwrap();
+        let read: Compact = postcard::from_bytes(&bytes).unwrap();
+        prop_assert_eq!(read.expand(), Ok(snapshot));
+    }
+
+    #[test]
+    fn arbitrary_bytes_expand_or_are_refused(bytes in vec(any::<u8>(), 0..200)) {
+        if let Ok(compact) = postcard::from_bytes::<Compact>(&bytes) {
+            drop(compact.expand());
+        }
+    }
+}
+
+#[test]
+fn a_version_with_a_route_to_nowhere_has_no_compact_form() {
+    let table = Table::new().with_route("/a", "nowhere", 1);
+    assert_eq!(Compact::new(&Snapshot::new(Version(1), table)), None);
+}
+
+#[test]
+fn two_and_a_half_thousand_routes_take_a_third_of_their_plain_form() {
+    let mut table = Table::new().with_service("sensor", Limits::default());
+    let mut policies = Policies::new();
+    for n in 0..2_500_u32 {
+        let word = n.wrapping_mul(2_654_435_761);
+        let prefix = format!(
+            "//jepu{}.example/{word:08x}/{:04x}/",
+            n % 7,
+            word >> 9 & 0xffff
+        );
+        table = table.with_route(prefix.as_str(), "sensor", 1);
+        policies.insert(
+            prefix,
+            Policy {
+                class: RequestClass::Idempotent,
+                attempts: 2,
+                timeout_ms: 3_000,
+                target_ms: 1_000,
+                priority: Priority(2),
+            },
+        );
+    }
+    let snapshot = Snapshot::new(Version(7), table).with_policies(policies);
+    let plain = postcard::to_stdvec(&snapshot).unwrap().len();
+    let compact = postcard::to_stdvec(&Compact::new(&snapshot).unwrap())
+        .unwrap()
+        .len();
+    assert!(compact * 3 <= plain, "{compact} of {plain} bytes");
+}
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -11,6 +11,7 @@
 mod frames;
 mod members;
 mod net;
+mod placed;
 mod publish;
 mod pulls;
 mod reader;
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -15,6 +15,7 @@
 
 use super::finder::Finder;
 use super::net::Net;
+use super::placed::Telling;
 use super::publish;
 use super::pulls::Pulls;
 use super::reader::Reader;
@@ -47,6 +48,11 @@
     pub(super) roster: Roster,
     pub(super) pulls: Pulls,
     pub(super) reader: Reader,
+    pub(super) telling_whole: Telling,
+    /// Whether a node without a version asks others for a whole one with its place.
+    pub(super) asks_whole: bool,
+    /// How many nodes the directory has named.
+    pub(super) listed: usize,
     pub(super) net: Net,
     inputs: mpsc::Receiver<Input>,
     pub(super) sender: mpsc::Sender<Input>,
@@ -91,6 +97,7 @@
         let stream = Stream::new(shared.id, settings, edges.snapshots.is_some());
         let pulls = Pulls::new(Arc::clone(&shared), key, sender.clone());
         let reader = Reader::new(Arc::clone(&shared), edges.snapshots, sender.clone(), rng);
+        let telling_whole = Telling::new(settings.link);
         let finder = edges
             .directory
             .map(|directory| Finder::start(&shared, directory, sender.clone()));
@@ -112,6 +119,9 @@
             stream,
             pulls,
             reader,
+            telling_whole,
+            asks_whole: true,
+            listed: 0,
             net,
             inputs,
             sender,
@@ -216,8 +226,14 @@
         let Some(request) = self.pulls.open(&pending) else {
             return;
         };
-        let reply = match (self.pulls.admit(now), request) {
+        let busy = match request {
+            // Bound by what the link carries.
+            SyncRequest::Whole => None,
+            SyncRequest::Feed { .. } | SyncRequest::Members { .. } => self.pulls.admit(now),
+        };
+        let reply = match (busy, request) {
             (Some(busy), _) => busy,
+            (None, SyncRequest::Whole) => self.tell_whole(),
             (None, SyncRequest::Feed { from }) => SyncReply::Feed(self.stream.source.answer(from)),
             (None, SyncRequest::Members { buckets }) => {
                 SyncReply::Members(self.membership.entries_for(&buckets))
--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 use slog::{info, warn};
 use swiftcart_core::{
-    Body, Checkpoint, Datagram, Envelope, FeedAction, Instant, NodeId, SyncReply, SyncRequest,
-    children,
+    Body, Checkpoint, Datagram, Envelope, FeedAction, Instant, NodeId, Offset, SyncReply,
+    SyncRequest, children,
 };
 use swiftcart_platform::PlatformError;
 
@@ -25,6 +25,9 @@
 /// not take itself for a reader beside all others: half of them are known after 0.5 s.
 const RANKED: Duration = Duration::from_secs(1);
 
+/// Joiners that follow a log spread their first read over this time for each node that is known.
+const JOIN_SPREAD: Duration = Duration::from_millis(5);
+
 /// How long a node waits for the readers' first configuration while the whole mesh starts for the
 /// first time. Callers come seconds later, and one read for each node is what the platform can spare least.
 const FIRST_WAIT: Duration = Duration::from_secs(4);
@@ -94,6 +97,7 @@
                 let actions = self.stream.source.on_pull_reply(now, peer, answer);
                 self.follow(actions);
             }
+            Ok(SyncReply::Whole(placed)) => self.on_whole(peer, placed),
             Ok(SyncReply::Members(entries)) => {
                 let actions = self.membership.merge(now, entries);
                 self.act(actions);
@@ -103,13 +107,15 @@
                 self.count_pull("busy");
             }
             Err(e) => {
+                // It may be of the release before, which does not know the question.
+                self.asks_whole = false;
                 self.stream.source.on_pull_failed(peer);
                 self.count_pull(e.as_str());
             }
         }
     }
 
-    fn count_pull(&self, reason: &'static str) {
+    pub(super) fn count_pull(&self, reason: &'static str) {
         let counters = &self.shared.counters;
         counters.count("swiftcart_pulls_failed_total", "reason", reason);
     }
@@ -139,7 +145,12 @@
         match action {
             FeedAction::Push { origin, entries } => self.push(origin, entries.as_slice()),
             FeedAction::Pull { peer, from } => {
-                if !self.pull(peer, &SyncRequest::Feed { from }) {
+                let whole = self.asks_whole && from == Offset(0) && self.reader.whole().is_some();
+                let request = match whole {
+                    true => SyncRequest::Whole,
+                    false => SyncRequest::Feed { from },
+                };
+                if !self.pull(peer, &request) {
                     self.stream.source.on_pull_failed(peer);
                 }
             }
@@ -216,12 +227,16 @@
         let settled = self.met(now) && now.elapsed() >= RANKED;
         let reads = settled && self.roster.rank < self.reader.readers();
         let first = self.shared.settings.first_start;
+        let known = u32::try_from(self.roster.known).unwrap_or(u32::MAX);
         Duty {
             rank: self.roster.rank,
             joining: self.stream.served(now).is_err(),
-            known: self.roster.known,
+            spread: match self.reader.whole() {
+                Some(_) => self.reading_spread(),
+                None => JOIN_SPREAD.saturating_mul(known),
+            },
             settled,
-            waits: first && !reads && now.elapsed() < FIRST_WAIT,
+            waits: !self.may_read(now) || first && !reads && now.elapsed() < FIRST_WAIT,
         }
     }
 }
--- a/crates/swiftcart-node/src/control/members.rs
+++ b/crates/swiftcart-node/src/control/members.rs
@@ -49,6 +49,7 @@
     /// Takes the nodes that the directory names.
     pub(super) fn on_found(&mut self, found: Vec<NodeId>) {
         self.found = true;
+        self.listed = found.len();
         let now = self.now();
         let actions = self.membership.add_seeds(now, found);
         self.act(actions);
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 
 use super::{Input, reachable};
-use crate::edge::SnapshotSource;
+use crate::edge::{Behind, SnapshotSource};
 use crate::shared::Shared;
 
 /// The stream that holds publishes and checkpoints.
@@ -25,9 +25,6 @@
 const STANDBY: Duration = Duration::from_secs(5);
 /// Nodes behind the readers that read now and then, in case the readers cannot.
 const STANDBYS: usize = 4;
-/// Joiners spread their first read over this time for each node that is known.
-const JOIN_SPREAD: Duration = Duration::from_millis(5);
-
 /// The pause after a version that came as a whole. Versions in quick succession are read
 /// together: each read has its price, and a version has two seconds to be in force, of which
 /// the way from a reader to all nodes takes 0.1.
@@ -44,6 +41,10 @@
     Page(Page),
     /// The newest version, when it is newer than the one that was known.
     Newest(Option<Snapshot>),
+    /// That nothing came behind this version, which another node has told.
+    Confirmed(Version),
+    /// Nothing: what came behind a version cannot be told.
+    Unplaced,
 }
 
 /// Reads the platform for one node, one read at a time.
@@ -75,8 +76,8 @@
     pub(super) rank: usize,
     /// Whether the node has to see the end of the log before it may serve.
     pub(super) joining: bool,
-    /// How many nodes are known.
-    pub(super) known: usize,
+    /// Over which time joiners spread their first reads.
+    pub(super) spread: Duration,
     /// Whether the rank follows from the members, and not from knowing none or few.
     pub(super) settled: bool,
     /// Whether others read for this node, which waits for them.
@@ -153,7 +154,9 @@
                     // Nothing was published yet: the readers wait for it, the others for them.
                     Read::Newest(None) if is_reader => Duration::ZERO,
                     Read::Page(_) if is_reader || duty.joining => Duration::ZERO,
-                    Read::Newest(_) | Read::Page(_) => self.standby(duty.rank),
+                    Read::Confirmed(_) if is_reader => Duration::ZERO,
+                    Read::Unplaced => Duration::ZERO,
+                    Read::Newest(_) | Read::Page(_) | Read::Confirmed(_) => self.standby(duty.rank),
                 }
             }
             Err(e) if self.limit.shrink(e) => Duration::ZERO,
@@ -174,6 +177,11 @@
         self.readers
     }
 
+    /// Returns where whole versions come from, where they do.
+    pub(super) fn whole(&self) -> Option<&dyn SnapshotSource> {
+        self.whole.as_deref()
+    }
+
     /// Returns the platform's client.
     pub(super) const fn platform(&self) -> &Platform {
         &self.platform
@@ -182,15 +190,13 @@
     fn is_due(&mut self, now: Instant, duty: Duty) -> bool {
         match duty.joining {
             true if duty.waits => false,
-            true => now >= self.turn(now, duty.known),
+            true => now >= self.turn(now, duty.spread),
             false => duty.rank < self.readers + STANDBYS,
         }
     }
 
     /// Draws when this joiner reads, so that a herd of them spreads its reads.
-    fn turn(&mut self, now: Instant, known: usize) -> Instant {
-        let known = u32::try_from(known).unwrap_or(u32::MAX);
-        let spread = JOIN_SPREAD.saturating_mul(known);
+    fn turn(&mut self, now: Instant, spread: Duration) -> Instant {
         let share = self.rng.random_range(0.0..1.0);
         *self.turn.get_or_insert_with(|| now + spread.mul_f64(share))
     }
@@ -229,6 +235,29 @@
         }));
     }
 
+    /// Looks what came behind a version that another node has told, in place of a read.
+    pub(super) fn look_behind(&mut self, version: Version, place: u64) {
+        let Some(whole) = self.whole.clone() else {
+            return;
+        };
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+        let name = "swiftcart_platform_reads_total";
+        self.shared.counters.count(name, "kind", "behind");
+        self.long = false;
+        let inputs = self.inputs.clone();
+        self.task = Some(tokio::spawn(async move {
+            let read = whole.behind(place).await.map(|behind| match behind {
+                Behind::Nothing => Read::Confirmed(version),
+                Behind::Newer(snapshot) => Read::Newest(Some(snapshot)),
+                Behind::Unknown => Read::Unplaced,
+            });
+            // The control loop is gone when the node has stopped.
+            drop(inputs.send(Input::Read(Box::new(read))).await);
+        }));
+    }
+
     fn standby(&mut self, rank: usize) -> Duration {
         let behind = u32::try_from(rank.saturating_sub(self.readers)).unwrap_or(u32::MAX);
         let wait = STANDBY.saturating_mul(1 << behind.min(8));
--- a/crates/swiftcart-node/src/control/source.rs
+++ b/crates/swiftcart-node/src/control/source.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use swiftcart_core::{
-    Digest, Feed, FeedAction, FeedSettings, Head, Instant, NodeId, Offset, PullAnswer, Snapshots,
-    Version,
+    Digest, Feed, FeedAction, FeedSettings, Head, Instant, NodeId, Offset, PullAnswer, Snapshot,
+    Snapshots, Version,
 };
 
 use crate::config::Config;
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Returns the newest version, where versions come as a whole.
+    pub(super) fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        match self {
+            Self::Log(_) => None,
+            Self::Snapshots(snapshots) => Some(Arc::clone(snapshots.newest())),
+        }
+    }
+
     /// Returns the place up to which the configuration is known; whole versions stand for theirs.
     pub(super) fn position(&self) -> Offset {
         match self {
--- a/crates/swiftcart-node/src/control/stream.rs
+++ b/crates/swiftcart-node/src/control/stream.rs
@@ -86,7 +86,12 @@
                 self.join.on_platform(Offset(1));
                 Vec::new()
             }
-            (Source::Log(_), Read::Newest(_)) | (Source::Snapshots(_), Read::Page(_)) => Vec::new(),
+            (Source::Snapshots(_), Read::Confirmed(version)) => {
+                self.join.on_platform(Offset(version.0));
+                Vec::new()
+            }
+            (Source::Log(_), Read::Newest(_) | Read::Confirmed(_) | Read::Unplaced)
+            | (Source::Snapshots(_), Read::Page(_) | Read::Unplaced) => Vec::new(),
         };
         self.after(now, actions, witnesses)
     }
--- a/crates/swiftcart-node/src/edge.rs
+++ b/crates/swiftcart-node/src/edge.rs
@@ -13,6 +13,17 @@
 /// The answer of the platform, some time.
 pub type Asked<'a, T> = Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
 
+/// What came behind a place among the versions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Behind {
+    /// Nothing: the version before it is the newest one.
+    Nothing,
+    /// This newer version.
+    Newer(Snapshot),
+    /// It cannot be told; only a read of the newest version can.
+    Unknown,
+}
+
 /// A platform that judges configurations itself and holds the newest accepted one.
 pub trait SnapshotSource: fmt::Debug + Send + Sync {
     /// Returns the newest version; waits up to `wait` for one above `known`, and returns
@@ -23,6 +34,21 @@
     /// Any [`PlatformError`]; nothing is known then.
     fn newest(&self, known: Version, wait: Duration) -> Asked<'_, Option<Snapshot>>;
 
+    /// Returns where versions go on behind `version`, when that was read here; some number that
+    /// other nodes of the mesh understand.
+    fn place(&self, _version: Version) -> Option<u64> {
+        None
+    }
+
+    /// Returns what came behind a place; reads go on from there.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`]; nothing is known then.
+    fn behind(&self, _place: u64) -> Asked<'_, Behind> {
+        Box::pin(async { Ok(Behind::Unknown) })
+    }
+
     /// Returns how many records were passed over so far, since they could not be read.
     fn odd(&self) -> u64 {
         0
