Tell the end of a backend server from a broken connection, and name the requests that it was running

Cause: the logs of the incident cannot tell its three hypotheses apart. An end and a reset connection are both answer-broken, a guard's lines name new ids only, and under load they are left out.

Ruled out: judging by the broken answers alone (nine break at once when connections are reset); by the announcement of a successor alone (four seconds later, when three more backend servers have ended).

Change: a request's fingerprint in the lines of calls; the guard watches what it has handed over, looks at the address once an answer has broken off, and writes one line for an end with all fingerprints; reason crashed; a counter. Decisions are as before: crashed is treated as answer-broken was.

--- /dev/null
+++ b/crates/swiftcart-core/src/crash/fingerprint.rs
@@ -0,0 +1,117 @@
+//! What makes two requests the same one, come again.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The fields of a request's head that stay when its caller sends it again.
+///
+/// The request's id and its deadline are new each time. Whoever the caller is stays: the same
+/// words from somebody else are another request.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct HeadFields<'a> {
+    /// The service that the request comes from.
+    pub caller: &'a [u8],
+    /// What the caller identifies itself with, a header a value.
+    pub credentials: [&'a [u8]; 2],
+    /// The method.
+    pub method: &'a [u8],
+    /// The host that it is for.
+    pub host: &'a [u8],
+    /// Path and query.
+    pub target: &'a [u8],
+}
+
+/// Stands for the head of a request, whatever its body.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct HeadPrint(pub u64);
+
+/// Stands for the body of a request; 0 for none.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct BodyPrint(pub u64);
+
+/// Stands for a request: the same for every time that the same caller sends the same one.
+///
+/// Head and body are told apart, so that a node reads a body before it sends it on only where the
+/// head is one that it has to look for. An empty body costs one byte on the way to other nodes.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{BodyPrint, Fingerprint, HeadFields, HeadPrint};
+///
+/// let fields = HeadFields { method: b"GET", target: b"/pump/7", ..HeadFields::default() };
+/// let head = HeadPrint::new(&fields);
+/// let print = Fingerprint { head, body: BodyPrint::new([]) };
+/// assert_eq!(print.body, BodyPrint::default());
+/// assert_ne!(head, HeadPrint::new(&HeadFields { caller: b"booking", ..fields }));
+/// ```
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Fingerprint {
+    /// The head's.
+    pub head: HeadPrint,
+    /// The body's.
+    pub body: BodyPrint,
+}
+
+impl HeadPrint {
+    /// Returns what stands for `fields`.
+    #[must_use]
+    pub fn new(fields: &HeadFields<'_>) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        let [first, second] = fields.credentials;
+        let parts = [fields.caller, first, second, fields.method, fields.host];
+        for part in parts.into_iter().chain([fields.target]) {
+            // The length keeps neighbouring parts apart.
+            hasher.update(&part.len().to_le_bytes());
+            hasher.update(part);
+        }
+        Self(short(&hasher))
+    }
+}
+
+impl BodyPrint {
+    /// Returns what stands for the body that `chunks` make up, however it was cut.
+    #[must_use]
+    pub fn new<'a>(chunks: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for chunk in chunks {
+            hasher.update(chunk);
+        }
+        match hasher.count() {
+            0 => Self::default(),
+            _ => Self(short(&hasher)),
+        }
+    }
+}
+
+/// Returns 64 bits of the hash: among a million requests two are alike once in 37 million times,
+/// and nobody finds one that is like another caller's.
+fn short(hasher: &blake3::Hasher) -> u64 {
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_le_bytes(bytes)
+}
+
+impl fmt::Display for HeadPrint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.body {
+            BodyPrint(0) => self.head.fmt(f),
+            BodyPrint(body) => write!(f, "{}-{body:016x}", self.head),
+        }
+    }
+}
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -171,6 +171,8 @@
     PeerUnreachable, "peer-unreachable", 502, NotRun;
     /// The answer broke off, or was no HTTP, after the hand-over.
     AnswerBroken, "answer-broken", 502, Unknown;
+    /// The backend server ended while it was running the request.
+    Crashed, "crashed", 502, Unknown;
     /// The backend server answered that it has failed.
     ServerError, "server-error", 502, Unknown;
     /// No whole answer came within the deadline, after the hand-over.
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -338,6 +338,7 @@
         | Reason::ConnectFailed
         | Reason::PeerUnreachable
         | Reason::AnswerBroken
+        | Reason::Crashed
         | Reason::ServerError
         | Reason::Timeout => true,
         Reason::NoRoute
--- a/crates/swiftcart-core/tests/outcome.rs
+++ b/crates/swiftcart-core/tests/outcome.rs
@@ -20,6 +20,7 @@
 fn what_can_follow_a_hand_over_is_never_not_run() {
     let after = [
         Reason::AnswerBroken,
+        Reason::Crashed,
         Reason::ServerError,
         Reason::AnswerDropped,
         Reason::AnswerTooLarge,
--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod request;
 mod rng;
+mod runs;
 mod serve;
 mod service;
 mod socket;
--- a/crates/swiftcart-node/src/calls/answer.rs
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -21,6 +21,7 @@
 use super::in_flight::InFlight;
 use super::pacing::Pacing;
 use super::pool::Pooled;
+use super::runs::Run;
 use crate::outlet::Outlet;
 use crate::settings::Answers;
 
@@ -81,6 +82,7 @@
 #[derive(Debug, Default)]
 struct Ending {
     slot: Option<Slot>,
+    run: Option<Run>,
     call: Option<InFlight>,
 }
 
@@ -89,6 +91,9 @@
         if let Some(slot) = self.slot {
             slot.close(end);
         }
+        if let Some(run) = self.run {
+            run.close(end);
+        }
         if let Some(call) = self.call {
             call.close(end);
         }
@@ -151,6 +156,13 @@
         self
     }
 
+    /// Has `run` told how the answer ended.
+    #[must_use]
+    pub fn with_run(mut self, run: Run) -> Self {
+        self.attach(|ending| ending.run = Some(run));
+        self
+    }
+
     /// Has the answer leave by `outlet`, at the pace of its link when it is long.
     #[must_use]
     pub fn paced(mut self, outlet: &Arc<Outlet>) -> Self {
--- a/crates/swiftcart-node/src/calls/body.rs
+++ b/crates/swiftcart-node/src/calls/body.rs
@@ -14,6 +14,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use quick_error::quick_error;
+use swiftcart_core::BodyPrint;
 use tokio::time::{Instant, Sleep, sleep};
 
 quick_error! {
@@ -86,6 +87,14 @@
     }
 }
 
+impl Stream {
+    /// Returns where the body comes from.
+    #[must_use]
+    pub const fn source(&self) -> &Arc<Source> {
+        &self.source
+    }
+}
+
 impl Source {
     /// Creates the source of `body`, which keeps `room` bytes and bears `silence` at most.
     pub fn new(body: Incoming, room: usize, silence: Duration) -> Arc<Self> {
@@ -124,6 +133,15 @@
         self.with(|inner| inner.body.size_hint().upper())
     }
 
+    /// Returns what stands for the body, once all of it is here and none of it was let go.
+    #[must_use]
+    pub fn print(&self) -> Option<BodyPrint> {
+        self.with(|inner| {
+            let whole = !inner.lost && (inner.ended || inner.body.is_end_stream());
+            whole.then(|| BodyPrint::new(inner.kept.iter().map(|chunk| &chunk[..])))
+        })
+    }
+
     /// Tells whether another try can send the whole body.
     pub fn is_whole(&self) -> bool {
         !self.with(|inner| inner.lost)
--- a/crates/swiftcart-node/src/calls/exchange.rs
+++ b/crates/swiftcart-node/src/calls/exchange.rs
@@ -17,7 +17,8 @@
 /// Sends `request` and waits until `until` for the answer's head.
 ///
 /// A connection that turns out to be closed before anything was written is
-/// replaced by another one. When the pool is ended, no answer can come any more.
+/// replaced by another one. When the pool is ended, no answer can come any more. `handing` is
+/// called each time that a connection is about to take the request.
 ///
 /// # Errors
 ///
@@ -28,6 +29,7 @@
     until: Instant,
     mut request: Request<Outgoing>,
     unreachable: Reason,
+    mut handing: impl FnMut(),
 ) -> Result<(Response<Incoming>, Pooled), Reason> {
     for _ in 0..MAX_STALE {
         let mut pooled = match timeout_at(until, pool.take()).await {
@@ -35,6 +37,7 @@
             Ok(Err(_)) => return Err(unreachable),
             Err(_) => return Err(Reason::DeadlinePassed),
         };
+        handing();
         let sent = tokio::select! {
             sent = timeout_at(until, pooled.conn().send(request)) => sent,
             () = pool.ended() => {
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -17,7 +17,7 @@
 use super::headers::{strip_hop, strip_internal};
 use super::keyed::Keyed;
 use super::request::Call;
-use super::upstream::Upstream;
+use super::upstream::{Sent, Upstream};
 use super::verdict::judge;
 use crate::counters::Stage;
 use crate::logging::Event;
@@ -193,7 +193,8 @@
             "reason" => refusal.reason.as_str(), "running" => load.running,
             "queued" => load.queued, "limit" => load.limit,
             "left_ms" => u64::try_from(call.due.left(now).as_millis()).unwrap_or(u64::MAX),
-            "age_ms" => u64::try_from(call.age().as_millis()).unwrap_or(u64::MAX));
+            "age_ms" => u64::try_from(call.age().as_millis()).unwrap_or(u64::MAX),
+            "print" => %call.print);
     }
 
     async fn admit(
@@ -253,7 +254,11 @@
         let repeat = call.terms.is_some_and(|terms| terms.repeat);
         let _repeat = repeat.then(|| Repeat::new(&self.repeats));
         let sent = upstream.send(call, call.due.at(), request).await;
-        let (response, pooled) = match sent {
+        let Sent {
+            response,
+            pooled,
+            run,
+        } = match sent {
             Ok(sent) => sent,
             Err(reason) => {
                 slot.finish(blame(reason));
@@ -265,6 +270,7 @@
         slot.head(response.body().size_hint().lower());
         if let Err(reason) = judge(&self.shared.settings, call, &method, &response) {
             slot.finish(blame(reason));
+            run.rejected();
             if reason == Reason::Shed {
                 Answer::stream(response.into_body(), pooled).discard();
             }
@@ -273,7 +279,7 @@
         let (mut head, body) = response.into_parts();
         strip_hop(&mut head.headers);
         strip_internal(&mut head.headers);
-        let answer = Answer::stream(body, pooled).with_slot(slot);
+        let answer = Answer::stream(body, pooled).with_slot(slot).with_run(run);
         Ok(Response::from_parts(head, answer))
     }
 
@@ -281,7 +287,7 @@
         let old = self.upstream.load_full();
         let Some(backend) = announced else {
             if let Some(old) = old {
-                old.close();
+                old.leave();
             }
             self.upstream.store(None);
             return;
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -180,6 +180,7 @@
         let routed = with_rng(|rng| view.find(host, path, rng))?;
         call.take_route(&routed, lock(&self.profiles).of(routed.route), now);
         self.name_caller(&mut head);
+        call.take_print(&head, &settings.headers);
         let limits = &settings.limits;
         let original = Original::new(head, body, limits.replay_bytes, limits.body_timeout());
         let result = self.tries(&call, routed.entry, &original).await;
--- a/crates/swiftcart-node/src/calls/ingress/forward.rs
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -54,7 +54,7 @@
         let until = self.shared.clock.tokio(call.due.at());
         let method = request.method().clone();
         let pool = self.peers.pool(pick.peer);
-        let exchanged = exchange(&pool, until, request, Reason::PeerUnreachable).await;
+        let exchanged = exchange(&pool, until, request, Reason::PeerUnreachable, || {}).await;
         let (response, pooled) = exchanged?;
         // A guard gives every answer a length or sends it in chunks.
         match is_framed(&method, response.status(), response.headers()) {
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -75,7 +75,8 @@
             info!(log, ""; "event" => Event::Answer, "id" => %call.id, "service" => %entry.name(),
                 "status" => status.as_u16(), "tries" => made.asked + 1, "guard" => %pick.id,
                 "rule" => ?pick.rule, "ms" => ms(now.since(made.start)),
-                "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()));
+                "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
+                "print" => %call.print);
         }
     }
 
@@ -99,7 +100,8 @@
             "try" => made.asked, "guard" => %pick.id, "rule" => ?pick.rule,
             "reason" => failed.refusal.reason.as_str(), "load" => load.as_deref().unwrap_or("-"),
             "next" => next.map_or_else(|why| why, told), "ms" => ms(now.since(made.start)),
-            "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()));
+            "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
+            "print" => %call.print);
     }
 
     /// Logs an answer that the node makes itself.
--- a/crates/swiftcart-node/src/calls/keyed/work.rs
+++ b/crates/swiftcart-node/src/calls/keyed/work.rs
@@ -7,7 +7,6 @@
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use swiftcart_core::{
     AttemptId, CallResult, Claim, ClaimKey, ClaimTicket, Decision, Finish, Outcome, Reason,
     Refusal, RequestHash, Start,
@@ -22,10 +21,9 @@
 use crate::calls::body::Outgoing;
 use crate::calls::guard::Guard;
 use crate::calls::headers::{strip_hop, strip_internal};
-use crate::calls::pool::Pooled;
 use crate::calls::request::Call;
 use crate::calls::rng::with_rng;
-use crate::calls::upstream::Upstream;
+use crate::calls::upstream::{Sent, Upstream};
 
 /// The longest wait for a partition that is being read for the first time.
 const CATCH_UP: Duration = Duration::from_secs(1);
@@ -108,25 +106,21 @@
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         request.headers_mut().clone_from(&self.head.headers);
-        let (response, pooled) = self.upstream.send(&self.call, start.until, request).await?;
+        let sent = self.upstream.send(&self.call, start.until, request).await?;
         let until = self.guard.shared().clock.tokio(start.until);
-        let read = self.read(response, pooled);
+        let read = self.read(sent);
         timeout_at(until, read).await.map_err(|_| Reason::Timeout)?
     }
 
-    async fn read(
-        &self,
-        response: Response<Incoming>,
-        pooled: Pooled,
-    ) -> Result<(http::response::Parts, Bytes), Reason> {
-        let (mut head, body) = response.into_parts();
+    async fn read(&self, sent: Sent) -> Result<(http::response::Parts, Bytes), Reason> {
+        let (mut head, body) = sent.response.into_parts();
         if !is_framed(&self.head.method, head.status, &head.headers) {
             return Err(Reason::AnswerBroken);
         }
         strip_hop(&mut head.headers);
         strip_internal(&mut head.headers);
         let bound = self.guard.shared().settings.limits.keyed_bytes as usize;
-        let body = Limited::new(Answer::stream(body, pooled), bound)
+        let body = Limited::new(Answer::stream(body, sent.pooled).with_run(sent.run), bound)
             .collect()
             .await;
         match body {
--- a/crates/swiftcart-node/src/calls/pool.rs
+++ b/crates/swiftcart-node/src/calls/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to one address, kept open between requests and bounded in number.
 
 use std::future::pending;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -28,6 +29,15 @@
     ended: Option<CancellationToken>,
 }
 
+/// Tells what a look at an address has found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Found {
+    /// Nobody listens there.
+    Nobody,
+    /// Somebody took the connection, or nothing can be said.
+    Somebody,
+}
+
 /// A connection in use.
 #[derive(Debug)]
 pub struct Pooled {
@@ -110,6 +120,26 @@
         })
     }
 
+    /// Looks for `limit` whether anybody listens at the address.
+    ///
+    /// The new connection serves the next request. While all connections are in use nothing is
+    /// looked at.
+    pub async fn probe(&self, limit: Duration) -> Found {
+        let Ok(_permit) = self.permits.try_acquire() else {
+            return Found::Somebody;
+        };
+        match Conn::open(self.addr, limit).await {
+            Ok(conn) => {
+                self.put(conn);
+                Found::Somebody
+            }
+            Err(OpenError::Connect(err)) if err.kind() == ErrorKind::ConnectionRefused => {
+                Found::Nobody
+            }
+            Err(_) => Found::Somebody,
+        }
+    }
+
     /// Closes the connections that were unused for too long or have ended.
     ///
     /// Returns whether the pool is empty then.
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -3,11 +3,12 @@
 use std::fmt;
 use std::time::Duration;
 
+use http::header::{AUTHORIZATION, COOKIE, HOST};
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Version};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Version};
 use swiftcart_core::{
-    AnswerLength, Attempt, Bid, Deadline, Haul, Instant, Patience, Reason, RequestClass,
-    RouteProfile, Routed,
+    AnswerLength, Attempt, Bid, Deadline, Haul, HeadFields, HeadPrint, Instant, Patience, Reason,
+    RequestClass, RouteProfile, Routed,
 };
 
 use super::headers::{
@@ -23,6 +24,9 @@
 /// The longest id of a request, in bytes.
 const MAX_ID: usize = 128;
 
+/// The headers by which callers identify themselves.
+const CREDENTIALS: [HeaderName; 2] = [AUTHORIZATION, COOKIE];
+
 /// Names one request in logs, the same at every node.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RequestId(pub HeaderValue);
@@ -44,6 +48,8 @@
     pub terms: Option<CallTerms>,
     /// How much the request and its answer weigh on the way.
     pub haul: Haul,
+    /// What stands for the head, the same when the caller sends the request again.
+    pub print: HeadPrint,
 }
 
 impl RequestId {
@@ -102,6 +108,7 @@
         let terms = head.headers.get(TERMS).map(CallTerms::parse).transpose()?;
         strip_internal(&mut head.headers);
         let mut call = Self::read(head, id, settings, now)?;
+        call.take_print(head, &settings.headers);
         if let Some(terms) = terms {
             call.take_terms(terms);
         }
@@ -135,6 +142,19 @@
         };
     }
 
+    /// Notes what stands for the head that a backend server will get.
+    pub fn take_print(&mut self, head: &Parts, names: &Headers) {
+        let field = |name: &HeaderName| head.headers.get(name).map_or(&b""[..], |v| v.as_bytes());
+        let target = head.uri.path_and_query();
+        self.print = HeadPrint::new(&HeadFields {
+            caller: names.caller.as_ref().map_or(b"", |name| field(&name.0)),
+            credentials: CREDENTIALS.each_ref().map(field),
+            method: head.method.as_str().as_bytes(),
+            host: field(&HOST),
+            target: target.map_or(b"", |target| target.as_str().as_bytes()),
+        });
+    }
+
     /// Returns what the request asks of a guard.
     #[must_use]
     pub fn bid(&self) -> Bid {
@@ -207,6 +227,7 @@
             key,
             terms: None,
             haul: Haul::Light,
+            print: HeadPrint::default(),
         })
     }
 }
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -137,7 +137,7 @@
         let body = match body.is_end_stream() {
             true => Outgoing::Empty,
             false if call.is_upload() => self.receive(&call, body).await?,
-            false => Source::new(body, 0, limits.body_timeout()).start(None),
+            false => Source::new(body, KEPT_BYTES, limits.body_timeout()).start(None),
         };
         let service = service.to_str().unwrap_or_default();
         let request = Request::from_parts(head, body);
@@ -175,6 +175,10 @@
     }
 }
 
+/// How much of a body is kept until its answer is there, to recognise the request by when it comes
+/// again; a longer one is not recognised. Requests that are no uploads have bodies of some 300 bytes.
+const KEPT_BYTES: usize = 16 << 10;
+
 /// When an upload may come back that got no turn: some bodies of 60 kB over 10 Mbit/s later.
 const BODY_TURN: Duration = Duration::from_millis(200);
 
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use swiftcart_core::{
     AdmissionSettings, Backend, Deadline, Gate, Instant, LimitRule, LimitSettings, Limits, Load,
-    Pace, Readiness, Reason, Refusal, ServiceName,
+    Outcome, Pace, Readiness, Reason, Refusal, ServiceName,
 };
 
 use super::admissions::{Admissions, Slot};
@@ -15,6 +15,7 @@
 use super::headers::DEADLINE;
 use super::pool::{Pool, Pooled};
 use super::request::Call;
+use super::runs::{Handed, Run, Runs};
 use crate::beside::Identity;
 use crate::clock::Clock;
 use crate::settings::Headers;
@@ -30,12 +31,24 @@
     clock: Clock,
     pool: Arc<Pool>,
     admissions: Arc<Admissions>,
+    runs: Arc<Runs>,
+}
+
+/// The head of an answer, and what its body comes over.
+#[derive(Debug)]
+pub struct Sent {
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// The connection that it comes over.
+    pub pooled: Pooled,
+    /// The request, as it was handed over.
+    pub run: Run,
 }
 
 impl Upstream {
     /// Creates the upstream for `backend`, with what is kept of the `old` one.
     #[must_use]
-    pub fn new(shared: &Shared, old: Option<&Self>, backend: Backend) -> Self {
+    pub fn new(shared: &Arc<Shared>, old: Option<&Self>, backend: Backend) -> Self {
         let limits = &shared.settings.limits;
         let identity = shared.beside().identity().cloned();
         let same = old.filter(|old| {
@@ -61,6 +74,10 @@
             },
             |old| Arc::clone(&old.admissions),
         );
+        let runs = same.map_or_else(
+            || Runs::new(shared, shared.beside().id()),
+            |old| Arc::clone(&old.runs),
+        );
         let pool = same
             .filter(|old| old.backend.connections == backend.connections)
             .map_or_else(
@@ -78,6 +95,7 @@
             clock: shared.clock,
             pool,
             admissions,
+            runs,
         }
     }
 
@@ -86,6 +104,9 @@
         self.admissions
             .set_gate(gate(self.backend.readiness, stopping));
         self.admissions.resize(self.backend.slots, limits, guards);
+        if self.backend.readiness == Readiness::Draining {
+            self.runs.leaves();
+        }
     }
 
     /// Takes no new work any more; what waits is refused, since it has not run.
@@ -104,11 +125,21 @@
         }
         self.close();
         match (&self.identity, &next.identity) {
-            (Some(old), Some(new)) if new.succeeds(old) => self.pool.end(),
+            (Some(old), Some(new)) if new.succeeds(old) => {
+                self.runs.succeeded();
+                self.pool.end();
+            }
+            (Some(old), Some(new)) if new.id != old.id => self.runs.succeeded(),
             _ => {}
         }
     }
 
+    /// Notes that the backend server has left, or is heard of no more.
+    pub fn leave(&self) {
+        self.runs.leaves();
+        self.close();
+    }
+
     /// Returns the service that the backend server belongs to.
     #[must_use]
     pub const fn service(&self) -> &ServiceName {
@@ -164,16 +195,38 @@
     /// # Errors
     ///
     /// Returns why there is no answer; the reason's outcome is `not-run` only when
-    /// nothing of the request was written.
+    /// nothing of the request was written. [`Reason::Crashed`] when the backend server has ended.
     pub async fn send(
         &self,
         call: &Call,
         until: Instant,
         mut request: Request<Outgoing>,
-    ) -> Result<(Response<Incoming>, Pooled), Reason> {
+    ) -> Result<Sent, Reason> {
         self.address(request.headers_mut(), until, call)?;
         let until = self.clock.tokio(until);
-        exchange(&self.pool, until, request, Reason::ConnectFailed).await
+        let handed = Handed::new(call.print, request.body());
+        let mut run = None;
+        let handing = || {
+            let before = run.replace(self.runs.start(&self.pool, handed.clone()));
+            if let Some(before) = before {
+                before.unsent();
+            }
+        };
+        let sent = exchange(&self.pool, until, request, Reason::ConnectFailed, handing).await;
+        match (sent, run) {
+            (Ok((response, pooled)), Some(run)) => Ok(Sent {
+                response,
+                pooled,
+                run,
+            }),
+            (Err(Reason::AnswerBroken), Some(run)) => Err(run.broke().await),
+            (Err(reason), Some(run)) if reason.outcome() == Outcome::NotRun => {
+                run.unsent();
+                Err(reason)
+            }
+            (Err(reason), _) => Err(reason),
+            (Ok(_), None) => Err(Reason::AnswerBroken),
+        }
     }
 
     /// Sets the headers that the backend server gets from the node beside it.
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -71,6 +71,8 @@
     Announced,
     /// The announcement of the backend server was not renewed.
     Expired,
+    /// The backend server has ended while it was running requests.
+    Crashed,
     /// A connection could not be accepted.
     Refused,
     /// A caller's request has its answer.
@@ -111,6 +113,7 @@
             Self::Backend => "backend",
             Self::Announced => "announced",
             Self::Expired => "expired",
+            Self::Crashed => "crashed",
             Self::Refused => "refused",
             Self::Answer => "answer",
             Self::Try => "try",
