Hold requests that end the backend servers that run them

Cause: nothing outlived a try. A node knew a request by its id, which is new each time that it comes, judged each end of a backend server by itself, and blamed the backend server alone. So a request that ends whoever runs it was tried again at the next one, and again when its caller came back. Class: a failure that follows the request, handled as one that stays with the server; and knowledge that one node gains and no other gets.

Change: guards tell all nodes what was running when their backend server ended; a request that was at three ends alone, or at four, is refused with quarantined and the time left, for the service that sent it, and for all once a second service has ended a backend server with it. One that is known from two ends is not tried again within its attempt. A run to the end clears it everywhere. Bounded: 256 ends, 128 requests each, 1,024 cleared; 60 s, doubling, an hour at most.

--- a/crates/swiftcart-core/src/crash/fingerprint.rs
+++ b/crates/swiftcart-core/src/crash/fingerprint.rs
@@ -6,12 +6,10 @@
 
 /// The fields of a request's head that stay when its caller sends it again.
 ///
-/// The request's id and its deadline are new each time. Whoever the caller is stays: the same
-/// words from somebody else are another request.
+/// The request's id and its deadline are new each time. Who identifies itself otherwise sends
+/// another request.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct HeadFields<'a> {
-    /// The service that the request comes from.
-    pub caller: &'a [u8],
     /// What the caller identifies itself with, a header a value.
     pub credentials: [&'a [u8]; 2],
     /// The method.
@@ -36,7 +34,7 @@
 #[serde(transparent)]
 pub struct BodyPrint(pub u64);
 
-/// Stands for a request: the same for every time that the same caller sends the same one.
+/// Stands for a request, whichever service it comes from.
 ///
 /// Head and body are told apart, so that a node reads a body before it sends it on only where the
 /// head is one that it has to look for. An empty body costs one byte on the way to other nodes.
@@ -44,32 +42,51 @@
 /// # Examples
 ///
 /// ```
-/// use swiftcart_core::{BodyPrint, Fingerprint, HeadFields, HeadPrint};
+/// use swiftcart_core::{BodyPrint, HeadFields, HeadPrint, RequestPrint};
 ///
 /// let fields = HeadFields { method: b"GET", target: b"/pump/7", ..HeadFields::default() };
 /// let head = HeadPrint::new(&fields);
-/// let print = Fingerprint { head, body: BodyPrint::new([]) };
+/// let print = RequestPrint { head, body: BodyPrint::new([]) };
 /// assert_eq!(print.body, BodyPrint::default());
-/// assert_ne!(head, HeadPrint::new(&HeadFields { caller: b"booking", ..fields }));
+/// assert_ne!(head, HeadPrint::new(&HeadFields { method: b"HEAD", ..fields }));
 /// ```
 #[derive(
     Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Fingerprint {
+pub struct RequestPrint {
     /// The head's.
     pub head: HeadPrint,
     /// The body's.
     pub body: BodyPrint,
 }
 
+/// Stands for the service that a request comes from.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct CallerPrint(pub u16);
+
+/// Stands for a request of a service: the same for every time that it is sent.
+///
+/// A backend server is told the service, and may treat the same request of two services otherwise.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Fingerprint {
+    /// The request.
+    pub request: RequestPrint,
+    /// Where it comes from.
+    pub caller: CallerPrint,
+}
+
 impl HeadPrint {
     /// Returns what stands for `fields`.
     #[must_use]
     pub fn new(fields: &HeadFields<'_>) -> Self {
         let mut hasher = blake3::Hasher::new();
         let [first, second] = fields.credentials;
-        let parts = [fields.caller, first, second, fields.method, fields.host];
-        for part in parts.into_iter().chain([fields.target]) {
+        for part in [first, second, fields.method, fields.host, fields.target] {
             // The length keeps neighbouring parts apart.
             hasher.update(&part.len().to_le_bytes());
             hasher.update(part);
@@ -78,6 +95,16 @@
     }
 }
 
+impl CallerPrint {
+    /// Returns what stands for a service; a mesh has some dozens of them.
+    #[must_use]
+    pub fn new(service: &[u8]) -> Self {
+        let hash = blake3::hash(service);
+        let [first, second, ..] = *hash.as_bytes();
+        Self(u16::from_le_bytes([first, second]))
+    }
+}
+
 impl BodyPrint {
     /// Returns what stands for the body that `chunks` make up, however it was cut.
     #[must_use]
@@ -107,7 +134,7 @@
     }
 }
 
-impl fmt::Display for Fingerprint {
+impl fmt::Display for RequestPrint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.body {
             BodyPrint(0) => self.head.fmt(f),
@@ -115,3 +142,10 @@
         }
     }
 }
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let CallerPrint(caller) = self.caller;
+        write!(f, "{}@{caller:04x}", self.request)
+    }
+}
--- a/crates/swiftcart-core/src/crash/watch.rs
+++ b/crates/swiftcart-core/src/crash/watch.rs
@@ -108,15 +108,14 @@
         self.running.remove(&run);
     }
 
-    /// Notes a whole answer.
-    pub fn answered(&mut self, run: RunId) {
-        let Some(Run { start, .. }) = self.running.remove(&run) else {
-            return;
-        };
+    /// Notes a whole answer, and returns the request.
+    pub fn answered(&mut self, run: RunId) -> Option<T> {
+        let Run { start, what } = self.running.remove(&run)?;
         self.broken.retain(|broken| broken.at >= start);
         if matches!(self.state, State::Ended { at, .. } if at < start) {
             self.state = State::Living;
         }
+        Some(what)
     }
 
     /// Notes that no whole answer came, and returns the crash where the backend server is known
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -191,7 +191,8 @@
             | Datagram::Report { .. }
             | Datagram::ReportAck { .. }
             | Datagram::FloorAsk
-            | Datagram::FloorReply { .. } => {}
+            | Datagram::FloorReply { .. }
+            | Datagram::Findings(_) => {}
         }
         self.heard(now, from);
         std::mem::take(&mut self.out)
@@ -282,6 +283,18 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Returns whom to tell of something that every node is to know: some nodes of the own
+    /// failure domain, and now and then one of another. Who found it out itself tells each of the
+    /// others.
+    pub fn audience(&mut self, own: bool) -> Vec<NodeId> {
+        let mut told = self.near_peers(self.settings.fanout);
+        match own {
+            true => told.extend(self.one_of_each()),
+            false => told.extend(self.far_peer()),
+        }
+        told
+    }
+
     /// Sets the place in the configuration stream that rides on probes.
     pub const fn set_head(&mut self, head: Head) {
         self.head = head;
--- a/crates/swiftcart-core/src/member/peers.rs
+++ b/crates/swiftcart-core/src/member/peers.rs
@@ -97,7 +97,7 @@
     }
 
     /// Returns a random node of each other failure domain.
-    fn one_of_each(&mut self) -> Vec<NodeId> {
+    pub(super) fn one_of_each(&mut self) -> Vec<NodeId> {
         let others = self.list.domains().filter(|d| **d != self.me.domain);
         let rings: Vec<_> = others.map(|d: &FailureDomain| self.list.ring(d)).collect();
         let rng = &mut self.rng;
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -171,6 +171,8 @@
     PeerUnreachable, "peer-unreachable", 502, NotRun;
     /// The answer broke off, or was no HTTP, after the hand-over.
     AnswerBroken, "answer-broken", 502, Unknown;
+    /// Backend servers have ended under this request; it is not handed to another one for now.
+    Quarantined, "quarantined", 503, NotRun;
     /// The backend server ended while it was running the request.
     Crashed, "crashed", 502, Unknown;
     /// The backend server answered that it has failed.
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -342,6 +342,7 @@
         | Reason::ServerError
         | Reason::Timeout => true,
         Reason::NoRoute
+        | Reason::Quarantined
         | Reason::NoBackend
         | Reason::DeadlinePassed
         | Reason::PlatformDown
--- a/crates/swiftcart-core/src/wire/datagram.rs
+++ b/crates/swiftcart-core/src/wire/datagram.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Incarnation, Liveness, Member, NodeId, Version};
+use crate::{Findings, Incarnation, Liveness, Member, NodeId, Version};
 
 /// Numbers a probe; the acknowledgement repeats it.
 pub type Seq = u32;
@@ -133,6 +133,9 @@
         /// The sender's place in the configuration stream; the receiver pulls up to it.
         head: Head,
     },
+    /// Tells which requests were running when backend servers ended, and which are harmless; the
+    /// release before does not know this, and drops it.
+    Findings(Findings),
 }
 
 impl Datagram {
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -17,6 +17,7 @@
 use super::headers::{strip_hop, strip_internal};
 use super::keyed::Keyed;
 use super::request::Call;
+use super::runs::Handed;
 use super::upstream::{Sent, Upstream};
 use super::verdict::judge;
 use crate::counters::Stage;
@@ -214,9 +215,28 @@
         let slot = upstream.enter(call).await?;
         let counters = &self.shared.counters;
         counters.stage(Stage::Queue, slot.start().since(arrived));
+        self.pass(call, &request)?;
         self.hand_over(call, upstream, slot, request).await
     }
 
+    /// Refuses a request that became known for ending backend servers on its way here.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Quarantined`] with the time for which it is held.
+    fn pass(&self, call: &Call, request: &Request<Outgoing>) -> Result<(), Refusal> {
+        let suspects = &self.shared.suspects;
+        if !suspects.may_hold(call.print.head) {
+            return Ok(());
+        }
+        let print = Handed::new(call.print, request.body()).print();
+        let now = self.shared.clock.now();
+        match print.and_then(|print| suspects.held(now, print)) {
+            Some(left) => Err(Refusal::new(Reason::Quarantined).with_retry(left)),
+            None => Ok(()),
+        }
+    }
+
     /// Hands a request over and waits for the head of its answer.
     ///
     /// What may run only once is not cancelled when the caller goes away: the backend server
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -3,6 +3,7 @@
 mod forward;
 mod log;
 mod original;
+mod quarantine;
 mod retrying;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -183,6 +184,7 @@
         call.take_print(&head, &settings.headers);
         let limits = &settings.limits;
         let original = Original::new(head, body, limits.replay_bytes, limits.body_timeout());
+        self.pass(&call, &original).await?;
         let result = self.tries(&call, routed.entry, &original).await;
         if let Ok(response) = &result
             && response.status().is_success()
--- a/crates/swiftcart-node/src/calls/ingress/original.rs
+++ b/crates/swiftcart-node/src/calls/ingress/original.rs
@@ -6,8 +6,10 @@
 use http::request::Parts;
 use http::{Request, Uri};
 use hyper::body::{Body, Incoming};
+use swiftcart_core::{BodyPrint, Fingerprint};
 
 use crate::calls::body::{BodyError, Gate, Outgoing, Source};
+use crate::calls::request::CallPrint;
 
 /// A request's head and where its body comes from, kept for every try.
 #[derive(Debug)]
@@ -58,6 +60,16 @@
         }
     }
 
+    /// Returns the request's fingerprint; `None` while its body is not here as a whole.
+    #[must_use]
+    pub fn print(&self, call: CallPrint) -> Option<Fingerprint> {
+        let body = match &self.source {
+            Some(source) => source.print()?,
+            None => BodyPrint::default(),
+        };
+        Some(call.with_body(body))
+    }
+
     /// Tells whether the body is longer than `bytes`, or may be.
     #[must_use]
     pub fn exceeds(&self, bytes: u64) -> bool {
--- a/crates/swiftcart-node/src/calls/ingress/retrying.rs
+++ b/crates/swiftcart-node/src/calls/ingress/retrying.rs
@@ -22,6 +22,9 @@
         let counters = &self.shared.counters;
         let result = match (original.is_whole(), call.terms) {
             (false, _) => Err("body-sent"),
+            _ if self.is_dangerous(call, original, failed.refusal.reason) => {
+                Err(Reason::Quarantined.as_str())
+            }
             (true, Some(terms)) => self
                 .retry_by_policy(call, terms.attempts, entry, made, pick, failed)
                 .map_err(Reason::as_str),
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -7,8 +7,8 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version};
 use swiftcart_core::{
-    AnswerLength, Attempt, Bid, Deadline, Haul, HeadFields, HeadPrint, Instant, Patience, Reason,
-    RequestClass, RouteProfile, Routed,
+    AnswerLength, Attempt, Bid, BodyPrint, CallerPrint, Deadline, Fingerprint, Haul, HeadFields,
+    HeadPrint, Instant, Patience, Reason, RequestClass, RequestPrint, RouteProfile, Routed,
 };
 
 use super::headers::{
@@ -48,8 +48,37 @@
     pub terms: Option<CallTerms>,
     /// How much the request and its answer weigh on the way.
     pub haul: Haul,
-    /// What stands for the head, the same when the caller sends the request again.
-    pub print: HeadPrint,
+    /// What stands for the head and the service it comes from, the same when the request comes again.
+    pub print: CallPrint,
+}
+
+/// Stands for what is known of a request before its body is here.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct CallPrint {
+    /// The head.
+    pub head: HeadPrint,
+    /// The service that it comes from.
+    pub caller: CallerPrint,
+}
+
+impl CallPrint {
+    /// Returns the request's fingerprint, given what stands for its body.
+    #[must_use]
+    pub const fn with_body(self, body: BodyPrint) -> Fingerprint {
+        Fingerprint {
+            request: RequestPrint {
+                head: self.head,
+                body,
+            },
+            caller: self.caller,
+        }
+    }
+}
+
+impl fmt::Display for CallPrint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.with_body(BodyPrint::default()).fmt(f)
+    }
 }
 
 impl RequestId {
@@ -146,8 +175,9 @@
     pub fn take_print(&mut self, head: &Parts, names: &Headers) {
         let field = |name: &HeaderName| head.headers.get(name).map_or(&b""[..], |v| v.as_bytes());
         let target = head.uri.path_and_query();
-        self.print = HeadPrint::new(&HeadFields {
-            caller: names.caller.as_ref().map_or(b"", |name| field(&name.0)),
+        let caller = names.caller.as_ref();
+        self.print.caller = CallerPrint::new(caller.map_or(b"", |name| field(&name.0)));
+        self.print.head = HeadPrint::new(&HeadFields {
             credentials: CREDENTIALS.each_ref().map(field),
             method: head.method.as_str().as_bytes(),
             host: field(&HOST),
@@ -227,7 +257,7 @@
             key,
             terms: None,
             haul: Haul::Light,
-            print: HeadPrint::default(),
+            print: CallPrint::default(),
         })
     }
 }
--- a/crates/swiftcart-node/src/calls/runs.rs
+++ b/crates/swiftcart-node/src/calls/runs.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use rand::Rng;
 use slog::warn;
-use swiftcart_core::{BodyPrint, Crash, CrashId, Fingerprint, HeadPrint, Reason, RunId, Watch};
+use swiftcart_core::{BodyPrint, Crash, CrashId, Fingerprint, Reason, RunId, Watch};
 
 use super::answer::End;
 use super::body::{Outgoing, Source};
 use super::pool::{Found, Pool};
+use super::request::CallPrint;
 use super::rng::with_rng;
 use crate::logging::Event;
 use crate::shared::Shared;
@@ -35,7 +37,7 @@
 /// What stands for a request that was handed over; its body is looked at only when it has to be.
 #[derive(Debug, Clone)]
 pub struct Handed {
-    head: HeadPrint,
+    call: CallPrint,
     body: HandedBody,
 }
 
@@ -53,18 +55,20 @@
     pool: Arc<Pool>,
     id: RunId,
     open: bool,
+    /// Whether the answer shows that the backend server can run the request.
+    sound: bool,
 }
 
 impl Handed {
-    /// Creates what stands for a request with this head and body.
+    /// Creates what stands for a call with this body.
     #[must_use]
-    pub fn new(head: HeadPrint, body: &Outgoing) -> Self {
+    pub fn new(call: CallPrint, body: &Outgoing) -> Self {
         let body = match body {
             Outgoing::Empty => HandedBody::Empty,
             Outgoing::Whole(bytes) => HandedBody::Whole(bytes.clone()),
             Outgoing::Stream(stream) => HandedBody::Passed(Arc::clone(stream.source())),
         };
-        Self { head, body }
+        Self { call, body }
     }
 
     /// Returns the request's fingerprint; `None` while its body is not there as a whole.
@@ -75,8 +79,7 @@
             HandedBody::Whole(bytes) => BodyPrint::new([&bytes[..]]),
             HandedBody::Passed(source) => source.print()?,
         };
-        let head = self.head;
-        Some(Fingerprint { head, body })
+        Some(self.call.with_body(body))
     }
 }
 
@@ -99,6 +102,7 @@
             pool: Arc::clone(pool),
             id: self.lock().start(now, handed),
             open: true,
+            sound: false,
         }
     }
 
@@ -126,6 +130,16 @@
         self.report(crash);
     }
 
+    /// Notes a whole answer; a `sound` one clears the request where it was suspected.
+    fn answered(&self, run: RunId, sound: bool) {
+        let handed = self.lock().answered(run);
+        let suspects = &self.shared.suspects;
+        let handed = handed.filter(|handed| sound && suspects.may_hold(handed.call.head));
+        if let Some(print) = handed.and_then(|handed| handed.print()) {
+            suspects.finished(self.shared.clock.now(), print);
+        }
+    }
+
     fn has_ended(&self) -> bool {
         self.lock().has_ended()
     }
@@ -140,6 +154,7 @@
             .counters
             .count("swiftcart_crashes_total", "part", "guard");
         let prints: Vec<Fingerprint> = runs.iter().filter_map(Handed::print).collect();
+        shared.suspects.crashed(shared.clock.now(), id, &prints);
         let named: Vec<String> = prints.iter().take(NAMED).map(ToString::to_string).collect();
         warn!(shared.logger, ""; "event" => Event::Crashed,
             "instance" => self.instance.as_deref().unwrap_or("-"),
@@ -153,6 +168,14 @@
 }
 
 impl Run {
+    /// Notes the answer's status: a backend server that failed, or gave up at the deadline, may
+    /// not have come to what ends it.
+    #[must_use]
+    pub fn with_status(mut self, status: StatusCode) -> Self {
+        self.sound = !status.is_server_error();
+        self
+    }
+
     /// Notes that the backend server was not handed the request after all.
     pub fn unsent(mut self) {
         self.open = false;
@@ -162,7 +185,7 @@
     /// Notes that the backend server lives, and gave an answer that cannot be passed on.
     pub fn rejected(mut self) {
         self.open = false;
-        self.runs.lock().answered(self.id);
+        self.runs.answered(self.id, false);
     }
 
     /// Notes how the answer ended.
@@ -170,7 +193,7 @@
         match end {
             End::Whole => {
                 self.open = false;
-                self.runs.lock().answered(self.id);
+                self.runs.answered(self.id, self.sound);
             }
             End::Broken => drop(tokio::spawn(async move { self.broke().await })),
             End::Gone => {}
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -215,9 +215,9 @@
         let sent = exchange(&self.pool, until, request, Reason::ConnectFailed, handing).await;
         match (sent, run) {
             (Ok((response, pooled)), Some(run)) => Ok(Sent {
+                run: run.with_status(response.status()),
                 response,
                 pooled,
-                run,
             }),
             (Err(Reason::AnswerBroken), Some(run)) => Err(run.broke().await),
             (Err(reason), Some(run)) if reason.outcome() == Outcome::NotRun => {
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -7,6 +7,7 @@
 mod control_loop;
 mod error;
 mod finder;
+mod findings;
 mod following;
 mod frames;
 mod members;
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -14,6 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::finder::Finder;
+use super::findings::Telling;
 use super::net::Net;
 use super::placed::Wholes;
 use super::publish;
@@ -66,6 +67,8 @@
     pub(super) found: bool,
     /// Held open for as long as the node runs.
     _finder: Option<Finder>,
+    /// What other nodes are told of requests that end backend servers.
+    pub(super) findings: Telling,
     /// When the pace of the own backend server is told to all nodes.
     pub(super) telling: PaceTelling,
     pub(super) left: bool,
@@ -107,6 +110,7 @@
             identity: None,
             found: finder.is_none(),
             _finder: finder,
+            findings: Telling::default(),
             telling: PaceTelling::default(),
             left: false,
             stale: true,
@@ -162,6 +166,7 @@
         let actions = self.membership.tick(now);
         self.act(actions);
         self.tell_pace();
+        self.tell_findings(now);
         let todo = self.stream.on_tick(now, &self.roster.witnesses);
         self.follow_up(todo);
         let duty = self.duty(now);
@@ -197,6 +202,7 @@
                 let version = self.stream.witness.answer(from, vouched);
                 self.net.send(from, &Datagram::FloorReply { version });
             }
+            Datagram::Findings(findings) => self.on_findings(now, from, findings),
             Datagram::FloorReply { version } => self.stream.join.on_answer(from, *version),
             _ => {}
         }
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod program;
 mod settings;
 mod shared;
+mod suspects;
 
 pub use args::{Args, ArgsError};
 pub use clock::Clock;
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -73,6 +73,10 @@
     Expired,
     /// The backend server has ended while it was running requests.
     Crashed,
+    /// A request is not handed to backend servers for now, since it ends them.
+    Quarantined,
+    /// Such a request may be handed over again.
+    Released,
     /// A connection could not be accepted.
     Refused,
     /// A caller's request has its answer.
@@ -114,6 +118,8 @@
             Self::Announced => "announced",
             Self::Expired => "expired",
             Self::Crashed => "crashed",
+            Self::Quarantined => "quarantined",
+            Self::Released => "released",
             Self::Refused => "refused",
             Self::Answer => "answer",
             Self::Try => "try",
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::misses::Misses;
 use crate::outlet::Outlet;
 use crate::settings::{Headers, Settings};
+use crate::suspects::Suspects;
 
 /// Tells whether a node takes callers' requests, and if not, why.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
@@ -116,6 +117,8 @@
     pub link: Arc<Outlet>,
     /// The nodes to which no connection opened lately.
     pub misses: Misses,
+    /// The requests that end backend servers.
+    pub suspects: Suspects,
     /// What this node is cut off from, in builds for failure tests.
     pub faults: Faults,
     /// Cancelled when the node is asked to stop.
@@ -169,6 +172,7 @@
             pace: AtomicU32::new(0),
             expiry: watch::Sender::new(None),
             misses: Misses::default(),
+            suspects: Suspects::default(),
             faults: Faults::from_env(),
             stopping: CancellationToken::new(),
             started: Instant::now(),
