Remember held requests at the platform, for a mesh that starts again as a whole

Cause: what nodes know of a request that ends backend servers is gone when all of them are. A restart of all costs three backend servers once more, four where two services send it.

Ruled out: a topic of its own (another call at each start), a write by each node (those that saw an end themselves write, at most once a second while ends go on), the wall clock alone (a hold ends an hour after its writing at most).

Change: the directory remembers and forgets memos; a start learns them by the call that lists the nodes. Who wrote one drops it when it is over; whoever starts drops those that nobody dropped.

--- a/crates/swiftcart-core/src/crash.rs
+++ b/crates/swiftcart-core/src/crash.rs
@@ -3,10 +3,12 @@
 mod ends;
 mod finding;
 mod fingerprint;
+mod memo;
 mod quarantine;
 mod watch;
 
 pub use finding::*;
 pub use fingerprint::*;
+pub use memo::*;
 pub use quarantine::*;
 pub use watch::*;
--- a/crates/swiftcart-core/src/crash/ends.rs
+++ b/crates/swiftcart-core/src/crash/ends.rs
@@ -60,6 +60,11 @@
         self.0.len()
     }
 
+    /// Returns the ends, each with the services that it came from then.
+    pub fn ends(&self) -> impl Iterator<Item = (&CrashId, &BTreeSet<CallerPrint>)> {
+        self.0.iter()
+    }
+
     /// Returns the services that it came from.
     pub fn callers(&self) -> BTreeSet<CallerPrint> {
         self.0.values().flatten().copied().collect()
@@ -87,6 +92,10 @@
         self.ends.iter_mut().filter(|(_, end)| end.rounds > 0)
     }
 
+    pub fn get(&self, id: CrashId) -> Option<&End> {
+        self.ends.get(&id)
+    }
+
     pub fn suspect(&self, request: RequestPrint) -> Option<&Suspect> {
         self.suspects.get(&request)
     }
--- a/crates/swiftcart-core/src/crash/finding.rs
+++ b/crates/swiftcart-core/src/crash/finding.rs
@@ -67,6 +67,17 @@
         Self::Finished { print, age_ms }
     }
 
+    /// Returns it when `by` more has passed.
+    #[must_use]
+    pub fn older(mut self, by: Duration) -> Self {
+        match &mut self {
+            Self::Crashed { age_ms, .. } | Self::Finished { age_ms, .. } => {
+                *age_ms = age_ms.saturating_add(millis(by));
+            }
+        }
+        self
+    }
+
     /// Returns how long ago it was.
     #[must_use]
     pub const fn age(&self) -> Duration {
--- a/crates/swiftcart-core/src/crash/quarantine.rs
+++ b/crates/swiftcart-core/src/crash/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::ends::{End, Ends, Past, Suspect};
-use super::{CrashId, Finding, Findings, Fingerprint, HeadPrint, RequestPrint};
+use super::{CallerPrint, CrashId, Finding, Findings, Fingerprint, HeadPrint, Memo, RequestPrint};
 use crate::Instant;
 
 /// The ends after which a request is held, if it alone was there each time.
@@ -117,6 +117,32 @@
         held.collect()
     }
 
+    /// Returns what has to last of a held request, where this node has seen one of its ends itself.
+    #[must_use]
+    pub fn memo(&self, now: Instant, unix_ms: u64, request: RequestPrint) -> Option<Memo> {
+        let suspect = self.ends.suspect(request)?;
+        let left = self.left(now, suspect)?;
+        let mut own = false;
+        let mut ends = Vec::new();
+        for (id, callers) in suspect.ends() {
+            let at = self.ends.get(*id)?.at;
+            own |= at.is_own();
+            let with = |caller: &CallerPrint| Fingerprint {
+                request,
+                caller: *caller,
+            };
+            let prints: Vec<Fingerprint> = callers.iter().map(with).collect();
+            ends.extend(Finding::crashed(*id, at.age(now), &prints));
+        }
+        let kept = u64::try_from((left + SUSPECTED).as_millis()).unwrap_or(u64::MAX);
+        own.then_some(Memo {
+            request,
+            written_ms: unix_ms,
+            until_ms: unix_ms.saturating_add(kept),
+            ends,
+        })
+    }
+
     /// Returns at how many ends a request was running, whichever service it came from.
     #[must_use]
     pub fn ends(&self, request: RequestPrint) -> usize {
--- a/crates/swiftcart-core/tests/quarantine.rs
+++ b/crates/swiftcart-core/tests/quarantine.rs
@@ -391,3 +391,36 @@
     assert!(question.asks);
     assert_eq!(one.question(&question), None);
 }
+
+#[test]
+fn a_memo_holds_the_request_for_the_time_that_was_left() {
+    let written = after("12 12 1 1");
+    let memo = written
+        .memo(at(14_000), 1_000_000, request(1).request)
+        .unwrap();
+    let mut anew = Quarantine::default();
+    anew.hear(at(5), &memo.findings(1_030_000).unwrap());
+    let left = Duration::from_secs(120 - 10 - 30);
+    assert_eq!(anew.held(at(5), request(1)), Some(left));
+    assert_eq!(anew.held(at(5), request(2)), None);
+    assert_eq!(
+        memo.findings(1_000_000 + 110_000 + 60_000),
+        None,
+        "it is over"
+    );
+}
+
+#[rstest]
+#[case::a_request_that_is_not_held("1 1", 1)]
+#[case::one_that_nobody_suspects("1 1 1", 2)]
+fn there_is_no_memo_of(#[case] ends: &str, #[case] n: u64) {
+    assert_eq!(after(ends).memo(at(4_000), 0, request(n).request), None);
+}
+
+#[test]
+fn who_heard_of_all_ends_from_others_leaves_the_memo_to_them() {
+    let mut told = Quarantine::default();
+    told.hear(at(9), &after("1 1 1").all(at(3_500)));
+    assert!(told.held(at(9), request(1)).is_some());
+    assert_eq!(told.memo(at(9), 0, request(1).request), None);
+}
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -11,6 +11,7 @@
 mod following;
 mod frames;
 mod members;
+mod memory;
 mod net;
 mod placed;
 mod publish;
@@ -26,7 +27,6 @@
 use std::sync::Arc;
 
 use slog::{error, warn};
-use swiftcart_core::NodeId;
 use swiftcart_platform::PlatformError;
 
 pub use error::ControlError;
@@ -34,7 +34,7 @@
 use self::control_loop::Control;
 use self::pulls::Pulled;
 use self::reader::Read;
-use crate::edge::Edges;
+use crate::edge::{Edges, Listed};
 use crate::logging::Event;
 use crate::shared::Shared;
 
@@ -43,8 +43,8 @@
 enum Input {
     Pulled(Box<Pulled>),
     Read(Box<Result<Read, PlatformError>>),
-    /// The nodes that the directory names.
-    Found(Vec<NodeId>),
+    /// What the directory holds.
+    Found(Listed),
     Appended(Result<(), PlatformError>),
 }
 
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -15,6 +15,7 @@
 
 use super::finder::Finder;
 use super::findings::Telling;
+use super::memory::Memory;
 use super::net::Net;
 use super::placed::Wholes;
 use super::publish;
@@ -69,6 +70,8 @@
     _finder: Option<Finder>,
     /// What other nodes are told of requests that end backend servers.
     pub(super) findings: Telling,
+    /// Where held requests are remembered, where there is a place for it.
+    pub(super) memory: Option<Memory>,
     /// When the pace of the own backend server is told to all nodes.
     pub(super) telling: PaceTelling,
     pub(super) left: bool,
@@ -101,6 +104,10 @@
         let pulls = Pulls::new(Arc::clone(&shared), key, sender.clone());
         let reader = Reader::new(Arc::clone(&shared), edges.snapshots, sender.clone(), rng);
         let wholes = Wholes::new(settings.link);
+        let memory = edges
+            .directory
+            .clone()
+            .map(|directory| Memory::start(&shared, directory));
         let finder = edges
             .directory
             .map(|directory| Finder::start(&shared, directory, sender.clone()));
@@ -111,6 +118,7 @@
             found: finder.is_none(),
             _finder: finder,
             findings: Telling::default(),
+            memory,
             telling: PaceTelling::default(),
             left: false,
             stale: true,
@@ -218,7 +226,7 @@
         match input {
             Input::Pulled(pulled) => self.on_pulled(*pulled),
             Input::Read(result) => self.on_read(*result),
-            Input::Found(found) => self.on_found(found),
+            Input::Found(found) => self.on_found(&found),
             Input::Appended(Ok(())) => {
                 info!(self.shared.logger, ""; "event" => Event::Checkpoint);
             }
--- a/crates/swiftcart-node/src/control/finder.rs
+++ b/crates/swiftcart-node/src/control/finder.rs
@@ -6,14 +6,13 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
-use swiftcart_core::NodeId;
 use swiftcart_platform::Backoff;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use super::{Input, note_odd};
-use crate::edge::{Asked, Directory};
+use crate::edge::{Asked, Directory, Listed};
 use crate::logging::Event;
 use crate::shared::Shared;
 
@@ -57,7 +56,7 @@
         persist(&shared.logger, || directory.enter(id)).await;
     }
     let found = list(shared, directory).await;
-    let listed = found.contains(&id);
+    let listed = found.nodes.contains(&id);
     // The control loop is gone when the node has stopped.
     drop(inputs.send(Input::Found(found)).await);
     if listed {
@@ -71,9 +70,10 @@
     }
 }
 
-async fn list(shared: &Shared, directory: &dyn Directory) -> Vec<NodeId> {
+async fn list(shared: &Shared, directory: &dyn Directory) -> Listed {
     let found = persist(&shared.logger, || directory.list()).await;
-    info!(shared.logger, ""; "event" => Event::Found, "nodes" => found.len());
+    info!(shared.logger, ""; "event" => Event::Found, "nodes" => found.nodes.len(),
+        "held" => found.memos.len());
     if directory.odd() > 0 {
         note_odd(shared, "directory", directory.odd());
     }
@@ -81,7 +81,7 @@
 }
 
 /// Asks until there is an answer.
-async fn persist<'a, T>(logger: &Logger, ask: impl Fn() -> Asked<'a, T>) -> T {
+pub(super) async fn persist<'a, T>(logger: &Logger, ask: impl Fn() -> Asked<'a, T>) -> T {
     let mut backoff = Backoff::new();
     let mut rng = SmallRng::from_os_rng();
     loop {
--- a/crates/swiftcart-node/src/control/findings.rs
+++ b/crates/swiftcart-node/src/control/findings.rs
@@ -42,6 +42,7 @@
         if now >= self.findings.next_compare {
             self.findings.next_compare = now + COMPARE;
             self.compare_findings(now);
+            self.remember(now);
         }
         self.log_held(now);
     }
--- a/crates/swiftcart-node/src/control/members.rs
+++ b/crates/swiftcart-node/src/control/members.rs
@@ -6,6 +6,7 @@
 use swiftcart_core::{Action, NodeId, Pace, PaceTelling, SyncRequest};
 
 use super::control_loop::Control;
+use crate::edge::Listed;
 use crate::logging::Event;
 
 impl Control {
@@ -46,12 +47,13 @@
         }
     }
 
-    /// Takes the nodes that the directory names.
-    pub(super) fn on_found(&mut self, found: Vec<NodeId>) {
+    /// Takes what the directory holds: the other nodes, and which requests to hold.
+    pub(super) fn on_found(&mut self, found: &Listed) {
         self.found = true;
-        self.listed = found.len();
+        self.listed = found.nodes.len();
         let now = self.now();
-        let actions = self.membership.add_seeds(now, found);
+        self.recall(now, &found.memos);
+        let actions = self.membership.add_seeds(now, found.nodes.clone());
         self.act(actions);
     }
 
--- a/crates/swiftcart-node/src/edge.rs
+++ b/crates/swiftcart-node/src/edge.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftcart_core::{NodeId, Snapshot, Version};
+use swiftcart_core::{Memo, NodeId, RequestPrint, Snapshot, Version};
 use swiftcart_platform::PlatformError;
 
 /// The answer of the platform, some time.
@@ -55,6 +55,15 @@
     }
 }
 
+/// What a directory holds.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Everyone who is entered.
+    pub nodes: Vec<NodeId>,
+    /// The requests that were held when they were remembered, some of them long ago perhaps.
+    pub memos: Vec<Memo>,
+}
+
 /// A place outside the mesh through which its nodes find each other.
 pub trait Directory: fmt::Debug + Send + Sync {
     /// Enters `id`; entering again changes nothing.
@@ -64,14 +73,28 @@
     /// Any [`PlatformError`]; whether `id` was entered is then not known.
     fn enter(&self, id: NodeId) -> Asked<'_, ()>;
 
-    /// Returns everyone who is entered.
+    /// Returns everyone who is entered, and what is remembered.
     ///
     /// Of two nodes that enter first and list then, the one that entered later finds both.
     ///
     /// # Errors
     ///
     /// Any [`PlatformError`].
-    fn list(&self) -> Asked<'_, Vec<NodeId>>;
+    fn list(&self) -> Asked<'_, Listed>;
+
+    /// Remembers `memo` in place of what was remembered of the same request.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`]; whether it is remembered is then not known.
+    fn remember(&self, memo: Memo) -> Asked<'_, ()>;
+
+    /// Forgets what is remembered of `requests`.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`]; whether it is forgotten is then not known.
+    fn forget(&self, requests: Vec<RequestPrint>) -> Asked<'_, ()>;
 
     /// Removes `ids`, which are gone for good.
     ///
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -28,7 +28,7 @@
 pub use config::Config;
 pub use control::ControlError;
 pub use counters::{Counters, Stage};
-pub use edge::{Asked, Behind, Directory, Edges, SnapshotSource};
+pub use edge::{Asked, Behind, Directory, Edges, Listed, SnapshotSource};
 pub use faults::Faults;
 pub use logging::{Event, open as open_log, silent as silent_log};
 pub use node::{Node, NodeError};
