Try a neighbour of two ends again, and keep only the cause from its third

Cause: a request that was known from two ends was not tried again within its attempt, also where it had run beside the cause both times.

Ruled out: leaving it to the hold (within its attempt the cause would end a third backend server, since the report of an end takes some 100 ms to reach its node).

Change: what counts is a request that alone was at two ends, or at four whoever else was.

--- a/crates/swiftcart-core/src/crash/quarantine.rs
+++ b/crates/swiftcart-core/src/crash/quarantine.rs
@@ -17,6 +17,11 @@
 /// The ends after which a request is held whoever else was there.
 const ENDS_IN_ANY_CASE: usize = ENDS + 1;
 
+/// The ends after which a request that alone was there each time, and has ended one more backend
+/// server now, is not tried again. The last end is not counted yet then, and by the time that
+/// everybody knows of it another backend server would be gone.
+const ENDS_BEFORE_ANOTHER: usize = ENDS - 1;
+
 /// How long a request is held after the end that showed it; twice as long with each further one.
 /// Who returns in vain costs one more backend server, and all that runs at it, each time.
 const HOLD: Duration = Duration::from_secs(60);
@@ -149,6 +154,19 @@
         self.ends.suspect(request).map_or(0, Suspect::len)
     }
 
+    /// Tells whether a request that has ended a backend server just now would do so again. Who ran
+    /// beside another one at each of its ends would not.
+    #[must_use]
+    pub fn ends_another(&self, request: RequestPrint) -> bool {
+        let suspect = self.ends.suspect(request);
+        let own = suspect.map(|suspect| self.ends.own(suspect));
+        own.is_some_and(|own| match own.len() {
+            ENDS_IN_ANY_CASE.. => true,
+            ENDS_BEFORE_ANOTHER.. => is_alone(&own),
+            _ => false,
+        })
+    }
+
     /// Notes an end and what was running, or more that was; returns whether that is news.
     pub fn crashed(&mut self, now: Instant, id: CrashId, prints: &[Fingerprint]) -> bool {
         self.note(now, id, Past::now(now), prints)
--- a/crates/swiftcart-core/tests/quarantine.rs
+++ b/crates/swiftcart-core/tests/quarantine.rs
@@ -114,6 +114,19 @@
     assert_eq!([held(1), held(2), held(3)], [true, false, false]);
 }
 
+#[rstest]
+#[case::one_end("12", &[])]
+#[case::two_ends_alone("12 13", &[1])]
+#[case::two_ends_beside_another("12 12", &[])]
+#[case::a_neighbour_of_three("12 12 1", &[1])]
+#[case::four_ends_beside_another("12 12 12 12", &[1, 2])]
+fn is_not_tried_again_after(#[case] ends: &str, #[case] expected: &[u64]) {
+    let quarantine = after(ends);
+    let again = |n: &u64| quarantine.ends_another(request(*n).request);
+    let again: Vec<u64> = (1..=3).filter(again).collect();
+    assert_eq!(again, expected);
+}
+
 #[test]
 fn an_end_is_counted_once_however_often_it_is_told() {
     let mut quarantine = Quarantine::default();
--- a/crates/swiftcart-node/src/calls/ingress/quarantine.rs
+++ b/crates/swiftcart-node/src/calls/ingress/quarantine.rs
@@ -8,11 +8,6 @@
 use crate::calls::request::Call;
 use crate::logging::Event;
 
-/// The ends at which a request was running that ended a backend server just now, from which on it
-/// is not tried again. With the last one, which may not be counted yet, it is held everywhere as
-/// soon as all know; until then its own node would go on.
-const TRIED_AFTER: usize = 2;
-
 impl Ingress {
     /// Refuses a request that is held. Only where its head is one of a suspect, its body is read
     /// first.
@@ -54,7 +49,7 @@
             return false;
         };
         let now = self.shared.clock.now();
-        let proven = reason == Reason::Crashed && suspects.ends(print.request) >= TRIED_AFTER;
-        proven || suspects.held(now, print).is_some()
+        let again = reason == Reason::Crashed && suspects.ends_another(print.request);
+        again || suspects.held(now, print).is_some()
     }
 }
--- a/crates/swiftcart-node/src/suspects.rs
+++ b/crates/swiftcart-node/src/suspects.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// Tells whether a request that has ended a backend server just now would do so again.
+    #[must_use]
+    pub fn ends_another(&self, request: RequestPrint) -> bool {
+        self.is_used() && self.with(|quarantine| quarantine.ends_another(request))
+    }
+
     /// Notes the end of the own backend server, and what it was running.
     pub fn crashed(&self, now: Instant, id: CrashId, prints: &[Fingerprint]) {
         self.with(|quarantine| quarantine.crashed(now, id, prints));
