--- a/crates/swiftcart-cli/src/plan.rs
+++ b/crates/swiftcart-cli/src/plan.rs
@@ -28,15 +28,16 @@
 ///
 /// [`Error::NoService`] for a service of the scope that neither side has.
 pub fn plan(sheet: &Sheet, base: &Table, scope: &Scope) -> Result<Vec<Edit>, Error> {
-    let named: BTreeSet<_> = sheet.lines.keys().map(service_of).collect();
-    let held: BTreeSet<_> = base.0.keys().map(service_of).collect();
+    let named: BTreeSet<_> = sheet.lines.keys().filter_map(service_of).collect();
+    let held: BTreeSet<_> = base.0.keys().filter_map(service_of).collect();
     let known = |name: &&ServiceName| named.contains(name) || held.contains(name);
     if let Some(name) = scope.only.iter().find(|name| !known(name)) {
         return Err(Error::NoService(name.clone()));
     }
-    let counts = |key: &RowKey| match scope.only.is_empty() {
-        true => named.contains(service_of(key)),
-        false => scope.only.contains(service_of(key)),
+    let counts = |key: &RowKey| match (service_of(key), scope.only.is_empty()) {
+        (Some(service), true) => named.contains(service),
+        (Some(service), false) => scope.only.contains(service),
+        (None, _) => false,
     };
     let asked = sheet.lines.iter().filter(|(key, _)| counts(key));
     let asked = asked.map(|(key, Line { row, .. })| (key, row.as_ref()));
--- a/crates/swiftcart-cli/src/render.rs
+++ b/crates/swiftcart-cli/src/render.rs
@@ -2,7 +2,7 @@
 
 use comfy_table::{ContentArrangement, Table as Grid, presets};
 use serde_json::{Value, json};
-use swiftcart_core::{Edit, Limits, Row, RowKey, Table};
+use swiftcart_core::{Access, Account, Edit, Limits, Quota, Row, RowKey, Table};
 
 const DAY_MS: u64 = 86_400_000;
 
@@ -38,6 +38,14 @@
             concurrency,
             timeout_ms,
         })) => format!("rate {rate}, concurrency {concurrency}, timeout_ms {timeout_ms}"),
+        Some(Row::Account(Account { keys, quota, .. })) => match quota {
+            Some(Quota { rate, burst }) => {
+                format!("{} keys, rate {rate}, burst {burst}", keys.len())
+            }
+            None => format!("{} keys, no quota", keys.len()),
+        },
+        Some(Row::Access(Access::Public)) => "public".into(),
+        Some(Row::Access(Access::Accounts)) => "accounts".into(),
     }
 }
 
@@ -78,6 +86,8 @@
         RowKey::Route(prefix, name) => {
             json!({"kind": "route", "service": name, "prefix": prefix})
         }
+        RowKey::Account(name) => json!({"kind": "account", "account": name}),
+        RowKey::Access(prefix) => json!({"kind": "access", "prefix": prefix}),
     };
     if let (Some(object), Some(Value::Object(cells))) = (json.as_object_mut(), row.map(cells)) {
         object.extend(cells);
@@ -126,5 +136,7 @@
     match row {
         Row::Route(weight) => json!({"weight": weight}),
         Row::Service(limits) => json!(limits),
+        Row::Account(account) => json!(account),
+        Row::Access(access) => json!({"access": access}),
     }
 }
--- a/crates/swiftcart-cli/src/sheet.rs
+++ b/crates/swiftcart-cli/src/sheet.rs
@@ -84,10 +84,11 @@
     }
 }
 
-/// Returns the service that a row belongs to.
+/// Returns the service that a row belongs to; `None` for rows that a sheet does not hold.
 #[must_use]
-pub const fn service_of(key: &RowKey) -> &ServiceName {
+pub const fn service_of(key: &RowKey) -> Option<&ServiceName> {
     match key {
-        RowKey::Service(name) | RowKey::Route(_, name) => name,
+        RowKey::Service(name) | RowKey::Route(_, name) => Some(name),
+        RowKey::Account(_) | RowKey::Access(_) => None,
     }
 }
--- a/crates/swiftcart-cli/src/sheet/fault.rs
+++ b/crates/swiftcart-cli/src/sheet/fault.rs
@@ -145,9 +145,13 @@
         Violation::Kind(key) | Violation::Twice(key) => {
             (Some(key.clone()), "kind", key.to_string())
         }
-        Violation::Rows(_) | Violation::Bytes(_) | Violation::Author(_) => {
-            (None, "", String::new())
-        }
+        Violation::Rows(_)
+        | Violation::Bytes(_)
+        | Violation::Author(_)
+        | Violation::AccountName(_)
+        | Violation::SharedKey(..)
+        | Violation::Quota(_)
+        | Violation::Access(_) => (None, "", String::new()),
     }
 }
 
--- a/crates/swiftcart-cli/src/sheet/write.rs
+++ b/crates/swiftcart-cli/src/sheet/write.rs
@@ -23,7 +23,7 @@
 /// ```
 #[must_use]
 pub fn write(table: &Table, version: Version) -> String {
-    let rows = table.0.iter().map(|(key, row)| cells(key, row));
+    let rows = table.0.iter().filter_map(|(key, row)| cells(key, row));
     let base = record(Kind::Base, &version.to_string());
     let head = HEADINGS.map(String::from);
     let lines: Vec<_> = [head, base]
@@ -34,27 +34,29 @@
     lines.concat()
 }
 
-fn cells(key: &RowKey, row: &Row) -> [String; 7] {
-    let mut cells = match key {
-        RowKey::Service(name) => record(Kind::Service, name.as_str()),
-        RowKey::Route(_, name) => record(Kind::Route, name.as_str()),
-    };
-    if let RowKey::Route(prefix, _) = key {
-        cells[2].clone_from(prefix);
-    }
-    match row {
-        Row::Route(weight) => cells[3] = weight.to_string(),
-        Row::Service(Limits {
-            rate,
-            concurrency,
-            timeout_ms,
-        }) => {
+/// Returns the cells of a service or route; client accounts have a command of their own.
+fn cells(key: &RowKey, row: &Row) -> Option<[String; 7]> {
+    match (key, row) {
+        (RowKey::Route(prefix, name), Row::Route(weight)) => {
+            let mut cells = record(Kind::Route, name.as_str());
+            cells[2].clone_from(prefix);
+            cells[3] = weight.to_string();
+            Some(cells)
+        }
+        (RowKey::Service(name), Row::Service(limits)) => {
+            let mut cells = record(Kind::Service, name.as_str());
+            let Limits {
+                rate,
+                concurrency,
+                timeout_ms,
+            } = limits;
             cells[4] = rate.to_string();
             cells[5] = concurrency.to_string();
             cells[6] = timeout_ms.to_string();
+            Some(cells)
         }
+        _ => None,
     }
-    cells
 }
 
 fn record(kind: Kind, service: &str) -> [String; 7] {
--- /dev/null
+++ b/crates/swiftcart-core/src/account/directory.rs
@@ -0,0 +1,82 @@
+//! The accounts of one version, ready to be found by their keys.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::{Account, AccountName, AccountTag, KeyHash, Quota};
+use crate::{Priority, Table};
+
+/// What a request's key tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// The account.
+    pub name: AccountName,
+    /// Names it between nodes.
+    pub tag: AccountTag,
+    /// What it may send; `None` sets no limit.
+    pub quota: Option<Quota>,
+    /// The rank of its requests, in place of their routes'.
+    pub priority: Option<Priority>,
+}
+
+/// Finds accounts by key or by tag.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{Account, Accounts, KeyHash, Table};
+///
+/// let account = Account::new().with_key(KeyHash::of(b"3f9c"));
+/// let accounts = Accounts::new(&Table::new().with_account("harbour", account));
+/// let found = accounts.holder(KeyHash::of(b"3f9c")).map(|account| account.name.as_str());
+/// assert_eq!(found, Some("harbour"));
+/// assert_eq!(accounts.holder(KeyHash::of(b"other")), None);
+/// ```
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Accounts {
+    by_key: HashMap<KeyHash, Arc<Identity>>,
+    by_tag: HashMap<AccountTag, Arc<Identity>>,
+}
+
+impl Accounts {
+    /// Creates the directory of the accounts in `table`.
+    #[must_use]
+    pub fn new(table: &Table) -> Self {
+        let mut accounts = Self::default();
+        for (name, account) in table.accounts() {
+            accounts.add(name, account);
+        }
+        accounts
+    }
+
+    /// Tells whether the configuration has no accounts, and so asks for no keys.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_tag.is_empty()
+    }
+
+    /// Returns the account that has a key.
+    #[must_use]
+    pub fn holder(&self, key: KeyHash) -> Option<&Arc<Identity>> {
+        self.by_key.get(&key)
+    }
+
+    /// Returns the quota of the account with this tag, where it has one.
+    #[must_use]
+    pub fn quota(&self, tag: AccountTag) -> Option<Quota> {
+        self.by_tag.get(&tag)?.quota
+    }
+
+    fn add(&mut self, name: &AccountName, account: &Account) {
+        let identity = Arc::new(Identity {
+            name: name.clone(),
+            tag: AccountTag::new(name),
+            quota: account.quota,
+            priority: account.priority,
+        });
+        for key in &account.keys {
+            self.by_key.insert(*key, Arc::clone(&identity));
+        }
+        self.by_tag.insert(identity.tag, identity);
+    }
+}
--- /dev/null
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -0,0 +1,290 @@
+//! Counts the requests of accounts where callers send them, and admits the part that the ledgers allow.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::{AccountTag, Admittance, Quota, Usage};
+use crate::rate::{Bucket, Promises};
+use crate::{Instant, Reason, Refusal};
+
+/// The longest time for which a count is kept back.
+const TELL: Duration = Duration::from_millis(300);
+
+/// The requests since the last word after which a node tells of them at once; of an account that
+/// sends few through each node, the first one.
+const TELL_AT: u64 = 2;
+
+/// The requests a second through each node up to which an account sends few.
+const FEW: f64 = 2.0;
+
+/// The time between two words of a limited account, for each node of the mesh: its ledger then
+/// hears some 300 of them a second, whatever the mesh's size.
+const TELL_LIMITED: Duration = Duration::from_millis(3);
+
+/// How long an answer of the ledger may take before it counts as out of reach; a few of its words
+/// may be lost.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// How long a limit holds without a further word.
+const LIMIT_FOR: Duration = Duration::from_secs(5);
+
+/// How long the counts of an account are kept that sends nothing.
+const KEPT: Duration = Duration::from_secs(60);
+
+/// Counts and admits the requests that one node takes from callers.
+///
+/// Requests are admitted before they are counted elsewhere, so that none waits for a message; an
+/// account that is over its quota is held back within some hundred milliseconds, and its ledger
+/// takes what came too much out of what follows. Where the ledger cannot be reached, a node admits
+/// an equal part of the quota, as all others do.
+///
+/// # Examples
+///
+/// ```
+/// use rand::{SeedableRng, rngs::SmallRng};
+/// use swiftcart_core::{AccountTag, Admittance, Instant, Quota, QuotaMeter};
+///
+/// let (now, account) = (Instant::from_millis(0), AccountTag(7));
+/// let quota = Quota { rate: 10, burst: 10 };
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let mut meter = QuotaMeter::new(1);
+/// assert!(meter.ask(now, account, quota, &mut rng).is_ok());
+/// meter.hear(now, Admittance { account, permille: 0 });
+/// assert!(meter.ask(now, account, quota, &mut rng).is_err());
+/// ```
+#[derive(Debug, Clone)]
+pub struct QuotaMeter {
+    epoch: u32,
+    nodes: usize,
+    accounts: HashMap<AccountTag, Counts>,
+    /// The accounts whose counts have changed since they were told.
+    untold: BTreeSet<AccountTag>,
+}
+
+/// What one account has sent through this node.
+#[derive(Debug, Clone)]
+struct Counts {
+    epoch: u32,
+    since: Instant,
+    arrived: u64,
+    admitted: u64,
+    told: Told,
+    /// Since when an answer of the ledger is missing.
+    unanswered: Option<Instant>,
+    /// The part that the ledger lets this node admit, and when it said so.
+    part: f64,
+    heard: Instant,
+    /// The equal part of the quota, for the time without a ledger.
+    equal: Bucket,
+    quota: Quota,
+    promises: Promises,
+}
+
+/// The counts that were told last, and when.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    arrived: u64,
+    admitted: u64,
+    at: Instant,
+}
+
+impl QuotaMeter {
+    /// Creates a meter that has counted nothing; `epoch` tells this process from others.
+    #[must_use]
+    pub fn new(epoch: u32) -> Self {
+        Self {
+            epoch,
+            nodes: 1,
+            accounts: HashMap::new(),
+            untold: BTreeSet::new(),
+        }
+    }
+
+    /// Takes over the number of nodes that callers may reach, those that are cut off included.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Counts a request, and tells whether it is admitted.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::OverQuota`] with the time after which the account may send again.
+    pub fn ask<R: Rng + ?Sized>(
+        &mut self,
+        now: Instant,
+        account: AccountTag,
+        quota: Quota,
+        rng: &mut R,
+    ) -> Result<(), Refusal> {
+        let (nodes, epoch) = (self.nodes, self.epoch);
+        let counts = self.accounts.entry(account);
+        let counts = counts.or_insert_with(|| Counts::new(now, epoch, quota, nodes));
+        if counts.quota != quota {
+            counts.set_quota(now, quota, nodes);
+        }
+        counts.arrived += 1;
+        self.untold.insert(account);
+        match counts.admits(now, rng) {
+            true => {
+                counts.admitted += 1;
+                Ok(())
+            }
+            false => {
+                let rate = f64::from(quota.rate) / nodes as f64;
+                let after = counts.promises.next(now, Duration::ZERO, rate, rng);
+                Err(Refusal::new(Reason::OverQuota).with_retry(after))
+            }
+        }
+    }
+
+    /// Gives back the part of a request that was admitted and did not run.
+    pub fn give_back(&mut self, account: AccountTag) {
+        if let Some(counts) = self.accounts.get_mut(&account) {
+            counts.admitted = counts.admitted.saturating_sub(1);
+            self.untold.insert(account);
+        }
+    }
+
+    /// Takes in what the ledger of an account allows.
+    pub fn hear(&mut self, now: Instant, admittance: Admittance) {
+        let (nodes, epoch) = (self.nodes, self.epoch);
+        // An account that sends nothing here is limited before its first request comes.
+        let limited = admittance.permille < Admittance::ALL;
+        if limited {
+            let counts = self.accounts.entry(admittance.account);
+            counts.or_insert_with(|| Counts::new(now, epoch, Quota::default(), nodes));
+        }
+        if let Some(counts) = self.accounts.get_mut(&admittance.account) {
+            counts.part = admittance.share();
+            counts.heard = now;
+            counts.unanswered = None;
+        }
+    }
+
+    /// Returns the counts that the ledgers are to be told now.
+    pub fn due(&mut self, now: Instant) -> Vec<Usage> {
+        let limited_pause = TELL_LIMITED * u32::try_from(self.nodes).unwrap_or(u32::MAX);
+        let (nodes, accounts) = (self.nodes, &mut self.accounts);
+        let mut due = Vec::new();
+        self.untold.retain(|account| {
+            let Some(counts) = accounts.get_mut(account) else {
+                return false;
+            };
+            let waits = !counts.is_due(now, limited_pause, nodes);
+            if !waits {
+                due.push(counts.tell(now, *account));
+            }
+            waits
+        });
+        due
+    }
+
+    /// Forgets accounts that have sent nothing for a while.
+    pub fn sweep(&mut self, now: Instant) {
+        let recent = |counts: &Counts| now.since(counts.told.at.max(counts.heard)) < KEPT;
+        let untold = &self.untold;
+        self.accounts
+            .retain(|account, counts| untold.contains(account) || recent(counts));
+    }
+
+    /// Returns the part of an account's requests that is admitted now, where it is limited.
+    #[must_use]
+    pub fn limited(&self, now: Instant, account: AccountTag) -> Option<f64> {
+        let counts = self.accounts.get(&account)?;
+        counts.is_limited(now).then_some(counts.part)
+    }
+}
+
+impl Counts {
+    fn new(now: Instant, epoch: u32, quota: Quota, nodes: usize) -> Self {
+        Self {
+            epoch,
+            since: now,
+            arrived: 0,
+            admitted: 0,
+            told: Told {
+                arrived: 0,
+                admitted: 0,
+                at: now,
+            },
+            unanswered: None,
+            part: 1.0,
+            heard: now,
+            equal: equal(now, quota, nodes),
+            quota,
+            promises: Promises::new(now),
+        }
+    }
+
+    fn set_quota(&mut self, now: Instant, quota: Quota, nodes: usize) {
+        self.quota = quota;
+        self.equal = equal(now, quota, nodes);
+    }
+
+    fn admits<R: Rng + ?Sized>(&mut self, now: Instant, rng: &mut R) -> bool {
+        match () {
+            () if self.is_alone(now) => self.equal.take(now),
+            () if self.is_limited(now) => rng.random::<f64>() < self.part,
+            () => true,
+        }
+    }
+
+    /// Tells whether the ledger does not answer.
+    fn is_alone(&self, now: Instant) -> bool {
+        let unanswered = |since| now.since(since) >= SILENCE;
+        self.unanswered.is_some_and(unanswered)
+    }
+
+    fn is_limited(&self, now: Instant) -> bool {
+        self.part < 1.0 && now.since(self.heard) < LIMIT_FOR
+    }
+
+    fn is_due(&self, now: Instant, limited_pause: Duration, nodes: usize) -> bool {
+        let waited = now.since(self.told.at);
+        let sends_few = f64::from(self.quota.rate) <= FEW * nodes as f64;
+        match self.is_limited(now) {
+            true => waited >= limited_pause,
+            false if sends_few && self.arrived > self.told.arrived => true,
+            false => waited >= TELL || self.arrived - self.told.arrived >= TELL_AT,
+        }
+    }
+
+    fn tell(&mut self, now: Instant, account: AccountTag) -> Usage {
+        if self.is_alone(now) {
+            self.begin_anew();
+        }
+        self.told = Told {
+            arrived: self.arrived,
+            admitted: self.admitted,
+            at: now,
+        };
+        self.unanswered.get_or_insert(now);
+        Usage {
+            account,
+            arrived: self.arrived,
+            admitted: self.admitted,
+            counted_ms: u32::try_from(now.since(self.since).as_millis()).unwrap_or(u32::MAX),
+            epoch: self.epoch,
+        }
+    }
+
+    /// Leaves out what was told without an answer. The equal parts of all nodes lie within the quota;
+    /// told later, they would be taken out of it once more.
+    fn begin_anew(&mut self) {
+        self.epoch = self.epoch.wrapping_add(1);
+        self.since = self.told.at;
+        self.arrived = self.arrived.saturating_sub(self.told.arrived);
+        self.admitted = self.admitted.saturating_sub(self.told.admitted);
+    }
+}
+
+/// Returns the equal part of a quota for one of `nodes`, with one request at least; half of the burst
+/// may be spent already.
+fn equal(now: Instant, quota: Quota, nodes: usize) -> Bucket {
+    let part = |whole: u32| f64::from(whole) / nodes as f64;
+    let burst = (part(quota.burst) / 2.0).max(1.0);
+    Bucket::new(now, part(quota.rate), burst, burst)
+}
--- a/crates/swiftcart-core/src/config/check.rs
+++ b/crates/swiftcart-core/src/config/check.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Limits, Row, RowKey, ServiceName, Table};
+use crate::{Account, AccountName, KeyHash};
 
 /// Most rows of a table.
 pub const MAX_ROWS: usize = 4096;
@@ -67,7 +68,23 @@
         }
         /// The row's content belongs to another kind of key.
         Kind(key: RowKey) {
-            display("{key}: limits belong to a service and a weight to a route")
+            display("{key}: limits belong to a service, a weight to a route, keys to an account")
+        }
+        /// The account's name is not well formed.
+        AccountName(name: AccountName) {
+            display("account {:?}: a name has 1 to {MAX_NAME} characters of a-z, 0-9 and -", name.as_str())
+        }
+        /// Two accounts have the same key.
+        SharedKey(first: AccountName, second: AccountName) {
+            display("accounts {first} and {second} have the same key: revoke it in one of them")
+        }
+        /// The account's quota lets no request through.
+        Quota(name: AccountName) {
+            display("account {name}: a quota has a rate of 1 to {MAX_RATE} and a burst of 1 at least; remove it for no limit")
+        }
+        /// Access is set for a prefix that no route has.
+        Access(prefix: String) {
+            display("access to {prefix}: add a route with this prefix or remove the row")
         }
         /// The table has too many rows.
         Rows(rows: usize) {
@@ -109,6 +126,7 @@
     size.into_iter()
         .chain(rows)
         .chain(check_weights(table))
+        .chain(check_keys(table))
         .collect()
 }
 
@@ -118,6 +136,8 @@
     match key {
         RowKey::Service(name) => name.0.len() + ROW_BYTES,
         RowKey::Route(prefix, name) => prefix.len() + name.0.len() + ROW_BYTES,
+        RowKey::Account(name) => name.0.len() + ROW_BYTES,
+        RowKey::Access(prefix) => prefix.len() + ROW_BYTES,
     }
 }
 
@@ -140,10 +160,47 @@
         (RowKey::Route(prefix, name), Row::Route(weight)) => {
             check_route(table, prefix, name, *weight)
         }
+        (RowKey::Account(name), Row::Account(account)) => check_account(name, account),
+        (RowKey::Access(prefix), Row::Access(_)) => check_access(table, prefix),
         _ => vec![Violation::Kind(key.clone())],
     }
 }
 
+fn check_account(name: &AccountName, account: &Account) -> Vec<Violation> {
+    let mut found = Vec::new();
+    if !is_name(name.as_str()) {
+        found.push(Violation::AccountName(name.clone()));
+    }
+    let fits = |rate| (1..=MAX_RATE).contains(&rate);
+    if account
+        .quota
+        .is_some_and(|quota| !fits(quota.rate) || quota.burst == 0)
+    {
+        found.push(Violation::Quota(name.clone()));
+    }
+    found
+}
+
+fn check_access(table: &Table, prefix: &str) -> Vec<Violation> {
+    match table.routes().any(|(known, ..)| known == prefix) {
+        true => Vec::new(),
+        false => vec![Violation::Access(prefix.to_owned())],
+    }
+}
+
+fn check_keys(table: &Table) -> Vec<Violation> {
+    let mut holders: BTreeMap<KeyHash, &AccountName> = BTreeMap::new();
+    let keys = table.accounts();
+    let keys = keys.flat_map(|(name, account)| account.keys.iter().map(move |key| (*key, name)));
+    let mut found = Vec::new();
+    for (key, name) in keys {
+        if let Some(first) = holders.insert(key, name) {
+            found.push(Violation::SharedKey(first.clone(), name.clone()));
+        }
+    }
+    found
+}
+
 fn check_service(name: &ServiceName, limits: Limits) -> Vec<Violation> {
     let timeouts = MIN_TIMEOUT_MS..=MAX_TIMEOUT_MS;
     let mut found = Vec::new();
--- a/crates/swiftcart-core/src/config/compact.rs
+++ b/crates/swiftcart-core/src/config/compact.rs
@@ -5,7 +5,7 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-use super::{Limits, Policy, RequestLimits, ServiceName, Snapshot, Table, Version};
+use super::{Limits, Policy, RequestLimits, Row, RowKey, ServiceName, Snapshot, Table, Version};
 
 quick_error! {
     /// Tells why a compact version cannot be expanded.
@@ -48,6 +48,8 @@
     policies: Vec<Policy>,
     prefixes: Vec<Prefix>,
     requests: Option<RequestLimits>,
+    /// Accounts, and who may use prefixes.
+    others: Vec<(RowKey, Row)>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -120,6 +122,7 @@
             policies,
             prefixes,
             requests: snapshot.requests,
+            others: others(&snapshot.table),
         })
     }
 
@@ -151,12 +154,22 @@
                 snapshot.policies.insert(prefix.clone(), policy);
             }
         }
+        table.0.extend(self.others.iter().cloned());
         snapshot.table = table;
         snapshot.requests = self.requests;
         Ok(snapshot)
     }
 }
 
+/// Returns the rows that are neither services nor routes.
+fn others(table: &Table) -> Vec<(RowKey, Row)> {
+    let rows = table.0.iter();
+    let others = rows.filter(|(key, _)| matches!(key, RowKey::Account(_) | RowKey::Access(_)));
+    others
+        .map(|(key, row)| (key.clone(), row.clone()))
+        .collect()
+}
+
 /// Returns how many bytes both begin with, up to a character's end.
 fn shared(a: &str, b: &str) -> usize {
     let same = a.bytes().zip(b.bytes()).take_while(|(a, b)| a == b).count();
--- a/crates/swiftcart-core/src/config/table.rs
+++ b/crates/swiftcart-core/src/config/table.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::{Access, Account, AccountName};
+
 /// Names a service, for example `booking`.
 #[derive(Debug, Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -50,6 +52,10 @@
     Service(ServiceName),
     /// The route from a path prefix to a service.
     Route(String, ServiceName),
+    /// The client account with this name.
+    Account(AccountName),
+    /// Who may use the routes of a path prefix.
+    Access(String),
 }
 
 impl fmt::Display for RowKey {
@@ -57,6 +63,8 @@
         match self {
             Self::Service(name) => write!(f, "service {name}"),
             Self::Route(prefix, name) => write!(f, "route {prefix} -> {name}"),
+            Self::Account(name) => write!(f, "account {name}"),
+            Self::Access(prefix) => write!(f, "access to {prefix}"),
         }
     }
 }
@@ -69,6 +77,10 @@
     Service(Limits),
     /// A route's weight among the routes of the same prefix; 0 sends it nothing.
     Route(u32),
+    /// A client account's keys and limits.
+    Account(Account),
+    /// Who may use a prefix; without such a row those who have a key.
+    Access(Access),
 }
 
 /// Holds every row of one configuration version, in key order.
@@ -106,12 +118,28 @@
         self
     }
 
+    /// Adds or replaces a client account.
+    #[must_use]
+    pub fn with_account(mut self, name: impl Into<String>, account: Account) -> Self {
+        let key = RowKey::Account(AccountName::new(name));
+        self.0.insert(key, Row::Account(account));
+        self
+    }
+
+    /// Sets who may use a prefix.
+    #[must_use]
+    pub fn with_access(mut self, prefix: impl Into<String>, access: Access) -> Self {
+        self.0
+            .insert(RowKey::Access(prefix.into()), Row::Access(access));
+        self
+    }
+
     /// Returns the limits of `service`, or `None` when the table lacks it.
     #[must_use]
     pub fn limits(&self, service: &ServiceName) -> Option<Limits> {
         match self.0.get(&RowKey::Service(service.clone())) {
             Some(Row::Service(limits)) => Some(*limits),
-            Some(Row::Route(_)) | None => None,
+            _ => None,
         }
     }
 
@@ -134,6 +162,25 @@
     }
 }
 
+impl Table {
+    /// Iterates over the client accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = (&AccountName, &Account)> {
+        self.0.iter().filter_map(|(key, row)| match (key, row) {
+            (RowKey::Account(name), Row::Account(account)) => Some((name, account)),
+            _ => None,
+        })
+    }
+
+    /// Returns who may use a prefix.
+    #[must_use]
+    pub fn access(&self, prefix: &str) -> Access {
+        match self.0.get(&RowKey::Access(prefix.to_owned())) {
+            Some(Row::Access(access)) => *access,
+            _ => Access::default(),
+        }
+    }
+}
+
 impl From<Vec<(RowKey, Row)>> for Table {
     fn from(rows: Vec<(RowKey, Row)>) -> Self {
         Self(rows.into_iter().collect())
--- a/crates/swiftcart-core/src/lib.rs
+++ b/crates/swiftcart-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! and typed actions come out. There are no sockets, clocks or runtimes here, so
 //! that tests drive the machines in virtual time and other programs embed them.
 
+mod account;
 mod admission;
 mod asking;
 mod balance;
@@ -24,6 +25,7 @@
 mod view;
 mod wire;
 
+pub use account::*;
 pub use admission::*;
 pub use asking::*;
 pub use balance::*;
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -193,7 +193,8 @@
             | Datagram::FloorAsk
             | Datagram::FloorReply { .. }
             | Datagram::Findings(_)
-            | Datagram::Rollouts(_) => {}
+            | Datagram::Rollouts(_)
+            | Datagram::Quotas(_) => {}
         }
         self.heard(now, from);
         std::mem::take(&mut self.out)
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -189,6 +189,10 @@
     NotIdempotent, "not-idempotent", 502, Unknown;
     /// A retry was refused: this level or another one has made the tries allowed.
     TriesSpent, "tries-spent", 502, Unknown;
+    /// The request has no key of a client account, and its route is not public.
+    Unauthenticated, "unauthenticated", 401, NotRun;
+    /// The client account has sent more than its quota.
+    OverQuota, "over-quota", 429, NotRun;
 }
 
 impl fmt::Display for Reason {
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -357,6 +357,8 @@
         | Reason::CallerGone
         | Reason::RetryBudget
         | Reason::NotIdempotent
-        | Reason::TriesSpent => false,
+        | Reason::TriesSpent
+        | Reason::Unauthenticated
+        | Reason::OverQuota => false,
     }
 }
--- a/crates/swiftcart-core/src/view.rs
+++ b/crates/swiftcart-core/src/view.rs
@@ -10,7 +10,9 @@
 
 use rand::Rng;
 
-use crate::{FailureDomain, Member, NodeId, Policy, Reason, RequestLimits, Table, Version};
+use crate::{
+    Access, Accounts, FailureDomain, Member, NodeId, Policy, Reason, RequestLimits, Table, Version,
+};
 pub use entry::*;
 pub use key::*;
 pub use routes::*;
@@ -24,6 +26,8 @@
     pub policy: Option<Policy>,
     /// Names the route that was found.
     pub route: RouteKey,
+    /// Who may use it, where the configuration has accounts.
+    pub access: Access,
 }
 
 /// Holds one configuration version joined with one state of the membership.
@@ -163,9 +167,16 @@
             entry: entry.ok_or(Reason::NoBackend)?,
             policy: choice.policy(),
             route: choice.route(),
+            access: choice.access(),
         })
     }
 
+    /// Returns the client accounts; none where the configuration asks for no keys.
+    #[must_use]
+    pub fn accounts(&self) -> &Accounts {
+        self.routes.accounts()
+    }
+
     /// Returns what callers may send, where the configuration says so.
     #[must_use]
     pub fn requests(&self) -> Option<RequestLimits> {
--- a/crates/swiftcart-core/src/view/routes.rs
+++ b/crates/swiftcart-core/src/view/routes.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use super::segment::{Choice, Segment, Slash};
-use crate::{Limits, Policies, RequestLimits, RouteKey, ServiceName, Snapshot, Table, Version};
+use crate::{
+    Accounts, Limits, Policies, RequestLimits, RouteKey, ServiceName, Snapshot, Table, Version,
+};
 
 /// Holds the services and routes of one version, ready for lookups.
 ///
@@ -18,6 +20,7 @@
     /// The routes of one host each.
     hosts: BTreeMap<Box<str>, Segment>,
     requests: Option<RequestLimits>,
+    accounts: Accounts,
 }
 
 impl Routes {
@@ -43,6 +46,7 @@
         let mut routes = Self {
             version,
             services: services.collect(),
+            accounts: Accounts::new(table),
             ..Self::default()
         };
         for (prefix, name, weight) in table.routes() {
@@ -50,6 +54,7 @@
                 let choice = routes.choice(prefix);
                 choice.set_route(RouteKey::new(prefix));
                 choice.set_policy(policies.get(prefix).copied());
+                choice.set_access(table.access(prefix));
                 choice.add(service, weight);
             }
         }
@@ -68,6 +73,12 @@
         self.requests
     }
 
+    /// Returns the client accounts; none where the configuration asks for no keys.
+    #[must_use]
+    pub const fn accounts(&self) -> &Accounts {
+        &self.accounts
+    }
+
     /// Returns the services in name order with their limits.
     pub(super) fn services(&self) -> &[(ServiceName, Limits)] {
         &self.services
--- a/crates/swiftcart-core/src/view/segment.rs
+++ b/crates/swiftcart-core/src/view/segment.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::ServiceEntry;
-use crate::{Policy, Reason, RouteKey};
+use crate::{Access, Policy, Reason, RouteKey};
 
 /// One node of the prefix tree; its depth is the number of path segments.
 ///
@@ -44,6 +44,7 @@
     policy: Option<Policy>,
     /// Names the prefix.
     route: RouteKey,
+    access: Access,
 }
 
 /// One service of a choice, by its place among the services, and its weight above 0.
@@ -136,6 +137,16 @@
         self.policy
     }
 
+    /// Sets who may use the prefix.
+    pub(super) const fn set_access(&mut self, access: Access) {
+        self.access = access;
+    }
+
+    /// Returns who may use the prefix.
+    pub(super) const fn access(&self) -> Access {
+        self.access
+    }
+
     /// Adds a service with its weight.
     pub(super) fn add(&mut self, service: usize, weight: u32) {
         let Ok(service) = u32::try_from(service) else {
--- a/crates/swiftcart-core/src/wire/datagram.rs
+++ b/crates/swiftcart-core/src/wire/datagram.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Findings, Incarnation, Liveness, Member, NodeId, RolloutMessage, Version};
+use crate::{
+    Findings, Incarnation, Liveness, Member, NodeId, QuotaMessage, RolloutMessage, Version,
+};
 
 /// Numbers a probe; the acknowledgement repeats it.
 pub type Seq = u32;
@@ -138,6 +140,9 @@
     Findings(Findings),
     /// Tells of roll-outs; the release before does not know this, and drops it.
     Rollouts(RolloutMessage),
+    /// Tells what client accounts have sent and may send; the release before does not know this,
+    /// and drops it.
+    Quotas(QuotaMessage),
 }
 
 impl Datagram {
--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -11,6 +11,7 @@
 mod in_flight;
 mod ingress;
 mod keyed;
+mod origin;
 mod pacing;
 mod peers;
 mod pool;
@@ -31,6 +32,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
+pub(crate) use rng::with_rng;
+
 use crate::shared::Shared;
 use guard::Guard;
 use ingress::Ingress;
--- a/crates/swiftcart-node/src/calls/ahead.rs
+++ b/crates/swiftcart-node/src/calls/ahead.rs
@@ -14,12 +14,13 @@
 use bytes::BytesMut;
 use http::header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
 use http::request::Parts;
-use http::{HeaderName, HeaderValue, Request, Response, Uri, Version};
+use http::{Extensions, HeaderName, HeaderValue, Request, Response, Uri, Version};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use super::answer::Answer;
+use super::origin::Origin;
 
 /// Heads longer than this are left to hyper; a request that is sent ahead is short.
 const HEAD_BYTES: usize = 8 << 10;
@@ -44,6 +45,7 @@
 #[derive(Debug, Clone)]
 pub struct Scout {
     starter: Starter,
+    origin: Option<Origin>,
     state: Arc<Mutex<State>>,
     /// Told when a request is taken or answered.
     moved: Arc<Notify>,
@@ -109,9 +111,10 @@
 impl Scout {
     /// Creates the scout of one connection.
     #[must_use]
-    pub fn new(starter: &Starter) -> Self {
+    pub fn new(starter: &Starter, origin: Option<Origin>) -> Self {
         Self {
             starter: starter.clone(),
+            origin,
             state: Arc::default(),
             moved: Arc::default(),
         }
@@ -128,7 +131,7 @@
             rest = match state.place {
                 Place::Lost => return,
                 Place::Body(left) => state.skip(left, rest),
-                Place::Head => state.read_head(rest, &self.starter),
+                Place::Head => state.read_head(rest, &self.starter, self.origin),
             };
         }
     }
@@ -217,7 +220,12 @@
         &bytes[len..]
     }
 
-    fn read_head<'a>(&mut self, bytes: &'a [u8], starter: &Starter) -> &'a [u8] {
+    fn read_head<'a>(
+        &mut self,
+        bytes: &'a [u8],
+        starter: &Starter,
+        origin: Option<Origin>,
+    ) -> &'a [u8] {
         let before = self.head.len();
         self.head.extend_from_slice(bytes);
         match find(&self.head) {
@@ -233,6 +241,12 @@
                     0 => Place::Head,
                     left => Place::Body(left),
                 };
+                let parts = parts.map(|mut parts| {
+                    parts
+                        .extensions
+                        .extend(origin.map(noted).unwrap_or_default());
+                    parts
+                });
                 self.start(parts, starter);
                 &bytes[len - before..]
             }
@@ -258,6 +272,12 @@
     }
 }
 
+fn noted(origin: Origin) -> Extensions {
+    let mut extensions = Extensions::new();
+    extensions.insert(origin);
+    extensions
+}
+
 fn is_same(a: &Parts, b: &Parts) -> bool {
     a.method == b.method && a.uri == b.uri && a.headers == b.headers
 }
--- a/crates/swiftcart-node/src/calls/answer.rs
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -419,6 +419,8 @@
             | Reason::HeaderTooLarge
             | Reason::BodyTooLarge
             | Reason::KeyReused
+            | Reason::Unauthenticated
+            | Reason::OverQuota
     );
     matches!(outcome, Outcome::NotRun) && !own_fault
 }
--- a/crates/swiftcart-node/src/calls/headers.rs
+++ b/crates/swiftcart-node/src/calls/headers.rs
@@ -77,7 +77,8 @@
 /// Removes what a caller may not say to a backend server.
 pub fn strip_caller(headers: &mut HeaderMap, names: &Headers) {
     strip_internal(headers);
-    for name in names.target.iter().chain(&names.caller) {
+    let set_by_nodes = [&names.target, &names.caller, &names.account];
+    for name in set_by_nodes.into_iter().flatten() {
         headers.remove(&name.0);
     }
 }
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -1,5 +1,6 @@
 //! The ingress: routes callers' requests to a guard, and tries again where that is safe.
 
+mod account;
 mod forward;
 mod log;
 mod original;
@@ -177,14 +178,15 @@
             // whether there is one.
             return Err(Reason::NotReady.into());
         }
-        let (host, path) = (host(&head), head.uri.path());
-        let routed = with_rng(|rng| view.find(host, path, rng))?;
+        let routed = with_rng(|rng| view.find(host(&head), head.uri.path(), rng))?;
+        let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.take_route(&routed, lock(&self.profiles).of(routed.route), now);
         self.name_caller(&mut head);
         call.take_print(&head, &settings.headers);
         let limits = &settings.limits;
         let original = Original::new(head, body, limits.replay_bytes, limits.body_timeout());
         self.pass(&call, &original).await?;
+        let admitted = self.admit(&mut call, account)?;
         let result = self.tries(&call, routed.entry, &original).await;
         if let Ok(response) = &result
             && response.status().is_success()
@@ -192,6 +194,9 @@
             let bytes = response.body().size_hint().lower();
             lock(&self.profiles).of(routed.route).answered(bytes);
         }
+        if let Some(admitted) = admitted {
+            admitted.settle(&result);
+        }
         result
     }
 
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -0,0 +1,122 @@
+//! Whose request it is, and whether its client account may send it now.
+
+use std::sync::Arc;
+
+use http::header::AUTHORIZATION;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue};
+use swiftcart_core::{Access, Accounts, Identity, KeyHash, Outcome, Reason, Refusal};
+
+use super::{Failed, Ingress};
+use crate::calls::origin::Origin;
+use crate::calls::request::Call;
+use crate::shared::Shared;
+
+/// The longest value of the header that carries a key, in bytes.
+const MAX_CREDENTIALS: usize = 512;
+
+/// A request that was counted for its account; given back unless it may have run.
+#[derive(Debug)]
+pub(super) struct Admitted<'a> {
+    shared: &'a Shared,
+    account: Arc<Identity>,
+    ran: bool,
+}
+
+impl Admitted<'_> {
+    /// Notes how the request ended.
+    pub(super) fn settle<T>(mut self, result: &Result<T, Failed>) {
+        self.ran = match result {
+            Ok(_) => true,
+            Err(failed) => failed.refusal.reason.outcome() != Outcome::NotRun,
+        };
+    }
+}
+
+impl Drop for Admitted<'_> {
+    fn drop(&mut self) {
+        if !self.ran {
+            self.shared.quotas.give_back(&self.account);
+        }
+    }
+}
+
+impl Ingress {
+    /// Finds the account of a request and takes its key out of the head.
+    ///
+    /// Calls of the own backend server carry no key and belong to no account.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Unauthenticated`] where the route asks for a key and there is none that is known.
+    pub(super) fn identify(
+        &self,
+        head: &mut Parts,
+        accounts: &Accounts,
+        access: Access,
+    ) -> Result<Option<Arc<Identity>>, Reason> {
+        if accounts.is_empty() {
+            return Ok(None);
+        }
+        let settings = &self.shared.settings;
+        let given = credentials(&head.headers, &settings.headers.scheme);
+        let holder = given.and_then(|key| accounts.holder(KeyHash::of(key)).cloned());
+        let is_keyless = !head.headers.contains_key(AUTHORIZATION);
+        let origin = Origin::noted(&head.extensions);
+        let is_own = origin.is_some_and(|origin| origin.is_at(settings.listen.calls.ip()));
+        head.headers.remove(AUTHORIZATION);
+        match (holder, access) {
+            (Some(account), _) => {
+                if let Some(name) = &settings.headers.account {
+                    let value = HeaderValue::from_str(account.name.as_str());
+                    let value = value.map_err(|_| Reason::Unauthenticated)?;
+                    head.headers.insert(name.0.clone(), value);
+                }
+                Ok(Some(account))
+            }
+            (None, Access::Public) => Ok(None),
+            (None, Access::Accounts) if is_keyless && is_own => Ok(None),
+            (None, Access::Accounts) => Err(Reason::Unauthenticated),
+        }
+    }
+
+    /// Counts a request for its account, whose rank goes before that of the route.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::OverQuota`] with the time after which the account may send again.
+    pub(super) fn admit(
+        &self,
+        call: &mut Call,
+        account: Option<Arc<Identity>>,
+    ) -> Result<Option<Admitted<'_>>, Refusal> {
+        let Some(account) = account else {
+            return Ok(None);
+        };
+        if let Some(priority) = account.priority {
+            call.rank(priority);
+        }
+        let now = self.shared.clock.now();
+        self.shared.quotas.ask(now, &account)?;
+        Ok(Some(Admitted {
+            shared: &self.shared,
+            account,
+            ran: false,
+        }))
+    }
+}
+
+/// Returns the key that a request carries; a request with two headers carries none.
+fn credentials<'a>(headers: &'a HeaderMap, scheme: &str) -> Option<&'a [u8]> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let (value, None) = (values.next()?, values.next()) else {
+        return None;
+    };
+    let bytes = value.as_bytes();
+    if bytes.len() > MAX_CREDENTIALS {
+        return None;
+    }
+    let (given, key) = bytes.split_at_checked(scheme.len())?;
+    let key = key.strip_prefix(b" ")?.trim_ascii();
+    (given.eq_ignore_ascii_case(scheme.as_bytes()) && !key.is_empty()).then_some(key)
+}
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -8,8 +8,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version};
 use swiftcart_core::{
     AnswerLength, Attempt, Bid, BodyPrint, CallerPrint, Deadline, Fingerprint, Haul, HeadFields,
-    HeadPrint, Instant, Patience, Reason, RequestClass, RequestPrint, RouteProfile, RouteTag,
-    Routed,
+    HeadPrint, Instant, Patience, Priority, Reason, RequestClass, RequestPrint, RouteProfile,
+    RouteTag, Routed,
 };
 
 use super::headers::{
@@ -25,9 +25,6 @@
 /// The longest id of a request, in bytes.
 const MAX_ID: usize = 128;
 
-/// The headers by which callers identify themselves.
-const CREDENTIALS: [HeaderName; 2] = [AUTHORIZATION, COOKIE];
-
 /// Names one request in logs, the same at every node.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RequestId(pub HeaderValue);
@@ -177,14 +174,24 @@
         };
     }
 
+    /// Gives the request the rank of its client account, in place of its route's.
+    pub fn rank(&mut self, priority: Priority) {
+        if let Some(terms) = &mut self.terms {
+            terms.priority = priority;
+        }
+    }
+
     /// Notes what stands for the head that a backend server will get.
     pub fn take_print(&mut self, head: &Parts, names: &Headers) {
         let field = |name: &HeaderName| head.headers.get(name).map_or(&b""[..], |v| v.as_bytes());
         let target = head.uri.path_and_query();
         let caller = names.caller.as_ref();
+        // Where there are accounts, the account stands in the key's place.
+        let account = names.account.as_ref().map(|name| &name.0);
+        let account = account.filter(|name| head.headers.contains_key(*name));
         self.print.caller = CallerPrint::new(caller.map_or(b"", |name| field(&name.0)));
         self.print.head = HeadPrint::new(&HeadFields {
-            credentials: CREDENTIALS.each_ref().map(field),
+            credentials: [account.unwrap_or(&AUTHORIZATION), &COOKIE].map(field),
             method: head.method.as_str().as_bytes(),
             host: field(&HOST),
             target: target.map_or(b"", |target| target.as_str().as_bytes()),
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -23,6 +23,7 @@
 
 use super::ahead::{Scout, Starter};
 use super::answer::Answer;
+use super::origin::Origin;
 use super::socket::Socket;
 use crate::logging::Event;
 use crate::shared::Shared;
@@ -141,11 +142,17 @@
             return;
         }
         let silence = self.shared.settings.limits.body_timeout();
-        let scout = self.starter.as_ref().map(Scout::new);
+        let origin = Origin::of(&stream);
+        let scout = self.starter.as_ref();
+        let scout = scout.map(|starter| Scout::new(starter, origin));
         let socket = Socket::new(stream, silence, scout.clone());
         let shown = scout.clone();
         let service = service.map_request(move |mut request: Request<_>| {
-            request.extensions_mut().insert(shown.clone());
+            let extensions = request.extensions_mut();
+            extensions.insert(shown.clone());
+            if let Some(origin) = origin {
+                extensions.insert(origin);
+            }
             request
         });
         let service = TowerToHyperService::new(service);
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -17,6 +17,7 @@
 mod placed;
 mod publish;
 mod pulls;
+mod quotas;
 mod reader;
 mod rollouts;
 mod roster;
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -21,6 +21,7 @@
 use super::placed::Wholes;
 use super::publish;
 use super::pulls::Pulls;
+use super::quotas::Accounting;
 use super::reader::Reader;
 use super::rollouts::Watching;
 use super::roster::Roster;
@@ -74,6 +75,8 @@
     pub(super) findings: Telling,
     /// Where held requests are remembered, where there is a place for it.
     pub(super) memory: Option<Memory>,
+    /// What client accounts have sent, as far as this node adds it up.
+    pub(super) accounting: Accounting,
     /// The roll-outs that are known and watched.
     pub(super) watching: Watching,
     /// Who writes to operators how far they are, where there is a place for it.
@@ -129,6 +132,7 @@
             findings: Telling::default(),
             memory,
             telling: PaceTelling::default(),
+            accounting: Accounting::new(settings.quotas.bounds()),
             watching: Watching::default(),
             board,
             left: false,
@@ -186,6 +190,7 @@
         self.act(actions);
         self.tell_pace();
         self.tell_findings(now);
+        self.tell_quotas(now);
         self.watch_rollouts(now);
         let todo = self.stream.on_tick(now, &self.roster.witnesses);
         self.follow_up(todo);
@@ -224,6 +229,7 @@
             }
             Datagram::Findings(findings) => self.on_findings(now, from, findings),
             Datagram::Rollouts(message) => self.on_rollouts(now, from, message),
+            Datagram::Quotas(message) => self.on_quotas(now, from, message),
             Datagram::FloorReply { version } => self.stream.join.on_answer(from, *version),
             _ => {}
         }
--- /dev/null
+++ b/crates/swiftcart-node/src/control/quotas.rs
@@ -0,0 +1,197 @@
+//! Tells what this node has counted for client accounts, and adds up what others have.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use slog::info;
+use swiftcart_core::{
+    AccountTag, Admittance, Datagram, Instant, NodeId, QuotaBounds, QuotaLedger, QuotaMessage,
+    USAGE_ENTRIES, Usage, rank,
+};
+
+use super::control_loop::Control;
+use crate::logging::Event;
+
+/// The time for which it is remembered which node adds up for an account.
+const SEATED_FOR: Duration = Duration::from_secs(1);
+
+/// The time between two rounds of the ledger.
+const ROUND: Duration = Duration::from_millis(100);
+
+/// The time between two sweeps of counts that nobody needs any more.
+const SWEEP: Duration = Duration::from_secs(10);
+
+/// What this node adds up, and who does for the other accounts.
+#[derive(Debug)]
+pub(super) struct Accounting {
+    ledger: QuotaLedger,
+    /// The nodes that add up for accounts, while the members are those of the hash.
+    seats: HashMap<AccountTag, NodeId>,
+    seated: (u32, Instant),
+    next_round: Instant,
+    next_sweep: Instant,
+    /// The accounts that were logged as limited.
+    limited: BTreeMap<AccountTag, u16>,
+}
+
+impl Accounting {
+    pub(super) fn new(bounds: QuotaBounds) -> Self {
+        Self {
+            ledger: QuotaLedger::new(bounds),
+            seats: HashMap::new(),
+            seated: (0, Instant::default()),
+            next_round: Instant::default(),
+            next_sweep: Instant::default(),
+            limited: BTreeMap::new(),
+        }
+    }
+}
+
+impl Control {
+    /// Tells the counts that are due, and reminds all nodes of accounts that are limited.
+    pub(super) fn tell_quotas(&mut self, now: Instant) {
+        let has_accounts = !self.shared.view.load().accounts().is_empty();
+        if !has_accounts {
+            return;
+        }
+        self.seat(now);
+        let due = self.shared.quotas.with(|meter| meter.due(now));
+        self.tell_usage(now, due);
+        if now >= self.accounting.next_round {
+            self.accounting.next_round = now + ROUND;
+            self.remind(now);
+        }
+        if now >= self.accounting.next_sweep {
+            self.accounting.next_sweep = now + SWEEP;
+            self.shared.quotas.with(|meter| meter.sweep(now));
+        }
+    }
+
+    /// Takes what another node tells of quotas.
+    pub(super) fn on_quotas(&mut self, now: Instant, from: NodeId, message: &QuotaMessage) {
+        match message {
+            QuotaMessage::Usage(list) => {
+                let answers = self.add_up(now, from, list);
+                if !answers.is_empty() {
+                    let message = QuotaMessage::Admit(answers);
+                    self.net.send(from, &Datagram::Quotas(message));
+                }
+            }
+            QuotaMessage::Admit(list) => self.admit(now, list),
+        }
+    }
+
+    fn tell_usage(&mut self, now: Instant, due: Vec<Usage>) {
+        let mut by_node: BTreeMap<NodeId, Vec<Usage>> = BTreeMap::new();
+        for usage in due {
+            let node = self.ledger_of(usage.account);
+            by_node.entry(node).or_default().push(usage);
+        }
+        for (node, list) in by_node {
+            if node == self.shared.id {
+                let answers = self.add_up(now, node, &list);
+                self.admit(now, &answers);
+                continue;
+            }
+            for part in list.chunks(USAGE_ENTRIES) {
+                let message = QuotaMessage::Usage(part.to_vec());
+                self.net.send(node, &Datagram::Quotas(message));
+            }
+        }
+    }
+
+    fn add_up(&mut self, now: Instant, from: NodeId, list: &[Usage]) -> Vec<Admittance> {
+        let view = self.shared.view.load();
+        let ledger = &mut self.accounting.ledger;
+        let limited = list.iter().filter_map(|usage| {
+            // An account without a quota is not counted any more.
+            let quota = view.accounts().quota(usage.account)?;
+            Some(ledger.hear(now, from, usage, quota))
+        });
+        limited.collect()
+    }
+
+    fn admit(&self, now: Instant, list: &[Admittance]) {
+        self.shared.quotas.with(|meter| {
+            for admittance in list {
+                meter.hear(now, *admittance);
+            }
+        });
+    }
+
+    fn remind(&mut self, now: Instant) {
+        let due = self.accounting.ledger.reminders(now);
+        if due.is_empty() {
+            return;
+        }
+        self.admit(now, &due);
+        let me = self.shared.id;
+        let others = self.membership.members().map(|member| member.id);
+        let others: Vec<NodeId> = others
+            .filter(|id| *id != me && self.membership.routable(*id))
+            .collect();
+        for part in due.chunks(USAGE_ENTRIES) {
+            let message = Datagram::Quotas(QuotaMessage::Admit(part.to_vec()));
+            for id in &others {
+                self.net.send(*id, &message);
+            }
+        }
+        self.log_limits(&due);
+    }
+
+    /// Logs which accounts are limited from now on, and which no longer.
+    fn log_limits(&mut self, due: &[Admittance]) {
+        for Admittance { account, permille } in due {
+            let before = self.accounting.limited.get(account).copied();
+            let limited = *permille < Admittance::ALL;
+            if before.is_some() == limited {
+                continue;
+            }
+            info!(self.shared.logger, ""; "event" => Event::Quota,
+                "account" => account.0, "admitted_permille" => *permille);
+            match limited {
+                true => drop(self.accounting.limited.insert(*account, *permille)),
+                false => drop(self.accounting.limited.remove(account)),
+            }
+        }
+    }
+
+    /// Forgets who adds up for which account when the members change, and takes over how many of
+    /// them are reached.
+    fn seat(&mut self, now: Instant) {
+        let hash = self.membership.hash();
+        let (known, since) = self.accounting.seated;
+        if known == hash && now.since(since) < SEATED_FOR {
+            return;
+        }
+        self.accounting.seated = (hash, now);
+        self.accounting.seats.clear();
+        let members = self.membership.members();
+        let (mut reached, mut others) = (0_usize, 0_usize);
+        for member in members {
+            match self.membership.routable(member.id) {
+                true => reached += 1,
+                false if member.liveness.is_live() => others += 1,
+                false if self.membership.is_cut(&member.domain) => others += 1,
+                false => {}
+            }
+        }
+        let nodes = (reached + others).max(1);
+        let part = reached as f64 / nodes as f64;
+        self.accounting.ledger.set_reach(part);
+        self.shared.quotas.with(|meter| meter.set_nodes(nodes));
+    }
+
+    /// Returns the node that adds up for an account: the first by rank of those that are reached.
+    fn ledger_of(&mut self, account: AccountTag) -> NodeId {
+        if let Some(node) = self.accounting.seats.get(&account) {
+            return *node;
+        }
+        let members = self.membership.members().map(|member| member.id);
+        let reached: Vec<NodeId> = members.filter(|id| self.membership.routable(*id)).collect();
+        let ranked = rank(&reached, &account.0.to_string());
+        let node = ranked.first().copied().unwrap_or(self.shared.id);
+        self.accounting.seats.insert(account, node);
+        node
+    }
+}
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -20,6 +20,7 @@
 mod node;
 mod outlet;
 mod program;
+mod quotas;
 mod settings;
 mod shared;
 mod suspects;
@@ -39,6 +40,6 @@
 pub use program::run_program;
 pub use settings::{
     Announcements, Answers, Gossip, Headers, Limits, LinkSettings, Listen, Log, LogLevel, MeshKey,
-    Name, Platform, Retries, Rollouts, Settings, SettingsError, Stop,
+    Name, Platform, Quotas, Retries, Rollouts, Settings, SettingsError, Stop,
 };
 pub use shared::{Phase, Progress, Shared};
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -79,6 +79,8 @@
     Released,
     /// An order to roll a release out is known, or a roll-out is a stage further.
     Rollout,
+    /// A client account is held back since it sent more than its quota, or no longer is.
+    Quota,
     /// A connection could not be accepted.
     Refused,
     /// A caller's request has its answer.
@@ -123,6 +125,7 @@
             Self::Quarantined => "quarantined",
             Self::Released => "released",
             Self::Rollout => "rollout",
+            Self::Quota => "quota",
             Self::Refused => "refused",
             Self::Answer => "answer",
             Self::Try => "try",
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod link;
 mod load;
+mod quotas;
 mod retries;
 mod rollouts;
 mod stop;
@@ -27,6 +28,7 @@
 pub use headers::{Headers, Name};
 pub use limits::Limits;
 pub use link::LinkSettings;
+pub use quotas::Quotas;
 pub use retries::Retries;
 pub use rollouts::Rollouts;
 pub use stop::Stop;
@@ -76,6 +78,9 @@
     /// What a new release gets before it is known to be good.
     #[serde(default)]
     pub rollouts: Rollouts,
+    /// How far client accounts may lie beyond their quotas.
+    #[serde(default)]
+    pub quotas: Quotas,
     /// How the node leaves.
     #[serde(default)]
     pub stop: Stop,
--- a/crates/swiftcart-node/src/settings/headers.rs
+++ b/crates/swiftcart-node/src/settings/headers.rs
@@ -24,6 +24,11 @@
     pub target: Option<Name>,
     /// Where a backend server finds the service that a request comes from; default none.
     pub caller: Option<Name>,
+    /// Where a backend server finds the client account that a request comes from; default none.
+    pub account: Option<Name>,
+    /// The scheme of the `Authorization` header that carries the key of a client account;
+    /// default `Bearer`.
+    pub scheme: String,
     /// The header by which a backend server tells that it did not run a request;
     /// default none.
     pub not_run: Option<Name>,
@@ -53,6 +58,8 @@
             time_left: false,
             target: None,
             caller: None,
+            account: None,
+            scheme: "Bearer".into(),
             not_run: None,
             signature: None,
         }
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::logging::CallLog;
 use crate::misses::Misses;
 use crate::outlet::Outlet;
+use crate::quotas::Quotas;
 use crate::settings::{Headers, Settings};
 use crate::suspects::Suspects;
 
@@ -122,6 +123,8 @@
     pub misses: Misses,
     /// The requests that end backend servers.
     pub suspects: Suspects,
+    /// What client accounts have sent through this node.
+    pub quotas: Quotas,
     /// What the backend server may be given while its service is rolled out.
     pub clearing: Clearing,
     /// What this node is cut off from, in builds for failure tests.
@@ -179,6 +182,7 @@
             expiry: watch::Sender::new(None),
             misses: Misses::default(),
             suspects: Suspects::default(),
+            quotas: Quotas::default(),
             clearing: Clearing::default(),
             faults: Faults::from_env(),
             stopping: CancellationToken::new(),
