Drain failure domains by order, and hand cold backend servers what they bear

Cause: orders to empty a failure domain were not read, and a cold backend server got what any other gets: 30 and 35 requests in a second where it bears 29.

Ruled out: members that announce themselves as draining alone; a node that starts inside the domain would know the order last.

Change: orders are read with the configuration, spread in three rounds and compared; nobody takes a backend server of a drained domain for a candidate, and its guard closes.

--- a/crates/swiftcart-cli/src/render.rs
+++ b/crates/swiftcart-cli/src/render.rs
@@ -44,6 +44,7 @@
             }
             None => format!("{} keys, no quota", keys.len()),
         },
+        Some(Row::ColdStart(cold)) => format!("cold rate {}", cold.rate),
         Some(Row::Access(Access::Public)) => "public".into(),
         Some(Row::Access(Access::Accounts)) => "accounts".into(),
     }
@@ -87,6 +88,7 @@
             json!({"kind": "route", "service": name, "prefix": prefix})
         }
         RowKey::Account(name) => json!({"kind": "account", "account": name}),
+        RowKey::ColdStart(name) => json!({"kind": "cold-start", "service": name}),
         RowKey::Access(prefix) => json!({"kind": "access", "prefix": prefix}),
     };
     if let (Some(object), Some(Value::Object(cells))) = (json.as_object_mut(), row.map(cells)) {
@@ -137,6 +139,7 @@
         Row::Route(weight) => json!({"weight": weight}),
         Row::Service(limits) => json!(limits),
         Row::Account(account) => json!(account),
+        Row::ColdStart(cold) => json!(cold),
         Row::Access(access) => json!({"access": access}),
     }
 }
--- a/crates/swiftcart-cli/src/sheet/fault.rs
+++ b/crates/swiftcart-cli/src/sheet/fault.rs
@@ -151,6 +151,7 @@
         | Violation::AccountName(_)
         | Violation::SharedKey(..)
         | Violation::Quota(_)
+        | Violation::ColdStart(_)
         | Violation::Access(_) => (None, "", String::new()),
     }
 }
--- a/crates/swiftcart-core/src/config/check.rs
+++ b/crates/swiftcart-core/src/config/check.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Limits, Row, RowKey, ServiceName, Table};
-use crate::{Account, AccountName, KeyHash};
+use crate::{Account, AccountName, ColdStart, KeyHash};
 
 /// Most rows of a table.
 pub const MAX_ROWS: usize = 4096;
@@ -82,6 +82,10 @@
         Quota(name: AccountName) {
             display("account {name}: a quota has a rate of 1 to {MAX_RATE} and a burst of 1 at least; remove it for no limit")
         }
+        /// The cold start of a service lets no request through, or there is no such service.
+        ColdStart(name: ServiceName) {
+            display("cold start of {name}: give a service of the table a rate of 1 to {MAX_RATE}")
+        }
         /// Access is set for a prefix that no route has.
         Access(prefix: String) {
             display("access to {prefix}: add a route with this prefix or remove the row")
@@ -138,6 +142,7 @@
         RowKey::Route(prefix, name) => prefix.len() + name.0.len() + ROW_BYTES,
         RowKey::Account(name) => name.0.len() + ROW_BYTES,
         RowKey::Access(prefix) => prefix.len() + ROW_BYTES,
+        RowKey::ColdStart(name) => name.0.len() + ROW_BYTES,
     }
 }
 
@@ -162,6 +167,7 @@
         }
         (RowKey::Account(name), Row::Account(account)) => check_account(name, account),
         (RowKey::Access(prefix), Row::Access(_)) => check_access(table, prefix),
+        (RowKey::ColdStart(name), Row::ColdStart(cold)) => check_cold(table, name, *cold),
         _ => vec![Violation::Kind(key.clone())],
     }
 }
@@ -181,6 +187,14 @@
     found
 }
 
+fn check_cold(table: &Table, name: &ServiceName, cold: ColdStart) -> Vec<Violation> {
+    let fits = (1..=MAX_RATE).contains(&cold.rate) && table.limits(name).is_some();
+    match fits {
+        true => Vec::new(),
+        false => vec![Violation::ColdStart(name.clone())],
+    }
+}
+
 fn check_access(table: &Table, prefix: &str) -> Vec<Violation> {
     match table.routes().any(|(known, ..)| known == prefix) {
         true => Vec::new(),
--- a/crates/swiftcart-core/src/config/compact.rs
+++ b/crates/swiftcart-core/src/config/compact.rs
@@ -48,7 +48,7 @@
     policies: Vec<Policy>,
     prefixes: Vec<Prefix>,
     requests: Option<RequestLimits>,
-    /// Accounts, and who may use prefixes.
+    /// The rows that are neither services nor routes.
     others: Vec<(RowKey, Row)>,
 }
 
@@ -164,7 +164,7 @@
 /// Returns the rows that are neither services nor routes.
 fn others(table: &Table) -> Vec<(RowKey, Row)> {
     let rows = table.0.iter();
-    let others = rows.filter(|(key, _)| matches!(key, RowKey::Account(_) | RowKey::Access(_)));
+    let others = rows.filter(|(key, _)| !matches!(key, RowKey::Service(_) | RowKey::Route(..)));
     others
         .map(|(key, row)| (key.clone(), row.clone()))
         .collect()
--- a/crates/swiftcart-core/src/config/table.rs
+++ b/crates/swiftcart-core/src/config/table.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Access, Account, AccountName};
+use crate::{Access, Account, AccountName, ColdStart};
 
 /// Names a service, for example `booking`.
 #[derive(Debug, Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -56,6 +56,8 @@
     Account(AccountName),
     /// Who may use the routes of a path prefix.
     Access(String),
+    /// What the backend servers of a service bear while they are cold.
+    ColdStart(ServiceName),
 }
 
 impl fmt::Display for RowKey {
@@ -65,6 +67,7 @@
             Self::Route(prefix, name) => write!(f, "route {prefix} -> {name}"),
             Self::Account(name) => write!(f, "account {name}"),
             Self::Access(prefix) => write!(f, "access to {prefix}"),
+            Self::ColdStart(name) => write!(f, "cold start of {name}"),
         }
     }
 }
@@ -81,6 +84,8 @@
     Account(Account),
     /// Who may use a prefix; without such a row those who have a key.
     Access(Access),
+    /// What a cold backend server bears; without such a row as much as any other.
+    ColdStart(ColdStart),
 }
 
 /// Holds every row of one configuration version, in key order.
@@ -134,6 +139,14 @@
         self
     }
 
+    /// Sets what the backend servers of a service bear while they are cold.
+    #[must_use]
+    pub fn with_cold_start(mut self, service: impl Into<String>, cold: ColdStart) -> Self {
+        let key = RowKey::ColdStart(ServiceName::new(service));
+        self.0.insert(key, Row::ColdStart(cold));
+        self
+    }
+
     /// Returns the limits of `service`, or `None` when the table lacks it.
     #[must_use]
     pub fn limits(&self, service: &ServiceName) -> Option<Limits> {
@@ -171,6 +184,14 @@
         })
     }
 
+    /// Iterates over the services whose backend servers bear less while they are cold.
+    pub fn cold_starts(&self) -> impl Iterator<Item = (&ServiceName, ColdStart)> {
+        self.0.iter().filter_map(|(key, row)| match (key, row) {
+            (RowKey::ColdStart(name), Row::ColdStart(cold)) => Some((name, *cold)),
+            _ => None,
+        })
+    }
+
     /// Returns who may use a prefix.
     #[must_use]
     pub fn access(&self, prefix: &str) -> Access {
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -194,7 +194,8 @@
             | Datagram::FloorReply { .. }
             | Datagram::Findings(_)
             | Datagram::Rollouts(_)
-            | Datagram::Quotas(_) => {}
+            | Datagram::Quotas(_)
+            | Datagram::Drains(_) => {}
         }
         self.heard(now, from);
         std::mem::take(&mut self.out)
--- a/crates/swiftcart-core/src/view.rs
+++ b/crates/swiftcart-core/src/view.rs
@@ -11,7 +11,8 @@
 use rand::Rng;
 
 use crate::{
-    Access, Accounts, FailureDomain, Member, NodeId, Policy, Reason, RequestLimits, Table, Version,
+    Access, Accounts, ColdStart, FailureDomain, Member, NodeId, Policy, Reason, RequestLimits,
+    ServiceName, Table, Version,
 };
 pub use entry::*;
 pub use key::*;
@@ -171,6 +172,12 @@
         })
     }
 
+    /// Returns what the backend servers of a service bear while they are cold, where that is less.
+    #[must_use]
+    pub fn cold_start(&self, service: &ServiceName) -> Option<ColdStart> {
+        self.routes.cold_start(service)
+    }
+
     /// Returns the client accounts; none where the configuration asks for no keys.
     #[must_use]
     pub fn accounts(&self) -> &Accounts {
--- a/crates/swiftcart-core/src/view/routes.rs
+++ b/crates/swiftcart-core/src/view/routes.rs
@@ -4,7 +4,8 @@
 
 use super::segment::{Choice, Segment, Slash};
 use crate::{
-    Accounts, Limits, Policies, RequestLimits, RouteKey, ServiceName, Snapshot, Table, Version,
+    Accounts, ColdStart, Limits, Policies, RequestLimits, RouteKey, ServiceName, Snapshot, Table,
+    Version,
 };
 
 /// Holds the services and routes of one version, ready for lookups.
@@ -21,6 +22,7 @@
     hosts: BTreeMap<Box<str>, Segment>,
     requests: Option<RequestLimits>,
     accounts: Accounts,
+    cold_starts: BTreeMap<ServiceName, ColdStart>,
 }
 
 impl Routes {
@@ -43,10 +45,12 @@
         let services = table
             .services()
             .map(|(name, limits)| (name.clone(), limits));
+        let cold_starts = table.cold_starts().map(|(name, cold)| (name.clone(), cold));
         let mut routes = Self {
             version,
             services: services.collect(),
             accounts: Accounts::new(table),
+            cold_starts: cold_starts.collect(),
             ..Self::default()
         };
         for (prefix, name, weight) in table.routes() {
@@ -79,6 +83,12 @@
         &self.accounts
     }
 
+    /// Returns what the backend servers of a service bear while they are cold, where that is less.
+    #[must_use]
+    pub fn cold_start(&self, service: &ServiceName) -> Option<ColdStart> {
+        self.cold_starts.get(service).copied()
+    }
+
     /// Returns the services in name order with their limits.
     pub(super) fn services(&self) -> &[(ServiceName, Limits)] {
         &self.services
--- a/crates/swiftcart-core/src/wire/datagram.rs
+++ b/crates/swiftcart-core/src/wire/datagram.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Findings, Incarnation, Liveness, Member, NodeId, QuotaMessage, RolloutMessage, Version,
+    DrainMessage, Findings, Incarnation, Liveness, Member, NodeId, QuotaMessage, RolloutMessage,
+    Version,
 };
 
 /// Numbers a probe; the acknowledgement repeats it.
@@ -143,6 +144,8 @@
     /// Tells what client accounts have sent and may send; the release before does not know this,
     /// and drops it.
     Quotas(QuotaMessage),
+    /// Tells which failure domains are drained; the release before does not know this, and drops it.
+    Drains(DrainMessage),
 }
 
 impl Datagram {
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -8,7 +8,7 @@
 use hyper::body::Body;
 use slog::{error, info};
 use swiftcart_core::{
-    Backend, CallResult, Limits, Load, NodeId, Pace, Reason, Refusal, ServiceEntry,
+    Backend, CallResult, Limits, Load, NodeId, Pace, Readiness, Reason, Refusal, ServiceEntry,
 };
 
 use super::admissions::Slot;
@@ -79,11 +79,16 @@
         let mut view = self.shared.views.subscribe();
         let mut phase = self.shared.phase.subscribe();
         let mut clearance = self.shared.clearing.clearance.subscribe();
+        let mut drained = self.shared.drained.subscribe();
         loop {
             let cleared = *clearance.borrow_and_update();
+            let drain = *drained.borrow_and_update();
             let announced = backend.borrow_and_update().clone();
             let announced = announced.map(|backend| Backend {
-                readiness: cleared.readiness(backend.readiness),
+                readiness: match drain {
+                    true => Readiness::Draining,
+                    false => cleared.readiness(backend.readiness),
+                },
                 ..backend
             });
             let phase_now = *phase.borrow_and_update();
@@ -95,6 +100,7 @@
                 _ = view.changed() => {}
                 _ = phase.changed() => {}
                 _ = clearance.changed() => {}
+                _ = drained.changed() => {}
             }
         }
     }
@@ -220,11 +226,13 @@
         }
         let arrived = self.shared.clock.now();
         self.shared.clearing.may_enter(arrived)?;
+        self.shared.warmup.may_enter(arrived)?;
         let slot = upstream.enter(call).await?;
         let counters = &self.shared.counters;
         counters.stage(Stage::Queue, slot.start().since(arrived));
         self.pass(call, &request)?;
         self.shared.clearing.take(slot.start())?;
+        self.shared.warmup.take(slot.start())?;
         self.hand_over(call, upstream, slot, request).await
     }
 
@@ -335,6 +343,8 @@
             old.give_way(&upstream);
         }
         let view = self.shared.view.load();
+        let cold = view.cold_start(upstream.service());
+        self.shared.warmup.set_cold(cold);
         let entry = view.service(upstream.service().as_str());
         let limits = entry.map_or(Limits::default(), ServiceEntry::limits);
         let guards: Vec<NodeId> = entry
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -6,6 +6,7 @@
 
 mod board;
 mod control_loop;
+mod drains;
 mod error;
 mod finder;
 mod findings;
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -14,6 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::board::BoardWriter;
+use super::drains::Draining;
 use super::finder::Finder;
 use super::findings::Telling;
 use super::memory::Memory;
@@ -77,6 +78,10 @@
     pub(super) memory: Option<Memory>,
     /// What client accounts have sent, as far as this node adds it up.
     pub(super) accounting: Accounting,
+    /// The failure domains that are drained.
+    pub(super) draining: Draining,
+    /// Whether the own backend server was shown as cold to other nodes.
+    pub(super) shown_cold: bool,
     /// The roll-outs that are known and watched.
     pub(super) watching: Watching,
     /// Who writes to operators how far they are, where there is a place for it.
@@ -133,6 +138,8 @@
             memory,
             telling: PaceTelling::default(),
             accounting: Accounting::new(settings.quotas.bounds()),
+            draining: Draining::default(),
+            shown_cold: false,
             watching: Watching::default(),
             board,
             left: false,
@@ -191,6 +198,8 @@
         self.tell_pace();
         self.tell_findings(now);
         self.tell_quotas(now);
+        self.tell_drains(now);
+        self.show_warmup(now);
         self.watch_rollouts(now);
         let todo = self.stream.on_tick(now, &self.roster.witnesses);
         self.follow_up(todo);
@@ -230,6 +239,7 @@
             Datagram::Findings(findings) => self.on_findings(now, from, findings),
             Datagram::Rollouts(message) => self.on_rollouts(now, from, message),
             Datagram::Quotas(message) => self.on_quotas(now, from, message),
+            Datagram::Drains(message) => self.on_drains(now, from, message),
             Datagram::FloorReply { version } => self.stream.join.on_answer(from, *version),
             _ => {}
         }
--- /dev/null
+++ b/crates/swiftcart-node/src/control/drains.rs
@@ -0,0 +1,137 @@
+//! Spreads which failure domains are drained, and has the own backend server follow.
+
+use std::time::Duration;
+
+use slog::info;
+use swiftcart_core::{
+    Datagram, DrainMessage, DrainNews, Drains, Instant, Member, NodeId, Readiness,
+};
+
+use super::control_loop::Control;
+use crate::logging::Event;
+
+/// The time between two rounds of news, of which there are [`ROUNDS`].
+const ROUND: Duration = Duration::from_millis(100);
+
+/// The rounds in which a node passes on what is new to it.
+const ROUNDS: u32 = 3;
+
+/// The time between two comparisons with another node, while there is anything to compare.
+const COMPARE: Duration = Duration::from_secs(1);
+
+/// What is known of drained failure domains, and when it is told.
+#[derive(Debug, Default)]
+pub(super) struct Draining {
+    drains: Drains,
+    rounds: u32,
+    next_round: Instant,
+    next_compare: Instant,
+    asked: bool,
+}
+
+impl Control {
+    /// Takes orders that were read from the platform.
+    pub(super) fn take_drains(&mut self, now: Instant, news: &[DrainNews]) {
+        let drains = &mut self.draining.drains;
+        let mut changed = false;
+        for news in news {
+            changed |= match news {
+                DrainNews::Order(order) => drains.take(order),
+                DrainNews::List(list) => drains.take_list(list),
+            };
+        }
+        if changed {
+            self.follow_drains(now);
+        }
+    }
+
+    /// Passes on what is new, and compares the rest with others now and then.
+    pub(super) fn tell_drains(&mut self, now: Instant) {
+        if !self.draining.asked && self.met(now) {
+            self.draining.asked = true;
+            let question = DrainMessage {
+                asks: true,
+                ..self.draining.drains.message()
+            };
+            self.send_drains(true, &question);
+        }
+        if self.draining.drains.is_empty() {
+            return;
+        }
+        if self.draining.rounds > 0 && now >= self.draining.next_round {
+            self.draining.rounds -= 1;
+            self.draining.next_round = now + ROUND;
+            let message = self.draining.drains.message();
+            self.send_drains(true, &message);
+        }
+        if now >= self.draining.next_compare {
+            self.draining.next_compare = now + COMPARE;
+            let digest = self.draining.drains.digest();
+            let message = DrainMessage {
+                digest,
+                ..DrainMessage::default()
+            };
+            for id in self.membership.audience(false).into_iter().take(1) {
+                self.net.send(id, &Datagram::Drains(message.clone()));
+            }
+        }
+    }
+
+    /// Takes what another node tells of drained failure domains, and answers what it asks.
+    pub(super) fn on_drains(&mut self, now: Instant, from: NodeId, message: &DrainMessage) {
+        let drains = &mut self.draining.drains;
+        let mut changed = false;
+        for order in &message.orders {
+            changed |= drains.take(order);
+        }
+        let differs = drains.digest() != message.digest;
+        if (message.asks && !drains.is_empty()) || (message.orders.is_empty() && differs) {
+            let answer = DrainMessage {
+                // Who asked has told everything already.
+                asks: !message.asks,
+                ..drains.message()
+            };
+            self.net.send(from, &Datagram::Drains(answer));
+        }
+        if changed {
+            self.follow_drains(now);
+        }
+    }
+
+    /// Returns the members as requests may go to them: those of a drained failure domain take none.
+    pub(super) fn undrained<'a>(&self, members: impl Iterator<Item = &'a Member>) -> Vec<Member> {
+        let drains = &self.draining.drains;
+        let members = members.cloned().map(|mut member| {
+            if let Some(backend) = &mut member.backend
+                && drains.is_drained(&member.domain)
+            {
+                backend.readiness = Readiness::Draining;
+            }
+            member
+        });
+        members.collect()
+    }
+
+    fn follow_drains(&mut self, now: Instant) {
+        self.draining.rounds = ROUNDS;
+        self.draining.next_round = now;
+        let domain = &self.shared.settings.domain;
+        let drained = self.draining.drains.is_drained(domain);
+        let before = self.shared.drained.send_replace(drained);
+        if before && !drained {
+            self.shared.warmup.doubt(now);
+        }
+        for order in &self.draining.drains.message().orders {
+            info!(self.shared.logger, ""; "event" => Event::Drain, "domain" => %order.domain,
+                "place" => order.place.0, "drained" => order.drained);
+        }
+        self.show_anew(now);
+        self.stale = true;
+    }
+
+    fn send_drains(&mut self, own: bool, message: &DrainMessage) {
+        for id in self.membership.audience(own) {
+            self.net.send(id, &Datagram::Drains(message.clone()));
+        }
+    }
+}
--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -54,6 +54,8 @@
         }
         let orders = self.reader.whole().map(SnapshotSource::orders);
         self.take_orders(now, &orders.unwrap_or_default());
+        let drains = self.reader.whole().map(SnapshotSource::drains);
+        self.take_drains(now, &drains.unwrap_or_default());
         match result {
             Ok(read) => {
                 self.note_platform(None);
--- a/crates/swiftcart-node/src/control/publish.rs
+++ b/crates/swiftcart-node/src/control/publish.rs
@@ -51,10 +51,11 @@
     let version = config.version();
     let membership = &control.membership;
     let routable = membership.members().filter(|m| membership.routable(m.id));
+    let routable = control.undrained(routable);
     let old = shared.view.load();
     let domain = &shared.settings.domain;
     let routes = Arc::clone(config.routes());
-    let view = View::with_routes(routes, routable, shared.id, domain);
+    let view = View::with_routes(routes, routable.iter(), shared.id, domain);
     if old.version() != version {
         info!(shared.logger, ""; "event" => Event::Applied, "version" => version.0,
             "digest" => %control.stream.source.digest());
--- a/crates/swiftcart-node/src/edge.rs
+++ b/crates/swiftcart-node/src/edge.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use swiftcart_core::{
-    Memo, NodeId, OrderId, Release, RequestPrint, RolloutOrder, ServiceName, Snapshot, Version,
+    DrainNews, Memo, NodeId, OrderId, Release, RequestPrint, RolloutOrder, ServiceName, Snapshot,
+    Version,
 };
 use swiftcart_platform::PlatformError;
 
@@ -60,6 +61,11 @@
     fn orders(&self) -> Vec<RolloutOrder> {
         Vec::new()
     }
+
+    /// Takes what reads have brought of drained failure domains since the last call.
+    fn drains(&self) -> Vec<DrainNews> {
+        Vec::new()
+    }
 }
 
 /// What the platform shows its operators of a roll-out.
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -24,6 +24,7 @@
 mod settings;
 mod shared;
 mod suspects;
+mod warmup;
 
 pub use args::{Args, ArgsError};
 pub use clock::Clock;
@@ -39,7 +40,7 @@
 pub use node::{Node, NodeError};
 pub use program::run_program;
 pub use settings::{
-    Announcements, Answers, Gossip, Headers, Limits, LinkSettings, Listen, Log, LogLevel, MeshKey,
-    Name, Platform, Quotas, Retries, Rollouts, Settings, SettingsError, Stop,
+    Announcements, Answers, Cold, Gossip, Headers, Limits, LinkSettings, Listen, Log, LogLevel,
+    MeshKey, Name, Platform, Quotas, Retries, Rollouts, Settings, SettingsError, Stop,
 };
 pub use shared::{Phase, Progress, Shared};
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -79,6 +79,8 @@
     Released,
     /// An order to roll a release out is known, or a roll-out is a stage further.
     Rollout,
+    /// A failure domain is drained, or takes requests again.
+    Drain,
     /// A client account is held back since it sent more than its quota, or no longer is.
     Quota,
     /// A connection could not be accepted.
@@ -125,6 +127,7 @@
             Self::Quarantined => "quarantined",
             Self::Released => "released",
             Self::Rollout => "rollout",
+            Self::Drain => "drain",
             Self::Quota => "quota",
             Self::Refused => "refused",
             Self::Answer => "answer",
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -5,6 +5,7 @@
 
 mod announcements;
 mod check;
+mod cold;
 mod error;
 mod gossip;
 mod headers;
@@ -23,6 +24,7 @@
 use swiftcart_core::{FailureDomain, ServiceName};
 
 pub use announcements::Announcements;
+pub use cold::Cold;
 pub use error::SettingsError;
 pub use gossip::Gossip;
 pub use headers::{Headers, Name};
@@ -81,6 +83,9 @@
     /// How far client accounts may lie beyond their quotas.
     #[serde(default)]
     pub quotas: Quotas,
+    /// How far cold backend servers may be loaded.
+    #[serde(default)]
+    pub cold: Cold,
     /// How the node leaves.
     #[serde(default)]
     pub stop: Stop,
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -23,6 +23,7 @@
 use crate::quotas::Quotas;
 use crate::settings::{Headers, Settings};
 use crate::suspects::Suspects;
+use crate::warmup::Warmup;
 
 /// Tells whether a node takes callers' requests, and if not, why.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
@@ -127,6 +128,10 @@
     pub quotas: Quotas,
     /// What the backend server may be given while its service is rolled out.
     pub clearing: Clearing,
+    /// Whether the backend server is cold, and what it may be handed then.
+    pub warmup: Warmup,
+    /// Whether the failure domain is drained, so that the backend server gets nothing.
+    pub drained: watch::Sender<bool>,
     /// What this node is cut off from, in builds for failure tests.
     pub faults: Faults,
     /// Cancelled when the node is asked to stop.
@@ -160,6 +165,7 @@
         let view = View::new(Version::NONE, &table, [].into_iter(), id, &settings.domain);
         let clock = Clock::new();
         let link = Outlet::new(clock, settings.link.rate());
+        let warmup = Warmup::new(clock.now(), settings.cold.bounds());
         Arc::new(Self {
             headers: Arc::new(settings.headers.clone()),
             settings,
@@ -184,6 +190,8 @@
             suspects: Suspects::default(),
             quotas: Quotas::default(),
             clearing: Clearing::default(),
+            warmup,
+            drained: watch::Sender::new(false),
             faults: Faults::from_env(),
             stopping: CancellationToken::new(),
             started: Instant::now(),
