Prefer the own region, and name the rule that rows of accounts need

Change: candidates are near, far or remote; another region is asked when the own one is absent or slower by a whole target. A publish or checkpoint names rule 2 only where it needs it.

--- a/crates/swiftcart-core/src/asking.rs
+++ b/crates/swiftcart-core/src/asking.rs
@@ -98,7 +98,10 @@
         let asked = match next {
             None => !self.full.is_empty(),
             Some(pick) if !pick.free || self.full.len() >= MOST_ASKED => true,
-            Some(pick) => heavy && pick.rule == PickRule::Spill && !self.full.is_empty(),
+            Some(pick) => {
+                let stays = heavy && pick.rule == PickRule::Spill || pick.rule == PickRule::Remote;
+                stays && !self.full.is_empty()
+            }
         };
         let turns = self.stage == Stage::Ask && asked;
         if turns {
--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -67,6 +67,8 @@
     Near,
     /// One of another failure domain; the own one is absent, ejected or full.
     Spill,
+    /// One of another region; the own one is absent, or much slower.
+    Remote,
     /// Every candidate is ejected; one of them is tried rather than none.
     Ejected,
     /// One whose release is on trial.
@@ -98,6 +100,15 @@
             Self::Heavy => 1.25,
         }
     }
+
+    /// Returns by how many targets another region has to be faster: all that goes there shares
+    /// one link, and a request that is refused there has lost the way back as well.
+    const fn remote_penalty(self) -> f64 {
+        match self {
+            Self::Light => 1.0,
+            Self::Heavy => 4.0,
+        }
+    }
 }
 
 /// Names the chosen backend server.
@@ -208,7 +219,7 @@
             for candidate in candidates() {
                 if let Some(peer) = self.peers.get_mut(&candidate.id) {
                     peer.hear(now, candidate.pace);
-                    peer.domain = Some(candidate.domain).filter(|_| !candidate.near);
+                    peer.domain = Some(candidate.domain).filter(|_| !candidate.is_near());
                 }
             }
             self.groups.push(ids);
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -54,6 +54,24 @@
         if let Some(tried) = self.tried(entry, rng) {
             return Some(self.pick(tried, PickRule::Trial));
         }
+        let regional = self.regional(entry, rng);
+        let remote = self.best(entry.remote(), rng);
+        match (regional, remote) {
+            (Some((known, _)), Some(remote)) if self.worth_the_region(remote, known) => {
+                Some(self.pick(remote, PickRule::Remote))
+            }
+            (Some((known, rule)), _) => Some(self.pick(known, rule)),
+            (None, Some(remote)) => Some(self.pick(remote, PickRule::Remote)),
+            (None, None) => self.any(entry.candidates(), rng),
+        }
+    }
+
+    /// Chooses one candidate of the own region.
+    fn regional<R: Rng + ?Sized>(
+        &self,
+        entry: &'a ServiceEntry,
+        rng: &mut R,
+    ) -> Option<(Known<'a>, PickRule)> {
         let own = entry.own().map(|c| self.know(c));
         let own = own.filter(|own| self.usable(*own) && !self.full(*own));
         let near = self.best(entry.near(), rng);
@@ -66,16 +84,14 @@
         let far = self.best(entry.far(), rng);
         match (here, near, far) {
             (Some((here, _)), _, Some(far)) if self.worth_the_way(far, here) => {
-                Some(self.pick(far, PickRule::Spill))
+                Some((far, PickRule::Spill))
             }
-            (Some((here, rule)), _, _) => Some(self.pick(here, rule)),
-            (None, Some(near), _) if self.haul == Haul::Heavy => {
-                Some(self.pick(near, PickRule::Near))
-            }
-            (None, _, Some(far)) if !self.full(far) => Some(self.pick(far, PickRule::Spill)),
-            (None, Some(near), _) => Some(self.pick(near, PickRule::Near)),
-            (None, None, Some(far)) => Some(self.pick(far, PickRule::Spill)),
-            (None, None, None) => self.any(entry.candidates(), rng),
+            (Some(here), _, _) => Some(here),
+            (None, Some(near), _) if self.haul == Haul::Heavy => Some((near, PickRule::Near)),
+            (None, _, Some(far)) if !self.full(far) => Some((far, PickRule::Spill)),
+            (None, Some(near), _) => Some((near, PickRule::Near)),
+            (None, None, Some(far)) => Some((far, PickRule::Spill)),
+            (None, None, None) => None,
         }
     }
 
@@ -86,14 +102,17 @@
         if all.is_empty() {
             return None;
         }
-        let near = all.iter().filter(|c| c.near).count();
+        let near = all.iter().filter(|c| c.is_near()).count();
         // A long body stays in its failure domain.
         let all = match (near, self.haul) {
             (0, Haul::Heavy) => return None,
             (0, Haul::Light) => all,
             (near, _) => &all[..near],
         };
-        let others = entry.candidates().iter().filter(|c| near == 0 || c.near);
+        let others = entry
+            .candidates()
+            .iter()
+            .filter(|c| near == 0 || c.is_near());
         let share = TRIED_LOAD * all.len() as f64 / others.count().max(1) as f64;
         if rng.random::<f64>() >= share.min(TRIED_MOST) {
             return None;
@@ -111,6 +130,17 @@
         }
     }
 
+    /// Tells whether `remote`, in another region, is faster than `here` by more than the way there
+    /// is worth.
+    fn worth_the_region(&self, remote: Known<'_>, here: Known<'_>) -> bool {
+        match (self.expected(remote), self.expected(here)) {
+            (Some(there), Some(here)) => {
+                !self.full(remote) && there + self.haul.remote_penalty() < here
+            }
+            _ => false,
+        }
+    }
+
     /// Tells whether `a` is worth a hop in place of the own backend server `own`.
     fn much_faster(&self, a: Known<'_>, own: Known<'_>) -> bool {
         match (self.expected(a), self.expected(own)) {
@@ -208,7 +238,7 @@
 
     /// Tells whether no connections open to the candidate's failure domain.
     fn cut(&self, candidate: &Candidate) -> bool {
-        !candidate.near && self.balancer.cuts.is_cut(candidate.domain, self.now)
+        !candidate.is_near() && self.balancer.cuts.is_cut(candidate.domain, self.now)
     }
 
     fn full(&self, known: Known<'_>) -> bool {
--- a/crates/swiftcart-core/src/config/checkpoint.rs
+++ b/crates/swiftcart-core/src/config/checkpoint.rs
@@ -20,6 +20,15 @@
     pub state: Vec<u8>,
 }
 
+impl Checkpoint {
+    /// Returns the rule that its state follows, which is the first thing in it.
+    #[must_use]
+    pub fn rule(&self) -> Option<u16> {
+        let found = postcard::take_from_bytes::<u16>(&self.state);
+        found.ok().map(|(rule, _)| rule)
+    }
+}
+
 quick_error! {
     /// Tells why a checkpoint cannot be adopted.
     #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/swiftcart-core/src/config/envelope.rs
+++ b/crates/swiftcart-core/src/config/envelope.rs
@@ -52,10 +52,17 @@
 }
 
 impl Envelope {
-    /// Wraps `body` under the current rule.
+    /// Wraps `body` under the rule that it needs.
     #[must_use]
-    pub const fn new(body: Body) -> Self {
-        Self { rule: RULE, body }
+    pub fn new(body: Body) -> Self {
+        let rule = match &body {
+            Body::Publish(publish) => publish.edits.iter().map(|edit| edit.key.rule()).max(),
+            Body::Checkpoint(checkpoint) => checkpoint.rule(),
+        };
+        Self {
+            rule: rule.unwrap_or(1),
+            body,
+        }
     }
 
     /// Returns the JSON text to append to the log.
--- a/crates/swiftcart-core/src/config/image.rs
+++ b/crates/swiftcart-core/src/config/image.rs
@@ -58,8 +58,10 @@
             let version = self.changed.get(key).copied().unwrap_or_default();
             (key, row, version)
         });
+        let keys = self.table.0.keys().chain(self.removed.keys());
+        let rules = keys.map(RowKey::rule);
         let image = ImageRef {
-            rule: RULE,
+            rule: rules.max().unwrap_or(1),
             position: self.position,
             version: self.version,
             horizon: self.horizon,
@@ -78,8 +80,8 @@
             return Err(CheckpointError::Damaged(position));
         }
         // The rule comes first, so that a state of a later form can still be told.
-        match postcard::take_from_bytes::<u16>(&checkpoint.state) {
-            Ok((rule, _)) if rule > RULE => return Err(CheckpointError::UnknownRule(rule)),
+        match checkpoint.rule() {
+            Some(rule) if rule > RULE => return Err(CheckpointError::UnknownRule(rule)),
             _ => {}
         }
         let malformed = CheckpointError::Malformed(position);
--- a/crates/swiftcart-core/src/config/record.rs
+++ b/crates/swiftcart-core/src/config/record.rs
@@ -12,7 +12,7 @@
 ///
 /// A reader that meets a greater number keeps its version and reports it; it
 /// never applies such a record in part.
-pub const RULE: u16 = 1;
+pub const RULE: u16 = 2;
 
 /// Names one publish, chosen by the operator's tool; a repeat is harmless.
 #[derive(
@@ -49,6 +49,18 @@
     }
 }
 
+impl RowKey {
+    /// Returns the rule that brought this kind of row; a table and its changes name the greatest
+    /// one that they need, so that the release before reads all that it knows.
+    #[must_use]
+    pub const fn rule(&self) -> u16 {
+        match self {
+            Self::Service(_) | Self::Route(..) => 1,
+            Self::Account(_) | Self::Access(_) | Self::ColdStart(_) => RULE,
+        }
+    }
+}
+
 /// Changes one row.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Edit {
--- a/crates/swiftcart-core/src/view.rs
+++ b/crates/swiftcart-core/src/view.rs
@@ -2,6 +2,7 @@
 
 mod entry;
 mod key;
+mod locality;
 mod routes;
 mod segment;
 
@@ -16,6 +17,7 @@
 };
 pub use entry::*;
 pub use key::*;
+pub use locality::*;
 pub use routes::*;
 
 /// Tells where a request goes and how it is treated.
@@ -71,20 +73,21 @@
         table: &Table,
         members: impl Iterator<Item = &'a Member>,
         me: NodeId,
-        domain: &FailureDomain,
+        domain: &'a FailureDomain,
     ) -> Self {
         let routes = Arc::new(Routes::new(version, table));
         Self::with_routes(routes, members, me, domain)
     }
 
-    /// Creates the view that the node `me` in `domain` has of `members` under `routes`.
+    /// Creates the view that the node `me` at `place` has of `members` under `routes`.
     #[must_use]
     pub fn with_routes<'a>(
         routes: Arc<Routes>,
         members: impl Iterator<Item = &'a Member>,
         me: NodeId,
-        domain: &FailureDomain,
+        place: impl Into<Locality<'a>>,
     ) -> Self {
+        let place = place.into();
         let mut services: Vec<_> = routes
             .services()
             .iter()
@@ -94,7 +97,7 @@
             if let Some(backend) = &member.backend
                 && let Some(i) = routes.place(backend.service.as_str())
             {
-                services[i].add(member, backend, me, domain);
+                services[i].add(member, backend, me, place);
             }
         }
         services.iter_mut().for_each(ServiceEntry::order);
--- a/crates/swiftcart-core/src/view/entry.rs
+++ b/crates/swiftcart-core/src/view/entry.rs
@@ -3,7 +3,10 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
-use crate::{Backend, FailureDomain, Limits, Member, NodeId, Pace, Readiness, Reason, ServiceName};
+use crate::{
+    Backend, Distance, FailureDomain, Limits, Locality, Member, NodeId, Pace, Readiness, Reason,
+    ServiceName,
+};
 
 /// Tells failure domains apart where their names are too long to be copied about.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -40,20 +43,30 @@
     pub slots: u32,
     /// Its failure domain.
     pub domain: DomainTag,
-    /// Whether it is in the failure domain of the view's node.
-    pub near: bool,
+    /// How far it is from the view's node.
+    pub distance: Distance,
     /// How long its calls take, as its node has told all others.
     pub pace: Option<Pace>,
 }
 
+impl Candidate {
+    /// Tells whether it is in the failure domain of the view's node.
+    #[must_use]
+    pub fn is_near(&self) -> bool {
+        self.distance == Distance::Near
+    }
+}
+
 /// Holds what a node knows of one service: its limits and its backend servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceEntry {
     name: ServiceName,
     limits: Limits,
-    /// Those that take work: the own failure domain first, each part in id order.
+    /// Those that take work: the own failure domain first, other regions last, each part in id order.
     ready: Vec<Candidate>,
     near: usize,
+    /// Those of the own region, the own failure domain included.
+    regional: usize,
     /// Those that are tried, the own failure domain first.
     tried: Vec<Candidate>,
     /// Those that are known and take no work yet.
@@ -69,6 +82,7 @@
             limits,
             ready: Vec::new(),
             near: 0,
+            regional: 0,
             tried: Vec::new(),
             waiting: Vec::new(),
             own: None,
@@ -100,10 +114,16 @@
         &self.ready[..self.near]
     }
 
-    /// Returns the backend servers of the other failure domains that take work.
+    /// Returns the backend servers of the region's other failure domains that take work.
     #[must_use]
     pub fn far(&self) -> &[Candidate] {
-        &self.ready[self.near..]
+        &self.ready[self.near..self.regional]
+    }
+
+    /// Returns the backend servers of other regions that take work.
+    #[must_use]
+    pub fn remote(&self) -> &[Candidate] {
+        &self.ready[self.regional..]
     }
 
     /// Returns the backend servers whose release is on trial, those of the own failure domain first.
@@ -139,7 +159,7 @@
         member: &Member,
         backend: &Backend,
         me: NodeId,
-        domain: &FailureDomain,
+        place: Locality<'_>,
     ) {
         self.known += 1;
         match backend.readiness {
@@ -152,7 +172,7 @@
             peer: member.peer,
             slots: backend.slots,
             domain: DomainTag::new(&member.domain),
-            near: member.domain == *domain,
+            distance: place.distance(&member.domain),
             pace: member.pace,
         };
         if backend.readiness == Readiness::OnTrial {
@@ -161,12 +181,13 @@
         if member.id == me {
             self.own = Some(candidate);
         }
-        self.near += usize::from(candidate.near);
+        self.near += usize::from(candidate.is_near());
+        self.regional += usize::from(candidate.distance != Distance::Remote);
         self.ready.push(candidate);
     }
 
     pub(super) fn order(&mut self) {
-        self.ready.sort_unstable_by_key(|c| (!c.near, c.id));
-        self.tried.sort_unstable_by_key(|c| (!c.near, c.id));
+        self.ready.sort_unstable_by_key(|c| (c.distance, c.id));
+        self.tried.sort_unstable_by_key(|c| (c.distance, c.id));
     }
 }
--- /dev/null
+++ b/crates/swiftcart-core/tests/config_rules.rs
@@ -0,0 +1,98 @@
+//! Rows of a later kind beside a release that does not know them.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use rstest::rstest;
+use swiftcart_core::*;
+
+fn publish(key: RowKey, row: Row) -> Body {
+    let row = Some(row);
+    Body::Publish(Publish {
+        edits: vec![Edit { key, row }],
+        ..Publish::default()
+    })
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("booking")
+}
+
+#[rstest]
+#[case::a_service(RowKey::Service(service()), Row::Service(Limits::default()), 1)]
+#[case::a_route(RowKey::Route("/book".into(), service()), Row::Route(1), 1)]
+#[case::an_account(
+    RowKey::Account(AccountName::new("harbour")),
+    Row::Account(Account::new()),
+    2
+)]
+#[case::access(RowKey::Access("/book".into()), Row::Access(Access::Public), 2)]
+#[case::a_cold_start(RowKey::ColdStart(service()), Row::ColdStart(ColdStart::default()), 2)]
+fn a_publish_names_the_rule_that_it_needs(
+    #[case] key: RowKey,
+    #[case] row: Row,
+    #[case] rule: u16,
+) {
+    let envelope = Envelope::new(publish(key, row));
+    assert_eq!(envelope.rule, rule);
+    assert_eq!(Envelope::decode(&envelope.encode()).unwrap(), envelope);
+}
+
+#[rstest]
+#[case::two_accounts_with_one_key(
+    &[("ferry", Account::new().with_key(KeyHash::of(b"k"))), ("harbour", Account::new().with_key(KeyHash::of(b"k")))],
+    Violation::SharedKey(AccountName::new("ferry"), AccountName::new("harbour"))
+)]
+#[case::a_rate_of_0(
+    &[("harbour", Account::new().with_quota(Quota { rate: 0, burst: 5 }))],
+    Violation::Quota(AccountName::new("harbour"))
+)]
+#[case::a_burst_of_0(
+    &[("harbour", Account::new().with_quota(Quota { rate: 5, burst: 0 }))],
+    Violation::Quota(AccountName::new("harbour"))
+)]
+#[case::a_name_with_a_space(
+    &[("the harbour", Account::new())],
+    Violation::AccountName(AccountName::new("the harbour"))
+)]
+fn a_table_is_not_valid_with(#[case] accounts: &[(&str, Account)], #[case] expected: Violation) {
+    let table = accounts
+        .iter()
+        .fold(Table::new(), |table, (name, account)| {
+            table.with_account(*name, account.clone())
+        });
+    assert_eq!(check(&table), [expected]);
+}
+
+#[test]
+fn access_and_cold_starts_belong_to_rows_that_are_there() {
+    let table = Table::new()
+        .with_access("/book", Access::Public)
+        .with_cold_start(
+            "booking",
+            ColdStart {
+                rate: 5,
+                lasts_ms: 3000,
+            },
+        );
+    let expected = [
+        Violation::Access("/book".into()),
+        Violation::ColdStart(service()),
+    ];
+    assert_eq!(check(&table), expected);
+}
+
+#[test]
+fn a_change_of_one_key_is_a_change_of_one_row() {
+    let table = |key: &[u8]| {
+        let account = Account::new().with_key(KeyHash::of(key));
+        let table = Table::new().with_account("harbour", account);
+        table.with_account("ferry", Account::new())
+    };
+    let (old, new) = (
+        Snapshot::new(Version(3), table(b"a")),
+        Snapshot::new(Version(5), table(b"b")),
+    );
+    let delta = Delta::between(&old, &new, new.digest());
+    assert_eq!(delta.edits(), 1);
+    assert_eq!(delta.apply(&old).unwrap(), new);
+    assert_eq!(Compact::new(&new).unwrap().expand().unwrap(), new);
+}
--- a/crates/swiftcart-node/src/control/publish.rs
+++ b/crates/swiftcart-node/src/control/publish.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use slog::info;
-use swiftcart_core::{Instant, Member, NotReady, Version, View};
+use swiftcart_core::{Instant, Locality, Member, NotReady, Version, View};
 
 use super::control_loop::Control;
 use super::stream::Stream;
@@ -53,9 +53,10 @@
     let routable = membership.members().filter(|m| membership.routable(m.id));
     let routable = control.undrained(routable);
     let old = shared.view.load();
-    let domain = &shared.settings.domain;
+    let settings = &shared.settings;
+    let place = Locality::new(&settings.domain).with_regions(&settings.regions);
     let routes = Arc::clone(config.routes());
-    let view = View::with_routes(routes, routable.iter(), shared.id, domain);
+    let view = View::with_routes(routes, routable.iter(), shared.id, place);
     if old.version() != version {
         info!(shared.logger, ""; "event" => Event::Applied, "version" => version.0,
             "digest" => %control.stream.source.digest());
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use swiftcart_core::{FailureDomain, ServiceName};
+use swiftcart_core::{FailureDomain, Regions, ServiceName};
 
 pub use announcements::Announcements;
 pub use cold::Cold;
@@ -41,6 +41,9 @@
 pub struct Settings {
     /// The failure domain of the instance.
     pub domain: FailureDomain,
+    /// The region of each failure domain; default none: all are in one.
+    #[serde(default)]
+    pub regions: Regions,
     /// The addresses to listen on.
     pub listen: Listen,
     /// Datagram addresses of nodes to join through; default none.
