Look a large mesh up by one page of the store's list

Ruled out: entering without looking; a node that joins later has to find somebody. Change: a node takes the first page, which is enough to meet the mesh, and only one that does not know whether it is entered reads the page that it would be on.

--- a/crates/swiftcart-node/src/control/finder.rs
+++ b/crates/swiftcart-node/src/control/finder.rs
@@ -52,11 +52,12 @@
 /// starts for the first time nobody is, and each node enters before it looks.
 async fn look(shared: &Shared, directory: &dyn Directory, inputs: &mpsc::Sender<Input>) {
     let id = shared.id;
-    if shared.settings.first_start {
+    let first = shared.settings.first_start;
+    if first {
         persist(&shared.logger, || directory.enter(id)).await;
     }
-    let found = list(shared, directory).await;
-    let listed = found.nodes.contains(&id);
+    let found = find(shared, directory, first).await;
+    let listed = first || found.nodes.contains(&id);
     // The control loop is gone when the node has stopped.
     drop(inputs.send(Input::Found(found)).await);
     if listed {
@@ -65,13 +66,13 @@
     persist(&shared.logger, || directory.enter(id)).await;
     sleep(AGAIN).await;
     if shared.members.load().len() <= 1 {
-        let found = list(shared, directory).await;
+        let found = find(shared, directory, true).await;
         drop(inputs.send(Input::Found(found)).await);
     }
 }
 
-async fn list(shared: &Shared, directory: &dyn Directory) -> Listed {
-    let found = persist(&shared.logger, || directory.list()).await;
+async fn find(shared: &Shared, directory: &dyn Directory, entered: bool) -> Listed {
+    let found = persist(&shared.logger, || directory.find(shared.id, entered)).await;
     info!(shared.logger, ""; "event" => Event::Found, "nodes" => found.nodes.len(),
         "held" => found.memos.len());
     if directory.odd() > 0 {
--- a/crates/swiftcart-node/src/edge.rs
+++ b/crates/swiftcart-node/src/edge.rs
@@ -137,7 +137,7 @@
 /// What a directory holds.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Listed {
-    /// Everyone who is entered.
+    /// Those who are entered.
     pub nodes: Vec<NodeId>,
     /// The requests that were held when they were remembered, some of them long ago perhaps.
     pub memos: Vec<Memo>,
@@ -152,14 +152,16 @@
     /// Any [`PlatformError`]; whether `id` was entered is then not known.
     fn enter(&self, id: NodeId) -> Asked<'_, ()>;
 
-    /// Returns everyone who is entered, and what is remembered.
+    /// Returns who is entered, `id` among them if it is, and what is remembered.
     ///
-    /// Of two nodes that enter first and list then, the one that entered later finds both.
+    /// Of a large mesh it may return a part, which is enough to meet it; `entered` says that `id` is
+    /// known to be entered. Of few nodes that enter first and look then, the one that entered
+    /// later finds all.
     ///
     /// # Errors
     ///
     /// Any [`PlatformError`].
-    fn list(&self) -> Asked<'_, Listed>;
+    fn find(&self, id: NodeId, entered: bool) -> Asked<'_, Listed>;
 
     /// Remembers `memo` in place of what was remembered of the same request.
     ///
