--- /dev/null
+++ b/crates/swiftcart-core/tests/regions.rs
@@ -0,0 +1,94 @@
+//! Calls stay in their region as long as that serves them.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use support::{member, node};
+use swiftcart_core::*;
+
+const START: Instant = Instant::from_millis(0);
+
+/// The nodes of each failure domain; `norte` and `sur` are in one region, `este` in another.
+const NODES: [(u16, &str); 6] = [
+    (1, "norte"),
+    (3, "norte"),
+    (2, "sur"),
+    (4, "sur"),
+    (5, "este"),
+    (6, "este"),
+];
+
+fn regions() -> Regions {
+    let region = |domain: &str| match domain {
+        "este" => Region::new("east"),
+        _ => Region::new("west"),
+    };
+    let domains = NODES.iter().map(|(_, domain)| *domain);
+    domains
+        .map(|domain| (FailureDomain::new(domain), region(domain)))
+        .collect()
+}
+
+/// Picks as node 1 among `there`, where calls take so many thousandths of their target.
+fn pick(there: &[u16], paces: &[(u16, u32)], haul: Haul) -> Option<PickRule> {
+    let members = NODES.iter().filter(|(n, _)| there.contains(n));
+    let members: Vec<_> = members.map(|(n, domain)| member(*n, "a", domain)).collect();
+    let table = Table::new().with_service("a", Limits::default());
+    let (regions, norte) = (regions(), FailureDomain::new("norte"));
+    let place = Locality::new(&norte).with_regions(&regions);
+    let routes = Arc::new(Routes::new(Version(1), &table));
+    let view = View::with_routes(routes, members.iter(), node(1), place);
+    let mut balancer = Balancer::new(node(1), BalanceSettings::default());
+    balancer.adopt(START, &view);
+    for (n, pace) in paces {
+        let mut sample = Sample::new(Duration::from_millis(10), CallResult::Success);
+        sample.pace = Some(Pace(*pace));
+        sample.load = Some(Load {
+            running: 0,
+            queued: 0,
+            limit: 10,
+        });
+        balancer.started(node(*n));
+        balancer.finished(node(*n), START, &sample);
+    }
+    let entry = view.service("a").expect("the table has it");
+    let mut rng = SmallRng::seed_from_u64(1);
+    let pick = balancer.pick_for(haul, START, entry, &[], &mut rng);
+    pick.map(|pick| pick.rule)
+}
+
+#[rstest]
+#[case::its_own_first(&[1, 2, 5], &[], Haul::Light, PickRule::Own)]
+#[case::the_region_before_another(&[2, 5, 6], &[], Haul::Light, PickRule::Spill)]
+#[case::another_when_the_region_has_none(&[5, 6], &[], Haul::Light, PickRule::Remote)]
+#[case::another_with_a_long_body_too(&[5, 6], &[], Haul::Heavy, PickRule::Remote)]
+#[case::the_region_although_it_is_slower(&[2, 4, 5], &[(2, 900), (4, 900), (5, 200)], Haul::Light, PickRule::Spill)]
+#[case::another_when_it_saves_more_than_a_target(&[2, 4, 5], &[(2, 1900), (4, 1900), (5, 200)], Haul::Light, PickRule::Remote)]
+#[case::the_region_with_a_long_body(&[2, 4, 5], &[(2, 1900), (4, 1900), (5, 200)], Haul::Heavy, PickRule::Spill)]
+fn a_call_goes_to(
+    #[case] there: &[u16],
+    #[case] paces: &[(u16, u32)],
+    #[case] haul: Haul,
+    #[case] expected: PickRule,
+) {
+    assert_eq!(pick(there, paces, haul), Some(expected));
+}
+
+#[test]
+fn a_request_that_was_refused_in_its_region_waits_there() {
+    let mut asking = Asking::new(4, Haul::Light);
+    let pick = |n, rule| Pick {
+        id: node(n),
+        peer: node(n).0,
+        rule,
+        free: true,
+    };
+    assert!(!asking.turns(Some(&pick(2, PickRule::Spill))));
+    asking.failed(node(2), Reason::Overloaded);
+    assert!(asking.turns(Some(&pick(5, PickRule::Remote))));
+    assert_eq!(asking.patience(), Patience::Full);
+}
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -5,11 +5,13 @@
 use http::header::AUTHORIZATION;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue};
-use swiftcart_core::{Access, Accounts, Identity, KeyHash, Outcome, Reason, Refusal};
+use slog::info;
+use swiftcart_core::{Access, Accounts, Identity, KeyHash, Outcome, QuotaMeter, Reason, Refusal};
 
 use super::{Failed, Ingress};
 use crate::calls::origin::Origin;
 use crate::calls::request::Call;
+use crate::logging::Event;
 use crate::shared::Shared;
 
 /// The longest value of the header that carries a key, in bytes.
@@ -97,7 +99,8 @@
             call.rank(priority);
         }
         let now = self.shared.clock.now();
-        self.shared.quotas.ask(now, &account)?;
+        let asked = self.shared.quotas.ask(now, &account);
+        asked.inspect_err(|refusal| self.log_quota(call, &account, *refusal))?;
         Ok(Some(Admitted {
             shared: &self.shared,
             account,
@@ -106,6 +109,24 @@
     }
 }
 
+impl Ingress {
+    /// Logs a request beyond a quota, with what decided.
+    fn log_quota(&self, call: &Call, account: &Identity, refusal: Refusal) {
+        let now = self.shared.clock.now();
+        let Some(log) = self.shared.call_log.failed(now) else {
+            return;
+        };
+        let quota = account.quota.unwrap_or_default();
+        let limited = |meter: &mut QuotaMeter| meter.limited(now, account.tag);
+        let admitted = self.shared.quotas.with(limited);
+        let after = refusal.retry_after.unwrap_or_default();
+        info!(log, ""; "event" => Event::Quota, "id" => %call.id, "account" => %account.name,
+            "rate" => quota.rate, "burst" => quota.burst,
+            "admitted" => admitted.map_or(-1.0, |part| (part * 1000.0).round() / 1000.0),
+            "retry_after_ms" => u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+    }
+}
+
 /// Returns the key that a request carries; a request with two headers carries none.
 fn credentials<'a>(headers: &'a HeaderMap, scheme: &str) -> Option<&'a [u8]> {
     let mut values = headers.get_all(AUTHORIZATION).iter();
