Hand nothing to a cold backend server before a version says what it bears

Their guards had no version yet, and so no cold rate, while other nodes that had one sent requests already. Ruled out: announcements that come late; the backend servers had said that they are cold. Change: what a cold one bears is unknown, unlimited or limited; while it is unknown nothing is handed to one that says that it is cold. Requests that can no longer be in time are refused first while their account is limited, where their age is known.

--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -33,6 +33,16 @@
 /// How long the counts of an account are kept that sends nothing.
 const KEPT: Duration = Duration::from_secs(60);
 
+/// Tells whether a request can still be answered within its target.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Timing {
+    /// It can.
+    #[default]
+    InTime,
+    /// Its caller has been trying for too long.
+    Late,
+}
+
 /// Counts and admits the requests that one node takes from callers.
 ///
 /// Requests are admitted before they are counted elsewhere, so that none waits for a message; an
@@ -44,15 +54,15 @@
 ///
 /// ```
 /// use rand::{SeedableRng, rngs::SmallRng};
-/// use swiftcart_core::{AccountTag, Admittance, Instant, Quota, QuotaMeter};
+/// use swiftcart_core::{AccountTag, Admittance, Instant, Quota, QuotaMeter, Timing};
 ///
 /// let (now, account) = (Instant::from_millis(0), AccountTag(7));
 /// let quota = Quota { rate: 10, burst: 10 };
 /// let mut rng = SmallRng::seed_from_u64(1);
 /// let mut meter = QuotaMeter::new(1);
-/// assert!(meter.ask(now, account, quota, &mut rng).is_ok());
+/// assert!(meter.ask(now, account, quota, Timing::InTime, &mut rng).is_ok());
 /// meter.hear(now, Admittance { account, permille: 0 });
-/// assert!(meter.ask(now, account, quota, &mut rng).is_err());
+/// assert!(meter.ask(now, account, quota, Timing::InTime, &mut rng).is_err());
 /// ```
 #[derive(Debug, Clone)]
 pub struct QuotaMeter {
@@ -109,6 +119,9 @@
 
     /// Counts a request, and tells whether it is admitted.
     ///
+    /// While the account is limited, one that can no longer be answered in time is not: what the
+    /// quota lets through then serves those whose answers are worth most.
+    ///
     /// # Errors
     ///
     /// [`Reason::OverQuota`] with the time after which the account may send again.
@@ -117,6 +130,7 @@
         now: Instant,
         account: AccountTag,
         quota: Quota,
+        timing: Timing,
         rng: &mut R,
     ) -> Result<(), Refusal> {
         let (nodes, epoch) = (self.nodes, self.epoch);
@@ -125,9 +139,10 @@
         if counts.quota != quota {
             counts.set_quota(now, quota, nodes);
         }
-        counts.arrived += 1;
+        let in_vain = timing == Timing::Late && counts.is_limited(now);
+        counts.arrived += u64::from(!in_vain);
         self.untold.insert(account);
-        match counts.admits(now, rng) {
+        match !in_vain && counts.admits(now, rng) {
             true => {
                 counts.admitted += 1;
                 Ok(())
--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -298,6 +298,12 @@
         }
     }
 
+    /// Returns the time that calls take, as a share of their targets; zero while no pace was told.
+    #[must_use]
+    pub fn typical(&self) -> f64 {
+        self.typical.unwrap_or(0.0)
+    }
+
     /// Returns the number of backend servers that the balancer remembers.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/swiftcart-core/tests/quota.rs
+++ b/crates/swiftcart-core/tests/quota.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rstest::rstest;
-use swiftcart_core::{AccountTag, Admittance, Instant, Quota, QuotaMeter, Reason};
+use swiftcart_core::{AccountTag, Admittance, Instant, Quota, QuotaMeter, Reason, Timing};
 
 const SECOND: Duration = Duration::from_secs(1);
 const TIME: Duration = Duration::from_secs(25);
@@ -81,7 +81,11 @@
     let mut admitted = 0;
     for ms in (0..10_000).step_by(10) {
         let now = Instant::from_millis(ms);
-        admitted += u32::from(meter.ask(now, AccountTag(7), quota, &mut rng).is_ok());
+        admitted += u32::from(
+            meter
+                .ask(now, AccountTag(7), quota, Timing::InTime, &mut rng)
+                .is_ok(),
+        );
         meter.due(now);
     }
     // Some 100 in the second before it knows, then 4 a second and half of their burst.
@@ -107,8 +111,32 @@
             permille: 0,
         },
     );
-    let mut ask = || meter.ask(now, account, quota, &mut rng).unwrap_err();
+    let mut ask = || {
+        meter
+            .ask(now, account, quota, Timing::InTime, &mut rng)
+            .unwrap_err()
+    };
     let (first, second) = (ask(), ask());
     assert_eq!(first.reason, Reason::OverQuota);
     assert!(first.retry_after < second.retry_after);
 }
+
+#[rstest]
+#[case::an_account_that_is_not_limited(Admittance::ALL, true)]
+#[case::a_limited_account(990, false)]
+fn a_request_that_is_too_late_is_admitted_for(#[case] permille: u16, #[case] expected: bool) {
+    let (account, quota) = (
+        AccountTag(7),
+        Quota {
+            rate: 10,
+            burst: 10,
+        },
+    );
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut meter = QuotaMeter::new(1);
+    let now = Instant::from_millis(0);
+    meter.hear(now, Admittance { account, permille });
+    let mut ask = |timing| meter.ask(now, account, quota, timing, &mut rng).is_ok();
+    assert_eq!(ask(Timing::Late), expected);
+    assert!(ask(Timing::InTime));
+}
--- a/crates/swiftcart-core/tests/support/quota.rs
+++ b/crates/swiftcart-core/tests/support/quota.rs
@@ -6,7 +6,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use swiftcart_core::{
-    AccountTag, Admittance, Instant, NodeId, Quota, QuotaBounds, QuotaLedger, QuotaMeter, Usage,
+    AccountTag, Admittance, Instant, NodeId, Quota, QuotaBounds, QuotaLedger, QuotaMeter, Timing,
+    Usage,
 };
 
 pub const ACCOUNT: AccountTag = AccountTag(7);
@@ -154,7 +155,13 @@
                 false => self.rng.random_range(0..self.load.nodes),
             };
             let quota = self.quota(at);
-            let asked = self.meters[node].ask(Instant::new(at), ACCOUNT, quota, &mut self.rng);
+            let asked = self.meters[node].ask(
+                Instant::new(at),
+                ACCOUNT,
+                quota,
+                Timing::InTime,
+                &mut self.rng,
+            );
             self.outcome.asked += 1;
             if asked.is_ok() {
                 self.outcome.admitted.push(at);
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -9,6 +9,7 @@
 use slog::{error, info};
 use swiftcart_core::{
     Backend, CallResult, Limits, Load, NodeId, Pace, Readiness, Reason, Refusal, ServiceEntry,
+    Version,
 };
 
 use super::admissions::Slot;
@@ -23,6 +24,7 @@
 use crate::counters::Stage;
 use crate::logging::Event;
 use crate::shared::{Phase, Shared};
+use crate::warmup::ColdRule;
 
 /// What a guard tells of its backend server with each answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -344,7 +346,11 @@
         }
         let view = self.shared.view.load();
         let cold = view.cold_start(upstream.service());
-        self.shared.warmup.set_cold(cold);
+        self.shared.warmup.set_rule(match cold {
+            _ if view.version() == Version::NONE => ColdRule::Unknown,
+            Some(cold) => ColdRule::Limited(cold),
+            None => ColdRule::Unlimited,
+        });
         let entry = view.service(upstream.service().as_str());
         let limits = entry.map_or(Limits::default(), ServiceEntry::limits);
         let guards: Vec<NodeId> = entry
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -8,6 +8,7 @@
 use slog::info;
 use swiftcart_core::{Access, Accounts, Identity, KeyHash, Outcome, QuotaMeter, Reason, Refusal};
 
+use super::log::ms;
 use super::{Failed, Ingress};
 use crate::calls::origin::Origin;
 use crate::calls::request::Call;
@@ -99,7 +100,8 @@
             call.rank(priority);
         }
         let now = self.shared.clock.now();
-        let asked = self.shared.quotas.ask(now, &account);
+        let timing = call.timing(self.balancer().typical());
+        let asked = self.shared.quotas.ask(now, &account, timing);
         asked.inspect_err(|refusal| self.log_quota(call, &account, *refusal))?;
         Ok(Some(Admitted {
             shared: &self.shared,
@@ -123,7 +125,8 @@
         info!(log, ""; "event" => Event::Quota, "id" => %call.id, "account" => %account.name,
             "rate" => quota.rate, "burst" => quota.burst,
             "admitted" => admitted.map_or(-1.0, |part| (part * 1000.0).round() / 1000.0),
-            "retry_after_ms" => u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+            "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
+            "retry_after_ms" => ms(after));
     }
 }
 
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -132,6 +132,6 @@
     }
 }
 
-fn ms(time: Duration) -> u64 {
+pub(super) fn ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -9,7 +9,7 @@
 use swiftcart_core::{
     AnswerLength, Attempt, Bid, BodyPrint, CallerPrint, Deadline, Fingerprint, Haul, HeadFields,
     HeadPrint, Instant, Patience, Priority, Reason, RequestClass, RequestPrint, RouteProfile,
-    RouteTag, Routed,
+    RouteTag, Routed, Timing,
 };
 
 use super::headers::{
@@ -217,6 +217,20 @@
         self.terms.map_or(Duration::ZERO, |terms| terms.age())
     }
 
+    /// Tells whether the request can still be answered within its target, of which a call
+    /// typically takes a share.
+    #[must_use]
+    pub fn timing(&self, typical: f64) -> Timing {
+        let is_late = |terms: CallTerms| {
+            let left = terms.target().saturating_sub(terms.age());
+            left <= terms.target().mul_f64(typical.clamp(0.0, 1.0))
+        };
+        match self.terms.is_some_and(is_late) {
+            true => Timing::Late,
+            false => Timing::InTime,
+        }
+    }
+
     /// Returns the request's route, where a policy treats it.
     #[must_use]
     pub fn route(&self) -> RouteTag {
--- a/crates/swiftcart-node/src/quotas.rs
+++ b/crates/swiftcart-node/src/quotas.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use rand::Rng;
-use swiftcart_core::{Identity, Instant, QuotaMeter, Refusal};
+use swiftcart_core::{Identity, Instant, QuotaMeter, Refusal, Timing};
 
 use crate::calls::with_rng;
 
@@ -28,10 +28,10 @@
     /// # Errors
     ///
     /// The refusal of [`QuotaMeter::ask`].
-    pub fn ask(&self, now: Instant, account: &Identity) -> Result<(), Refusal> {
+    pub fn ask(&self, now: Instant, account: &Identity, timing: Timing) -> Result<(), Refusal> {
         match account.quota {
             Some(quota) => {
-                with_rng(|rng| self.with(|meter| meter.ask(now, account.tag, quota, rng)))
+                with_rng(|rng| self.with(|meter| meter.ask(now, account.tag, quota, timing, rng)))
             }
             None => Ok(()),
         }
--- a/crates/swiftcart-node/src/warmup.rs
+++ b/crates/swiftcart-node/src/warmup.rs
@@ -5,6 +5,10 @@
 
 use swiftcart_core::{ColdBounds, ColdStart, HandOvers, Instant, Reason, Refusal};
 
+/// When to come back to a node that does not know what its cold backend server bears: a version
+/// is there some hundred milliseconds after a start.
+const UNKNOWN: Duration = Duration::from_millis(200);
+
 /// Holds back what a cold backend server would not bear.
 #[derive(Debug)]
 pub struct Warmup {
@@ -12,10 +16,21 @@
     state: Mutex<State>,
 }
 
+/// What is known of what a cold backend server bears.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum ColdRule {
+    /// Nothing: no version is known yet.
+    #[default]
+    Unknown,
+    /// As much as any other.
+    Unlimited,
+    /// So much.
+    Limited(ColdStart),
+}
+
 #[derive(Debug)]
 struct State {
-    /// What a cold one bears; `None` sets no limit.
-    cold: Option<ColdStart>,
+    rule: ColdRule,
     handed: HandOvers,
     /// Until when the backend server says that it is cold.
     until: Instant,
@@ -30,7 +45,7 @@
         Self {
             bounds,
             state: Mutex::new(State {
-                cold: None,
+                rule: ColdRule::Unknown,
                 handed: HandOvers::new(now),
                 until: now,
                 unsure: now,
@@ -39,8 +54,8 @@
     }
 
     /// Takes over what a cold backend server of the service bears.
-    pub fn set_cold(&self, cold: Option<ColdStart>) {
-        self.lock().cold = cold;
+    pub fn set_rule(&self, rule: ColdRule) {
+        self.lock().rule = rule;
     }
 
     /// Takes over until when the backend server says that it is cold.
@@ -54,14 +69,18 @@
     /// nothing to do.
     pub fn doubt(&self, now: Instant) {
         let mut state = self.lock();
-        let lasts = state.cold.map_or(0, |cold| cold.lasts_ms);
+        let lasts = match state.rule {
+            ColdRule::Limited(cold) => cold.lasts_ms,
+            ColdRule::Unknown | ColdRule::Unlimited => 0,
+        };
         state.unsure = now + Duration::from_millis(lasts.into());
     }
 
     /// Tells whether the backend server is cold.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.lock().cold(now).is_some()
+        let state = self.lock();
+        state.is_cold(now) && matches!(state.rule, ColdRule::Limited(_))
     }
 
     /// Tells whether a request may be handed over now.
@@ -81,7 +100,7 @@
     pub fn take(&self, now: Instant) -> Result<(), Refusal> {
         let mut state = self.lock();
         state.may_enter(now, self.bounds)?;
-        if state.cold.is_some() {
+        if state.rule != ColdRule::Unlimited {
             state.handed.note(now);
         }
         Ok(())
@@ -93,16 +112,18 @@
 }
 
 impl State {
-    /// Returns what the backend server bears, while it is cold.
-    fn cold(&self, now: Instant) -> Option<ColdStart> {
-        self.cold.filter(|_| now < self.until.max(self.unsure))
+    fn is_cold(&self, now: Instant) -> bool {
+        now < self.until.max(self.unsure)
     }
 
     fn may_enter(&mut self, now: Instant, bounds: ColdBounds) -> Result<(), Refusal> {
-        let Some(cold) = self.cold(now) else {
-            return Ok(());
+        let wait = match self.rule {
+            _ if !self.is_cold(now) => None,
+            ColdRule::Unlimited => None,
+            ColdRule::Unknown => Some(UNKNOWN),
+            ColdRule::Limited(cold) => self.handed.wait(now, bounds.most(cold)),
         };
-        match self.handed.wait(now, bounds.most(cold)) {
+        match wait {
             Some(wait) => Err(Refusal::new(Reason::Warming).with_retry(wait)),
             None => Ok(()),
         }
