--- a/crates/swiftcart-core/src/warmup.rs
+++ b/crates/swiftcart-core/src/warmup.rs
@@ -5,7 +5,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Instant;
+use crate::{Instant, Reason, Refusal};
+
+/// When to come back to a guard that does not know what its cold backend server bears: a version is
+/// there some hundred milliseconds after a start.
+const UNKNOWN: Duration = Duration::from_millis(200);
 
 /// The time over which hand-overs are counted, with room for those that overtake others on the way.
 const WINDOW: Duration = Duration::from_millis(1_050);
@@ -107,3 +111,118 @@
         }
     }
 }
+
+/// What is known of what a cold backend server bears.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ColdRule {
+    /// Nothing: no version is known yet.
+    #[default]
+    Unknown,
+    /// As much as any other.
+    Unlimited,
+    /// So much.
+    Limited(ColdStart),
+}
+
+/// Decides at a guard what its backend server is handed while it is cold.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use swiftcart_core::{ColdBounds, ColdRule, ColdStart, Instant, Warmup};
+///
+/// let second = |n| Instant::new(Duration::from_secs(n));
+/// let bounds = ColdBounds { overage: 1.5, slack: 8.0 };
+/// let mut warmup = Warmup::new(second(0), bounds);
+/// warmup.announced(second(5));
+/// assert!(warmup.take(second(2)).is_err(), "what it bears is not known");
+/// warmup.set_rule(ColdRule::Limited(ColdStart { rate: 14, lasts_ms: 3_000 }));
+/// let handed = (0..40).filter(|_| warmup.take(second(2)).is_ok()).count();
+/// assert_eq!(handed, 21);
+/// assert!(warmup.take(second(6)).is_ok(), "it is warm");
+/// ```
+#[derive(Debug, Clone)]
+pub struct Warmup {
+    bounds: ColdBounds,
+    rule: ColdRule,
+    handed: HandOvers,
+    /// Until when the backend server says that it is cold.
+    until: Instant,
+    /// Until when it may be cold without having said so.
+    unsure: Instant,
+}
+
+impl Warmup {
+    /// Creates the state of a guard whose process starts now.
+    #[must_use]
+    pub const fn new(now: Instant, bounds: ColdBounds) -> Self {
+        Self {
+            bounds,
+            rule: ColdRule::Unknown,
+            handed: HandOvers::new(now),
+            until: now,
+            unsure: now,
+        }
+    }
+
+    /// Takes over what a cold backend server of the service bears.
+    pub fn set_rule(&mut self, rule: ColdRule) {
+        self.rule = rule;
+    }
+
+    /// Takes over until when the backend server says that it is cold.
+    pub fn announced(&mut self, until: Instant) {
+        self.until = until;
+        self.unsure = Instant::default();
+    }
+
+    /// Takes the backend server for cold until it says something, for the time of a start at most: it
+    /// had nothing to do.
+    pub fn doubt(&mut self, now: Instant) {
+        if let ColdRule::Limited(cold) = self.rule {
+            self.unsure = now + Duration::from_millis(cold.lasts_ms.into());
+        }
+    }
+
+    /// Tells whether the backend server bears less than usual.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.is_cooled(now) && matches!(self.rule, ColdRule::Limited(_))
+    }
+
+    /// Tells whether a request may be handed over now.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Warming`] with the time after which one may.
+    pub fn may_enter(&mut self, now: Instant) -> Result<(), Refusal> {
+        let wait = match self.rule {
+            _ if !self.is_cooled(now) => None,
+            ColdRule::Unlimited => None,
+            ColdRule::Unknown => Some(UNKNOWN),
+            ColdRule::Limited(cold) => self.handed.wait(now, self.bounds.most(cold)),
+        };
+        match wait {
+            Some(wait) => Err(Refusal::new(Reason::Warming).with_retry(wait)),
+            None => Ok(()),
+        }
+    }
+
+    /// Counts a request that is handed over now.
+    ///
+    /// # Errors
+    ///
+    /// The same as [`may_enter`](Self::may_enter).
+    pub fn take(&mut self, now: Instant) -> Result<(), Refusal> {
+        self.may_enter(now)?;
+        if self.rule != ColdRule::Unlimited {
+            self.handed.note(now);
+        }
+        Ok(())
+    }
+
+    fn is_cooled(&self, now: Instant) -> bool {
+        now < self.until.max(self.unsure)
+    }
+}
--- a/crates/swiftcart-node/src/admin/announce.rs
+++ b/crates/swiftcart-node/src/admin/announce.rs
@@ -99,7 +99,7 @@
     }
     if heard.counts() {
         let warmup = Duration::from_millis(found.warmup_ms.into());
-        shared.warmup.announced(now + warmup);
+        shared.warmup.with(|state| state.announced(now + warmup));
         let until = Instant::now() + Duration::from_millis(plain.ttl_ms);
         shared.expiry.send_replace(Some(until));
         show(shared, Some(&plain.into()), heard.is_first());
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -8,8 +8,8 @@
 use hyper::body::Body;
 use slog::{error, info};
 use swiftcart_core::{
-    Backend, CallResult, Limits, Load, NodeId, Pace, Readiness, Reason, Refusal, ServiceEntry,
-    Version,
+    Backend, CallResult, ColdRule, Limits, Load, NodeId, Pace, Readiness, Reason, Refusal,
+    ServiceEntry, Version,
 };
 
 use super::admissions::Slot;
@@ -24,7 +24,6 @@
 use crate::counters::Stage;
 use crate::logging::Event;
 use crate::shared::{Phase, Shared};
-use crate::warmup::ColdRule;
 
 /// What a guard tells of its backend server with each answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -346,11 +345,12 @@
         }
         let view = self.shared.view.load();
         let cold = view.cold_start(upstream.service());
-        self.shared.warmup.set_rule(match cold {
+        let rule = match cold {
             _ if view.version() == Version::NONE => ColdRule::Unknown,
             Some(cold) => ColdRule::Limited(cold),
             None => ColdRule::Unlimited,
-        });
+        };
+        self.shared.warmup.with(|warmup| warmup.set_rule(rule));
         let entry = view.service(upstream.service().as_str());
         let limits = entry.map_or(Limits::default(), ServiceEntry::limits);
         let guards: Vec<NodeId> = entry
--- a/crates/swiftcart-node/src/control/drains.rs
+++ b/crates/swiftcart-node/src/control/drains.rs
@@ -119,7 +119,7 @@
         let drained = self.draining.drains.is_drained(domain);
         let before = self.shared.drained.send_replace(drained);
         if before && !drained {
-            self.shared.warmup.doubt(now);
+            self.shared.warmup.with(|warmup| warmup.doubt(now));
         }
         for order in &self.draining.drains.message().orders {
             info!(self.shared.logger, ""; "event" => Event::Drain, "domain" => %order.domain,
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -23,7 +23,7 @@
 use crate::quotas::Quotas;
 use crate::settings::{Headers, Settings};
 use crate::suspects::Suspects;
-use crate::warmup::Warmup;
+use crate::warmup::Warming;
 
 /// Tells whether a node takes callers' requests, and if not, why.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
@@ -129,7 +129,7 @@
     /// What the backend server may be given while its service is rolled out.
     pub clearing: Clearing,
     /// Whether the backend server is cold, and what it may be handed then.
-    pub warmup: Warmup,
+    pub warmup: Warming,
     /// Whether the failure domain is drained, so that the backend server gets nothing.
     pub drained: watch::Sender<bool>,
     /// What this node is cut off from, in builds for failure tests.
@@ -165,7 +165,7 @@
         let view = View::new(Version::NONE, &table, [].into_iter(), id, &settings.domain);
         let clock = Clock::new();
         let link = Outlet::new(clock, settings.link.rate());
-        let warmup = Warmup::new(clock.now(), settings.cold.bounds());
+        let warmup = Warming::new(clock.now(), settings.cold.bounds());
         Arc::new(Self {
             headers: Arc::new(settings.headers.clone()),
             settings,
