Know who comes back after a refusal by the request's head

Change: an ingress remembers the heads of requests that it refused, not run, for ten seconds; each is matched by one request at most, which is then as old as its first try.

--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -14,9 +14,9 @@
 use hyper::body::{Body, Incoming};
 use slog::error;
 use swiftcart_core::{
-    Asking, BalanceSettings, Balancer, CallResult, Candidate, FleetBudget, Instant, Next, NodeId,
-    Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings,
-    RouteProfiles, ServiceEntry, Tries, Version, start_wait,
+    Asking, BalanceSettings, Balancer, CallResult, Candidate, FleetBudget, Identity, Instant, Next,
+    NodeId, Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings,
+    Returns, RouteProfiles, ServiceEntry, Tries, Version, start_wait,
 };
 
 use tokio::task::JoinError;
@@ -46,6 +46,7 @@
     budget: Mutex<RetryBudget>,
     fleet: Option<Mutex<FleetBudget>>,
     profiles: Mutex<RouteProfiles>,
+    returns: Mutex<Returns>,
 }
 
 /// The tries that were made of one call.
@@ -86,6 +87,7 @@
                 .retries
                 .map(|retries| Mutex::new(FleetBudget::new(retries.budget()))),
             profiles: Mutex::default(),
+            returns: Mutex::default(),
         }
     }
 
@@ -183,17 +185,39 @@
         call.take_route(&routed, lock(&self.profiles).of(routed.route), now);
         self.name_caller(&mut head);
         call.take_print(&head, &settings.headers);
+        let came = lock(&self.returns).came(now, call.print.head);
+        let first = came.unwrap_or(now);
+        call.tried_for(now.since(first));
         let limits = &settings.limits;
         let original = Original::new(head, body, limits.replay_bytes, limits.body_timeout());
-        self.pass(&call, &original).await?;
-        let admitted = self.admit(&mut call, account)?;
-        let result = self.tries(&call, routed.entry, &original).await;
-        if let Ok(response) = &result
-            && response.status().is_success()
-        {
-            let bytes = response.body().size_hint().lower();
-            lock(&self.profiles).of(routed.route).answered(bytes);
+        let result = self
+            .serve(call.clone(), account, routed.entry, &original)
+            .await;
+        match &result {
+            Ok(response) if response.status().is_success() => {
+                let bytes = response.body().size_hint().lower();
+                lock(&self.profiles).of(routed.route).answered(bytes);
+            }
+            Err(failed) if failed.refusal.reason.outcome() == Outcome::NotRun => {
+                let now = self.shared.clock.now();
+                lock(&self.returns).refused(now, call.print.head, first);
+            }
+            _ => {}
         }
+        result
+    }
+
+    /// Sends a request to a backend server that is not held, and within its account's quota.
+    async fn serve(
+        &self,
+        mut call: Call,
+        account: Option<Arc<Identity>>,
+        entry: &ServiceEntry,
+        original: &Original,
+    ) -> Result<Response<Answer>, Failed> {
+        self.pass(&call, original).await?;
+        let admitted = self.admit(&mut call, account)?;
+        let result = self.tries(&call, entry, original).await;
         if let Some(admitted) = admitted {
             admitted.settle(&result);
         }
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -217,6 +217,13 @@
         self.terms.map_or(Duration::ZERO, |terms| terms.age())
     }
 
+    /// Notes for how long its caller has been trying at least.
+    pub fn tried_for(&mut self, age: Duration) {
+        if let Some(terms) = &mut self.terms {
+            *terms = terms.with_age(terms.age().max(age));
+        }
+    }
+
     /// Tells whether the request can still be answered within its target, of which a call
     /// typically takes a share.
     #[must_use]
