--- a/crates/swiftcart-core/src/drain.rs
+++ b/crates/swiftcart-core/src/drain.rs
@@ -103,6 +103,12 @@
             .is_some_and(|standing| standing.drained)
     }
 
+    /// Tells whether any failure domain is drained.
+    #[must_use]
+    pub fn is_any(&self) -> bool {
+        self.orders.values().any(|standing| standing.drained)
+    }
+
     /// Takes an order; returns whether it is newer than what was known of its failure domain.
     pub fn take(&mut self, order: &DrainOrder) -> bool {
         let known = self.orders.get(&order.domain);
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -1,6 +1,7 @@
 //! The ingress: routes callers' requests to a guard, and tries again where that is safe.
 
 mod account;
+mod failed;
 mod forward;
 mod log;
 mod original;
@@ -10,7 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::request::Parts;
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response};
 use hyper::body::{Body, Incoming};
 use slog::error;
 use swiftcart_core::{
@@ -22,7 +23,7 @@
 use tokio::task::JoinError;
 
 use super::answer::{Answer, refuse};
-use super::guard::{Guard, Report};
+use super::guard::Guard;
 use super::headers::RETRIED;
 use super::in_flight::InFlight;
 use super::keyed::preference;
@@ -32,6 +33,7 @@
 use crate::counters::Stage;
 use crate::logging::Event;
 use crate::shared::{Phase, Shared};
+use failed::{Failed, blame, has_failed};
 use forward::take_load;
 use log::Pending;
 use original::Original;
@@ -60,16 +62,6 @@
     asked: u32,
 }
 
-/// A try that brought no answer of a backend server.
-#[derive(Debug)]
-struct Failed {
-    refusal: Refusal,
-    retried: bool,
-    load: Option<Report>,
-    /// The backend server's own answer, which is passed on when no other try goes better.
-    answer: Option<Box<Response<Answer>>>,
-}
-
 impl Ingress {
     /// Creates an ingress that hands requests for the own backend server to `guard`.
     #[must_use]
@@ -428,66 +420,6 @@
     }
 }
 
-impl Failed {
-    fn with_answer(response: Response<Answer>) -> Self {
-        Self {
-            answer: Some(Box::new(response)),
-            ..Reason::ServerError.into()
-        }
-    }
-
-    /// Returns what the caller is told after two failed tries: what may have run once is not
-    /// told to be not run because of a later refusal, and a backend server's own answer goes
-    /// before what a node would say. The last guard that named a time to come back is heeded.
-    fn worse(before: Option<Self>, mut now: Self) -> Self {
-        match before {
-            Some(before) if now.answer.is_none() && before.is_unknown() => before,
-            Some(before) => {
-                let after = now.refusal.retry_after.or(before.refusal.retry_after);
-                now.refusal.retry_after = after;
-                now
-            }
-            None => now,
-        }
-    }
-
-    fn into_result(self) -> Result<Response<Answer>, Self> {
-        match self.answer {
-            Some(answer) => Ok(*answer),
-            None => Err(self),
-        }
-    }
-
-    fn is_unknown(&self) -> bool {
-        self.refusal.reason.outcome() == Outcome::Unknown
-    }
-}
-
-/// Tells whether an answer says that the backend server has failed at a request that another
-/// one may run. What it says at the deadline leaves no time for another one.
-fn has_failed(call: &Call, response: &Response<Answer>) -> bool {
-    let status = response.status();
-    let failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
-    failed && call.idempotent && call.terms.is_some()
-}
-
-impl From<Reason> for Failed {
-    fn from(reason: Reason) -> Self {
-        Refusal::from(reason).into()
-    }
-}
-
-impl From<Refusal> for Failed {
-    fn from(refusal: Refusal) -> Self {
-        Self {
-            refusal,
-            retried: false,
-            load: None,
-            answer: None,
-        }
-    }
-}
-
 /// Returns the host that a request names, in its target or its header.
 fn host(head: &Parts) -> Option<&str> {
     let named = head.headers.get(http::header::HOST);
@@ -499,14 +431,3 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// Returns what a failed try tells of the node and backend server that it went to.
-fn blame(reason: Reason) -> CallResult {
-    match (reason, reason.outcome()) {
-        (Reason::CallerGone, _) => CallResult::Cancelled,
-        (Reason::PeerUnreachable | Reason::ConnectFailed, _) => CallResult::Unreachable,
-        (Reason::LinkBusy, _) => CallResult::LinkBusy,
-        (_, Outcome::NotRun) => CallResult::Refused,
-        (_, Outcome::Unknown | Outcome::Done) => CallResult::Failure,
-    }
-}
--- a/crates/swiftcart-node/src/control/drains.rs
+++ b/crates/swiftcart-node/src/control/drains.rs
@@ -98,9 +98,16 @@
         }
     }
 
-    /// Returns the members as requests may go to them: those of a drained failure domain take none.
-    pub(super) fn undrained<'a>(&self, members: impl Iterator<Item = &'a Member>) -> Vec<Member> {
+    /// Returns the members as requests may go to them, where a failure domain is drained: those in it
+    /// take none.
+    pub(super) fn undrained<'a>(
+        &self,
+        members: impl Iterator<Item = &'a Member>,
+    ) -> Option<Vec<Member>> {
         let drains = &self.draining.drains;
+        if !drains.is_any() {
+            return None;
+        }
         let members = members.cloned().map(|mut member| {
             if let Some(backend) = &mut member.backend
                 && drains.is_drained(&member.domain)
@@ -109,7 +116,7 @@
             }
             member
         });
-        members.collect()
+        Some(members.collect())
     }
 
     fn follow_drains(&mut self, now: Instant) {
--- a/crates/swiftcart-node/src/control/publish.rs
+++ b/crates/swiftcart-node/src/control/publish.rs
@@ -50,13 +50,15 @@
     };
     let version = config.version();
     let membership = &control.membership;
-    let routable = membership.members().filter(|m| membership.routable(m.id));
-    let routable = control.undrained(routable);
+    let routable = || membership.members().filter(|m| membership.routable(m.id));
     let old = shared.view.load();
     let settings = &shared.settings;
     let place = Locality::new(&settings.domain).with_regions(&settings.regions);
     let routes = Arc::clone(config.routes());
-    let view = View::with_routes(routes, routable.iter(), shared.id, place);
+    let view = match control.undrained(routable()) {
+        Some(members) => View::with_routes(routes, members.iter(), shared.id, place),
+        None => View::with_routes(routes, routable(), shared.id, place),
+    };
     if old.version() != version {
         info!(shared.logger, ""; "event" => Event::Applied, "version" => version.0,
             "digest" => %control.stream.source.digest());
