--- a/crates/swiftcart-core/src/drain.rs
+++ b/crates/swiftcart-core/src/drain.rs
@@ -6,7 +6,7 @@
 
 use crate::FailureDomain;
 
-/// The place of an order among all that operators write; a later one counts.
+/// The place of an order among all that operators write, counted from one; a later one counts.
 #[derive(
     Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -27,7 +27,7 @@
 /// Every order that stands at one place; what it lacks was taken back before.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct DrainList {
-    /// The place behind all orders that are listed.
+    /// The last place that the list covers.
     pub place: DrainPlace,
     /// The orders.
     pub orders: Vec<DrainOrder>,
@@ -49,6 +49,8 @@
     pub digest: u64,
     /// Whether the sender asks for everything that the receiver knows.
     pub asks: bool,
+    /// The last place up to which the sender knows every order that stands.
+    pub place: DrainPlace,
     /// Orders.
     pub orders: Vec<DrainOrder>,
 }
@@ -71,6 +73,8 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Drains {
     orders: BTreeMap<FailureDomain, Standing>,
+    /// The last place that a list covered: an order up to there that is not known was taken back.
+    covered: DrainPlace,
 }
 
 /// The newest order for one failure domain.
@@ -86,6 +90,7 @@
     pub const fn new() -> Self {
         Self {
             orders: BTreeMap::new(),
+            covered: DrainPlace(0),
         }
     }
 
@@ -112,7 +117,8 @@
     /// Takes an order; returns whether it is newer than what was known of its failure domain.
     pub fn take(&mut self, order: &DrainOrder) -> bool {
         let known = self.orders.get(&order.domain);
-        if known.is_some_and(|standing| standing.place >= order.place) {
+        let known = known.map_or(self.covered, |standing| standing.place.max(self.covered));
+        if order.place <= known {
             return false;
         }
         let standing = Standing {
@@ -129,6 +135,7 @@
         for order in &list.orders {
             changed |= self.take(order);
         }
+        self.covered = self.covered.max(list.place);
         let listed = |domain: &FailureDomain| list.orders.iter().any(|o| o.domain == *domain);
         for (domain, standing) in &mut self.orders {
             if standing.drained && standing.place < list.place && !listed(domain) {
@@ -142,6 +149,15 @@
         changed
     }
 
+    /// Takes what another node knows; returns whether anything is new.
+    pub fn hear(&mut self, message: &DrainMessage) -> bool {
+        let list = DrainList {
+            place: message.place,
+            orders: message.orders.clone(),
+        };
+        self.take_list(&list)
+    }
+
     /// Returns everything that is known, for another node.
     #[must_use]
     pub fn message(&self) -> DrainMessage {
@@ -153,6 +169,7 @@
         DrainMessage {
             digest: self.digest(),
             asks: false,
+            place: self.covered,
             orders: orders.collect(),
         }
     }
--- a/crates/swiftcart-node/src/control/drains.rs
+++ b/crates/swiftcart-node/src/control/drains.rs
@@ -80,10 +80,7 @@
     /// Takes what another node tells of drained failure domains, and answers what it asks.
     pub(super) fn on_drains(&mut self, now: Instant, from: NodeId, message: &DrainMessage) {
         let drains = &mut self.draining.drains;
-        let mut changed = false;
-        for order in &message.orders {
-            changed |= drains.take(order);
-        }
+        let changed = drains.hear(message);
         let differs = drains.digest() != message.digest;
         if (message.asks && !drains.is_empty()) || (message.orders.is_empty() && differs) {
             let answer = DrainMessage {
