Keep a request counted whose caller went away

Cause: a request was given back to its account's quota when its future was dropped, which a caller that leaves does while the backend server runs it: the test counts 1 of 2 to 4 (seen to fail first). Change: only a request that ended without having run is given back.

--- a/crates/swiftcart-core/src/account/ledger.rs
+++ b/crates/swiftcart-core/src/account/ledger.rs
@@ -62,7 +62,7 @@
 ///
 /// Every admitted request takes a token from its account's bucket, also when there is none: the
 /// bucket then holds less than nothing, and fewer requests are admitted until that is made up for.
-/// The requests of any window are therefore those of the quota and those that nobody had told yet.
+/// No window holds more than the quota and what nodes had not told at its end.
 ///
 /// # Examples
 ///
@@ -102,15 +102,17 @@
     /// Requests a second that arrive at all nodes.
     arrivals: f64,
     at: Instant,
-    /// The part that is admitted, and when that was decided.
+    /// The part that is admitted, when that was decided, and as it is told.
     part: f64,
     decided: Instant,
     permille: u16,
+    /// When all nodes were told last.
     reminded: Instant,
+    /// What each node told last.
     nodes: BTreeMap<NodeId, Counted>,
 }
 
-/// What a process told last.
+/// What a node told last.
 #[derive(Debug, Clone, Copy)]
 struct Counted {
     epoch: u32,
--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -205,6 +205,14 @@
             .retain(|account, counts| untold.contains(account) || recent(counts));
     }
 
+    /// Returns how many requests of an account were admitted and may have run.
+    #[must_use]
+    pub fn admitted(&self, account: AccountTag) -> u64 {
+        self.accounts
+            .get(&account)
+            .map_or(0, |counts| counts.admitted)
+    }
+
     /// Returns the part of an account's requests that is admitted now, where it is limited.
     #[must_use]
     pub fn limited(&self, now: Instant, account: AccountTag) -> Option<f64> {
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -18,28 +18,22 @@
 /// The longest value of the header that carries a key, in bytes.
 const MAX_CREDENTIALS: usize = 512;
 
-/// A request that was counted for its account; given back unless it may have run.
+/// A request that was counted for its account. One whose caller goes away may have run, and stays
+/// counted.
 #[derive(Debug)]
 pub(super) struct Admitted<'a> {
     shared: &'a Shared,
     account: Arc<Identity>,
-    ran: bool,
 }
 
 impl Admitted<'_> {
-    /// Notes how the request ended.
-    pub(super) fn settle<T>(mut self, result: &Result<T, Failed>) {
-        self.ran = match result {
-            Ok(_) => true,
-            Err(failed) => failed.refusal.reason.outcome() != Outcome::NotRun,
-        };
-    }
-}
-
-impl Drop for Admitted<'_> {
-    fn drop(&mut self) {
-        if !self.ran {
-            self.shared.quotas.give_back(&self.account);
+    /// Gives the request back to the quota when it ended without having run.
+    pub(super) fn settle<T>(self, result: &Result<T, Failed>) {
+        match result {
+            Err(failed) if failed.refusal.reason.outcome() == Outcome::NotRun => {
+                self.shared.quotas.give_back(&self.account);
+            }
+            _ => {}
         }
     }
 }
@@ -106,7 +100,6 @@
         Ok(Some(Admitted {
             shared: &self.shared,
             account,
-            ran: false,
         }))
     }
 }
