Ask another region only when it saves two and a half targets

Hypothesis: in a burst the other region is as full as the own one, and what is asked there takes places, the shared link and 60 ms from everyone. Change: one target to two and a half.

--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -102,10 +102,11 @@
     }
 
     /// Returns by how many targets another region has to be faster: all that goes there shares
-    /// one link, and a request that is refused there has lost the way back as well.
+    /// one link, a request that is refused there has lost the way back as well, and who leaves a
+    /// region that is short of places meets those of the other one.
     const fn remote_penalty(self) -> f64 {
         match self {
-            Self::Light => 1.0,
+            Self::Light => 2.5,
             Self::Heavy => 4.0,
         }
     }
