--- a/crates/swiftcart-node/src/control/members.rs
+++ b/crates/swiftcart-node/src/control/members.rs
@@ -3,12 +3,15 @@
 use std::sync::atomic::Ordering;
 
 use slog::{info, warn};
-use swiftcart_core::{Action, NodeId, Pace, PaceTelling, SyncRequest};
+use swiftcart_core::{Action, Backend, Instant, NodeId, Pace, PaceTelling, Readiness, SyncRequest};
 
 use super::control_loop::Control;
 use crate::edge::Listed;
 use crate::logging::Event;
 
+/// Of the slots of a cold backend server, whose work takes longer, others are shown one in so many.
+const COLD_SLOTS: u32 = 2;
+
 impl Control {
     pub(super) fn on_backend(&mut self) {
         let backend = self.backend.borrow_and_update().clone();
@@ -28,6 +31,44 @@
         self.stale = true;
     }
 
+    /// Returns the backend server as it is shown to other nodes.
+    pub(super) fn shown(&self, now: Instant, backend: Option<Backend>) -> Option<Backend> {
+        let clearance = self.shared.clearing.shown(now);
+        let drained = *self.shared.drained.borrow();
+        let cold = self.shared.warmup.is_cold(now);
+        backend.map(|backend| Backend {
+            readiness: match drained {
+                true => Readiness::Draining,
+                false => clearance.readiness(backend.readiness),
+            },
+            slots: match cold {
+                true => (backend.slots / COLD_SLOTS).max(1),
+                false => backend.slots,
+            },
+            ..backend
+        })
+    }
+
+    /// Shows other nodes when the own backend server has become cold, or warm.
+    pub(super) fn show_warmup(&mut self, now: Instant) {
+        let cold = self.shared.warmup.is_cold(now);
+        if self.shown_cold != cold {
+            self.shown_cold = cold;
+            self.show_anew(now);
+        }
+    }
+
+    /// Shows the backend server anew to other nodes.
+    pub(super) fn show_anew(&mut self, now: Instant) {
+        let backend = self.backend.borrow().clone();
+        let shown = self.shown(now, backend);
+        if !self.left && self.membership.me().backend != shown {
+            let actions = self.membership.update_me(now, shown);
+            self.act(actions);
+            self.stale = true;
+        }
+    }
+
     /// Tells all nodes when the own backend server has become much faster or slower.
     pub(super) fn tell_pace(&mut self) {
         let now = self.now();
--- a/crates/swiftcart-node/src/control/rollouts.rs
+++ b/crates/swiftcart-node/src/control/rollouts.rs
@@ -7,9 +7,8 @@
 use rand::Rng;
 use slog::{info, warn};
 use swiftcart_core::{
-    Backend, Cause, Datagram, Exposure, Instant, NodeId, OrderId, Readiness, Release,
-    RolloutMessage, RolloutOrder, RolloutStage, RolloutWords, Rollouts, ServiceName, TRIAL_ROUND,
-    Turn, rank,
+    Backend, Cause, Datagram, Exposure, Instant, NodeId, OrderId, Release, RolloutMessage,
+    RolloutOrder, RolloutStage, RolloutWords, Rollouts, ServiceName, TRIAL_ROUND, Turn, rank,
 };
 
 use super::board::Settled;
@@ -26,9 +25,6 @@
 /// The time between two comparisons with another node, while there is anything to compare.
 const COMPARE: Duration = Duration::from_secs(1);
 
-/// Of the slots of a cold backend server, whose work takes longer, others are shown one in so many.
-const COLD_SLOTS: u32 = 2;
-
 /// What a node knows of roll-outs, and those that it watches.
 #[derive(Debug, Default)]
 pub(super) struct Watching {
@@ -144,44 +140,6 @@
         self.show_backend(self.now());
     }
 
-    /// Returns the backend server as it is shown to other nodes.
-    pub(super) fn shown(&self, now: Instant, backend: Option<Backend>) -> Option<Backend> {
-        let clearance = self.shared.clearing.shown(now);
-        let drained = *self.shared.drained.borrow();
-        let cold = self.shared.warmup.is_cold(now);
-        backend.map(|backend| Backend {
-            readiness: match drained {
-                true => Readiness::Draining,
-                false => clearance.readiness(backend.readiness),
-            },
-            slots: match cold {
-                true => (backend.slots / COLD_SLOTS).max(1),
-                false => backend.slots,
-            },
-            ..backend
-        })
-    }
-
-    /// Shows other nodes when the own backend server has become cold, or warm.
-    pub(super) fn show_warmup(&mut self, now: Instant) {
-        let cold = self.shared.warmup.is_cold(now);
-        if self.shown_cold != cold {
-            self.shown_cold = cold;
-            self.show_anew(now);
-        }
-    }
-
-    /// Shows the backend server anew to other nodes.
-    pub(super) fn show_anew(&mut self, now: Instant) {
-        let backend = self.backend.borrow().clone();
-        let shown = self.shown(now, backend);
-        if !self.left && self.membership.me().backend != shown {
-            let actions = self.membership.update_me(now, shown);
-            self.act(actions);
-            self.stale = true;
-        }
-    }
-
     fn cleared(&self, backend: &Backend, release: Option<&Release>) -> Cleared {
         let rollouts = &self.watching.rollouts;
         let Some((rollout, side)) = rollouts.side(&backend.service, release) else {
