Show what a backend server says of itself in its answers

Cause: the logs of the incident could not tell whether answers named a limit, which one, or whether anybody had read it; no line had a header of a backend server's answer.

Change: the guard reads the rate and the leaving of each answer's head into a type of the core, where answers that overtake each other are sorted out. It logs a line when something changes and shows the rate as a gauge. Nothing is decided by it yet.

Ruled out: reading it at the ingress only; the guard sees every answer of its backend server, also those that are tried again elsewhere.

--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -11,6 +11,7 @@
 mod in_flight;
 mod ingress;
 mod keyed;
+mod notices;
 mod origin;
 mod pacing;
 mod peers;
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -9,7 +9,7 @@
 use slog::{error, info};
 use swiftcart_core::{
     Backend, CallResult, ColdRule, Limits, Load, NodeId, Pace, Readiness, Reason, Refusal,
-    ServiceEntry, Version,
+    ServerRate, ServiceEntry, Version,
 };
 
 use super::admissions::Slot;
@@ -160,17 +160,19 @@
         pace
     }
 
-    /// Closes unused connections and shows the load.
+    /// Closes unused connections, and shows the load and the rate that the backend server named.
     pub fn sweep(&self) {
         let upstream = self.upstream.load();
-        let load = upstream.as_ref().map_or(Load::default(), |upstream| {
+        let (load, notice) = upstream.as_ref().map_or_else(Default::default, |upstream| {
             upstream.sweep();
-            upstream.load()
+            (upstream.load(), upstream.notice())
         });
+        let rate = notice.rate.map_or(0.0, ServerRate::per_second);
         let counters = &self.shared.counters;
         counters.gauge("swiftcart_running").set(load.running);
         counters.gauge("swiftcart_queued").set(load.queued);
         counters.gauge("swiftcart_limit").set(load.limit);
+        counters.gauge("swiftcart_server_rate").set(rate);
     }
 
     /// Runs a request at the backend server when it is of `service` and takes it.
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/notices.rs
@@ -0,0 +1,128 @@
+//! What the backend server beside this node says of itself in its answers.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use http::HeaderMap;
+use slog::{info, warn};
+use swiftcart_core::{Instant, Notice, NoticeBelief, RateError, ServerRate};
+
+use super::request::Call;
+use crate::logging::Event;
+use crate::settings::Headers;
+use crate::shared::Shared;
+
+/// The value by which a backend server says that it leaves.
+const LEAVES: &[u8] = b"1";
+
+/// Follows the notices of one process of the backend server.
+#[derive(Debug)]
+pub struct Notices {
+    shared: Arc<Shared>,
+    /// The process, as it calls itself.
+    instance: Option<Arc<str>>,
+    belief: Mutex<NoticeBelief>,
+}
+
+impl Notices {
+    /// Creates what is believed of a process that nothing was heard of.
+    #[must_use]
+    pub fn new(shared: &Arc<Shared>, instance: Option<&str>) -> Arc<Self> {
+        Arc::new(Self {
+            shared: Arc::clone(shared),
+            instance: instance.map(Arc::from),
+            belief: Mutex::default(),
+        })
+    }
+
+    /// Returns what is believed now.
+    #[must_use]
+    pub fn now(&self) -> Notice {
+        self.lock().now()
+    }
+
+    /// Takes the head of an answer to `call`, which was handed over at `sent`.
+    ///
+    /// An answer that bears another request's id may be older than it looks, and says nothing.
+    pub fn hear(&self, call: &Call, sent: Instant, headers: &HeaderMap) {
+        let names = &*self.shared.headers;
+        if names.own_ids && headers.get(&names.request_id.0) != Some(&call.id.0) {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let rate = rate(headers, names).unwrap_or_else(|err| {
+            self.unreadable(now, call, err);
+            // What it says is not known, so what it said before holds on.
+            self.now().rate
+        });
+        let said = Notice::default()
+            .with_rate(rate)
+            .with_leaving(leaves(headers, names));
+        self.take(now, call, sent, said);
+    }
+
+    fn unreadable(&self, now: Instant, call: &Call, err: RateError) {
+        self.count("unreadable");
+        if let Some(log) = self.shared.call_log.odd(now) {
+            warn!(log, ""; "event" => Event::Notice, "id" => %call.id,
+                "instance" => self.instance(), "error" => %err);
+        }
+    }
+
+    fn take(&self, now: Instant, call: &Call, sent: Instant, said: Notice) {
+        let mut belief = self.lock();
+        let old = belief.now();
+        if !belief.hear(now, sent, said) {
+            return;
+        }
+        let new = belief.now();
+        drop(belief);
+        self.count(kind(old, new));
+        let rate = |notice: Notice| notice.rate.map(ServerRate::per_second);
+        info!(self.shared.logger, ""; "event" => Event::Notice, "id" => %call.id,
+            "instance" => self.instance(), "rate" => rate(new), "before" => rate(old),
+            "leaving" => new.leaving,
+            "age_ms" => u64::try_from(now.since(sent).as_millis()).unwrap_or(u64::MAX));
+    }
+
+    fn count(&self, kind: &'static str) {
+        let counters = &self.shared.counters;
+        counters.count("swiftcart_notices_total", "kind", kind);
+    }
+
+    fn instance(&self) -> &str {
+        self.instance.as_deref().unwrap_or("-")
+    }
+
+    fn lock(&self) -> MutexGuard<'_, NoticeBelief> {
+        self.belief.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Names what has changed, for counters.
+fn kind(old: Notice, new: Notice) -> &'static str {
+    match (old.rate, new.rate) {
+        _ if new.leaving && !old.leaving => "leaving",
+        (_, None) => "rate-lifted",
+        (None, Some(_)) => "rate-named",
+        (Some(_), Some(_)) => "rate-changed",
+    }
+}
+
+/// Reads the rate that an answer names, the lowest one of several.
+fn rate(headers: &HeaderMap, names: &Headers) -> Result<Option<ServerRate>, RateError> {
+    let mut values = names.rate.iter().flat_map(|name| headers.get_all(&name.0));
+    values.try_fold(None, |lowest: Option<ServerRate>, value| {
+        let text = value.to_str().map_err(|_| RateError::Syntax)?;
+        let rate: ServerRate = text.parse()?;
+        Ok(Some(lowest.map_or(rate, |lowest| lowest.lower(rate))))
+    })
+}
+
+/// Tells whether an answer says that its backend server leaves.
+fn leaves(headers: &HeaderMap, names: &Headers) -> bool {
+    let mut values = names
+        .leaving
+        .iter()
+        .flat_map(|name| headers.get_all(&name.0));
+    values.any(|value| value.as_bytes() == LEAVES)
+}
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -6,13 +6,14 @@
 use hyper::body::Incoming;
 use swiftcart_core::{
     AdmissionSettings, Backend, Deadline, Gate, Instant, LimitRule, LimitSettings, Limits, Load,
-    Outcome, Pace, Readiness, Reason, Refusal, ServiceName,
+    Notice, Outcome, Pace, Readiness, Reason, Refusal, ServiceName,
 };
 
 use super::admissions::{Admissions, Slot};
 use super::body::Outgoing;
 use super::exchange::exchange;
 use super::headers::DEADLINE;
+use super::notices::Notices;
 use super::pool::{Pool, Pooled};
 use super::request::Call;
 use super::runs::{Handed, Run, Runs};
@@ -32,6 +33,7 @@
     pool: Arc<Pool>,
     admissions: Arc<Admissions>,
     runs: Arc<Runs>,
+    notices: Arc<Notices>,
 }
 
 /// The head of an answer, and what its body comes over.
@@ -78,6 +80,10 @@
             || Runs::new(shared, shared.beside().id()),
             |old| Arc::clone(&old.runs),
         );
+        let notices = same.map_or_else(
+            || Notices::new(shared, shared.beside().id()),
+            |old| Arc::clone(&old.notices),
+        );
         let pool = same
             .filter(|old| old.backend.connections == backend.connections)
             .map_or_else(
@@ -96,6 +102,7 @@
             pool,
             admissions,
             runs,
+            notices,
         }
     }
 
@@ -158,6 +165,12 @@
         self.admissions.pace()
     }
 
+    /// Returns what the backend server said of itself in its answers.
+    #[must_use]
+    pub fn notice(&self) -> Notice {
+        self.notices.now()
+    }
+
     /// Closes unused connections.
     pub fn sweep(&self) {
         self.pool.sweep(tokio::time::Instant::now());
@@ -212,13 +225,17 @@
                 before.unsent();
             }
         };
+        let start = self.clock.now();
         let sent = exchange(&self.pool, until, request, Reason::ConnectFailed, handing).await;
         match (sent, run) {
-            (Ok((response, pooled)), Some(run)) => Ok(Sent {
-                run: run.with_status(response.status()),
-                response,
-                pooled,
-            }),
+            (Ok((response, pooled)), Some(run)) => {
+                self.notices.hear(call, start, response.headers());
+                Ok(Sent {
+                    run: run.with_status(response.status()),
+                    response,
+                    pooled,
+                })
+            }
             (Err(Reason::AnswerBroken), Some(run)) => Err(run.broke().await),
             (Err(reason), Some(run)) if reason.outcome() == Outcome::NotRun => {
                 run.unsent();
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -71,6 +71,8 @@
     Announced,
     /// The announcement of the backend server was not renewed.
     Expired,
+    /// The backend server said something new of itself in an answer.
+    Notice,
     /// The backend server has ended while it was running requests.
     Crashed,
     /// A request is not handed to backend servers for now, since it ends them.
@@ -123,6 +125,7 @@
             Self::Backend => "backend",
             Self::Announced => "announced",
             Self::Expired => "expired",
+            Self::Notice => "notice",
             Self::Crashed => "crashed",
             Self::Quarantined => "quarantined",
             Self::Released => "released",
--- a/crates/swiftcart-node/src/settings/headers.rs
+++ b/crates/swiftcart-node/src/settings/headers.rs
@@ -34,6 +34,11 @@
     pub not_run: Option<Name>,
     /// The header that every success of a backend server bears; default none.
     pub signature: Option<Name>,
+    /// The headers in which a backend server names the requests a second that it takes from all
+    /// nodes together, a decimal number; default `swiftcart-rate`.
+    pub rate: Vec<Name>,
+    /// The headers in which a backend server that leaves says `1`; default `swiftcart-leaving`.
+    pub leaving: Vec<Name>,
 }
 
 /// A header's name.
@@ -62,6 +67,8 @@
             scheme: "Bearer".into(),
             not_run: None,
             signature: None,
+            rate: vec![Name(HeaderName::from_static("swiftcart-rate"))],
+            leaving: vec![Name(HeaderName::from_static("swiftcart-leaving"))],
         }
     }
 }
