Keep the rate that a backend server names in its answers

What callers saw: nothing at first; a backend server in need that had named 56 requests a second got 140, and could only get slower.

Cause: a guard bounded what runs at once, by slots, and nothing bounded what starts in a second. Two quick backend servers of six had two thirds of their service's requests, and what they said in their answers was read by nobody.

Why this fix works: all requests of a backend server pass the guard beside it, so one token bucket there holds the sum over all nodes, however many there are and whatever they know. The bucket fills at the named rate and saves up a fifth of a second of it. What it holds back waits like for a slot, or is refused at once as `throttled`, with a time to come back that follows from the rate. Load on answers counts the places that the rate keeps busy, so that other nodes take their requests elsewhere.

Ruled out: parts of the rate for each ingress; they need a count of the ingresses that is right at all times, and waste what one does not use.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -9,6 +9,7 @@
 mod running;
 mod settings;
 mod targets;
+mod throttle;
 mod ticket;
 mod times;
 
@@ -18,7 +19,7 @@
 use rand::Rng;
 
 use crate::rate::Promises;
-use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample};
+use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample, ServerRate};
 use bid::Urgency;
 pub use bid::{AnswerLength, Bid, Patience};
 pub use gate::Gate;
@@ -31,6 +32,7 @@
 use running::Running;
 pub use settings::AdmissionSettings;
 use targets::Targets;
+use throttle::Throttle;
 pub use ticket::{Admit, Refused, Ticket};
 use times::Times;
 
@@ -46,7 +48,7 @@
 /// Decides at a guard what its backend server is given.
 ///
 /// At most `min(announced slots, the table's concurrency, the adaptive limit)`
-/// requests run. A short queue takes what is expected to start in time; all else
+/// requests run, and no more start in a second than the backend server has named. A short queue takes what is expected to start in time; all else
 /// is refused at once, with a time to come back that follows from the expected
 /// drain of the queue and of those refused before, so that callers do not come
 /// back in step.
@@ -82,6 +84,7 @@
     /// The announced slots, cut to the table's concurrency.
     slots: u32,
     limit: AdaptiveLimit,
+    throttle: Throttle,
     running: HashMap<Ticket, Running>,
     queue: Queue,
     next: u64,
@@ -105,6 +108,7 @@
             gate: Gate::Open,
             slots: 0,
             limit: AdaptiveLimit::new(0, settings.limit),
+            throttle: Throttle::default(),
             running: HashMap::new(),
             queue: Queue::default(),
             next: 0,
@@ -131,6 +135,12 @@
         self.start(now)
     }
 
+    /// Takes over the rate that the backend server names in its answers; returns the requests to start.
+    pub fn set_rate(&mut self, now: Instant, rate: Option<ServerRate>) -> Vec<Ticket> {
+        self.throttle.set_rate(now, rate);
+        self.start(now)
+    }
+
     /// Opens or closes for new work; returns the waiting requests that are refused for it.
     ///
     /// What runs goes on in any case.
@@ -159,7 +169,13 @@
         let urgency = self.urgency(now, &bid);
         self.targets.note(bid.target);
         let patience = self.patience(&bid);
-        let wait = self.expected_wait(self.queue.ahead_of(urgency));
+        let ahead = self.queue.ahead_of(urgency);
+        let held = self.throttle.wait(now, ahead);
+        let wait = self.expected_wait(ahead).max(held);
+        let crowd = match held < wait {
+            true => Reason::Overloaded,
+            false => Reason::Throttled,
+        };
         let due = bid.due;
         match self.gate {
             Gate::Warming => self.elsewhere(Reason::Warming, rng),
@@ -174,12 +190,12 @@
                 true | false => Admit::Refuse(self.link_busy()),
             },
             // What waits was started as long as there was a place; the rest has expired.
-            Gate::Open if self.running() < self.limit() => Admit::Run(self.run(now, &bid)),
+            Gate::Open if self.has_place(now) => Admit::Run(self.run(now, &bid)),
             Gate::Open if !self.has_room(urgency) => {
                 Admit::Refuse(self.crowded(Reason::QueueFull, bid.patience, now, rng))
             }
             Gate::Open if wait > patience || due.misses(now, wait + self.times.quickest()) => {
-                Admit::Refuse(self.crowded(Reason::Overloaded, bid.patience, now, rng))
+                Admit::Refuse(self.crowded(crowd, bid.patience, now, rng))
             }
             Gate::Open => Admit::Queue(self.wait(now, bid, rng)),
         }
@@ -271,16 +287,37 @@
         to_u32(self.queue.len())
     }
 
+    /// Returns when a waiting request may start although none ends before: when the rate lets it.
+    #[must_use]
+    pub fn starts_at(&self, now: Instant) -> Option<Instant> {
+        let held = self.throttle.wait(now, 0);
+        let waits = self.queue.len() > 0 && self.running() < self.limit();
+        (waits && !held.is_zero()).then(|| now + held)
+    }
+
     /// Returns the load to carry back on an answer.
     #[must_use]
     pub fn load(&self) -> Load {
         Load {
             running: self.running(),
             queued: self.queued(),
-            limit: self.limit(),
+            limit: self.places(),
         }
     }
 
+    /// Returns the requests that run at once on average when as many are given as are taken.
+    fn places(&self) -> u32 {
+        let mean = self.times.mean();
+        let busy = self
+            .throttle
+            .rate()
+            .zip(mean)
+            .map(|(rate, mean)| rate * mean);
+        busy.map_or(self.limit(), |busy| {
+            (busy.ceil() as u32).clamp(1, self.limit().max(1))
+        })
+    }
+
     /// Returns the backend server's pace, once calls with a target have ended.
     ///
     /// Calls that run for long show a backend server that became slow before one of them
@@ -322,6 +359,7 @@
         if answer == AnswerLength::Long {
             self.outflow.begin();
         }
+        self.throttle.take(now);
         let running = Running {
             among: self.running() + 1,
             start: now,
@@ -339,6 +377,11 @@
         Some(running)
     }
 
+    /// Tells whether a request may start now.
+    fn has_place(&self, now: Instant) -> bool {
+        self.running() < self.limit() && self.throttle.is_open(now)
+    }
+
     /// Tells whether the way out has room for an answer of this length.
     fn may_leave(&self, answer: AnswerLength) -> bool {
         match answer {
@@ -410,7 +453,7 @@
     /// Starts waiting requests while there is a place.
     fn start(&mut self, now: Instant) -> Vec<Ticket> {
         let mut started = Vec::new();
-        while self.running() < self.limit() {
+        while self.has_place(now) {
             let capacity = self.capacity();
             let room = self.outflow.has_room(self.delay);
             let Some(next) = self.queue.pop(now, self.settings.order, capacity, room) else {
@@ -437,9 +480,13 @@
         (most.ceil() as usize).min(self.settings.queue as usize)
     }
 
-    /// Returns the calls that the backend server finishes in a second.
+    /// Returns the calls that the backend server finishes in a second, no more than it has named.
     fn throughput(&self) -> Option<f64> {
-        self.times.throughput(self.limit())
+        let done = self.times.throughput(self.limit());
+        match (done, self.throttle.rate()) {
+            (Some(done), Some(rate)) => Some(done.min(rate)),
+            (done, rate) => done.or(rate),
+        }
     }
 
     /// Returns the wait to expect for a request that joins the queue behind `ahead` others.
--- a/crates/swiftcart-core/src/admission/times.rs
+++ b/crates/swiftcart-core/src/admission/times.rs
@@ -26,6 +26,11 @@
         *shortest = secs.min(*shortest * (1.0 + SHORTEST_DRIFT));
     }
 
+    /// Returns the mean time in seconds, once a call has ended.
+    pub(super) const fn mean(&self) -> Option<f64> {
+        self.mean
+    }
+
     /// Returns the calls that end in a second while `running` run, once one has ended.
     pub(super) fn throughput(&self, running: u32) -> Option<f64> {
         let mean = self.mean?.max(f64::MIN_POSITIVE);
--- a/crates/swiftcart-core/src/asking.rs
+++ b/crates/swiftcart-core/src/asking.rs
@@ -122,7 +122,7 @@
         self.excluded.push(guard);
         let full = matches!(
             reason,
-            Reason::QueueFull | Reason::LinkBusy | Reason::Overloaded
+            Reason::QueueFull | Reason::LinkBusy | Reason::Overloaded | Reason::Throttled
         );
         match (self.stage, self.haul) {
             (Stage::Ask, _) if full => self.full.push(guard),
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -123,6 +123,8 @@
     LinkBusy, "link-busy", 503, NotRun;
     /// The guard expects the wait in its queue to be too long.
     Overloaded, "overloaded", 503, NotRun;
+    /// The backend server gets as many requests a second as it has named.
+    Throttled, "throttled", 503, NotRun;
     /// The deadline passed, or cannot be met any more, before the hand-over.
     DeadlinePassed, "deadline-passed", 504, NotRun;
     /// The service's rate limit has no token left at this guard.
--- a/crates/swiftcart-core/src/rate.rs
+++ b/crates/swiftcart-core/src/rate.rs
@@ -88,6 +88,24 @@
         there
     }
 
+    /// Returns the tokens that flow in within a second.
+    pub(crate) const fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Returns the tokens that are there.
+    pub(crate) fn tokens(&mut self, now: Instant) -> f64 {
+        self.refill(now);
+        self.tokens
+    }
+
+    /// Returns how long to wait for a token that is taken after `ahead` others; the rate is above 0.
+    pub(crate) fn wait(mut self, now: Instant, ahead: usize) -> Duration {
+        let missing = ahead as f64 + 1.0 - self.tokens(now);
+        let secs = missing.max(0.0) / self.rate;
+        Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
+    }
+
     pub(crate) const fn add(&mut self, tokens: f64) {
         self.tokens = (self.tokens + tokens).min(self.burst);
     }
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -323,6 +323,7 @@
         | Reason::QueueFull
         | Reason::LinkBusy
         | Reason::Overloaded
+        | Reason::Throttled
         | Reason::RateLimited
         | Reason::Draining
         | Reason::Warming
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -7,7 +7,7 @@
 
 use swiftcart_core::{
     Admission, AdmissionSettings, Admit, Bid, CallResult, Gate, Instant, Limits, Load, Pace,
-    RateShare, Reason, Refusal, Refused, Sample, Ticket,
+    RateShare, Reason, Refusal, Refused, Sample, ServerRate, Ticket,
 };
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -18,6 +18,9 @@
 use crate::outlet::Outlet;
 use crate::shared::Shared;
 
+/// The least time between two looks whether a waiting request may start.
+const LEAST_WAIT: Duration = Duration::from_millis(1);
+
 /// What a waiting request is told.
 type News = Result<(), Refusal>;
 
@@ -108,6 +111,14 @@
         state.wake(started);
     }
 
+    /// Takes over the rate that the backend server names in its answers.
+    pub fn set_rate(&self, rate: Option<ServerRate>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let started = state.admission.set_rate(now, rate);
+        state.wake(started);
+    }
+
     /// Opens or closes for new work.
     pub fn set_gate(&self, gate: Gate) {
         let mut state = self.lock();
@@ -165,12 +176,16 @@
             slot.running = Some(Running::new(&self.running));
             return Ok(slot);
         };
-        let until = self.clock.tokio(wait.until);
-        let news = match timeout_at(until, &mut wait.news).await {
-            Ok(news) => news.ok(),
-            Err(_) => {
-                self.expire();
-                wait.news.try_recv().ok()
+        let news = loop {
+            let start = self.starts_at().unwrap_or(wait.until);
+            let until = self.clock.tokio(start.min(wait.until));
+            match timeout_at(until, &mut wait.news).await {
+                Ok(news) => break news.ok(),
+                Err(_) if start < wait.until => self.resume(),
+                Err(_) => {
+                    self.expire();
+                    break wait.news.try_recv().ok();
+                }
             }
         };
         slot.start = self.clock.now();
@@ -226,6 +241,21 @@
         Ok((slot, wait))
     }
 
+    /// Returns when a waiting request may start although none ends before.
+    fn starts_at(&self) -> Option<Instant> {
+        let now = self.clock.now();
+        let start = self.lock().admission.starts_at(now)?;
+        Some(start.max(now + LEAST_WAIT))
+    }
+
+    /// Starts the waiting requests that may start by now.
+    fn resume(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let started = state.admission.resume(now);
+        state.wake(started);
+    }
+
     /// Refuses those whose time to wait is over.
     fn expire(&self) {
         let now = self.clock.now();
--- a/crates/swiftcart-node/src/calls/notices.rs
+++ b/crates/swiftcart-node/src/calls/notices.rs
@@ -40,13 +40,14 @@
         self.lock().now()
     }
 
-    /// Takes the head of an answer to `call`, which was handed over at `sent`.
+    /// Takes the head of an answer to `call`, which was handed over at `sent`; returns what is believed
+    /// now when that has changed.
     ///
     /// An answer that bears another request's id may be older than it looks, and says nothing.
-    pub fn hear(&self, call: &Call, sent: Instant, headers: &HeaderMap) {
+    pub fn hear(&self, call: &Call, sent: Instant, headers: &HeaderMap) -> Option<Notice> {
         let names = &*self.shared.headers;
         if names.own_ids && headers.get(&names.request_id.0) != Some(&call.id.0) {
-            return;
+            return None;
         }
         let now = self.shared.clock.now();
         let rate = rate(headers, names).unwrap_or_else(|err| {
@@ -57,7 +58,7 @@
         let said = Notice::default()
             .with_rate(rate)
             .with_leaving(leaves(headers, names));
-        self.take(now, call, sent, said);
+        self.take(now, call, sent, said)
     }
 
     fn unreadable(&self, now: Instant, call: &Call, err: RateError) {
@@ -68,11 +69,11 @@
         }
     }
 
-    fn take(&self, now: Instant, call: &Call, sent: Instant, said: Notice) {
+    fn take(&self, now: Instant, call: &Call, sent: Instant, said: Notice) -> Option<Notice> {
         let mut belief = self.lock();
         let old = belief.now();
         if !belief.hear(now, sent, said) {
-            return;
+            return None;
         }
         let new = belief.now();
         drop(belief);
@@ -82,6 +83,7 @@
             "instance" => self.instance(), "rate" => rate(new), "before" => rate(old),
             "leaving" => new.leaving,
             "age_ms" => u64::try_from(now.since(sent).as_millis()).unwrap_or(u64::MAX));
+        Some(new)
     }
 
     fn count(&self, kind: &'static str) {
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -229,7 +229,8 @@
         let sent = exchange(&self.pool, until, request, Reason::ConnectFailed, handing).await;
         match (sent, run) {
             (Ok((response, pooled)), Some(run)) => {
-                self.notices.hear(call, start, response.headers());
+                let notice = self.notices.hear(call, start, response.headers());
+                notice.into_iter().for_each(|notice| self.heed(notice));
                 Ok(Sent {
                     run: run.with_status(response.status()),
                     response,
@@ -246,6 +247,11 @@
         }
     }
 
+    /// Acts on what the backend server has said of itself.
+    fn heed(&self, notice: Notice) {
+        self.admissions.set_rate(notice.rate);
+    }
+
     /// Sets the headers that the backend server gets from the node beside it.
     fn address(&self, headers: &mut HeaderMap, until: Instant, call: &Call) -> Result<(), Reason> {
         let names = &*self.headers;
