Bring a guard that starts anew what its backend server has said

What callers saw: a node that was killed beside a backend server that takes two requests a second handed it 47 in 4 s when it was back, where 17 are allowed: all that it had slots for, before the first answer named the rate again.

Cause: what a backend server said was known to the guard's process alone.

Change: a guard tells what its backend server has said with its answers to other nodes, named by the process that said it. An ingress remembers that and sends it along with its requests to the same guard, which knows it before it hands over the first request of an ingress that was told. A guard that has heard an answer of the process itself believes that.

Why it works: only requests of nodes that were told have to heed the rate, and each of these brings it along. No message is sent for it and nothing is written to the platform; requests carry some 25 bytes more while a backend server has something to say.

Ruled out: asking the backend server's health first (a probe at each start, and not known to name the rate); member news (kept by all nodes, for a matter of the few that send there).

--- a/crates/swiftcart-core/src/notice.rs
+++ b/crates/swiftcart-core/src/notice.rs
@@ -3,9 +3,11 @@
 
 mod belief;
 mod rate;
+mod told;
 
 pub use belief::*;
 pub use rate::*;
+pub use told::*;
 
 /// Holds what one answer says of the backend server that gave it.
 ///
--- a/crates/swiftcart-core/src/notice/belief.rs
+++ b/crates/swiftcart-core/src/notice/belief.rs
@@ -43,17 +43,26 @@
         self.now != old
     }
 
+    /// Takes what the process has said according to another node; returns whether the belief changed.
+    ///
+    /// The lowest rate counts until an answer of the process itself was heard.
+    pub fn relay(&mut self, said: Notice) -> bool {
+        let old = self.now;
+        self.now.leaving |= said.leaving;
+        if self.confirmed.is_none() {
+            self.now.rate = match (old.rate, said.rate) {
+                (Some(old), Some(said)) => Some(old.lower(said)),
+                (old, said) => old.or(said),
+            };
+        }
+        self.now != old
+    }
+
     /// Returns what is believed now.
     #[must_use]
     pub const fn now(&self) -> Notice {
         self.now
     }
-
-    /// Tells whether an answer of the process was heard.
-    #[must_use]
-    pub const fn is_heard(&self) -> bool {
-        self.confirmed.is_some()
-    }
 }
 
 fn is_lower(old: Notice, said: Notice) -> bool {
--- a/crates/swiftcart-core/tests/notice.rs
+++ b/crates/swiftcart-core/tests/notice.rs
@@ -2,7 +2,10 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use rstest::rstest;
-use swiftcart_core::{Instant, Notice, NoticeBelief, RateError, ServerRate};
+use swiftcart_core::{
+    Instant, NodeId, Notice, NoticeBelief, NoticeError, ProcessNotice, ProcessTag, RateError,
+    ServerRate, StartTime, ToldNotices,
+};
 
 fn at(ms: u64) -> Instant {
     Instant::from_millis(ms)
@@ -59,3 +62,71 @@
     assert!(belief.hear(at(20), at(11), rate(8.0)));
     assert!(!belief.hear(at(30), at(21), rate(8.0)));
 }
+
+#[test]
+fn what_others_were_told_counts_until_the_process_itself_is_heard() {
+    let mut belief = NoticeBelief::default();
+    assert!(belief.relay(rate(8.0)));
+    assert_eq!(belief.now(), rate(8.0));
+    assert!(
+        belief.hear(at(20), at(11), NOTHING),
+        "it names none any more"
+    );
+    assert!(!belief.relay(rate(8.0)));
+    assert_eq!(belief.now(), NOTHING);
+}
+
+#[test]
+fn who_leaves_according_to_others_leaves_whatever_its_answers_say() {
+    let mut belief = NoticeBelief::default();
+    belief.hear(at(20), at(11), NOTHING);
+    assert!(belief.relay(NOTHING.with_leaving(true)));
+    belief.hear(at(40), at(31), NOTHING);
+    assert!(belief.now().leaving);
+}
+
+#[rstest]
+#[case::a_rate(rate(49.2), "49.2")]
+#[case::a_small_one(rate(0.125), "0.125")]
+#[case::a_leaving(NOTHING.with_leaving(true), "- leaving")]
+#[case::both(rate(3.0).with_leaving(true), "3 leaving")]
+#[case::nothing(NOTHING, "-")]
+fn a_notice_travels_between_nodes(#[case] notice: Notice, #[case] text: &str) {
+    let process = ProcessTag::new(b"i-1", Some(StartTime(5)));
+    let told = ProcessNotice { process, notice };
+    assert!(told.to_string().ends_with(&format!(" {text}")), "{told}");
+    assert_eq!(told.to_string().parse(), Ok(told));
+}
+
+#[rstest]
+#[case::nothing("", NoticeError::Process)]
+#[case::no_process("fast 3", NoticeError::Process)]
+#[case::no_rate("0000000000000001 fast", NoticeError::Rate(RateError::Syntax))]
+fn no_notice_is_read_from(#[case] text: &str, #[case] expected: NoticeError) {
+    assert_eq!(text.parse::<ProcessNotice>(), Err(expected));
+}
+
+#[rstest]
+#[case::another_id(b"i-2", Some(5))]
+#[case::another_start(b"i-1", Some(6))]
+#[case::no_start(b"i-1", None)]
+fn processes_are_told_apart_by(#[case] id: &[u8], #[case] start: Option<u64>) {
+    let one = ProcessTag::new(b"i-1", Some(StartTime(5)));
+    assert_ne!(ProcessTag::new(id, start.map(StartTime)), one);
+}
+
+#[test]
+fn what_guards_told_is_bounded() {
+    let mut told = ToldNotices::default();
+    let guard = |n: u32| NodeId((n.to_be_bytes(), 7000).into());
+    let process = ProcessTag::new(b"i-1", None);
+    let notice = rate(1.0);
+    (0..10_000).for_each(|n| told.note(guard(n), ProcessNotice { process, notice }));
+    assert_eq!(
+        (0..10_000).filter(|n| told.of(guard(*n)).is_some()).count(),
+        4096
+    );
+    let notice = rate(2.0);
+    told.note(guard(7), ProcessNotice { process, notice });
+    assert_eq!(told.of(guard(7)).map(|told| told.notice), Some(notice));
+}
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -8,8 +8,8 @@
 use hyper::body::Body;
 use slog::{error, info};
 use swiftcart_core::{
-    Backend, CallResult, ColdRule, Limits, Load, NodeId, Pace, Readiness, Reason, Refusal,
-    ServerRate, ServiceEntry, Version,
+    Backend, CallResult, ColdRule, Limits, Load, NodeId, Notice, Pace, ProcessNotice, Readiness,
+    Reason, Refusal, ServerRate, ServiceEntry, Version,
 };
 
 use super::admissions::Slot;
@@ -133,6 +133,22 @@
         HeaderValue::try_from(text).ok()
     }
 
+    /// Takes what another node was told of the backend server.
+    pub fn relay(&self, told: ProcessNotice) {
+        if let Some(upstream) = &*self.upstream.load() {
+            upstream.relay(told);
+        }
+    }
+
+    /// Returns what the backend server said of itself, to carry back to another node; nothing where
+    /// there is nothing to tell, unless the node `asks`, since it was told otherwise.
+    #[must_use]
+    pub fn notice(&self, asks: bool) -> Option<HeaderValue> {
+        let told = self.upstream.load().as_ref()?.told();
+        let telling = asks || told.notice != Notice::default();
+        telling.then(|| HeaderValue::try_from(told.to_string()).ok())?
+    }
+
     /// Returns the share of repeats among what the backend server runs.
     #[must_use]
     pub fn repeated(&self) -> f64 {
@@ -163,11 +179,11 @@
     /// Closes unused connections, and shows the load and the rate that the backend server named.
     pub fn sweep(&self) {
         let upstream = self.upstream.load();
-        let (load, notice) = upstream.as_ref().map_or_else(Default::default, |upstream| {
+        let (load, rate) = upstream.as_ref().map_or_else(Default::default, |upstream| {
             upstream.sweep();
-            (upstream.load(), upstream.notice())
+            (upstream.load(), upstream.told().notice.rate)
         });
-        let rate = notice.rate.map_or(0.0, ServerRate::per_second);
+        let rate = rate.map_or(0.0, ServerRate::per_second);
         let counters = &self.shared.counters;
         counters.gauge("swiftcart_running").set(load.running);
         counters.gauge("swiftcart_queued").set(load.queued);
--- a/crates/swiftcart-node/src/calls/headers.rs
+++ b/crates/swiftcart-node/src/calls/headers.rs
@@ -6,7 +6,7 @@
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use swiftcart_core::Reason;
+use swiftcart_core::{ProcessNotice, Reason};
 
 use crate::settings::Headers;
 
@@ -27,6 +27,10 @@
 /// The guard's load, in answers to other nodes.
 pub const LOAD: HeaderName = HeaderName::from_static("swiftcart-load");
 
+/// What the guard's backend server has said of itself: in answers to other nodes, and in their
+/// requests, which bring it back.
+pub const NOTICE: HeaderName = HeaderName::from_static("swiftcart-notice");
+
 /// Marks an answer whose request was tried more than once.
 pub const RETRIED: HeaderName = HeaderName::from_static("swiftcart-retried");
 
@@ -47,7 +51,9 @@
 ];
 
 /// Headers that only nodes set; a caller's or backend server's are dropped.
-const INTERNAL: [HeaderName; 7] = [SERVICE, DEADLINE, TERMS, OUTCOME, REASON, LOAD, RETRIED];
+const INTERNAL: [HeaderName; 8] = [
+    SERVICE, DEADLINE, TERMS, OUTCOME, REASON, LOAD, NOTICE, RETRIED,
+];
 
 /// Removes the headers that belong to one connection; the framing stays unambiguous.
 pub fn strip_hop(headers: &mut HeaderMap) {
@@ -114,3 +120,9 @@
     let text = headers.get(http::header::RETRY_AFTER)?.to_str().ok()?;
     Duration::try_from_secs_f64(text.parse().ok()?).ok()
 }
+
+/// Returns what another node says that a backend server has said of itself; what cannot be read says nothing.
+#[must_use]
+pub fn told(headers: &HeaderMap) -> Option<ProcessNotice> {
+    headers.get(NOTICE)?.to_str().ok()?.parse().ok()
+}
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -17,7 +17,7 @@
 use swiftcart_core::{
     Asking, BalanceSettings, Balancer, CallResult, Candidate, FleetBudget, Identity, Instant, Next,
     NodeId, Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings,
-    Returns, RouteProfiles, ServiceEntry, Tries, Version, start_wait,
+    Returns, RouteProfiles, ServiceEntry, ToldNotices, Tries, Version, start_wait,
 };
 
 use tokio::task::JoinError;
@@ -49,6 +49,8 @@
     fleet: Option<Mutex<FleetBudget>>,
     profiles: Mutex<RouteProfiles>,
     returns: Mutex<Returns>,
+    /// What guards told of their backend servers.
+    told: Mutex<ToldNotices>,
 }
 
 /// The tries that were made of one call.
@@ -80,6 +82,7 @@
                 .map(|retries| Mutex::new(FleetBudget::new(retries.budget()))),
             profiles: Mutex::default(),
             returns: Mutex::default(),
+            told: Mutex::default(),
         }
     }
 
--- a/crates/swiftcart-node/src/calls/ingress/forward.rs
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -4,13 +4,14 @@
 use swiftcart_core::{HOP_ALLOWANCE, Load, Pace, Pick, Reason, Refusal, Tries};
 
 use super::original::Original;
-use super::{Failed, Ingress};
+use super::{Failed, Ingress, lock};
 use crate::calls::answer::{Answer, is_framed};
 use crate::calls::body::Gate;
 use crate::calls::exchange::exchange;
 use crate::calls::guard::Report;
 use crate::calls::headers::{
-    ATTEMPT, LOAD, RETRIED, SERVICE, TERMS, retry_after, strip_hop, strip_internal, verdict,
+    ATTEMPT, LOAD, NOTICE, RETRIED, SERVICE, TERMS, retry_after, strip_hop, strip_internal, told,
+    verdict,
 };
 use crate::calls::request::Call;
 
@@ -51,11 +52,19 @@
             Some(terms) => headers.insert(TERMS, terms.value()),
             None => headers.insert(ATTEMPT, HeaderValue::from(u16::from(tries.attempt().0))),
         };
+        if let Some(told) = lock(&self.told).of(pick.id) {
+            let told = HeaderValue::try_from(told.to_string());
+            headers.insert(NOTICE, told.map_err(|_| Reason::BadRequest)?);
+        }
         let until = self.shared.clock.tokio(call.due.at());
         let method = request.method().clone();
         let pool = self.peers.pool(pick.peer);
         let exchanged = exchange(&pool, until, request, Reason::PeerUnreachable, || {}).await;
-        let (response, pooled) = exchanged?;
+        let (mut response, pooled) = exchanged?;
+        if let Some(told) = told(response.headers()) {
+            lock(&self.told).note(pick.id, told);
+            response.headers_mut().remove(NOTICE);
+        }
         // A guard gives every answer a length or sends it in chunks.
         match is_framed(&method, response.status(), response.headers()) {
             true => judge(response.map(|body| Answer::stream(body, pooled))),
--- a/crates/swiftcart-node/src/calls/notices.rs
+++ b/crates/swiftcart-node/src/calls/notices.rs
@@ -4,9 +4,12 @@
 
 use http::HeaderMap;
 use slog::{info, warn};
-use swiftcart_core::{Instant, Notice, NoticeBelief, RateError, ServerRate};
+use swiftcart_core::{
+    Instant, Notice, NoticeBelief, ProcessNotice, ProcessTag, RateError, ServerRate,
+};
 
 use super::request::Call;
+use crate::beside::Identity;
 use crate::logging::Event;
 use crate::settings::Headers;
 use crate::shared::Shared;
@@ -20,16 +23,20 @@
     shared: Arc<Shared>,
     /// The process, as it calls itself.
     instance: Option<Arc<str>>,
+    process: ProcessTag,
     belief: Mutex<NoticeBelief>,
 }
 
 impl Notices {
     /// Creates what is believed of a process that nothing was heard of.
     #[must_use]
-    pub fn new(shared: &Arc<Shared>, instance: Option<&str>) -> Arc<Self> {
+    pub fn new(shared: &Arc<Shared>, identity: Option<&Identity>) -> Arc<Self> {
+        let tag = |identity: &Identity| ProcessTag::new(identity.id.as_bytes(), identity.start);
+        let name = identity.and_then(|identity| identity.id.to_str().ok());
         Arc::new(Self {
             shared: Arc::clone(shared),
-            instance: instance.map(Arc::from),
+            instance: name.map(Arc::from),
+            process: identity.map_or_else(ProcessTag::default, tag),
             belief: Mutex::default(),
         })
     }
@@ -61,6 +68,34 @@
         self.take(now, call, sent, said)
     }
 
+    /// Takes what another node was told of the backend server; returns what is believed now when that has
+    /// changed.
+    pub fn relay(&self, told: ProcessNotice) -> Option<Notice> {
+        if told.process != self.process {
+            return None;
+        }
+        let mut belief = self.lock();
+        let old = belief.now();
+        if !belief.relay(told.notice) {
+            return None;
+        }
+        let new = belief.now();
+        drop(belief);
+        self.count("relayed");
+        info!(self.shared.logger, ""; "event" => Event::Notice, "instance" => self.instance(),
+            "rate" => rate_of(new), "before" => rate_of(old), "leaving" => new.leaving);
+        Some(new)
+    }
+
+    /// Returns what other nodes are told.
+    #[must_use]
+    pub fn told(&self) -> ProcessNotice {
+        ProcessNotice {
+            process: self.process,
+            notice: self.now(),
+        }
+    }
+
     fn unreadable(&self, now: Instant, call: &Call, err: RateError) {
         self.count("unreadable");
         if let Some(log) = self.shared.call_log.odd(now) {
@@ -78,9 +113,8 @@
         let new = belief.now();
         drop(belief);
         self.count(kind(old, new));
-        let rate = |notice: Notice| notice.rate.map(ServerRate::per_second);
         info!(self.shared.logger, ""; "event" => Event::Notice, "id" => %call.id,
-            "instance" => self.instance(), "rate" => rate(new), "before" => rate(old),
+            "instance" => self.instance(), "rate" => rate_of(new), "before" => rate_of(old),
             "leaving" => new.leaving,
             "age_ms" => u64::try_from(now.since(sent).as_millis()).unwrap_or(u64::MAX));
         Some(new)
@@ -100,6 +134,11 @@
     }
 }
 
+/// Returns the rate for logs.
+fn rate_of(notice: Notice) -> Option<f64> {
+    notice.rate.map(ServerRate::per_second)
+}
+
 /// Names what has changed, for counters.
 fn kind(old: Notice, new: Notice) -> &'static str {
     match (old.rate, new.rate) {
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -19,7 +19,7 @@
 use super::answer::{Answer, refuse};
 use super::body::{Outgoing, Source};
 use super::guard::Guard;
-use super::headers::{KEEP_ALIVE, LOAD, OUTCOME};
+use super::headers::{KEEP_ALIVE, LOAD, NOTICE, OUTCOME, told};
 use super::ingress::Ingress;
 use super::request::Call;
 use super::serve::Answering;
@@ -119,12 +119,17 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
+        let told = told(request.headers());
+        told.iter().for_each(|told| self.guard.relay(*told));
         let result = self.run(request).await;
         let mut response =
             result.unwrap_or_else(|refusal| refuse(refusal, false, self.shared.settings.answers));
         if let Some(load) = self.guard.load() {
             response.headers_mut().insert(LOAD, load);
         }
+        if let Some(notice) = self.guard.notice(told.is_some()) {
+            response.headers_mut().insert(NOTICE, notice);
+        }
         retire(&self.shared, &mut response);
         response.map(|answer| answer.paced(&self.shared.link))
     }
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use swiftcart_core::{
     AdmissionSettings, Backend, Deadline, Gate, Instant, LimitRule, LimitSettings, Limits, Load,
-    Notice, Outcome, Pace, Readiness, Reason, Refusal, ServiceName,
+    Notice, Outcome, Pace, ProcessNotice, Readiness, Reason, Refusal, ServiceName,
 };
 
 use super::admissions::{Admissions, Slot};
@@ -81,7 +81,7 @@
             |old| Arc::clone(&old.runs),
         );
         let notices = same.map_or_else(
-            || Notices::new(shared, shared.beside().id()),
+            || Notices::new(shared, identity.as_ref()),
             |old| Arc::clone(&old.notices),
         );
         let pool = same
@@ -167,8 +167,14 @@
 
     /// Returns what the backend server said of itself in its answers.
     #[must_use]
-    pub fn notice(&self) -> Notice {
-        self.notices.now()
+    pub fn told(&self) -> ProcessNotice {
+        self.notices.told()
+    }
+
+    /// Takes what another node was told of the backend server.
+    pub fn relay(&self, told: ProcessNotice) {
+        let notice = self.notices.relay(told);
+        notice.into_iter().for_each(|notice| self.heed(notice));
     }
 
     /// Closes unused connections.
