Give a backend server that says in an answer that it leaves nothing more

What callers saw: a backend server that said so in its answers, and went on announcing itself as ready or whose announcements were late, got requests until it was gone, which broke them off.

Cause: that a backend server leaves was learnt from announcements alone; they come every second and a half, and may be late or lost.

Change: the guard closes at the first answer that says so, and shows the backend server as draining to all nodes, whatever it announces from then on, until another process announces itself. What waits is refused as not run.

Why it works: the guard is the only one that hands work to its backend server, and it closes before it passes the answer on.

Ruled out: leaving the choice to each ingress that has passed on such an answer; another one would go on sending, and the guard could not refuse.

--- a/crates/swiftcart-node/src/admin/announce.rs
+++ b/crates/swiftcart-node/src/admin/announce.rs
@@ -15,7 +15,7 @@
 use axum::extract::{Path, State};
 use axum::http::StatusCode;
 use slog::{info, warn};
-use swiftcart_core::{Announced, Backend, Heard, Release};
+use swiftcart_core::{Announced, Backend, Heard, Readiness, Release};
 use tokio::time::{Instant, sleep_until};
 
 use crate::beside::Process;
@@ -182,19 +182,34 @@
 }
 
 /// Shows the backend server to the other parts, also an equal one that took its place.
+///
+/// One that said in an answer that it leaves is draining, whatever it announces.
 fn show(shared: &Shared, backend: Option<&Backend>, replaced: bool) {
+    let leaving = shared.beside().is_leaving();
+    let backend = backend.map(|backend| Backend {
+        readiness: match leaving {
+            true => Readiness::Draining,
+            false => backend.readiness,
+        },
+        ..backend.clone()
+    });
     let changed = shared.backend.send_if_modified(|now| {
-        let changed = replaced || now.as_ref() != backend;
-        *now = backend.cloned();
+        let changed = replaced || *now != backend;
+        now.clone_from(&backend);
         changed
     });
-    match backend {
+    match &backend {
         Some(b) if changed => {
             info!(shared.logger, ""; "event" => Event::Backend, "service" => %b.service,
                 "addr" => %b.addr, "slots" => b.slots, "connections" => b.connections,
                 "readiness" => ?b.readiness);
         }
-        None if changed => info!(shared.logger, ""; "event" => Event::Backend, "service" => "none"),
-        _ => {}
+        None => {
+            shared.beside().withdrawn();
+            if changed {
+                info!(shared.logger, ""; "event" => Event::Backend, "service" => "none");
+            }
+        }
+        Some(_) => {}
     }
 }
--- a/crates/swiftcart-node/src/beside.rs
+++ b/crates/swiftcart-node/src/beside.rs
@@ -40,6 +40,8 @@
     succession: Succession,
     identity: Option<Identity>,
     warm: Instant,
+    /// Whether its process said in an answer that it leaves, whatever it announces.
+    leaving: bool,
 }
 
 impl Beside {
@@ -52,6 +54,7 @@
             let release = process.release;
             self.identity = Some(Identity { id, start, release });
             self.warm = process.warm;
+            self.leaving &= !heard.is_first();
         }
         Some(heard)
     }
@@ -61,10 +64,31 @@
         let left = self.succession.leave(now, id, start, StartTime(unix_ms()));
         if left {
             self.identity = None;
+            self.leaving = false;
         }
         left
     }
 
+    /// Notes that the process `identity` said in an answer that it leaves; returns whether it is the
+    /// current one and that is news.
+    pub fn leaves(&mut self, identity: Option<&Identity>) -> bool {
+        let news = self.identity.as_ref() == identity && !self.leaving;
+        self.leaving |= news;
+        news
+    }
+
+    /// Notes that nothing is announced any more. One that does not name itself is another one when it
+    /// comes back.
+    pub fn withdrawn(&mut self) {
+        self.leaving &= self.identity.is_some();
+    }
+
+    /// Tells whether its process said in an answer that it leaves.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Returns the identity of the backend server whose announcement counted last.
     #[must_use]
     pub fn identity(&self) -> Option<&Identity> {
--- a/crates/swiftcart-node/src/calls/notices.rs
+++ b/crates/swiftcart-node/src/calls/notices.rs
@@ -87,6 +87,11 @@
         Some(new)
     }
 
+    /// Has the process `identity`, which said that it leaves, shown as draining.
+    pub fn leaves(&self, identity: Option<&Identity>) {
+        self.shared.leaves(identity);
+    }
+
     /// Returns what other nodes are told.
     #[must_use]
     pub fn told(&self) -> ProcessNotice {
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -256,6 +256,10 @@
     /// Acts on what the backend server has said of itself.
     fn heed(&self, notice: Notice) {
         self.admissions.set_rate(notice.rate);
+        if notice.leaving {
+            self.leave();
+            self.notices.leaves(self.identity.as_ref());
+        }
     }
 
     /// Sets the headers that the backend server gets from the node beside it.
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -7,11 +7,11 @@
 
 use arc_swap::ArcSwap;
 use slog::Logger;
-use swiftcart_core::{Backend, Digest, Member, NodeId, Offset, Table, Version, View};
+use swiftcart_core::{Backend, Digest, Member, NodeId, Offset, Readiness, Table, Version, View};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::beside::Beside;
+use crate::beside::{Beside, Identity};
 use crate::clearing::Clearing;
 use crate::clock::Clock;
 use crate::config::Config;
@@ -210,6 +210,21 @@
         self.beside.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes that the process `identity` of the backend server said in an answer that it leaves: it is
+    /// shown as draining from now on.
+    pub fn leaves(&self, identity: Option<&Identity>) {
+        if !self.beside().leaves(identity) {
+            return;
+        }
+        self.backend.send_if_modified(|backend| match backend {
+            Some(backend) if backend.readiness != Readiness::Draining => {
+                backend.readiness = Readiness::Draining;
+                true
+            }
+            _ => false,
+        });
+    }
+
     /// Returns how many requests the backend server runs.
     #[must_use]
     pub fn running(&self) -> u32 {
