Keep a named rate when an announcement has lapsed

What callers saw: a backend server that was silent for longer than its announcement holds, and came back, got 47 requests in 4 s where 17 are allowed.

Cause: a guard forgets its backend server with its announcement, and with it what the same process has said; another node would have brought it back, the guard's own ingress did not.

Change: an ingress remembers what its own guard told like what others told, and brings it along.

Ruled out: keeping the whole state of an announcement that has lapsed; it would have to end some time, and the ingresses remember already.

--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -140,11 +140,17 @@
         }
     }
 
-    /// Returns what the backend server said of itself, to carry back to another node; nothing where
-    /// there is nothing to tell, unless the node `asks`, since it was told otherwise.
+    /// Returns what the backend server has said of itself.
+    #[must_use]
+    pub fn told(&self) -> Option<ProcessNotice> {
+        Some(self.upstream.load().as_ref()?.told())
+    }
+
+    /// Returns that to carry back to another node; nothing where there is nothing to tell, unless the
+    /// node `asks`, since it was told otherwise.
     #[must_use]
     pub fn notice(&self, asks: bool) -> Option<HeaderValue> {
-        let told = self.upstream.load().as_ref()?.told();
+        let told = self.told()?;
         let telling = asks || told.notice != Notice::default();
         telling.then(|| HeaderValue::try_from(told.to_string()).ok())?
     }
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -348,7 +348,13 @@
         let service = entry.name().as_str();
         let result = match pick.id == self.shared.id {
             true => {
+                // The guard forgets with an announcement that has lapsed.
+                let told = lock(&self.told).of(pick.id);
+                told.into_iter().for_each(|told| self.guard.relay(told));
                 let result = self.run_here(call, service, original).await;
+                if let Some(told) = self.guard.told() {
+                    lock(&self.told).note(pick.id, told);
+                }
                 let result = self.hold(call, result.map_err(Failed::from)).await;
                 in_flight.set_load(self.guard.report());
                 result
--- a/crates/swiftcart-node/src/calls/notices.rs
+++ b/crates/swiftcart-node/src/calls/notices.rs
@@ -17,6 +17,15 @@
 /// The value by which a backend server says that it leaves.
 const LEAVES: &[u8] = b"1";
 
+/// Where a notice comes from.
+#[derive(Debug, Clone, Copy)]
+enum Source<'a> {
+    /// The answer to this call, which was handed over then.
+    Answer(&'a Call, Instant),
+    /// A node that was told before.
+    Node,
+}
+
 /// Follows the notices of one process of the backend server.
 #[derive(Debug)]
 pub struct Notices {
@@ -65,7 +74,12 @@
         let said = Notice::default()
             .with_rate(rate)
             .with_leaving(leaves(headers, names));
-        self.take(now, call, sent, said)
+        let mut belief = self.lock();
+        let old = belief.now();
+        let changed = belief.hear(now, sent, said);
+        let new = belief.now();
+        drop(belief);
+        changed.then(|| self.note(old, new, Source::Answer(call, sent)))
     }
 
     /// Takes what another node was told of the backend server; returns what is believed now when that has
@@ -76,15 +90,10 @@
         }
         let mut belief = self.lock();
         let old = belief.now();
-        if !belief.relay(told.notice) {
-            return None;
-        }
+        let changed = belief.relay(told.notice);
         let new = belief.now();
         drop(belief);
-        self.count("relayed");
-        info!(self.shared.logger, ""; "event" => Event::Notice, "instance" => self.instance(),
-            "rate" => rate_of(new), "before" => rate_of(old), "leaving" => new.leaving);
-        Some(new)
+        changed.then(|| self.note(old, new, Source::Node))
     }
 
     /// Has the process `identity`, which said that it leaves, shown as draining.
@@ -109,20 +118,22 @@
         }
     }
 
-    fn take(&self, now: Instant, call: &Call, sent: Instant, said: Notice) -> Option<Notice> {
-        let mut belief = self.lock();
-        let old = belief.now();
-        if !belief.hear(now, sent, said) {
-            return None;
-        }
-        let new = belief.now();
-        drop(belief);
+    /// Counts and logs a change of what is believed, and returns it.
+    fn note(&self, old: Notice, new: Notice, source: Source<'_>) -> Notice {
         self.count(kind(old, new));
-        info!(self.shared.logger, ""; "event" => Event::Notice, "id" => %call.id,
-            "instance" => self.instance(), "rate" => rate_of(new), "before" => rate_of(old),
-            "leaving" => new.leaving,
-            "age_ms" => u64::try_from(now.since(sent).as_millis()).unwrap_or(u64::MAX));
-        Some(new)
+        let now = self.shared.clock.now();
+        let log = match new.leaving && !old.leaving {
+            true => Some(&self.shared.logger),
+            // A rate may change with each answer.
+            false => self.shared.call_log.odd(now),
+        };
+        if let Some(log) = log {
+            let (id, age) = source.parts(now);
+            info!(log, ""; "event" => Event::Notice, "id" => id, "instance" => self.instance(),
+                "rate" => rate_of(new), "before" => rate_of(old), "leaving" => new.leaving,
+                "age_ms" => age);
+        }
+        new
     }
 
     fn count(&self, kind: &'static str) {
@@ -139,6 +150,19 @@
     }
 }
 
+impl Source<'_> {
+    /// Returns the request's id and its age in milliseconds, for logs.
+    fn parts(&self, now: Instant) -> (String, Option<u64>) {
+        match self {
+            Self::Answer(call, sent) => {
+                let age = u64::try_from(now.since(*sent).as_millis()).ok();
+                (call.id.to_string(), age)
+            }
+            Self::Node => ("-".to_owned(), None),
+        }
+    }
+}
+
 /// Returns the rate for logs.
 fn rate_of(notice: Notice) -> Option<f64> {
     notice.rate.map(ServerRate::per_second)
