--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -169,12 +169,10 @@
         let urgency = self.urgency(now, &bid);
         self.targets.note(bid.target);
         let patience = self.patience(&bid);
-        let ahead = self.queue.ahead_of(urgency);
-        let held = self.throttle.wait(now, ahead);
-        let wait = self.expected_wait(ahead).max(held);
-        let crowd = match held < wait {
-            true => Reason::Overloaded,
-            false => Reason::Throttled,
+        let wait = self.expected_wait(now, self.queue.ahead_of(urgency));
+        let crowd = match self.running() < self.limit() {
+            true => Reason::Throttled,
+            false => Reason::Overloaded,
         };
         let due = bid.due;
         match self.gate {
@@ -489,11 +487,17 @@
         }
     }
 
-    /// Returns the wait to expect for a request that joins the queue behind `ahead` others.
-    fn expected_wait(&self, ahead: usize) -> Duration {
-        let ahead = f64::from(to_u32(ahead)) + 1.0;
-        let secs = self.throughput().map_or(0.0, |rate| ahead / rate);
-        Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
+    /// Returns the wait to expect for a request that joins the queue behind `ahead` others: for a slot,
+    /// and for the rate to let it start.
+    fn expected_wait(&self, now: Instant, ahead: usize) -> Duration {
+        let places = f64::from(to_u32(ahead)) + 1.0;
+        let done = self.times.throughput(self.limit());
+        let secs = done.map_or(0.0, |done| places / done);
+        let slot = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
+        match self.running() < self.limit() {
+            true => self.throttle.wait(now, ahead),
+            false => slot.max(self.throttle.wait(now, ahead)),
+        }
     }
 
     fn elsewhere<R: Rng + ?Sized>(&self, reason: Reason, rng: &mut R) -> Admit {
@@ -502,7 +506,8 @@
     }
 
     /// Refuses a request for want of a place; one that asks on elsewhere needs no time to
-    /// come back, and keeps none from others.
+    /// come back, and keeps none from others. Its ingress leaves the guard alone until a rate
+    /// lets in what it sends next.
     fn crowded<R: Rng + ?Sized>(
         &mut self,
         reason: Reason,
@@ -510,14 +515,14 @@
         now: Instant,
         rng: &mut R,
     ) -> Refusal {
-        match patience {
-            Patience::Short => Refusal::new(reason),
-            Patience::Full => self.later(reason, now, rng),
+        match (patience, reason) {
+            (Patience::Full, _) | (_, Reason::Throttled) => self.later(reason, now, rng),
+            (Patience::Short, _) => Refusal::new(reason),
         }
     }
 
     fn later<R: Rng + ?Sized>(&mut self, reason: Reason, now: Instant, rng: &mut R) -> Refusal {
-        let wait = self.expected_wait(self.queue.len());
+        let wait = self.expected_wait(now, self.queue.len());
         let rate = self.throughput().unwrap_or(1.0);
         let after = self.promises.next(now, wait, rate, rng);
         Refusal::new(reason).with_retry(after)
--- a/crates/swiftcart-core/src/admission/throttle.rs
+++ b/crates/swiftcart-core/src/admission/throttle.rs
@@ -51,7 +51,7 @@
     /// Counts a request that starts.
     pub(super) fn take(&mut self, now: Instant) {
         if let Some(bucket) = &mut self.bucket {
-            bucket.take(now);
+            bucket.spend(now);
         }
     }
 }
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -246,7 +246,7 @@
         let slots = known.candidate.slots;
         known.peer.is_some_and(|p| {
             let link = self.haul == Haul::Heavy && p.is_link_busy(self.now);
-            link || p.running >= slots || p.usage(self.now, age) >= 1.0
+            link || p.is_held(self.now) || p.running >= slots || p.usage(self.now, age) >= 1.0
         })
     }
 
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -25,6 +25,10 @@
 /// four answers of 90 kB over 15 Mbit/s, after which a place is likely again.
 const LINK_MEMORY: Duration = Duration::from_millis(200);
 
+/// How long a guard that takes a bounded rate is left alone at most. Longer, and a rate that has risen
+/// would be found late.
+const LONGEST_HELD: Duration = Duration::from_secs(2);
+
 /// The failures that a failed connection stands for: two in a row eject by default. It says
 /// more than a missing answer, and a trial costs no more than the time to connect.
 const UNREACHABLE: u32 = 3;
@@ -53,6 +57,8 @@
     told: Option<Pace>,
     /// When it last had no room for a long answer.
     link_busy: Option<Instant>,
+    /// Until when it takes nothing of this node, since a rate bounds what it takes.
+    held: Option<Instant>,
     failing: f64,
     judged: Instant,
     streak: u32,
@@ -75,6 +81,7 @@
             pace: None,
             told: None,
             link_busy: None,
+            held: None,
             failing: 0.0,
             judged: now,
             streak: 0,
@@ -111,6 +118,7 @@
             CallResult::Refused => {
                 self.usage = self.usage(now, s.load_age).max(REFUSED_USAGE);
                 self.loaded = now;
+                self.held = sample.again.map(|again| now + again.min(LONGEST_HELD));
                 false
             }
             // It counts in the choice, where others fare better, and ejects nobody: what all
@@ -199,6 +207,11 @@
             .is_some_and(|then| now.since(then) < LINK_MEMORY)
     }
 
+    /// Tells whether it has said that it takes nothing of this node yet.
+    pub(super) fn is_held(&self, now: Instant) -> bool {
+        self.held.is_some_and(|until| now < until)
+    }
+
     /// Returns the latency, decayed so that a slow one is looked at again.
     pub(super) fn latency(&self, now: Instant, s: &BalanceSettings) -> Option<f64> {
         let fresh = decay(now.since(self.heard), s.memory);
--- a/crates/swiftcart-core/src/balance/sample.rs
+++ b/crates/swiftcart-core/src/balance/sample.rs
@@ -92,6 +92,8 @@
     pub pace: Option<Pace>,
     /// The time within which the answer was worth most.
     pub target: Option<Duration>,
+    /// When the guard takes the next request of this node, where a rate bounds what it takes.
+    pub again: Option<Duration>,
 }
 
 impl Sample {
@@ -104,9 +106,17 @@
             load: None,
             pace: None,
             target: None,
+            again: None,
         }
     }
 
+    /// Adds when the guard takes the next request.
+    #[must_use]
+    pub const fn with_again(mut self, again: Option<Duration>) -> Self {
+        self.again = again;
+        self
+    }
+
     /// Adds the pace that the answer carried.
     #[must_use]
     pub const fn with_pace(mut self, pace: Pace) -> Self {
--- a/crates/swiftcart-core/src/rate.rs
+++ b/crates/swiftcart-core/src/rate.rs
@@ -88,6 +88,12 @@
         there
     }
 
+    /// Takes a token for which the [`wait`](Self::wait) was over, which rounds to whole nanoseconds.
+    pub(crate) fn spend(&mut self, now: Instant) {
+        self.refill(now);
+        self.tokens -= 1.0;
+    }
+
     /// Returns the tokens that flow in within a second.
     pub(crate) const fn rate(&self) -> f64 {
         self.rate
--- a/crates/swiftcart-node/src/calls/in_flight.rs
+++ b/crates/swiftcart-node/src/calls/in_flight.rs
@@ -1,6 +1,7 @@
 //! One try of a call, as the ingress accounts for it.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use swiftcart_core::{Balancer, CallResult, Instant, NodeId, Outcome, Reason, Sample};
 
@@ -16,6 +17,8 @@
     id: NodeId,
     start: Instant,
     report: Option<Report>,
+    /// When the guard takes the next request.
+    again: Option<Duration>,
     open: bool,
 }
 
@@ -33,6 +36,7 @@
             id,
             start: shared.clock.now(),
             report: None,
+            again: None,
             open: true,
         }
     }
@@ -48,6 +52,11 @@
         self.report = report;
     }
 
+    /// Adds when the guard takes the next request, where a rate bounds what it takes.
+    pub const fn set_again(&mut self, again: Option<Duration>) {
+        self.again = again;
+    }
+
     /// Accounts for the end of the answer that the caller got.
     pub fn close(mut self, end: End) {
         self.shared.counters.call(end.outcome());
@@ -62,7 +71,7 @@
     fn learn(&mut self, result: CallResult) {
         self.open = false;
         let now = self.shared.clock.now();
-        let mut sample = Sample::new(now.since(self.start), result);
+        let mut sample = Sample::new(now.since(self.start), result).with_again(self.again);
         sample.load = self.report.map(|report| report.load);
         sample.pace = self.report.and_then(|report| report.pace);
         let mut balancer = self.balancer.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -386,6 +386,7 @@
                 if failed.refusal.reason == Reason::PeerUnreachable {
                     self.shared.misses.note(pick.id, in_flight.start());
                 }
+                in_flight.set_again(failed.again());
                 in_flight.fail(blame(failed.refusal.reason));
                 Err(failed)
             }
--- a/crates/swiftcart-node/src/calls/ingress/failed.rs
+++ b/crates/swiftcart-node/src/calls/ingress/failed.rs
@@ -1,5 +1,7 @@
 //! Tries that brought no answer of a backend server, and what they tell.
 
+use std::time::Duration;
+
 use http::{Response, StatusCode};
 use swiftcart_core::{CallResult, Outcome, Reason, Refusal};
 
@@ -47,6 +49,12 @@
         }
     }
 
+    /// Returns when the guard takes the next request of this node, where a rate bounds what it takes.
+    pub(super) fn again(&self) -> Option<Duration> {
+        let throttled = self.refusal.reason == Reason::Throttled;
+        self.refusal.retry_after.filter(|_| throttled)
+    }
+
     pub(super) fn is_unknown(&self) -> bool {
         self.refusal.reason.outcome() == Outcome::Unknown
     }
