Tell which releases stay out to nodes that know the same order

What callers saw: a release whose order had been replaced by another one got requests at nodes that started later.

Cause: a node that read only the later order knew nothing of the earlier one and took its release for an old one. Others knew better, but what they told counted only where the order or the stage was a later one, and two nodes that kept other releases out compared as equal.

Change: a word of the same order adds the releases that it keeps out, but not one that this node knows to be in use; the releases are a part of what is compared.

--- a/crates/swiftcart-core/src/rollout/known.rs
+++ b/crates/swiftcart-core/src/rollout/known.rs
@@ -26,6 +26,8 @@
     duration: Duration,
     due: Instant,
     barred: Vec<Release>,
+    /// The release that was brought in last before this order, where this node knows of it.
+    in_use: Option<Release>,
     /// The rounds in which it is still passed on.
     rounds: u32,
 }
@@ -107,6 +109,7 @@
             duration: order.duration,
             due: now + order.duration,
             barred: before.map_or_else(Vec::new, |known| known.barred_for(&order.target)),
+            in_use: before.and_then(Known::release_in_use),
             rounds: ROUNDS,
         };
         self.known.insert(order.service.clone(), known);
@@ -201,6 +204,9 @@
             hasher.update(service.as_str().as_bytes());
             hasher.update(&known.order.0.to_be_bytes());
             hasher.update(&[known.stage.number()]);
+            for release in &known.barred {
+                hasher.update(release.as_str().as_bytes());
+            }
             let hash = hasher.finalize();
             hash.as_bytes()[..8]
                 .iter()
@@ -238,23 +244,31 @@
         let due = now + Duration::from_millis(word.left_ms.into());
         let full = self.known.len() >= SERVICES_MOST;
         match self.known.get_mut(&word.service) {
-            Some(known) if known.order == word.order && known.stage < word.stage => {
-                known.stage = word.stage;
-                known.rounds = ROUNDS;
-                true
+            Some(known) if known.order == word.order => {
+                let barred = known.bar(&word.barred);
+                let further = known.stage < word.stage;
+                known.stage = known.stage.max(word.stage);
+                let news = barred || further;
+                if news {
+                    known.rounds = ROUNDS;
+                }
+                news
             }
-            Some(known) if known.order >= word.order => false,
+            Some(known) if known.order > word.order => false,
             None if full => false,
-            Some(_) | None => {
-                let known = Known {
+            before @ (Some(_) | None) => {
+                let before = before.as_deref();
+                let mut known = Known {
                     order: word.order,
                     target: word.target.clone(),
                     stage: word.stage,
                     duration: Duration::from_millis(word.duration_ms.into()),
                     due,
-                    barred: word.barred.iter().take(BARRED_MOST).cloned().collect(),
+                    barred: before.map_or_else(Vec::new, |known| known.barred_for(&word.target)),
+                    in_use: before.and_then(Known::release_in_use),
                     rounds: ROUNDS,
                 };
+                known.bar(&word.barred);
                 self.known.insert(word.service.clone(), known);
                 true
             }
@@ -272,7 +286,33 @@
         let unproven = Some(&self.target).filter(|_| self.stage != RolloutStage::Completed);
         let barred = unproven.into_iter().chain(&self.barred);
         let barred = barred.filter(|release| *release != target);
-        barred.take(BARRED_MOST).cloned().collect()
+        let mut barred: Vec<Release> = barred.take(BARRED_MOST).cloned().collect();
+        barred.sort();
+        barred
+    }
+
+    /// Returns the release that was brought in last.
+    fn release_in_use(&self) -> Option<Release> {
+        match self.stage {
+            RolloutStage::Completed => Some(self.target.clone()),
+            _ => self.in_use.clone(),
+        }
+    }
+
+    /// Keeps out what another node keeps out; returns whether any of it is news. Who missed that a
+    /// release was brought in would keep it out.
+    fn bar(&mut self, releases: &[Release]) -> bool {
+        let mut news = false;
+        for release in releases {
+            let stays = *release == self.target || Some(release) == self.in_use.as_ref();
+            let known = stays || self.barred.contains(release);
+            if !known && self.barred.len() < BARRED_MOST {
+                self.barred.push(release.clone());
+                news = true;
+            }
+        }
+        self.barred.sort();
+        news
     }
 
     const fn shown<'a>(&'a self, service: &'a ServiceName) -> Rollout<'a> {
--- a/crates/swiftcart-core/tests/rollout.rs
+++ b/crates/swiftcart-core/tests/rollout.rs
@@ -96,6 +96,48 @@
     assert_eq!(forth.digest(), back.digest());
 }
 
+/// One node knows both orders, the other one read the later one only.
+fn one_and_other() -> (Rollouts, Rollouts) {
+    let mut one = Rollouts::default();
+    one.order(at(0), &order(1, "v2"));
+    one.order(at(100), &order(2, "v3"));
+    let mut other = Rollouts::default();
+    other.order(at(100), &order(2, "v3"));
+    (one, other)
+}
+
+#[test]
+fn who_read_the_later_order_only_learns_which_release_stays_out() {
+    let (one, mut other) = one_and_other();
+    assert!(other.hear(at(200), &one.all(at(200))));
+    assert_eq!(clearance(&other, "v2"), Clearance::Closed);
+    assert_eq!(clearance(&other, "v1"), Clearance::Open);
+    assert!(!other.hear(at(300), &one.all(at(300))), "it is no news");
+}
+
+#[test]
+fn who_knows_the_earlier_order_keeps_its_release_out_whoever_tells_the_later_one() {
+    let (_, other) = one_and_other();
+    let mut third = Rollouts::default();
+    third.order(at(0), &order(1, "v2"));
+    assert!(third.hear(at(200), &other.all(at(200))));
+    assert_eq!(clearance(&third, "v2"), Clearance::Closed);
+}
+
+#[test]
+fn a_release_in_use_is_not_kept_out_by_who_missed_its_end() {
+    let mut knows = after(&[(1, "v2", Completed), (2, "v3", Ordered)]);
+    let missed = after(&[(1, "v2", OnTrial), (2, "v3", Ordered)]);
+    assert!(!knows.hear(at(200), &missed.all(at(200))));
+    assert_eq!(clearance(&knows, "v2"), Clearance::Open);
+}
+
+#[test]
+fn two_who_keep_other_releases_out_differ() {
+    let (one, other) = one_and_other();
+    assert_ne!(one.digest(), other.digest());
+}
+
 #[test]
 fn an_order_that_is_read_again_changes_nothing() {
     let mut rollouts = after(&[(4, "v2", RolledBack)]);
