Keep requests in the homes of their routes and client accounts

Cause: a route or account may say in which regions its requests are run. Nothing read it, so that a request could be run, and its body be sent, anywhere.

Change: homes are rows of the table of their own (rule 3 of the log), checked with place and cure, and decoded from the platform's configuration. The choice of a backend server asks a need in place of a weight alone: how much a request weighs on its way, and the regions to which it may be sent, where route and account have to agree. It binds every way in which one is chosen: own, near, far, remote, on trial, everybody ejected, keyed. Where none is left the request is refused at once, not run, as `no-home`.

Ruled out: a list of nodes to leave out for each request; it is as long as the service and would be gone through at each draw.

Three tests of a later rule named rule 3, which is known now; they name the last number there is, as strict as before.

--- a/crates/swiftcart-cli/src/render.rs
+++ b/crates/swiftcart-cli/src/render.rs
@@ -47,6 +47,10 @@
         Some(Row::ColdStart(cold)) => format!("cold rate {}", cold.rate),
         Some(Row::Access(Access::Public)) => "public".into(),
         Some(Row::Access(Access::Accounts)) => "accounts".into(),
+        Some(Row::Homes(homes)) => {
+            let names = homes.regions().iter().map(|region| region.0.as_str());
+            names.collect::<Vec<_>>().join(", ")
+        }
     }
 }
 
@@ -90,6 +94,8 @@
         RowKey::Account(name) => json!({"kind": "account", "account": name}),
         RowKey::ColdStart(name) => json!({"kind": "cold-start", "service": name}),
         RowKey::Access(prefix) => json!({"kind": "access", "prefix": prefix}),
+        RowKey::PrefixHomes(prefix) => json!({"kind": "homes", "prefix": prefix}),
+        RowKey::AccountHomes(name) => json!({"kind": "homes", "account": name}),
     };
     if let (Some(object), Some(Value::Object(cells))) = (json.as_object_mut(), row.map(cells)) {
         object.extend(cells);
@@ -141,5 +147,6 @@
         Row::Account(account) => json!(account),
         Row::ColdStart(cold) => json!(cold),
         Row::Access(access) => json!({"access": access}),
+        Row::Homes(homes) => json!({"homes": homes}),
     }
 }
--- a/crates/swiftcart-cli/src/sheet.rs
+++ b/crates/swiftcart-cli/src/sheet.rs
@@ -89,6 +89,10 @@
 pub const fn service_of(key: &RowKey) -> Option<&ServiceName> {
     match key {
         RowKey::Service(name) | RowKey::Route(_, name) => Some(name),
-        RowKey::Account(_) | RowKey::Access(_) | RowKey::ColdStart(_) => None,
+        RowKey::Account(_)
+        | RowKey::Access(_)
+        | RowKey::ColdStart(_)
+        | RowKey::PrefixHomes(_)
+        | RowKey::AccountHomes(_) => None,
     }
 }
--- a/crates/swiftcart-cli/src/sheet/fault.rs
+++ b/crates/swiftcart-cli/src/sheet/fault.rs
@@ -152,7 +152,10 @@
         | Violation::SharedKey(..)
         | Violation::Quota(_)
         | Violation::ColdStart(_)
-        | Violation::Access(_) => (None, "", String::new()),
+        | Violation::Access(_)
+        | Violation::Homeless(_)
+        | Violation::NoHomes(_)
+        | Violation::Region(..) => (None, "", String::new()),
     }
 }
 
--- a/crates/swiftcart-cli/tests/publish.rs
+++ b/crates/swiftcart-cli/tests/publish.rs
@@ -384,10 +384,10 @@
 #[rstest]
 #[case::foreign_records_are_skipped("hello", done("wrote version 1, 2 rows, to table.csv"))]
 #[case::a_later_rule_stops_the_tool(
-    r#"{"rule":3}"#,
+    r#"{"rule":65535}"#,
     failed(
         1,
-        "swiftcart: the log has records of rule 3, which this release does not know; upgrade swiftcart"
+        "swiftcart: the log has records of rule 65535, which this release does not know; upgrade swiftcart"
     )
 )]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/swiftcart-core/src/account/directory.rs
+++ b/crates/swiftcart-core/src/account/directory.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::{Account, AccountName, AccountTag, KeyHash, Quota};
-use crate::{Priority, Table};
+use crate::{AllowedRegions, Homes, Priority, Table};
 
 /// What a request's key tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     pub quota: Option<Quota>,
     /// The rank of its requests, in place of their routes'.
     pub priority: Option<Priority>,
+    /// Where its requests may be run.
+    pub regions: AllowedRegions,
 }
 
 /// Finds accounts by key or by tag.
@@ -44,7 +46,7 @@
     pub fn new(table: &Table) -> Self {
         let mut accounts = Self::default();
         for (name, account) in table.accounts() {
-            accounts.add(name, account);
+            accounts.add(name, account, table.account_homes(name));
         }
         accounts
     }
@@ -67,12 +69,13 @@
         self.by_tag.get(&tag)?.quota
     }
 
-    fn add(&mut self, name: &AccountName, account: &Account) {
+    fn add(&mut self, name: &AccountName, account: &Account, homes: Option<&Homes>) {
         let identity = Arc::new(Identity {
             name: name.clone(),
             tag: AccountTag::new(name),
             quota: account.quota,
             priority: account.priority,
+            regions: homes.map(AllowedRegions::from).unwrap_or_default(),
         });
         for key in &account.keys {
             self.by_key.insert(*key, Arc::clone(&identity));
--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod cuts;
+mod need;
 mod peer;
 mod sample;
 mod telling;
@@ -15,6 +16,7 @@
 use crate::{Instant, NodeId, ServiceEntry, View};
 use choice::Choice;
 use cuts::Cuts;
+pub use need::*;
 use peer::Peer;
 pub use sample::*;
 pub use telling::*;
@@ -236,13 +238,13 @@
         exclude: &[NodeId],
         rng: &mut R,
     ) -> Option<Pick> {
-        self.pick_for(Haul::default(), now, entry, exclude, rng)
+        self.pick_for(&Need::default(), now, entry, exclude, rng)
     }
 
-    /// Chooses like [`Balancer::pick`] for a request that weighs as much as `haul` says.
+    /// Chooses like [`Balancer::pick`] for a request that asks for more than its service.
     pub fn pick_for<R: Rng + ?Sized>(
         &self,
-        haul: Haul,
+        need: &Need,
         now: Instant,
         entry: &ServiceEntry,
         exclude: &[NodeId],
@@ -250,7 +252,7 @@
     ) -> Option<Pick> {
         let choice = Choice {
             balancer: self,
-            haul,
+            need,
             now,
             exclude,
         };
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::peer::Peer;
-use super::{Balancer, Haul, Pick, PickRule};
+use super::{Balancer, Haul, Need, Pick, PickRule};
 use crate::{Candidate, Instant, NodeId, ServiceEntry};
 
 /// The random draws for one choice before the candidates are gone through in order.
@@ -32,7 +32,7 @@
 /// Holds what is fixed while one choice is made.
 pub(super) struct Choice<'a> {
     pub(super) balancer: &'a Balancer,
-    pub(super) haul: Haul,
+    pub(super) need: &'a Need,
     pub(super) now: Instant,
     pub(super) exclude: &'a [NodeId],
 }
@@ -87,7 +87,7 @@
                 Some((far, PickRule::Spill))
             }
             (Some(here), _, _) => Some(here),
-            (None, Some(near), _) if self.haul == Haul::Heavy => Some((near, PickRule::Near)),
+            (None, Some(near), _) if self.need.haul == Haul::Heavy => Some((near, PickRule::Near)),
             (None, _, Some(far)) if !self.full(far) => Some((far, PickRule::Spill)),
             (None, Some(near), _) => Some((near, PickRule::Near)),
             (None, None, Some(far)) => Some((far, PickRule::Spill)),
@@ -104,7 +104,7 @@
         }
         let near = all.iter().filter(|c| c.is_near()).count();
         // A long body stays in its failure domain.
-        let all = match (near, self.haul) {
+        let all = match (near, self.need.haul) {
             (0, Haul::Heavy) => return None,
             (0, Haul::Light) => all,
             (near, _) => &all[..near],
@@ -125,7 +125,7 @@
     /// way there is worth.
     fn worth_the_way(&self, far: Known<'_>, here: Known<'_>) -> bool {
         match (self.expected(far), self.expected(here)) {
-            (Some(there), Some(here)) => !self.full(far) && there + self.haul.penalty() < here,
+            (Some(there), Some(here)) => !self.full(far) && there + self.need.haul.penalty() < here,
             _ => false,
         }
     }
@@ -135,7 +135,7 @@
     fn worth_the_region(&self, remote: Known<'_>, here: Known<'_>) -> bool {
         match (self.expected(remote), self.expected(here)) {
             (Some(there), Some(here)) => {
-                !self.full(remote) && there + self.haul.remote_penalty() < here
+                !self.full(remote) && there + self.need.haul.remote_penalty() < here
             }
             _ => false,
         }
@@ -210,7 +210,7 @@
             return None;
         }
         let (head, tail) = all.split_at(rng.random_range(0..all.len()));
-        let left = |c: &&Candidate| !self.exclude.contains(&c.id);
+        let left = |c: &&Candidate| !self.exclude.contains(&c.id) && self.allowed(c);
         let candidate = tail.iter().chain(head).find(left)?;
         Some(self.pick(self.know(candidate), PickRule::Ejected))
     }
@@ -232,10 +232,16 @@
     fn usable(&self, known: Known<'_>) -> bool {
         let failures = self.balancer.settings.failures;
         !self.exclude.contains(&known.candidate.id)
+            && self.allowed(known.candidate)
             && !self.cut(known.candidate)
             && known.peer.is_none_or(|p| p.usable(self.now, failures))
     }
 
+    /// Tells whether the request may be sent to the candidate's region.
+    fn allowed(&self, candidate: &Candidate) -> bool {
+        self.need.regions.allows(candidate.region)
+    }
+
     /// Tells whether no connections open to the candidate's failure domain.
     fn cut(&self, candidate: &Candidate) -> bool {
         !candidate.is_near() && self.balancer.cuts.is_cut(candidate.domain, self.now)
@@ -245,7 +251,7 @@
         let age = self.balancer.settings.load_age;
         let slots = known.candidate.slots;
         known.peer.is_some_and(|p| {
-            let link = self.haul == Haul::Heavy && p.is_link_busy(self.now);
+            let link = self.need.haul == Haul::Heavy && p.is_link_busy(self.now);
             link || p.is_held(self.now) || p.running >= slots || p.usage(self.now, age) >= 1.0
         })
     }
--- /dev/null
+++ b/crates/swiftcart-core/src/balance/need.rs
@@ -0,0 +1,40 @@
+//! What a request asks of the backend server that is chosen for it.
+
+use super::Haul;
+use crate::AllowedRegions;
+
+/// Says what a request asks of a backend server besides its service.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{Haul, Need};
+///
+/// let need = Need::from(Haul::Heavy);
+/// assert!(need.regions.is_everywhere());
+/// ```
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Need {
+    /// How much the request and its answer weigh on the way.
+    pub haul: Haul,
+    /// The regions to which it may be sent.
+    pub regions: AllowedRegions,
+}
+
+impl Need {
+    /// Sets the regions to which the request may be sent.
+    #[must_use]
+    pub fn with_regions(mut self, regions: AllowedRegions) -> Self {
+        self.regions = regions;
+        self
+    }
+}
+
+impl From<Haul> for Need {
+    fn from(haul: Haul) -> Self {
+        Self {
+            haul,
+            ..Self::default()
+        }
+    }
+}
--- a/crates/swiftcart-core/src/config/check.rs
+++ b/crates/swiftcart-core/src/config/check.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Limits, Row, RowKey, ServiceName, Table};
-use crate::{Account, AccountName, ColdStart, KeyHash};
+use crate::{Account, AccountName, ColdStart, Homes, KeyHash, Region};
 
 /// Most rows of a table.
 pub const MAX_ROWS: usize = 4096;
@@ -98,6 +98,18 @@
         Bytes(bytes: usize) {
             display("rows of {bytes} bytes are over {MAX_TABLE_BYTES}; remove rows or shorten prefixes")
         }
+        /// The row bounds what the table lacks.
+        Homeless(key: RowKey) {
+            display("{key}: the table has no such route or account; add it, or remove the row")
+        }
+        /// The row names no region.
+        NoHomes(key: RowKey) {
+            display("{key}: name a region, or remove the row where requests may be run everywhere")
+        }
+        /// A region's name is not well formed.
+        Region(key: RowKey, region: Box<Region>) {
+            display("{key}: region {:?}: 1 to {MAX_NAME} lower-case letters, digits and -", region.0)
+        }
         /// The publish edits the row twice.
         Twice(key: RowKey) {
             display("{key}: edit a row only once in a publish")
@@ -143,6 +155,8 @@
         RowKey::Account(name) => name.0.len() + ROW_BYTES,
         RowKey::Access(prefix) => prefix.len() + ROW_BYTES,
         RowKey::ColdStart(name) => name.0.len() + ROW_BYTES,
+        RowKey::PrefixHomes(prefix) => prefix.len() + ROW_BYTES,
+        RowKey::AccountHomes(name) => name.0.len() + ROW_BYTES,
     }
 }
 
@@ -168,6 +182,14 @@
         (RowKey::Account(name), Row::Account(account)) => check_account(name, account),
         (RowKey::Access(prefix), Row::Access(_)) => check_access(table, prefix),
         (RowKey::ColdStart(name), Row::ColdStart(cold)) => check_cold(table, name, *cold),
+        (RowKey::PrefixHomes(prefix), Row::Homes(homes)) => {
+            let known = table.routes().any(|(known, ..)| known == prefix);
+            check_homes(key, homes, known)
+        }
+        (RowKey::AccountHomes(name), Row::Homes(homes)) => {
+            let known = table.accounts().any(|(known, _)| known == name);
+            check_homes(key, homes, known)
+        }
         _ => vec![Violation::Kind(key.clone())],
     }
 }
@@ -202,6 +224,16 @@
     }
 }
 
+fn check_homes(key: &RowKey, homes: &Homes, known: bool) -> Vec<Violation> {
+    let well_formed = |region: &Region| is_name(&region.0);
+    match (known, homes.regions().iter().find(|r| !well_formed(r))) {
+        (false, _) => vec![Violation::Homeless(key.clone())],
+        (true, Some(region)) => vec![Violation::Region(key.clone(), Box::new(region.clone()))],
+        (true, None) if homes.is_empty() => vec![Violation::NoHomes(key.clone())],
+        (true, None) => Vec::new(),
+    }
+}
+
 fn check_keys(table: &Table) -> Vec<Violation> {
     let mut holders: BTreeMap<KeyHash, &AccountName> = BTreeMap::new();
     let keys = table.accounts();
--- a/crates/swiftcart-core/src/config/table.rs
+++ b/crates/swiftcart-core/src/config/table.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Access, Account, AccountName, ColdStart};
+use crate::{Access, Account, AccountName, ColdStart, Homes};
 
 /// Names a service, for example `booking`.
 #[derive(Debug, Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -58,6 +58,10 @@
     Access(String),
     /// What the backend servers of a service bear while they are cold.
     ColdStart(ServiceName),
+    /// Where the requests of a path prefix may be run.
+    PrefixHomes(String),
+    /// Where the requests of a client account may be run.
+    AccountHomes(AccountName),
 }
 
 impl fmt::Display for RowKey {
@@ -68,6 +72,8 @@
             Self::Account(name) => write!(f, "account {name}"),
             Self::Access(prefix) => write!(f, "access to {prefix}"),
             Self::ColdStart(name) => write!(f, "cold start of {name}"),
+            Self::PrefixHomes(prefix) => write!(f, "homes of {prefix}"),
+            Self::AccountHomes(name) => write!(f, "homes of account {name}"),
         }
     }
 }
@@ -86,6 +92,8 @@
     Access(Access),
     /// What a cold backend server bears; without such a row as much as any other.
     ColdStart(ColdStart),
+    /// The regions in which requests may be run; without such a row everywhere.
+    Homes(Homes),
 }
 
 /// Holds every row of one configuration version, in key order.
@@ -147,6 +155,22 @@
         self
     }
 
+    /// Sets where the requests of a prefix may be run.
+    #[must_use]
+    pub fn with_prefix_homes(mut self, prefix: impl Into<String>, homes: Homes) -> Self {
+        let key = RowKey::PrefixHomes(prefix.into());
+        self.0.insert(key, Row::Homes(homes));
+        self
+    }
+
+    /// Sets where the requests of a client account may be run.
+    #[must_use]
+    pub fn with_account_homes(mut self, name: impl Into<String>, homes: Homes) -> Self {
+        let key = RowKey::AccountHomes(AccountName::new(name));
+        self.0.insert(key, Row::Homes(homes));
+        self
+    }
+
     /// Returns the limits of `service`, or `None` when the table lacks it.
     #[must_use]
     pub fn limits(&self, service: &ServiceName) -> Option<Limits> {
@@ -192,6 +216,25 @@
         })
     }
 
+    /// Returns where the requests of a prefix may be run.
+    #[must_use]
+    pub fn prefix_homes(&self, prefix: &str) -> Option<&Homes> {
+        self.homes(&RowKey::PrefixHomes(prefix.to_owned()))
+    }
+
+    /// Returns where the requests of a client account may be run.
+    #[must_use]
+    pub fn account_homes(&self, name: &AccountName) -> Option<&Homes> {
+        self.homes(&RowKey::AccountHomes(name.clone()))
+    }
+
+    fn homes(&self, key: &RowKey) -> Option<&Homes> {
+        match self.0.get(key) {
+            Some(Row::Homes(homes)) => Some(homes),
+            _ => None,
+        }
+    }
+
     /// Returns who may use a prefix.
     #[must_use]
     pub fn access(&self, prefix: &str) -> Access {
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -115,6 +115,8 @@
     NoRoute, "no-route", 404, NotRun;
     /// The table routes the path, and no backend server of its services is known.
     NoBackend, "no-backend", 503, NotRun;
+    /// No backend server that takes new work is in a region in which the request may be run.
+    NoHome, "no-home", 503, NotRun;
     /// Backend servers are known, and none of them takes new work.
     NotReady, "not-ready", 503, NotRun;
     /// The guard's queue holds as many requests as it may.
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -344,6 +344,7 @@
         | Reason::ServerError
         | Reason::Timeout => true,
         Reason::NoRoute
+        | Reason::NoHome
         | Reason::Quarantined
         | Reason::NoBackend
         | Reason::DeadlinePassed
--- a/crates/swiftcart-core/src/view.rs
+++ b/crates/swiftcart-core/src/view.rs
@@ -12,8 +12,8 @@
 use rand::Rng;
 
 use crate::{
-    Access, Accounts, ColdStart, FailureDomain, Member, NodeId, Policy, Reason, RequestLimits,
-    ServiceName, Table, Version,
+    Access, Accounts, AllowedRegions, ColdStart, FailureDomain, Member, NodeId, Policy, Reason,
+    RequestLimits, ServiceName, Table, Version,
 };
 pub use entry::*;
 pub use key::*;
@@ -31,6 +31,8 @@
     pub route: RouteKey,
     /// Who may use it, where the configuration has accounts.
     pub access: Access,
+    /// Where the request may be run, as far as the route says.
+    pub regions: &'a AllowedRegions,
 }
 
 /// Holds one configuration version joined with one state of the membership.
@@ -172,6 +174,7 @@
             policy: choice.policy(),
             route: choice.route(),
             access: choice.access(),
+            regions: choice.regions(),
         })
     }
 
--- a/crates/swiftcart-core/src/view/entry.rs
+++ b/crates/swiftcart-core/src/view/entry.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Backend, Distance, FailureDomain, Limits, Locality, Member, NodeId, Pace, Readiness, Reason,
-    ServiceName,
+    RegionTag, ServiceName,
 };
 
 /// Tells failure domains apart where their names are too long to be copied about.
@@ -43,6 +43,8 @@
     pub slots: u32,
     /// Its failure domain.
     pub domain: DomainTag,
+    /// Its region.
+    pub region: RegionTag,
     /// How far it is from the view's node.
     pub distance: Distance,
     /// How long its calls take, as its node has told all others.
@@ -172,6 +174,7 @@
             peer: member.peer,
             slots: backend.slots,
             domain: DomainTag::new(&member.domain),
+            region: place.region(&member.domain),
             distance: place.distance(&member.domain),
             pace: member.pace,
         };
--- a/crates/swiftcart-core/src/view/locality.rs
+++ b/crates/swiftcart-core/src/view/locality.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::FailureDomain;
+use crate::{FailureDomain, RegionTag};
 
 /// Names a region, which holds failure domains, for example `dunantul`.
 #[derive(Debug, Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -76,8 +76,7 @@
     /// Returns how far a failure domain is.
     #[must_use]
     pub fn distance(&self, domain: &FailureDomain) -> Distance {
-        let region = |domain| self.regions.and_then(|regions| regions.get(domain));
-        match (region(self.domain), region(domain)) {
+        match (self.named(self.domain), self.named(domain)) {
             _ if domain == self.domain => Distance::Near,
             (Some(here), Some(there)) if here != there => Distance::Remote,
             _ => Distance::Far,
@@ -85,6 +84,20 @@
     }
 }
 
+impl<'a> Locality<'a> {
+    /// Returns the tag of a failure domain's region; one that is not named is the node's own, and where that
+    /// is not named either, no request with homes may be sent there.
+    #[must_use]
+    pub fn region(&self, domain: &FailureDomain) -> RegionTag {
+        let region = self.named(domain).or_else(|| self.named(self.domain));
+        region.map_or_else(RegionTag::default, RegionTag::new)
+    }
+
+    fn named(&self, domain: &FailureDomain) -> Option<&'a Region> {
+        self.regions.and_then(|regions| regions.get(domain))
+    }
+}
+
 impl<'a> From<&'a FailureDomain> for Locality<'a> {
     fn from(domain: &'a FailureDomain) -> Self {
         Self::new(domain)
--- a/crates/swiftcart-core/src/view/routes.rs
+++ b/crates/swiftcart-core/src/view/routes.rs
@@ -4,8 +4,8 @@
 
 use super::segment::{Choice, Segment, Slash};
 use crate::{
-    Accounts, ColdStart, Limits, Policies, RequestLimits, RouteKey, ServiceName, Snapshot, Table,
-    Version,
+    Accounts, AllowedRegions, ColdStart, Limits, Policies, RequestLimits, RouteKey, ServiceName,
+    Snapshot, Table, Version,
 };
 
 /// Holds the services and routes of one version, ready for lookups.
@@ -59,6 +59,7 @@
                 choice.set_route(RouteKey::new(prefix));
                 choice.set_policy(policies.get(prefix).copied());
                 choice.set_access(table.access(prefix));
+                choice.set_regions(table.prefix_homes(prefix).map(AllowedRegions::from));
                 choice.add(service, weight);
             }
         }
--- a/crates/swiftcart-core/src/view/segment.rs
+++ b/crates/swiftcart-core/src/view/segment.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::ServiceEntry;
-use crate::{Access, Policy, Reason, RouteKey};
+use crate::{Access, AllowedRegions, Policy, Reason, RouteKey};
 
 /// One node of the prefix tree; its depth is the number of path segments.
 ///
@@ -45,6 +45,8 @@
     /// Names the prefix.
     route: RouteKey,
     access: Access,
+    /// Where the requests may be run.
+    regions: AllowedRegions,
 }
 
 /// One service of a choice, by its place among the services, and its weight above 0.
@@ -142,6 +144,16 @@
         self.access = access;
     }
 
+    /// Sets where the requests may be run.
+    pub(super) fn set_regions(&mut self, regions: Option<AllowedRegions>) {
+        self.regions = regions.unwrap_or_default();
+    }
+
+    /// Returns where the requests may be run.
+    pub(super) const fn regions(&self) -> &AllowedRegions {
+        &self.regions
+    }
+
     /// Returns who may use the prefix.
     pub(super) const fn access(&self) -> Access {
         self.access
--- a/crates/swiftcart-core/tests/balance.rs
+++ b/crates/swiftcart-core/tests/balance.rs
@@ -316,7 +316,9 @@
         rig.adopt(START, &[1, 2, 3, 5]);
     }
     let entry = rig.view.service("a").expect("the table has it");
-    let pick = rig.balancer.pick_for(haul, START, entry, &[], &mut rig.rng);
+    let pick = rig
+        .balancer
+        .pick_for(&haul.into(), START, entry, &[], &mut rig.rng);
     assert_eq!(pick.map(|pick| pick.id), Some(node(expected)));
 }
 
@@ -350,11 +352,11 @@
         1,
     );
     let entry = rig.view.service("a").expect("the table has it").clone();
-    let mut free = |haul, ms| {
+    let mut free = |haul: Haul, ms| {
         let now = Instant::from_millis(ms);
         let pick = rig
             .balancer
-            .pick_for(haul, now, &entry, &[node(4)], &mut rig.rng);
+            .pick_for(&haul.into(), now, &entry, &[node(4)], &mut rig.rng);
         pick.expect("one is left").free
     };
     assert!(free(Haul::Light, 10));
--- a/crates/swiftcart-core/tests/config.rs
+++ b/crates/swiftcart-core/tests/config.rs
@@ -136,7 +136,7 @@
     r#"{"rule":1}"#,
     Err(RecordError::Malformed("needs one of publish and checkpoint".into()))
 )]
-#[case::later_rule(r#"{"rule":3,"fresh":[]}"#, Err(RecordError::UnknownRule(3)))]
+#[case::later_rule(r#"{"rule":65535,"fresh":[]}"#, Err(RecordError::UnknownRule(65535)))]
 #[case::publish(
     r#"{"rule":1,"publish":{"id":"0a","author":"op","base":3,"edits":[]}}"#,
     Ok(Envelope::new(Body::Publish(Publish {
@@ -247,7 +247,7 @@
     Checkpoint { position: Offset(9), ..history().checkpoint() },
     Err(CheckpointError::Malformed(Offset(9)))
 )]
-#[case::later_rule(resealed(|state| state[0] = 3), Err(CheckpointError::UnknownRule(3)))]
+#[case::later_rule(resealed(|state| state[0] = 127), Err(CheckpointError::UnknownRule(127)))]
 #[case::version_ahead(resealed(|state| state[2] = 4), Err(CheckpointError::Malformed(Offset(3))))]
 fn a_checkpoint_is_adopted(
     #[case] checkpoint: Checkpoint,
--- a/crates/swiftcart-core/tests/config_rules.rs
+++ b/crates/swiftcart-core/tests/config_rules.rs
@@ -16,6 +16,10 @@
     ServiceName::new("booking")
 }
 
+fn homes(regions: &[&str]) -> Homes {
+    regions.iter().copied().map(Region::new).collect()
+}
+
 #[rstest]
 #[case::a_service(RowKey::Service(service()), Row::Service(Limits::default()), 1)]
 #[case::a_route(RowKey::Route("/book".into(), service()), Row::Route(1), 1)]
@@ -26,6 +30,12 @@
 )]
 #[case::access(RowKey::Access("/book".into()), Row::Access(Access::Public), 2)]
 #[case::a_cold_start(RowKey::ColdStart(service()), Row::ColdStart(ColdStart::default()), 2)]
+#[case::homes_of_a_prefix(RowKey::PrefixHomes("/book".into()), Row::Homes(homes(&["east"])), 3)]
+#[case::homes_of_an_account(
+    RowKey::AccountHomes(AccountName::new("harbour")),
+    Row::Homes(homes(&["east"])),
+    3
+)]
 fn a_publish_names_the_rule_that_it_needs(
     #[case] key: RowKey,
     #[case] row: Row,
@@ -96,3 +106,32 @@
     assert_eq!(delta.apply(&old).unwrap(), new);
     assert_eq!(Compact::new(&new).unwrap().expand().unwrap(), new);
 }
+
+#[rstest]
+#[case::a_known_route("/book", &["east"], None)]
+#[case::a_route_that_is_not_there("/crew", &["east"], Some(Violation::Homeless(prefix("/crew"))))]
+#[case::no_region("/book", &[], Some(Violation::NoHomes(prefix("/book"))))]
+#[case::a_region_that_is_no_name("/book", &["East"], Some(Violation::Region(prefix("/book"), Region::new("East").into())))]
+fn homes_are_checked_with(
+    #[case] route: &str,
+    #[case] regions: &[&str],
+    #[case] expected: Option<Violation>,
+) {
+    let table = Table::new()
+        .with_service("booking", Limits::default())
+        .with_route("/book", "booking", 1)
+        .with_prefix_homes(route, homes(regions));
+    assert_eq!(check(&table), Vec::from_iter(expected));
+}
+
+#[test]
+fn homes_of_an_account_belong_to_one_that_is_there() {
+    let table = Table::new().with_account_homes("harbour", homes(&["east"]));
+    let key = RowKey::AccountHomes(AccountName::new("harbour"));
+    assert_eq!(check(&table), [Violation::Homeless(key)]);
+    assert!(check(&table.with_account("harbour", Account::new())).is_empty());
+}
+
+fn prefix(prefix: &str) -> RowKey {
+    RowKey::PrefixHomes(prefix.into())
+}
--- a/crates/swiftcart-core/tests/feed.rs
+++ b/crates/swiftcart-core/tests/feed.rs
@@ -10,7 +10,7 @@
 };
 
 const RETENTION: Duration = Duration::from_secs(1000);
-const LATER: &str = r#"{"rule":3}"#;
+const LATER: &str = r#"{"rule":65535}"#;
 
 fn id(n: u16) -> NodeId {
     NodeId(([10, 0, 0, 1], n).into())
@@ -87,7 +87,7 @@
 #[case::a_gap_is_pulled(log(3..4), vec![FeedAction::Pull { peer: id(2), from: Offset(2) }])]
 #[case::a_later_rule_stalls(
     vec![entry(2, LATER.into()), publish(3)],
-    vec![FeedAction::Stalled(3)]
+    vec![FeedAction::Stalled(65535)]
 )]
 fn a_push_is_taken(#[case] entries: Vec<Entry>, #[case] expected: Vec<FeedAction>) {
     assert_eq!(reader(2).on_push(at(0), id(2), id(9), entries), expected);
@@ -426,7 +426,10 @@
         []
     );
     assert_eq!(feed.on_tick(900_000, 0), None);
-    assert_eq!((feed.stalled(), feed.fold()), (Some(3), reader(2).fold()));
+    assert_eq!(
+        (feed.stalled(), feed.fold()),
+        (Some(65535), reader(2).fold())
+    );
     assert_eq!(
         Fold::from_checkpoint(&feed.fold().checkpoint()),
         Ok(reader(2).fold().clone())
--- a/crates/swiftcart-core/tests/regions.rs
+++ b/crates/swiftcart-core/tests/regions.rs
@@ -1,4 +1,5 @@
-//! Calls stay in their region as long as that serves them.
+//! Calls stay in their region as long as that serves them, and where their homes are in any case.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod support;
 
@@ -34,7 +35,7 @@
 }
 
 /// Picks as node 1 among `there`, where calls take so many thousandths of their target.
-fn pick(there: &[u16], paces: &[(u16, u32)], haul: Haul) -> Option<PickRule> {
+fn pick(there: &[u16], paces: &[(u16, u32)], need: &Need) -> Option<PickRule> {
     let members = NODES.iter().filter(|(n, _)| there.contains(n));
     let members: Vec<_> = members.map(|(n, domain)| member(*n, "a", domain)).collect();
     let table = Table::new().with_service("a", Limits::default());
@@ -57,7 +58,7 @@
     }
     let entry = view.service("a").expect("the table has it");
     let mut rng = SmallRng::seed_from_u64(1);
-    let pick = balancer.pick_for(haul, START, entry, &[], &mut rng);
+    let pick = balancer.pick_for(need, START, entry, &[], &mut rng);
     pick.map(|pick| pick.rule)
 }
 
@@ -76,7 +77,7 @@
     #[case] haul: Haul,
     #[case] expected: PickRule,
 ) {
-    assert_eq!(pick(there, paces, haul), Some(expected));
+    assert_eq!(pick(there, paces, &haul.into()), Some(expected));
 }
 
 #[test]
@@ -93,3 +94,64 @@
     assert!(asking.turns(Some(&pick(5, PickRule::Remote))));
     assert_eq!(asking.patience(), Patience::Full);
 }
+
+fn homes(regions: &[&str]) -> Homes {
+    regions.iter().copied().map(Region::new).collect()
+}
+
+/// Picks as a node in the west among all, for a route and an account with these homes.
+#[rstest]
+#[case::the_own_region_only(&["west"], &[], &[2, 5], Some(PickRule::Spill))]
+#[case::another_region_only(&["east"], &[], &[1, 2, 5], Some(PickRule::Remote))]
+#[case::either(&["east", "west"], &[], &[1, 2, 5], Some(PickRule::Own))]
+#[case::those_of_the_account(&[], &["east"], &[1, 2, 5], Some(PickRule::Remote))]
+#[case::those_of_both(&["east", "west"], &["east"], &[1, 2, 5], Some(PickRule::Remote))]
+#[case::nowhere_where_they_do_not_meet(&["west"], &["east"], &[1, 2, 5], None)]
+#[case::nowhere_where_none_is_there(&["east"], &[], &[1, 2], None)]
+#[case::nowhere_for_a_region_of_no_domain(&["south"], &[], &[1, 2, 5], None)]
+#[case::anywhere(&[], &[], &[1, 2, 5], Some(PickRule::Own))]
+fn a_request_with_homes_goes_to(
+    #[case] route: &[&str],
+    #[case] account: &[&str],
+    #[case] there: &[u16],
+    #[case] expected: Option<PickRule>,
+    #[values(Haul::Light, Haul::Heavy)] haul: Haul,
+) {
+    let regions = AllowedRegions::from(&homes(route)).and(&AllowedRegions::from(&homes(account)));
+    let need = Need::from(haul).with_regions(regions);
+    assert_eq!(pick(there, &[], &need), expected);
+}
+
+#[test]
+fn homes_bind_when_everybody_is_ejected_and_while_a_release_is_on_trial() {
+    let mut members: Vec<_> = NODES
+        .iter()
+        .map(|(n, domain)| member(*n, "a", domain))
+        .collect();
+    for backend in members
+        .iter_mut()
+        .filter_map(|member| member.backend.as_mut())
+    {
+        backend.readiness = Readiness::OnTrial;
+    }
+    members[0].backend.as_mut().unwrap().readiness = Readiness::Ready;
+    let table = Table::new().with_service("a", Limits::default());
+    let (regions, norte) = (regions(), FailureDomain::new("norte"));
+    let place = Locality::new(&norte).with_regions(&regions);
+    let routes = Arc::new(Routes::new(Version(1), &table));
+    let view = View::with_routes(routes, members.iter(), node(1), place);
+    let mut balancer = Balancer::new(node(1), BalanceSettings::default());
+    balancer.adopt(START, &view);
+    for _ in 0..20 {
+        balancer.started(node(1));
+        let sample = Sample::new(Duration::ZERO, CallResult::Failure);
+        balancer.finished(node(1), START, &sample);
+    }
+    let entry = view.service("a").unwrap();
+    let need = Need::default().with_regions(AllowedRegions::from(&homes(&["east"])));
+    let mut rng = SmallRng::seed_from_u64(1);
+    for _ in 0..100 {
+        let pick = balancer.pick_for(&need, START, entry, &[], &mut rng);
+        assert!(pick.is_none_or(|pick| pick.id >= node(5)), "{pick:?}");
+    }
+}
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -15,9 +15,9 @@
 use hyper::body::{Body, Incoming};
 use slog::error;
 use swiftcart_core::{
-    Asking, BalanceSettings, Balancer, CallResult, Candidate, FleetBudget, Identity, Instant, Next,
-    NodeId, Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget, RetrySettings,
-    Returns, RouteProfiles, ServiceEntry, ToldNotices, Tries, Version, start_wait,
+    Asking, BalanceSettings, Balancer, CallResult, Candidate, FleetBudget, Identity, Instant, Need,
+    Next, NodeId, Outcome, Pick, PickRule, PolicyTries, Reason, Refusal, RetryBudget,
+    RetrySettings, Returns, RouteProfiles, ServiceEntry, ToldNotices, Tries, Version, start_wait,
 };
 
 use tokio::task::JoinError;
@@ -178,6 +178,9 @@
         let routed = with_rng(|rng| view.find(host(&head), head.uri.path(), rng))?;
         let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.take_route(&routed, lock(&self.profiles).of(routed.route), now);
+        let homes = account.as_ref().map(|account| &account.regions);
+        call.regions =
+            homes.map_or_else(|| routed.regions.clone(), |homes| routed.regions.and(homes));
         self.name_caller(&mut head);
         call.take_print(&head, &settings.headers);
         let came = lock(&self.returns).came(now, call.print.head);
@@ -255,7 +258,12 @@
                 continue;
             }
             let Some(pick) = pick else {
-                let shortage = entry.shortage().unwrap_or(Reason::NotReady);
+                let shortage = entry
+                    .shortage()
+                    .unwrap_or(match call.regions.is_everywhere() {
+                        true => Reason::NotReady,
+                        false => Reason::NoHome,
+                    });
                 return last.unwrap_or_else(|| shortage.into()).into_result();
             };
             let mut failed = match self.attempt(call, &pick, entry, original, &made).await {
@@ -322,7 +330,8 @@
             let order = preference(entry.name(), key, &ids);
             let fits = |id: &NodeId| !tried.contains(id) && !balancer.ejected(*id, now);
             let id = order.into_iter().find(fits)?;
-            let candidate = entry.candidates().iter().find(|c| c.id == id)?;
+            let allowed = |c: &&Candidate| c.id == id && call.regions.allows(c.region);
+            let candidate = entry.candidates().iter().find(allowed)?;
             Some(Pick {
                 id,
                 peer: candidate.peer,
@@ -330,8 +339,8 @@
                 free: true,
             })
         });
-        let haul = call.haul;
-        preferred.or_else(|| with_rng(|rng| balancer.pick_for(haul, now, entry, tried, rng)))
+        let need = Need::from(call.haul).with_regions(call.regions.clone());
+        preferred.or_else(|| with_rng(|rng| balancer.pick_for(&need, now, entry, tried, rng)))
     }
 
     async fn attempt(
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -7,9 +7,9 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version};
 use swiftcart_core::{
-    AnswerLength, Attempt, Bid, BodyPrint, CallerPrint, Deadline, Fingerprint, Haul, HeadFields,
-    HeadPrint, Instant, Patience, Priority, Reason, RequestClass, RequestPrint, RouteProfile,
-    RouteTag, Routed, Timing,
+    AllowedRegions, AnswerLength, Attempt, Bid, BodyPrint, CallerPrint, Deadline, Fingerprint,
+    Haul, HeadFields, HeadPrint, Instant, Patience, Priority, Reason, RequestClass, RequestPrint,
+    RouteProfile, RouteTag, Routed, Timing,
 };
 
 use super::headers::{
@@ -46,6 +46,8 @@
     pub terms: Option<CallTerms>,
     /// How much the request and its answer weigh on the way.
     pub haul: Haul,
+    /// The regions to which it may be sent.
+    pub regions: AllowedRegions,
     /// What stands for the head and the service it comes from, the same when the request comes again.
     pub print: CallPrint,
 }
@@ -297,6 +299,7 @@
             key,
             terms: None,
             haul: Haul::Light,
+            regions: AllowedRegions::default(),
             print: CallPrint::default(),
         })
     }
