Have the soak's backend servers name rates and leave, and count what is not handed over once

A keyed request asks first and is let in later, and took a turn of a named rate each time: half of the rate was lost. A request that is refused between its slot and its hand-over lost one, too. Both give it back now (`Admission::withdraw`); one whose caller leaves while it runs still counts. A core test, which does not compile without the change.

The soak: backend servers of the real programs name a rate or say that they leave, at random moments beside kills, stops, pauses and broken connections of nodes, and count themselves what they get beyond it: more than 1.5 times the rate and 4 in a second, from half a second after the first answer that named it; anything a second after one that said that they leave.

Ruled out: counting from the callers' reports; they do not know which backend server answered.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -242,6 +242,15 @@
         self.start(now)
     }
 
+    /// Takes out a request that is not handed over after all, so that it does not count against the rate;
+    /// returns the waiting requests to start.
+    pub fn withdraw(&mut self, ticket: Ticket, now: Instant) -> Vec<Ticket> {
+        if self.running.contains_key(&ticket) {
+            self.throttle.give_back();
+        }
+        self.cancel(ticket, now)
+    }
+
     /// Returns the waiting requests that are refused, since they cannot be answered in time.
     pub fn expire<R: Rng + ?Sized>(&mut self, now: Instant, rng: &mut R) -> Vec<Refused> {
         let late = self.queue.expire(now);
--- a/crates/swiftcart-core/src/admission/throttle.rs
+++ b/crates/swiftcart-core/src/admission/throttle.rs
@@ -48,6 +48,13 @@
             .map_or(Duration::ZERO, |bucket| bucket.wait(now, ahead))
     }
 
+    /// Takes back the count of a request that did not start.
+    pub(super) const fn give_back(&mut self) {
+        if let Some(bucket) = &mut self.bucket {
+            bucket.add(1.0);
+        }
+    }
+
     /// Counts a request that starts.
     pub(super) fn take(&mut self, now: Instant) {
         if let Some(bucket) = &mut self.bucket {
--- a/crates/swiftcart-core/tests/named_rates.rs
+++ b/crates/swiftcart-core/tests/named_rates.rs
@@ -8,7 +8,10 @@
 use std::time::Duration;
 
 use mesh_load::{Load, play};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use rstest::rstest;
+use swiftcart_core::{Admission, AdmissionSettings, Admit, Deadline, Instant, Reason, ServerRate};
 
 /// The time over which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -71,3 +74,30 @@
     let outcome = play(&large(&[15.0; 40]), seed);
     assert!(outcome.tries_each() <= 1.6, "{}", outcome.tries_each());
 }
+
+/// Offers a request at a guard whose backend server takes one in ten seconds.
+fn offer(guard: &mut Admission) -> Admit {
+    let now = Instant::from_millis(0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    guard.offer(now, Deadline::new(now, Duration::from_secs(1)), &mut rng)
+}
+
+#[test]
+fn a_request_that_is_withdrawn_does_not_count() {
+    let now = Instant::from_millis(0);
+    let mut guard = Admission::new(now, AdmissionSettings::default()).with_slots(4);
+    guard.set_rate(now, ServerRate::new(0.1));
+    let Admit::Run(ticket) = offer(&mut guard) else {
+        panic!("the first one may start");
+    };
+    guard.withdraw(ticket, now);
+    let Admit::Run(ticket) = offer(&mut guard) else {
+        panic!("the first one was withdrawn");
+    };
+    guard.cancel(ticket, now);
+    let refused = offer(&mut guard);
+    assert!(
+        matches!(refused, Admit::Refuse(refusal) if refusal.reason == Reason::Throttled),
+        "one whose caller left counts: {refused:?}"
+    );
+}
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -156,7 +156,9 @@
     /// Returns why the request would not be run.
     pub fn probe(self: &Arc<Self>, bid: Bid) -> Result<(), Refusal> {
         let now = self.clock.now();
-        self.offer(now, bid, Rate::Taken).map(drop)
+        let (slot, _) = self.offer(now, bid, Rate::Taken)?;
+        slot.withdraw();
+        Ok(())
     }
 
     /// Waits like [`enter`](Self::enter) after [`probe`](Self::probe) took the rate's part.
@@ -218,7 +220,7 @@
             Rate::Free => Ok(()),
         };
         if let Err(refusal) = taken {
-            let started = state.admission.cancel(ticket, now);
+            let started = state.admission.withdraw(ticket, now);
             state.wake(started);
             return Err(refusal);
         }
@@ -304,6 +306,16 @@
         state.admission.head(self.ticket, now, bytes);
     }
 
+    /// Gives the slot back for a request that is not handed over.
+    pub fn withdraw(mut self) {
+        self.open = false;
+        let now = self.admissions.clock.now();
+        let mut state = self.admissions.lock();
+        state.waiting.remove(&self.ticket);
+        let started = state.admission.withdraw(self.ticket, now);
+        state.wake(started);
+    }
+
     /// Gives the slot back after the answer ended.
     pub fn close(self, end: End) {
         self.finish(end.result());
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -255,12 +255,24 @@
         let slot = upstream.enter(call).await?;
         let counters = &self.shared.counters;
         counters.stage(Stage::Queue, slot.start().since(arrived));
-        self.pass(call, &request)?;
-        self.shared.clearing.take(slot.start())?;
-        self.shared.warmup.take(slot.start())?;
+        if let Err(refusal) = self.take(call, &slot, &request) {
+            slot.withdraw();
+            return Err(refusal);
+        }
         self.hand_over(call, upstream, slot, request).await
     }
 
+    /// Counts a request that is handed over now where a release is on trial, or the backend server cold.
+    ///
+    /// # Errors
+    ///
+    /// Why it is not handed over after all.
+    fn take(&self, call: &Call, slot: &Slot, request: &Request<Outgoing>) -> Result<(), Refusal> {
+        self.pass(call, request)?;
+        self.shared.clearing.take(slot.start())?;
+        self.shared.warmup.take(slot.start())
+    }
+
     /// Refuses a request that became known for ending backend servers on its way here.
     ///
     /// # Errors
--- a/crates/swiftcart-standin/src/backend.rs
+++ b/crates/swiftcart-standin/src/backend.rs
@@ -5,6 +5,7 @@
 mod lagging;
 mod ledger;
 mod life;
+mod named;
 mod onward;
 mod routes;
 mod settings;
--- a/crates/swiftcart-standin/src/backend/faults.rs
+++ b/crates/swiftcart-standin/src/backend/faults.rs
@@ -17,7 +17,7 @@
 ///
 /// `PUT /standin/faults` takes the same fields as JSON and replaces all of them.
 /// Requests under `/standin` suffer none.
-#[derive(Debug, Default, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BackendFaults {
     /// Adds so many milliseconds to the service time.
@@ -41,6 +41,10 @@
     pub restart: Option<Restart>,
     /// Sends an announcement that is none before each sound one.
     pub odd: bool,
+    /// Names this rate in its answers, in requests a second.
+    pub rate: Option<f64>,
+    /// Says in its answers that it leaves, and announces what it did before.
+    pub leaving: bool,
 }
 
 impl BackendFaults {
@@ -113,6 +117,20 @@
         self
     }
 
+    /// Sets the rate that answers name.
+    #[must_use]
+    pub const fn with_rate(mut self, rate: f64) -> Self {
+        self.rate = Some(rate);
+        self
+    }
+
+    /// Sets whether answers say that it leaves.
+    #[must_use]
+    pub const fn with_leaving(mut self, leaving: bool) -> Self {
+        self.leaving = leaving;
+        self
+    }
+
     /// Sets whether odd announcements are sent.
     #[must_use]
     pub const fn with_odd(mut self, odd: bool) -> Self {
--- a/crates/swiftcart-standin/src/backend/routes.rs
+++ b/crates/swiftcart-standin/src/backend/routes.rs
@@ -18,7 +18,7 @@
 use super::{BackendFaults, BackendStats};
 use crate::client::{self, Client};
 use crate::content::{Content, Stream};
-use crate::headers::{DIGEST, LOAD, STANDIN_REASON};
+use crate::headers::{DIGEST, LEAVING, LOAD, RATE, STANDIN_REASON};
 use crate::serve::broken;
 
 const DEFAULT_BYTES: u64 = 64;
@@ -82,6 +82,15 @@
     };
     let load = HeaderValue::from(u16::from(app.shared.load()));
     answer.headers_mut().insert(LOAD, load);
+    let (rate, leaving) = app.shared.notice();
+    if let Some(rate) = rate.and_then(|rate| HeaderValue::try_from(rate.to_string()).ok()) {
+        answer.headers_mut().insert(RATE, rate);
+    }
+    if leaving {
+        answer
+            .headers_mut()
+            .insert(LEAVING, HeaderValue::from_static("1"));
+    }
     answer
 }
 
--- a/crates/swiftcart-standin/src/backend/state.rs
+++ b/crates/swiftcart-standin/src/backend/state.rs
@@ -13,6 +13,7 @@
 use super::lagging::Lagging;
 use super::ledger::{Ledger, Names, Runs};
 use super::life::Life;
+use super::named::Named;
 use super::stats::{BackendStats, Refusal};
 use super::{BackendFaults, BackendSettings};
 use crate::serve::Connections;
@@ -40,6 +41,7 @@
     drained: Option<Instant>,
     load: Lagging<u8>,
     health: Lagging<bool>,
+    named: Named,
 }
 
 impl Shared {
@@ -57,6 +59,7 @@
                 drained: None,
                 load: Lagging::default(),
                 health: Lagging::default(),
+                named: Named::default(),
             }),
             active: watch::Sender::default(),
             started: Instant::now(),
@@ -66,6 +69,7 @@
 
     pub(super) fn set_faults(&self, faults: BackendFaults) {
         if let Some(restart) = faults.restart {
+            self.state().named.restart();
             self.life.send_modify(|life| *life = life.again(restart));
         }
         self.faults.send_replace(faults);
@@ -162,6 +166,16 @@
         u8::try_from(busy * 100 / slots).unwrap_or(100)
     }
 
+    /// Returns the rate that an answer names, and whether it says that the backend server leaves.
+    pub(super) fn notice(&self) -> (Option<f64>, bool) {
+        let faults = self.faults();
+        let mut state = self.state();
+        state
+            .named
+            .says(Instant::now(), faults.rate, faults.leaving);
+        (faults.rate, faults.leaving)
+    }
+
     /// Returns the load as `/load` reports it.
     pub(super) fn lagging_load(&self) -> u8 {
         let load = self.load();
@@ -210,6 +224,9 @@
             ..Runs::default()
         };
         let mut state = self.state();
+        let (beyond, late) = state.named.arrives(Instant::now());
+        state.stats.beyond_rate += u64::from(beyond);
+        state.stats.after_leaving += u64::from(late);
         state.count(names, runs);
         state.stats.active += 1;
         state.stats.max_active = state.stats.max_active.max(state.stats.active);
--- a/crates/swiftcart-standin/src/backend/stats.rs
+++ b/crates/swiftcart-standin/src/backend/stats.rs
@@ -48,4 +48,8 @@
     pub drain_starts: u64,
     /// Milliseconds from the drain's announcement to the last execution started.
     pub drain_last_ms: u64,
+    /// Requests beyond the rate that answers named.
+    pub beyond_rate: u64,
+    /// Requests that came more than a second after an answer had said that it leaves.
+    pub after_leaving: u64,
 }
--- a/crates/swiftcart-standin/src/headers.rs
+++ b/crates/swiftcart-standin/src/headers.rs
@@ -14,6 +14,10 @@
 pub(crate) const KEY: &str = "idempotency-key";
 /// Share of busy slots, 0 to 100.
 pub(crate) const LOAD: &str = "swiftcart-load";
+/// The rate that a backend server names, in its answers.
+pub(crate) const RATE: &str = "swiftcart-rate";
+/// Says `1` in the answers of a backend server that leaves.
+pub(crate) const LEAVING: &str = "swiftcart-leaving";
 /// What became of a request, in a node's own answer.
 pub(crate) const OUTCOME: &str = "swiftcart-outcome";
 /// Why, in a node's own answer.
--- a/xtask/src/demo/audit.rs
+++ b/xtask/src/demo/audit.rs
@@ -85,6 +85,27 @@
     );
 }
 
+/// Checks that backend servers got no more than they said of themselves in their answers.
+pub(crate) async fn check_notices(figures: &mut Figures, fleet: &Fleet) -> Result<(), Error> {
+    let (mut beyond, mut late) = (0, 0);
+    for i in 0..fleet.instances.len() {
+        let stats = stats(fleet, i).await?;
+        beyond += stats.beyond_rate;
+        late += stats.after_leaving;
+    }
+    figures.promise(
+        "backend servers get no more than the rate that they name",
+        format!("{beyond} requests beyond it"),
+        beyond == 0,
+    );
+    figures.promise(
+        "backend servers that leave get nothing new",
+        format!("{late} requests afterwards"),
+        late == 0,
+    );
+    Ok(())
+}
+
 /// Checks that no key was executed twice.
 pub(crate) fn check_keys(figures: &mut Figures, ledger: &Ledger) {
     let most = ledger
--- a/xtask/src/soak/plan.rs
+++ b/xtask/src/soak/plan.rs
@@ -72,13 +72,14 @@
 
 fn fault(rng: &mut SmallRng, instances: usize) -> Fault {
     let instance = rng.random_range(0..instances);
-    match rng.random_range(0..7) {
+    match rng.random_range(0..8) {
         0 => Fault::Kill(instance),
         1 => Fault::Stop(instance),
         2 => Fault::Pause(instance),
         3 => Fault::Log(log(rng)),
         4 => Fault::Backend(instance, backend(rng)),
         5 => Fault::Platform(wire(rng)),
+        6 => Fault::Backend(instance, notice(rng)),
         _ => Fault::Callers(instance, wire(rng)),
     }
 }
@@ -128,6 +129,15 @@
     }
 }
 
+/// Draws what a backend server says of itself in its answers.
+fn notice(rng: &mut SmallRng) -> BackendFaults {
+    let faults = BackendFaults::new();
+    match rng.random_range(0..3) {
+        0 => faults.with_leaving(true),
+        _ => faults.with_rate(f64::from(rng.random_range(0_u32..30)) / 10.0),
+    }
+}
+
 fn wire(rng: &mut SmallRng) -> Wire {
     match rng.random_range(0..4) {
         0 => Wire::Delayed {
--- a/xtask/src/soak/run.rs
+++ b/xtask/src/soak/run.rs
@@ -6,7 +6,7 @@
 
 use serde_json::{Value, json};
 use swiftcart_core::Version;
-use swiftcart_standin::{BackendFaults, Load, LogFaults, Shape};
+use swiftcart_standin::{BackendFaults, Load, LogFaults, Restart, Shape};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{Fault, Proxy, Step, Wire, draw};
@@ -73,6 +73,7 @@
     audit::check(&mut soak.figures, &[&mixed, &single], &ledger);
     audit::check_keys(&mut soak.figures, &ledger);
     audit::check_once(&mut soak.figures, &single, &ledger);
+    audit::check_notices(&mut soak.figures, &soak.fleet).await?;
     Ok(Ended {
         faults: steps.len(),
         calls: mixed.offered + single.offered,
@@ -181,7 +182,15 @@
                 }
             }
             Fault::Log(_) => self.put_log(&LogFaults::new()).await?,
-            Fault::Backend(i, _) => self.put_backend(*i, &BackendFaults::new()).await?,
+            Fault::Backend(i, faults) => {
+                let calm = BackendFaults::new();
+                // Who has said that it leaves comes back as another process.
+                let calm = match faults.leaving {
+                    true => calm.with_restart(Restart::Later),
+                    false => calm,
+                };
+                self.put_backend(*i, &calm).await?;
+            }
             Fault::Platform(_) => self.platform.set(Wire::Open),
             Fault::Callers(i, _) => self.callers[*i].set(Wire::Open),
         }
--- a/xtask/tests/soak.rs
+++ b/xtask/tests/soak.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use swiftcart_standin::BackendFaults;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
-use xtask::{Fault, Proxy, Wire, draw};
+use xtask::{Fault, Proxy, Step, Wire, draw};
 
 /// How long a test waits for bytes that must come, and for those that must not.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -33,6 +34,17 @@
     assert_eq!(kinds.len(), 7);
 }
 
+#[test]
+fn backend_servers_name_rates_and_leave_within_ten_seeds() {
+    let steps: Vec<_> = (1..=10).flat_map(|seed| draw(seed, 13)).collect();
+    let said = |says: fn(&BackendFaults) -> bool| {
+        let fits = |step: &Step| matches!(&step.fault, Fault::Backend(_, faults) if says(faults));
+        steps.iter().any(fits)
+    };
+    assert!(said(|faults| faults.rate.is_some()));
+    assert!(said(|faults| faults.leaving));
+}
+
 #[test]
 fn faults_overlap_in_most_seeds() {
     let overlaps = |seed: u64| {
