--- a/crates/swiftcart-cli/src/explain.rs
+++ b/crates/swiftcart-cli/src/explain.rs
@@ -33,16 +33,16 @@
 /// # Examples
 ///
 /// ```
-/// use swiftcart_cli::{LogLine, Story};
+/// use swiftcart_cli::{LogLine, RequestTrace};
 ///
 /// let text = "at=1200 level=INFO version=12 ms=4 retry_after_ms=180 reason=queue-full \
 ///             outcome=not-run status=own id=9c41 event=answer";
 /// let line = LogLine::parse("node-1", text).expect("a line of a node");
-/// let story = Story::new("9c41", vec![line], Vec::new());
-/// assert!(story.verdict().starts_with("not-run: queue-full"));
+/// let trace = RequestTrace::new("9c41", vec![line], Vec::new());
+/// assert!(trace.verdict().starts_with("not-run: queue-full"));
 /// ```
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Story {
+pub struct RequestTrace {
     /// The request.
     pub id: String,
     /// The lines that name the request, in order of their times.
@@ -51,8 +51,8 @@
     pub around: Vec<LogLine>,
 }
 
-impl Story {
-    /// Creates the story of the request `id`.
+impl RequestTrace {
+    /// Creates the trace of the request `id`.
     #[must_use]
     pub fn new(id: &str, mut lines: Vec<LogLine>, mut around: Vec<LogLine>) -> Self {
         lines.sort_by_key(|line| line.at_ms);
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Reads the story of the request `id` from log files.
+    /// Reads the trace of the request `id` from log files.
     ///
     /// # Errors
     ///
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Returns the story as text for people.
+    /// Returns the trace as text for people.
     #[must_use]
     pub fn text(&self) -> String {
         let first = self.lines.first().map_or(0, |line| line.at_ms);
@@ -127,7 +127,7 @@
         text + &format!("\n\n{}", self.verdict())
     }
 
-    /// Returns the story for scripts.
+    /// Returns the trace for scripts.
     #[must_use]
     pub fn json(&self) -> Value {
         json!({
--- a/crates/swiftcart-cli/src/run.rs
+++ b/crates/swiftcart-cli/src/run.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     Admin, Answer, Command, Decided, Error, Explain, Fleet, Invocation, Journal, Keep, Node,
-    Report, Retry, Settings, Sheet, Story, render,
+    Report, RequestTrace, Retry, Settings, Sheet, render,
 };
 
 /// The largest sheet that is read, in bytes.
@@ -60,8 +60,8 @@
 }
 
 fn explain(wanted: &Explain) -> Result<Report, Error> {
-    let story = Story::read(&wanted.id, &wanted.files)?;
-    Ok(Report::new(story.text(), story.json()))
+    let trace = RequestTrace::read(&wanted.id, &wanted.files)?;
+    Ok(Report::new(trace.text(), trace.json()))
 }
 
 async fn history(settings: &Settings, limit: usize) -> Result<Report, Error> {
--- a/crates/swiftcart-cli/tests/explain.rs
+++ b/crates/swiftcart-cli/tests/explain.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use rstest::rstest;
-use swiftcart_cli::{Error, LogLine, Story};
+use swiftcart_cli::{Error, LogLine, RequestTrace};
 use tempfile::TempDir;
 
 /// The ingress: one request refused, one lost, one without an answer yet.
@@ -74,35 +74,35 @@
      or its log is not among the files"
 )]
 fn the_last_answer_decides_the_verdict(#[case] id: &str, #[case] verdict: &str) {
-    let story = Story::read(id, &logs().files).expect("a story");
-    assert_eq!(story.verdict(), verdict);
+    let trace = RequestTrace::read(id, &logs().files).expect("a trace");
+    assert_eq!(trace.verdict(), verdict);
 }
 
 #[rstest]
 fn lines_of_a_request_are_joined_in_order_over_the_nodes() {
-    let story = Story::read("refused", &logs().files).expect("a story");
+    let trace = RequestTrace::read("refused", &logs().files).expect("a trace");
     let lines = [
         "1098 guard guard",
         "1100 ingress try",
         "1120 ingress answer",
     ];
-    assert_eq!(events(&story.lines), lines);
-    let inputs = story.lines[0].inputs();
+    assert_eq!(events(&trace.lines), lines);
+    let inputs = trace.lines[0].inputs();
     assert!(inputs.starts_with("service=booking instance=i-1 reason=overloaded running=12"));
 }
 
 #[rstest]
 fn changes_of_belief_around_it_are_shown_at_the_nodes_that_it_touched() {
-    let story = Story::read("refused", &logs().files).expect("a story");
+    let trace = RequestTrace::read("refused", &logs().files).expect("a trace");
     let around = [
         "900 ingress applied",
         "1000 ingress domain-cut",
         "1099 guard platform-down",
     ];
-    assert_eq!(events(&story.around), around);
-    let text = story.text();
+    assert_eq!(events(&trace.around), around);
+    let text = trace.text();
     assert!(text.contains("error=the connection to the platform ended before its answer"));
-    assert!(text.ends_with(&story.verdict()));
+    assert!(text.ends_with(&trace.verdict()));
 }
 
 #[rstest]
@@ -111,15 +111,15 @@
     let path = dir.path().join("all.log");
     let text = "   1.2345 norte-1 at=10 level=INFO reason=timeout id=a event=guard\n";
     fs::write(&path, text).expect("a file");
-    let story = Story::read("a", &[path]).expect("a story");
-    assert_eq!(events(&story.lines), ["10 norte-1 guard"]);
+    let trace = RequestTrace::read("a", &[path]).expect("a trace");
+    assert_eq!(events(&trace.lines), ["10 norte-1 guard"]);
 }
 
 #[rstest]
 #[case::unknown_request("nobody", "has a line of the request \"nobody\"")]
 #[case::part_of_an_id("refuse", "has a line of the request \"refuse\"")]
 fn an_unknown_request_is_an_error_that_says_what_to_give(#[case] id: &str, #[case] told: &str) {
-    let error = Story::read(id, &logs().files).expect_err("no story");
+    let error = RequestTrace::read(id, &logs().files).expect_err("no trace");
     assert!(matches!(error, Error::NoRequest(..)));
     assert!(error.to_string().contains(told), "{error}");
 }
--- a/crates/swiftcart-core/src/asking.rs
+++ b/crates/swiftcart-core/src/asking.rs
@@ -1,6 +1,6 @@
 //! The search of one request for a guard that has a place.
 
-use crate::{Haul, NodeId, Patience, Pick, PickRule, Reason};
+use crate::{NodeId, Patience, Payload, Pick, PickRule, Reason};
 
 /// Guards that are asked for a place before the request waits at one of them. Of three that
 /// are chosen by their load, one has a place as long as a tenth of the slots are free.
@@ -27,11 +27,11 @@
 /// # Examples
 ///
 /// ```
-/// use swiftcart_core::{Asking, Haul, NodeId, Patience, Pick, PickRule, Reason};
+/// use swiftcart_core::{Asking, Payload, NodeId, Patience, Pick, PickRule, Reason};
 ///
 /// let guard = |n| NodeId(([10, 0, 0, n], 7000).into());
 /// let pick = |n| Pick { id: guard(n), peer: guard(n).0, rule: PickRule::Near, free: true };
-/// let mut asking = Asking::new(2, Haul::Light);
+/// let mut asking = Asking::new(2, Payload::Light);
 /// for n in 1..=2 {
 ///     assert!(!asking.turns(Some(&pick(n))));
 ///     assert_eq!(asking.patience(), Patience::Short);
@@ -43,7 +43,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Asking {
     stage: Stage,
-    haul: Haul,
+    payload: Payload,
     /// The guards that the request was sent to and that are not to be asked again.
     excluded: Vec<NodeId>,
     /// Those of them that only had no place.
@@ -53,13 +53,13 @@
 impl Asking {
     /// Starts the search among `candidates` guards; a single one is not asked twice.
     #[must_use]
-    pub const fn new(candidates: usize, haul: Haul) -> Self {
+    pub const fn new(candidates: usize, payload: Payload) -> Self {
         Self {
             stage: match candidates {
                 0 | 1 => Stage::Wait,
                 _ => Stage::Ask,
             },
-            haul,
+            payload,
             excluded: Vec::new(),
             full: Vec::new(),
         }
@@ -70,7 +70,7 @@
     pub const fn waiting() -> Self {
         Self {
             stage: Stage::Wait,
-            haul: Haul::Light,
+            payload: Payload::Light,
             excluded: Vec::new(),
             full: Vec::new(),
         }
@@ -94,7 +94,7 @@
     /// Tells whether the request is to wait now, instead of asking at `next`; the choice is
     /// then made anew, among those that had no place as well.
     pub fn turns(&mut self, next: Option<&Pick>) -> bool {
-        let heavy = self.haul == Haul::Heavy;
+        let heavy = self.payload == Payload::Heavy;
         let asked = match next {
             None => !self.full.is_empty(),
             Some(pick) if !pick.free || self.full.len() >= MOST_ASKED => true,
@@ -124,9 +124,9 @@
             reason,
             Reason::QueueFull | Reason::LinkBusy | Reason::Overloaded | Reason::Throttled
         );
-        match (self.stage, self.haul) {
+        match (self.stage, self.payload) {
             (Stage::Ask, _) if full => self.full.push(guard),
-            (Stage::Wait, Haul::Heavy) if full => self.stage = Stage::Rest,
+            (Stage::Wait, Payload::Heavy) if full => self.stage = Stage::Rest,
             _ => {}
         }
     }
--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -79,7 +79,7 @@
 
 /// Tells how much a request and its answer weigh on the way to another failure domain.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Haul {
+pub enum Payload {
     /// A few kilobytes.
     #[default]
     Light,
@@ -87,7 +87,7 @@
     Heavy,
 }
 
-impl Haul {
+impl Payload {
     /// Returns by how many targets another failure domain has to be faster.
     ///
     /// Traffic between failure domains costs about 0.015 of what a short answer is worth for
--- a/crates/swiftcart-core/src/balance/choice.rs
+++ b/crates/swiftcart-core/src/balance/choice.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::peer::Peer;
-use super::{Balancer, Haul, Need, Pick, PickRule};
+use super::{Balancer, Need, Payload, Pick, PickRule};
 use crate::{Candidate, Instant, NodeId, ServiceEntry};
 
 /// The random draws for one choice before the candidates are gone through in order.
@@ -87,7 +87,9 @@
                 Some((far, PickRule::Spill))
             }
             (Some(here), _, _) => Some(here),
-            (None, Some(near), _) if self.need.haul == Haul::Heavy => Some((near, PickRule::Near)),
+            (None, Some(near), _) if self.need.payload == Payload::Heavy => {
+                Some((near, PickRule::Near))
+            }
             (None, _, Some(far)) if !self.full(far) => Some((far, PickRule::Spill)),
             (None, Some(near), _) => Some((near, PickRule::Near)),
             (None, None, Some(far)) => Some((far, PickRule::Spill)),
@@ -104,9 +106,9 @@
         }
         let near = all.iter().filter(|c| c.is_near()).count();
         // A long body stays in its failure domain.
-        let all = match (near, self.need.haul) {
-            (0, Haul::Heavy) => return None,
-            (0, Haul::Light) => all,
+        let all = match (near, self.need.payload) {
+            (0, Payload::Heavy) => return None,
+            (0, Payload::Light) => all,
             (near, _) => &all[..near],
         };
         let others = entry
@@ -125,7 +127,9 @@
     /// way there is worth.
     fn worth_the_way(&self, far: Known<'_>, here: Known<'_>) -> bool {
         match (self.expected(far), self.expected(here)) {
-            (Some(there), Some(here)) => !self.full(far) && there + self.need.haul.penalty() < here,
+            (Some(there), Some(here)) => {
+                !self.full(far) && there + self.need.payload.penalty() < here
+            }
             _ => false,
         }
     }
@@ -135,7 +139,7 @@
     fn worth_the_region(&self, remote: Known<'_>, here: Known<'_>) -> bool {
         match (self.expected(remote), self.expected(here)) {
             (Some(there), Some(here)) => {
-                !self.full(remote) && there + self.need.haul.remote_penalty() < here
+                !self.full(remote) && there + self.need.payload.remote_penalty() < here
             }
             _ => false,
         }
@@ -251,7 +255,7 @@
         let age = self.balancer.settings.load_age;
         let slots = known.candidate.slots;
         known.peer.is_some_and(|p| {
-            let link = self.need.haul == Haul::Heavy && p.is_link_busy(self.now);
+            let link = self.need.payload == Payload::Heavy && p.is_link_busy(self.now);
             link || p.is_held(self.now) || p.running >= slots || p.usage(self.now, age) >= 1.0
         })
     }
--- a/crates/swiftcart-core/src/balance/need.rs
+++ b/crates/swiftcart-core/src/balance/need.rs
@@ -1,6 +1,6 @@
 //! What a request asks of the backend server that is chosen for it.
 
-use super::Haul;
+use super::Payload;
 use crate::AllowedRegions;
 
 /// Says what a request asks of a backend server besides its service.
@@ -8,15 +8,15 @@
 /// # Examples
 ///
 /// ```
-/// use swiftcart_core::{Haul, Need};
+/// use swiftcart_core::{Payload, Need};
 ///
-/// let need = Need::from(Haul::Heavy);
+/// let need = Need::from(Payload::Heavy);
 /// assert!(need.regions.is_everywhere());
 /// ```
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Need {
     /// How much the request and its answer weigh on the way.
-    pub haul: Haul,
+    pub payload: Payload,
     /// The regions to which it may be sent.
     pub regions: AllowedRegions,
 }
@@ -30,10 +30,10 @@
     }
 }
 
-impl From<Haul> for Need {
-    fn from(haul: Haul) -> Self {
+impl From<Payload> for Need {
+    fn from(payload: Payload) -> Self {
         Self {
-            haul,
+            payload,
             ..Self::default()
         }
     }
--- a/crates/swiftcart-core/src/profile.rs
+++ b/crates/swiftcart-core/src/profile.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::Haul;
+use crate::Payload;
 pub use given::TimeGiven;
 pub use store::RouteProfiles;
 
@@ -25,12 +25,12 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use swiftcart_core::{Haul, RouteProfile};
+/// use swiftcart_core::{Payload, RouteProfile};
 ///
 /// let mut plots = RouteProfile::default();
-/// assert_eq!(plots.haul(), Haul::Light);
+/// assert_eq!(plots.payload(), Payload::Light);
 /// plots.answered(90_000);
-/// assert_eq!(plots.haul(), Haul::Heavy);
+/// assert_eq!(plots.payload(), Payload::Heavy);
 /// for _ in 0..20 {
 ///     plots.age(Duration::from_millis(1_500));
 /// }
@@ -59,10 +59,10 @@
 
     /// Returns how much the answers weigh on the way; short as long as none was seen.
     #[must_use]
-    pub fn haul(&self) -> Haul {
+    pub fn payload(&self) -> Payload {
         match self.length {
-            Some(mean) if mean >= LONG_ANSWER as f64 => Haul::Heavy,
-            _ => Haul::Light,
+            Some(mean) if mean >= LONG_ANSWER as f64 => Payload::Heavy,
+            _ => Payload::Light,
         }
     }
 }
--- a/crates/swiftcart-core/src/profile/store.rs
+++ b/crates/swiftcart-core/src/profile/store.rs
@@ -17,13 +17,13 @@
 /// # Examples
 ///
 /// ```
-/// use swiftcart_core::{Haul, RouteKey, RouteProfiles};
+/// use swiftcart_core::{Payload, RouteKey, RouteProfiles};
 ///
 /// let mut profiles = RouteProfiles::default();
 /// let plots = RouteKey::new("//hire.example/plots/");
 /// profiles.of(plots).answered(90_000);
-/// assert_eq!(profiles.of(plots).haul(), Haul::Heavy);
-/// assert_eq!(profiles.of(RouteKey::new("/stock")).haul(), Haul::Light);
+/// assert_eq!(profiles.of(plots).payload(), Payload::Heavy);
+/// assert_eq!(profiles.of(RouteKey::new("/stock")).payload(), Payload::Light);
 /// ```
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct RouteProfiles {
--- a/crates/swiftcart-core/src/rollout/judge.rs
+++ b/crates/swiftcart-core/src/rollout/judge.rs
@@ -74,7 +74,7 @@
 /// of the old release have two thirds of what a release has that takes four times as long.
 const AS_BAD: f64 = 0.7;
 
-/// The chance below which it is left out that just the new backend servers were struck by what
+/// The chance below which it is left out that just the new backend servers were affected by what
 /// strikes any.
 const CHANCE: f64 = 0.03;
 
@@ -134,7 +134,7 @@
     /// How much more likely it is that the release is bad, as a natural logarithm.
     pub weight: f64,
     /// Backend servers of the new release that are as bad as all of it.
-    pub struck: Judged,
+    pub affected: Judged,
     /// Backend servers of the old release that are as bad.
     pub like: Judged,
 }
@@ -251,7 +251,7 @@
             old: count(&self.old),
             new,
             weight: shares.weight(new),
-            struck: judge(&self.new),
+            affected: judge(&self.new),
             like: judge(&self.old),
         }
     }
@@ -262,7 +262,7 @@
     #[must_use]
     pub fn blames(&self) -> bool {
         let alone = self.like.bad == 0 || self.chance() <= CHANCE;
-        self.struck.is_most() && self.weight >= CERTAIN && alone
+        self.affected.is_most() && self.weight >= CERTAIN && alone
     }
 
     /// Tells whether the release is as good as the old one.
@@ -287,15 +287,15 @@
     #[must_use]
     pub fn is_spent(&self) -> bool {
         let worse = self.new.share() > 2.0 * self.old.share();
-        self.new.bad >= BAD_MOST && self.weight > 0.0 && worse && self.struck.is_most()
+        self.new.bad >= BAD_MOST && self.weight > 0.0 && worse && self.affected.is_most()
     }
 
-    /// Returns how likely it is that just these were struck, if all are alike.
+    /// Returns how likely it is that just these were affected, if all are alike.
     fn chance(&self) -> f64 {
-        let bad = self.like.bad + self.struck.bad;
-        let all = self.like.all + self.struck.all;
+        let bad = self.like.bad + self.affected.bad;
+        let all = self.like.all + self.affected.all;
         let step = |i: usize| (bad - i) as f64 / (all - i) as f64;
-        (0..self.struck.bad).map(step).product()
+        (0..self.affected.bad).map(step).product()
     }
 }
 
--- a/crates/swiftcart-core/tests/asking.rs
+++ b/crates/swiftcart-core/tests/asking.rs
@@ -27,8 +27,8 @@
 }
 
 #[rstest]
-#[case::many_candidates(Asking::new(5, Haul::Light), Patience::Short)]
-#[case::a_single_candidate(Asking::new(1, Haul::Light), Patience::Full)]
+#[case::many_candidates(Asking::new(5, Payload::Light), Patience::Short)]
+#[case::a_single_candidate(Asking::new(1, Payload::Light), Patience::Full)]
 #[case::a_route_without_a_policy(Asking::waiting(), Patience::Full)]
 fn the_first_guard(#[case] asking: Asking, #[case] expected: Patience) {
     assert_eq!(asking.patience(), expected);
@@ -39,24 +39,24 @@
 #[case::a_guard_that_is_believed_full(Some(pick(1, PickRule::Near, false)), true)]
 #[case::nobody(None, false)]
 fn without_a_refusal_the_request_waits_at(#[case] next: Option<Pick>, #[case] waits: bool) {
-    let mut asking = Asking::new(5, Haul::Light);
+    let mut asking = Asking::new(5, Payload::Light);
     assert_eq!(asking.turns(next.as_ref()), waits);
     assert_eq!(asking.patience() == Patience::Full, waits);
 }
 
 #[rstest]
-#[case::light_goes_on_asking_in_another_domain(Haul::Light, PickRule::Spill, false)]
-#[case::heavy_waits_in_its_own_domain(Haul::Heavy, PickRule::Spill, true)]
-#[case::heavy_goes_on_asking_in_its_own_domain(Haul::Heavy, PickRule::Near, false)]
-fn after_one_refusal(#[case] haul: Haul, #[case] rule: PickRule, #[case] waits: bool) {
-    let mut asking = Asking::new(5, haul);
+#[case::light_goes_on_asking_in_another_domain(Payload::Light, PickRule::Spill, false)]
+#[case::heavy_waits_in_its_own_domain(Payload::Heavy, PickRule::Spill, true)]
+#[case::heavy_goes_on_asking_in_its_own_domain(Payload::Heavy, PickRule::Near, false)]
+fn after_one_refusal(#[case] payload: Payload, #[case] rule: PickRule, #[case] waits: bool) {
+    let mut asking = Asking::new(5, payload);
     asking.failed(guard(1), Reason::Overloaded);
     assert_eq!(asking.turns(Some(&pick(2, rule, true))), waits);
 }
 
 #[rstest]
 fn three_guards_are_asked_and_all_of_them_may_be_waited_at() {
-    let mut asking = Asking::new(9, Haul::Light);
+    let mut asking = Asking::new(9, Payload::Light);
     for n in 1..=3 {
         assert!(!asking.turns(Some(&near(n))));
         asking.failed(guard(n), Reason::QueueFull);
@@ -71,7 +71,7 @@
 
 #[rstest]
 fn a_guard_that_failed_otherwise_is_not_waited_at() {
-    let mut asking = Asking::new(2, Haul::Light);
+    let mut asking = Asking::new(2, Payload::Light);
     asking.failed(guard(1), Reason::PeerUnreachable);
     asking.failed(guard(2), Reason::Overloaded);
     assert!(asking.turns(None));
@@ -79,10 +79,10 @@
 }
 
 #[rstest]
-#[case::light_waits_at_the_next(Haul::Light, Patience::Full)]
-#[case::heavy_only_asks(Haul::Heavy, Patience::Short)]
-fn after_waiting_in_vain(#[case] haul: Haul, #[case] expected: Patience) {
-    let mut asking = Asking::new(3, haul);
+#[case::light_waits_at_the_next(Payload::Light, Patience::Full)]
+#[case::heavy_only_asks(Payload::Heavy, Patience::Short)]
+fn after_waiting_in_vain(#[case] payload: Payload, #[case] expected: Patience) {
+    let mut asking = Asking::new(3, payload);
     asking.failed(guard(1), Reason::Overloaded);
     assert!(asking.turns(None));
     asking.failed(guard(1), Reason::Overloaded);
@@ -91,7 +91,7 @@
 
 #[rstest]
 fn a_request_that_may_go_nowhere_else_waits() {
-    let mut asking = Asking::new(9, Haul::Light);
+    let mut asking = Asking::new(9, Payload::Light);
     asking.settle();
     assert_eq!(asking.patience(), Patience::Full);
 }
--- a/crates/swiftcart-core/tests/balance.rs
+++ b/crates/swiftcart-core/tests/balance.rs
@@ -289,15 +289,15 @@
 }
 
 #[rstest]
-#[case::own_at_a_like_pace(&[(1, 250), (3, 240)], Haul::Light, 1)]
-#[case::near_when_own_is_much_slower(&[(1, 500), (3, 240)], Haul::Light, 3)]
-#[case::own_although_far_saves_a_sixth_of_the_target(&[(1, 400), (3, 400), (2, 230)], Haul::Light, 1)]
-#[case::far_when_that_saves_a_quarter(&[(1, 500), (3, 500), (2, 250)], Haul::Light, 2)]
-#[case::own_with_a_long_body(&[(1, 500), (3, 500), (2, 250)], Haul::Heavy, 1)]
-#[case::far_unheard_when_all_near_are_slow(&[(1, 900), (3, 900), (5, 900), (4, 90)], Haul::Light, 2)]
+#[case::own_at_a_like_pace(&[(1, 250), (3, 240)], Payload::Light, 1)]
+#[case::near_when_own_is_much_slower(&[(1, 500), (3, 240)], Payload::Light, 3)]
+#[case::own_although_far_saves_a_sixth_of_the_target(&[(1, 400), (3, 400), (2, 230)], Payload::Light, 1)]
+#[case::far_when_that_saves_a_quarter(&[(1, 500), (3, 500), (2, 250)], Payload::Light, 2)]
+#[case::own_with_a_long_body(&[(1, 500), (3, 500), (2, 250)], Payload::Heavy, 1)]
+#[case::far_unheard_when_all_near_are_slow(&[(1, 900), (3, 900), (5, 900), (4, 90)], Payload::Light, 2)]
 fn with_paces_told_the_choice_is(
     #[case] paces: &[(u16, u32)],
-    #[case] haul: Haul,
+    #[case] payload: Payload,
     #[case] expected: u16,
 ) {
     let mut ids: Vec<u16> = paces.iter().map(|(n, _)| *n).collect();
@@ -318,7 +318,7 @@
     let entry = rig.view.service("a").expect("the table has it");
     let pick = rig
         .balancer
-        .pick_for(&haul.into(), START, entry, &[], &mut rig.rng);
+        .pick_for(&payload.into(), START, entry, &[], &mut rig.rng);
     assert_eq!(pick.map(|pick| pick.id), Some(node(expected)));
 }
 
@@ -352,16 +352,16 @@
         1,
     );
     let entry = rig.view.service("a").expect("the table has it").clone();
-    let mut free = |haul: Haul, ms| {
+    let mut free = |payload: Payload, ms| {
         let now = Instant::from_millis(ms);
         let pick = rig
             .balancer
-            .pick_for(&haul.into(), now, &entry, &[node(4)], &mut rig.rng);
+            .pick_for(&payload.into(), now, &entry, &[node(4)], &mut rig.rng);
         pick.expect("one is left").free
     };
-    assert!(free(Haul::Light, 10));
-    assert!(!free(Haul::Heavy, 10));
-    assert!(free(Haul::Heavy, 250), "links clear soon");
+    assert!(free(Payload::Light, 10));
+    assert!(!free(Payload::Heavy, 10));
+    assert!(free(Payload::Heavy, 250), "links clear soon");
 }
 
 /// Has node `n` tell `pace` to all others.
--- a/crates/swiftcart-core/tests/profile.rs
+++ b/crates/swiftcart-core/tests/profile.rs
@@ -70,16 +70,16 @@
 }
 
 #[rstest]
-#[case::of_short_answers(&[1_500, 9_000, 5_000], Haul::Light)]
-#[case::of_long_answers(&[90_000, 40_000, 120_000], Haul::Heavy)]
-#[case::of_short_answers_and_one_long_one(&[1_500, 1_500, 1_500, 90_000], Haul::Light)]
-fn a_route_weighs_as_much_as_its_answers(#[case] answers: &[u64], #[case] haul: Haul) {
+#[case::of_short_answers(&[1_500, 9_000, 5_000], Payload::Light)]
+#[case::of_long_answers(&[90_000, 40_000, 120_000], Payload::Heavy)]
+#[case::of_short_answers_and_one_long_one(&[1_500, 1_500, 1_500, 90_000], Payload::Light)]
+fn a_route_weighs_as_much_as_its_answers(#[case] answers: &[u64], #[case] payload: Payload) {
     let mut profiles = RouteProfiles::default();
     let route = RouteKey::new("//hire.example/plots/");
     for bytes in answers {
         profiles.of(route).answered(*bytes);
     }
-    assert_eq!(profiles.of(route).haul(), haul);
+    assert_eq!(profiles.of(route).payload(), payload);
 }
 
 #[test]
@@ -90,7 +90,7 @@
             .of(RouteKey::new(&format!("/{i}")))
             .answered(90_000);
     }
-    let kept =
-        (0..10_000).filter(|i| profiles.of(RouteKey::new(&format!("/{i}"))).haul() == Haul::Heavy);
+    let kept = (0..10_000)
+        .filter(|i| profiles.of(RouteKey::new(&format!("/{i}"))).payload() == Payload::Heavy);
     assert!(kept.count() < 1_000);
 }
--- a/crates/swiftcart-core/tests/regions.rs
+++ b/crates/swiftcart-core/tests/regions.rs
@@ -63,26 +63,26 @@
 }
 
 #[rstest]
-#[case::its_own_first(&[1, 2, 5], &[], Haul::Light, PickRule::Own)]
-#[case::the_region_before_another(&[2, 5, 6], &[], Haul::Light, PickRule::Spill)]
-#[case::another_when_the_region_has_none(&[5, 6], &[], Haul::Light, PickRule::Remote)]
-#[case::another_with_a_long_body_too(&[5, 6], &[], Haul::Heavy, PickRule::Remote)]
-#[case::the_region_although_it_is_slower(&[2, 4, 5], &[(2, 900), (4, 900), (5, 200)], Haul::Light, PickRule::Spill)]
-#[case::the_region_although_another_saves_two_targets(&[2, 4, 5], &[(2, 2200), (4, 2200), (5, 200)], Haul::Light, PickRule::Spill)]
-#[case::another_when_it_saves_more_than_that(&[2, 4, 5], &[(2, 2900), (4, 2900), (5, 200)], Haul::Light, PickRule::Remote)]
-#[case::the_region_with_a_long_body(&[2, 4, 5], &[(2, 2900), (4, 2900), (5, 200)], Haul::Heavy, PickRule::Spill)]
+#[case::its_own_first(&[1, 2, 5], &[], Payload::Light, PickRule::Own)]
+#[case::the_region_before_another(&[2, 5, 6], &[], Payload::Light, PickRule::Spill)]
+#[case::another_when_the_region_has_none(&[5, 6], &[], Payload::Light, PickRule::Remote)]
+#[case::another_with_a_long_body_too(&[5, 6], &[], Payload::Heavy, PickRule::Remote)]
+#[case::the_region_although_it_is_slower(&[2, 4, 5], &[(2, 900), (4, 900), (5, 200)], Payload::Light, PickRule::Spill)]
+#[case::the_region_although_another_saves_two_targets(&[2, 4, 5], &[(2, 2200), (4, 2200), (5, 200)], Payload::Light, PickRule::Spill)]
+#[case::another_when_it_saves_more_than_that(&[2, 4, 5], &[(2, 2900), (4, 2900), (5, 200)], Payload::Light, PickRule::Remote)]
+#[case::the_region_with_a_long_body(&[2, 4, 5], &[(2, 2900), (4, 2900), (5, 200)], Payload::Heavy, PickRule::Spill)]
 fn a_call_goes_to(
     #[case] there: &[u16],
     #[case] paces: &[(u16, u32)],
-    #[case] haul: Haul,
+    #[case] payload: Payload,
     #[case] expected: PickRule,
 ) {
-    assert_eq!(pick(there, paces, &haul.into()), Some(expected));
+    assert_eq!(pick(there, paces, &payload.into()), Some(expected));
 }
 
 #[test]
 fn a_request_that_was_refused_in_its_region_waits_there() {
-    let mut asking = Asking::new(4, Haul::Light);
+    let mut asking = Asking::new(4, Payload::Light);
     let pick = |n, rule| Pick {
         id: node(n),
         peer: node(n).0,
@@ -115,10 +115,10 @@
     #[case] account: &[&str],
     #[case] there: &[u16],
     #[case] expected: Option<PickRule>,
-    #[values(Haul::Light, Haul::Heavy)] haul: Haul,
+    #[values(Payload::Light, Payload::Heavy)] payload: Payload,
 ) {
     let regions = AllowedRegions::from(&homes(route)).and(&AllowedRegions::from(&homes(account)));
-    let need = Need::from(haul).with_regions(regions);
+    let need = Need::from(payload).with_regions(regions);
     assert_eq!(pick(there, &[], &need), expected);
 }
 
--- a/crates/swiftcart-core/tests/support/mesh_load.rs
+++ b/crates/swiftcart-core/tests/support/mesh_load.rs
@@ -228,7 +228,7 @@
         self.calls.push(Call {
             ingress: self.rng.random_range(0..self.load.nodes),
             arrived: self.now,
-            asking: Asking::new(self.load.servers, Haul::Light),
+            asking: Asking::new(self.load.servers, Payload::Light),
             tries: PolicyTries::default(),
             sent: self.now,
         });
--- a/crates/swiftcart-core/tests/support/rollout.rs
+++ b/crates/swiftcart-core/tests/support/rollout.rs
@@ -44,7 +44,7 @@
     side: Side,
     turn: Turn,
     speed: f64,
-    struck: bool,
+    affected: bool,
     tally: Tally,
     credit: u64,
     credit_until: Instant,
@@ -221,7 +221,7 @@
                     Side::New => Turn::new(i - self.old, self.new),
                 },
                 speed: [0.5, 1.0, 1.0, 1.5][rng.random_range(0..4)],
-                struck: match self.trouble {
+                affected: match self.trouble {
                     Trouble::None => false,
                     Trouble::Grey(share, _) | Trouble::Slow(share, _) => {
                         rng.random::<f64>() < share
@@ -265,11 +265,11 @@
         }
         let within = (4.0..9.0).contains(&since.as_secs_f64());
         match self.trouble {
-            Trouble::Grey(_, share) if server.struck && within => {
+            Trouble::Grey(_, share) if server.affected && within => {
                 failed |= rng.random::<f64>() < share;
             }
-            Trouble::Slow(_, times) if server.struck && within => ms *= times,
-            Trouble::OneBad(share) if server.struck => failed |= rng.random::<f64>() < share,
+            Trouble::Slow(_, times) if server.affected && within => ms *= times,
+            Trouble::OneBad(share) if server.affected => failed |= rng.random::<f64>() < share,
             _ => {}
         }
         let end = now + Duration::from_secs_f64(ms.min(4_000.0) / 1e3);
--- a/crates/swiftcart-node/src/admin/announce.rs
+++ b/crates/swiftcart-node/src/admin/announce.rs
@@ -18,8 +18,8 @@
 use swiftcart_core::{Announced, Backend, Heard, Readiness, Release};
 use tokio::time::{Instant, sleep_until};
 
-use crate::beside::Process;
 use crate::logging::Event;
+use crate::registration::Process;
 use crate::shared::Shared;
 use body::{Announcement, Departure, Named, Taken};
 use error::AnnounceError;
@@ -81,7 +81,7 @@
         release: Release::new(found.release.as_str()),
         warm: now + Duration::from_millis(found.warmup_ms.into()),
     };
-    let heard = shared.beside().hear(now, said, process);
+    let heard = shared.registration().hear(now, said, process);
     let heard = heard.ok_or_else(|| AnnounceError::Id(id.into()))?;
     let outcome = heard.as_str();
     shared
@@ -129,7 +129,7 @@
 
 fn leave(shared: &Shared, id: &str, body: &[u8]) -> Result<(), AnnounceError> {
     let start = Departure::parse(body)?.start(&shared.settings.announcements)?;
-    let current = shared.beside().leave(shared.clock.now(), id, start);
+    let current = shared.registration().leave(shared.clock.now(), id, start);
     info!(shared.logger, ""; "event" => Event::Announced, "instance" => id,
         "start" => start.map(|start| start.0), "outcome" => "left", "current" => current);
     if current {
@@ -144,7 +144,7 @@
     let reason = err.as_str();
     let name = "swiftcart_announcements_refused_total";
     shared.counters.count(name, "reason", reason);
-    if let Some(log) = shared.call_log.odd(shared.clock.now()) {
+    if let Some(log) = shared.call_log.irregular(shared.clock.now()) {
         warn!(log, ""; "event" => Event::Announced, "instance" => id, "outcome" => "refused",
             "reason" => reason, "error" => %err);
     }
@@ -185,7 +185,7 @@
 ///
 /// One that said in an answer that it leaves is draining, whatever it announces.
 fn show(shared: &Shared, backend: Option<&Backend>, replaced: bool) {
-    let leaving = shared.beside().is_leaving();
+    let leaving = shared.registration().is_leaving();
     let backend = backend.map(|backend| Backend {
         readiness: match leaving {
             true => Readiness::Draining,
@@ -205,7 +205,7 @@
                 "readiness" => ?b.readiness);
         }
         None => {
-            shared.beside().withdrawn();
+            shared.registration().withdrawn();
             if changed {
                 info!(shared.logger, ""; "event" => Event::Backend, "service" => "none");
             }
--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -1,7 +1,6 @@
 //! The call path: from a caller through ingress and guard to a backend server and back.
 
 mod admissions;
-mod ahead;
 mod answer;
 mod body;
 mod conn;
@@ -15,6 +14,7 @@
 mod origin;
 mod pacing;
 mod peers;
+mod pipelining;
 mod pool;
 mod request;
 mod rng;
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -15,7 +15,7 @@
 use super::answer::End;
 use super::rng::with_rng;
 use crate::clock::Clock;
-use crate::outlet::Outlet;
+use crate::egress::Egress;
 use crate::shared::Shared;
 
 /// The least time between two looks whether a waiting request may start.
@@ -44,7 +44,7 @@
 /// Decides what one backend server is given, for many requests at once.
 #[derive(Debug)]
 pub struct Admissions {
-    link: Arc<Outlet>,
+    link: Arc<Egress>,
     clock: Clock,
     running: Arc<AtomicU32>,
     state: Mutex<State>,
--- a/crates/swiftcart-node/src/calls/answer.rs
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -22,7 +22,7 @@
 use super::pacing::Pacing;
 use super::pool::Pooled;
 use super::runs::Run;
-use crate::outlet::Outlet;
+use crate::egress::Egress;
 use crate::settings::Answers;
 
 /// When a caller should come back after a refusal that names no time: by then a dead node
@@ -163,11 +163,11 @@
         self
     }
 
-    /// Has the answer leave by `outlet`, at the pace of its link when it is long.
+    /// Has the answer leave by `egress`, at the pace of its link when it is long.
     #[must_use]
-    pub fn paced(mut self, outlet: &Arc<Outlet>) -> Self {
+    pub fn paced(mut self, egress: &Arc<Egress>) -> Self {
         let bytes = self.size_hint().lower();
-        let pacing = Pacing::new(outlet, bytes);
+        let pacing = Pacing::new(egress, bytes);
         match &mut self {
             Self::Text(_) => pacing.sent(bytes as usize),
             Self::Stream(streaming) => streaming.pacing = Some(pacing),
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -226,7 +226,7 @@
             return;
         };
         let load = self.report().map(|report| report.load).unwrap_or_default();
-        let instance = self.shared.beside().id().map(str::to_owned);
+        let instance = self.shared.registration().id().map(str::to_owned);
         info!(log, ""; "event" => Event::Guard, "id" => %call.id, "service" => service,
             "instance" => instance.as_deref().unwrap_or("-"),
             "reason" => refusal.reason.as_str(), "running" => load.running,
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -53,9 +53,9 @@
     told: Mutex<ToldNotices>,
 }
 
-/// The tries that were made of one call.
+/// How far one call is: the tries that were made of it.
 #[derive(Debug)]
-struct Made {
+struct CallState {
     start: Instant,
     tries: Tries,
     under_policy: PolicyTries,
@@ -239,12 +239,12 @@
         entry: &ServiceEntry,
         original: &Original,
     ) -> Result<Response<Answer>, Failed> {
-        let mut made = Made {
+        let mut state = CallState {
             start: self.shared.clock.now(),
             tries: Tries::new(call.attempt),
             under_policy: PolicyTries::default(),
             asking: match call.terms {
-                Some(_) => Asking::new(entry.candidates().len(), call.haul),
+                Some(_) => Asking::new(entry.candidates().len(), call.payload),
                 None => Asking::waiting(),
             },
             asked: 0,
@@ -253,8 +253,8 @@
         let mut next = Next::Other;
         self.count_first(entry);
         loop {
-            let pick = self.pick_next(call, entry, &made, next);
-            if made.asking.turns(pick.as_ref()) {
+            let pick = self.pick_next(call, entry, &state, next);
+            if state.asking.turns(pick.as_ref()) {
                 continue;
             }
             let Some(pick) = pick else {
@@ -266,23 +266,23 @@
                     });
                 return last.unwrap_or_else(|| shortage.into()).into_result();
             };
-            let mut failed = match self.attempt(call, &pick, entry, original, &made).await {
+            let mut failed = match self.attempt(call, &pick, entry, original, &state).await {
                 Ok(response) => {
-                    self.log_answer(call, entry, &made, &pick, response.status());
+                    self.log_answer(call, entry, &state, &pick, response.status());
                     return Ok(response);
                 }
                 Err(failed) => failed,
             };
-            made.asked += 1;
-            made.asking.failed(pick.id, failed.refusal.reason);
-            failed.retried |= made.tries.retried();
-            let again = self.may_retry(call, entry, original, &mut made, &pick, &failed);
-            self.log_try(call, entry, &made, &pick, &failed, again);
+            state.asked += 1;
+            state.asking.failed(pick.id, failed.refusal.reason);
+            failed.retried |= state.tries.retried();
+            let again = self.may_retry(call, entry, original, &mut state, &pick, &failed);
+            self.log_try(call, entry, &state, &pick, &failed, again);
             let kept = Failed::worse(last.take(), failed);
             match again {
                 Ok(Next::Other) => next = Next::Other,
                 Ok(Next::Same) => {
-                    made.asking.settle();
+                    state.asking.settle();
                     next = Next::Same;
                 }
                 Err(_) => return kept.into_result(),
@@ -296,13 +296,13 @@
         &self,
         call: &Call,
         entry: &ServiceEntry,
-        made: &Made,
+        state: &CallState,
         next: Next,
     ) -> Option<Pick> {
         match next {
-            Next::Other => self.pick(call, entry, made.asking.excluded()),
+            Next::Other => self.pick(call, entry, state.asking.excluded()),
             Next::Same => {
-                let reached = made.under_policy.reached();
+                let reached = state.under_policy.reached();
                 let again = |c: &&Candidate| reached.contains(&c.id);
                 let all = entry.candidates().iter().chain(entry.tried());
                 let others: Vec<NodeId> = all.filter(|c| !again(c)).map(|c| c.id).collect();
@@ -339,7 +339,7 @@
                 free: true,
             })
         });
-        let need = Need::from(call.haul).with_regions(call.regions.clone());
+        let need = Need::from(call.payload).with_regions(call.regions.clone());
         preferred.or_else(|| with_rng(|rng| balancer.pick_for(&need, now, entry, tried, rng)))
     }
 
@@ -349,10 +349,10 @@
         pick: &Pick,
         entry: &ServiceEntry,
         original: &Original,
-        made: &Made,
+        state: &CallState,
     ) -> Result<Response<Answer>, Failed> {
-        let call = &call.attempt(made.under_policy.is_repeat(), made.asking.patience());
-        let tries = made.tries;
+        let call = &call.attempt(state.under_policy.is_repeat(), state.asking.patience());
+        let tries = state.tries;
         let mut in_flight = InFlight::new(&self.shared, &self.balancer, pick.id);
         let service = entry.name().as_str();
         let result = match pick.id == self.shared.id {
@@ -393,7 +393,7 @@
                     in_flight.set_load(failed.load);
                 }
                 if failed.refusal.reason == Reason::PeerUnreachable {
-                    self.shared.misses.note(pick.id, in_flight.start());
+                    self.shared.unreached.note(pick.id, in_flight.start());
                 }
                 in_flight.set_again(failed.again());
                 in_flight.fail(blame(failed.refusal.reason));
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -6,7 +6,7 @@
 use slog::info;
 use swiftcart_core::{Instant, Next, Pick, Reason, Refusal, ServiceEntry};
 
-use super::{Failed, Ingress, Made};
+use super::{CallState, Failed, Ingress};
 use crate::calls::request::Call;
 use crate::logging::Event;
 
@@ -61,20 +61,20 @@
         &self,
         call: &Call,
         entry: &ServiceEntry,
-        made: &Made,
+        state: &CallState,
         pick: &Pick,
         status: StatusCode,
     ) {
         let now = self.shared.clock.now();
-        let ordinary = made.asked == 0 && !status.is_server_error();
+        let ordinary = state.asked == 0 && !status.is_server_error();
         let log = match ordinary {
             true => self.shared.call_log.done(now),
             false => self.shared.call_log.failed(now),
         };
         if let Some(log) = log {
             info!(log, ""; "event" => Event::Answer, "id" => %call.id, "service" => %entry.name(),
-                "status" => status.as_u16(), "tries" => made.asked + 1, "guard" => %pick.id,
-                "rule" => ?pick.rule, "ms" => ms(now.since(made.start)),
+                "status" => status.as_u16(), "tries" => state.asked + 1, "guard" => %pick.id,
+                "rule" => ?pick.rule, "ms" => ms(now.since(state.start)),
                 "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
                 "print" => %call.print);
         }
@@ -85,7 +85,7 @@
         &self,
         call: &Call,
         entry: &ServiceEntry,
-        made: &Made,
+        state: &CallState,
         pick: &Pick,
         failed: &Failed,
         next: Result<Next, &'static str>,
@@ -97,9 +97,9 @@
         let load = failed.load.map(|report| report.load);
         let load = load.map(|load| format!("{}/{}/{}", load.running, load.queued, load.limit));
         info!(log, ""; "event" => Event::Try, "id" => %call.id, "service" => %entry.name(),
-            "try" => made.asked, "guard" => %pick.id, "rule" => ?pick.rule,
+            "try" => state.asked, "guard" => %pick.id, "rule" => ?pick.rule,
             "reason" => failed.refusal.reason.as_str(), "load" => load.as_deref().unwrap_or("-"),
-            "next" => next.map_or_else(|why| why, told), "ms" => ms(now.since(made.start)),
+            "next" => next.map_or_else(|why| why, told), "ms" => ms(now.since(state.start)),
             "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
             "print" => %call.print);
     }
--- a/crates/swiftcart-node/src/calls/ingress/retrying.rs
+++ b/crates/swiftcart-node/src/calls/ingress/retrying.rs
@@ -5,7 +5,7 @@
 };
 
 use super::original::Original;
-use super::{Failed, Ingress, Made, lock};
+use super::{CallState, Failed, Ingress, lock};
 use crate::calls::request::Call;
 
 impl Ingress {
@@ -15,7 +15,7 @@
         call: &Call,
         entry: &ServiceEntry,
         original: &Original,
-        made: &mut Made,
+        state: &mut CallState,
         pick: &Pick,
         failed: &Failed,
     ) -> Result<Next, &'static str> {
@@ -26,10 +26,10 @@
                 Err(Reason::Quarantined.as_str())
             }
             (true, Some(terms)) => self
-                .retry_by_policy(call, terms.attempts, entry, made, pick, failed)
+                .retry_by_policy(call, terms.attempts, entry, state, pick, failed)
                 .map_err(Reason::as_str),
             (true, None) => self
-                .retry(call, made, failed)
+                .retry(call, state, failed)
                 .map(|()| Next::Other)
                 .map_err(Reason::as_str),
         };
@@ -40,15 +40,15 @@
         result
     }
 
-    fn retry(&self, call: &Call, made: &mut Made, failed: &Failed) -> Result<(), Reason> {
+    fn retry(&self, call: &Call, state: &mut CallState, failed: &Failed) -> Result<(), Reason> {
         let failure = Failure {
             reason: failed.refusal.reason,
-            retried: failed.retried && !made.tries.retried(),
+            retried: failed.retried && !state.tries.retried(),
         };
         let now = self.shared.clock.now();
         let budget = &mut lock(&self.budget);
         // A key makes a repeat harmless only once its claim decides; the guards' answers say so.
-        let tries = &mut made.tries;
+        let tries = &mut state.tries;
         tries
             .retry(now, failure, call.idempotent, call.due, budget)
             .map(drop)
@@ -59,7 +59,7 @@
         call: &Call,
         attempts: u8,
         entry: &ServiceEntry,
-        made: &mut Made,
+        state: &mut CallState,
         pick: &Pick,
         failed: &Failed,
     ) -> Result<Next, Reason> {
@@ -70,7 +70,7 @@
         };
         let reason = failed.refusal.reason;
         // Under overload failures follow from refusals, and repeats would make more of them.
-        if reason == Reason::ServerError && !self.has_place(call, entry, made, pick) {
+        if reason == Reason::ServerError && !self.has_place(call, entry, state, pick) {
             return Err(reason);
         }
         let cause = match reason.outcome() {
@@ -83,13 +83,13 @@
             Some(fleet) => lock(fleet).take(now, entry.name(), nodes, cause),
             None => lock(&self.budget).take(now),
         };
-        let tries = &mut made.under_policy;
+        let tries = &mut state.under_policy;
         tries.retry(now, pick.id, reason, terms, call.due, budget)
     }
 
     /// Tells whether another backend server than those tried is believed to have a place.
-    fn has_place(&self, call: &Call, entry: &ServiceEntry, made: &Made, pick: &Pick) -> bool {
-        let tried = made.asking.excluded().iter().copied();
+    fn has_place(&self, call: &Call, entry: &ServiceEntry, state: &CallState, pick: &Pick) -> bool {
+        let tried = state.asking.excluded().iter().copied();
         let tried: Vec<NodeId> = tried.chain([pick.id]).collect();
         self.pick(call, entry, &tried).is_some_and(|pick| pick.free)
     }
--- a/crates/swiftcart-node/src/calls/notices.rs
+++ b/crates/swiftcart-node/src/calls/notices.rs
@@ -9,8 +9,8 @@
 };
 
 use super::request::Call;
-use crate::beside::Identity;
 use crate::logging::Event;
+use crate::registration::Identity;
 use crate::settings::Headers;
 use crate::shared::Shared;
 
@@ -112,7 +112,7 @@
 
     fn unreadable(&self, now: Instant, call: &Call, err: RateError) {
         self.count("unreadable");
-        if let Some(log) = self.shared.call_log.odd(now) {
+        if let Some(log) = self.shared.call_log.irregular(now) {
             warn!(log, ""; "event" => Event::Notice, "id" => %call.id,
                 "instance" => self.instance(), "error" => %err);
         }
@@ -125,7 +125,7 @@
         let log = match new.leaving && !old.leaving {
             true => Some(&self.shared.logger),
             // A rate may change with each answer.
-            false => self.shared.call_log.odd(now),
+            false => self.shared.call_log.irregular(now),
         };
         if let Some(log) = log {
             let (id, age) = source.parts(now);
--- a/crates/swiftcart-node/src/calls/pacing.rs
+++ b/crates/swiftcart-node/src/calls/pacing.rs
@@ -9,7 +9,7 @@
 use swiftcart_core::LONG_ANSWER;
 use tokio::time::{Sleep, sleep};
 
-use crate::outlet::Outlet;
+use crate::egress::Egress;
 
 /// The least time of one hold, so that a queue of a few bytes costs no wake-up.
 const LEAST_HOLD: Duration = Duration::from_millis(2);
@@ -20,7 +20,7 @@
 /// Tells one answer when its next part may be handed to the link.
 #[derive(Debug)]
 pub struct Pacing {
-    outlet: Arc<Outlet>,
+    egress: Arc<Egress>,
     long: bool,
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -28,10 +28,10 @@
 impl Pacing {
     /// Creates the pacing of an answer of `bytes` bytes whose head leaves now.
     #[must_use]
-    pub fn new(outlet: &Arc<Outlet>, bytes: u64) -> Self {
-        outlet.sent(HEAD);
+    pub fn new(egress: &Arc<Egress>, bytes: u64) -> Self {
+        egress.sent(HEAD);
         Self {
-            outlet: Arc::clone(outlet),
+            egress: Arc::clone(egress),
             long: bytes >= LONG_ANSWER,
             timer: None,
         }
@@ -44,7 +44,7 @@
                 ready!(timer.as_mut().poll(cx));
                 self.timer = None;
             }
-            let Some(time) = self.outlet.hold_back() else {
+            let Some(time) = self.egress.hold_back() else {
                 break;
             };
             self.timer = Some(Box::pin(sleep(time.max(LEAST_HOLD))));
@@ -54,6 +54,6 @@
 
     /// Notes that a part of `bytes` bytes leaves.
     pub fn sent(&self, bytes: usize) {
-        self.outlet.sent(bytes);
+        self.egress.sent(bytes);
     }
 }
--- a/crates/swiftcart-node/src/calls/ahead.rs
+++ b/crates/swiftcart-node/src/calls/pipelining.rs
@@ -29,7 +29,7 @@
 const HEAD_FIELDS: usize = 64;
 
 /// Requests of one connection that are under way ahead of their turn.
-const MOST_AHEAD: usize = 16;
+const MOST_PIPELINED: usize = 16;
 
 /// An answer that is made ahead of its turn; dropping it ends the work.
 pub type Started = AbortOnDropHandle<Response<Answer>>;
@@ -43,7 +43,7 @@
 
 /// Looks at the heads on one connection; the connection and its service share it.
 #[derive(Debug, Clone)]
-pub struct Scout {
+pub struct Pipeline {
     starter: Starter,
     origin: Option<Origin>,
     state: Arc<Mutex<State>>,
@@ -108,8 +108,8 @@
     }
 }
 
-impl Scout {
-    /// Creates the scout of one connection.
+impl Pipeline {
+    /// Creates the pipeline of one connection.
     #[must_use]
     pub fn new(starter: &Starter, origin: Option<Origin>) -> Self {
         Self {
@@ -257,7 +257,7 @@
     fn start(&mut self, head: Option<Box<Parts>>, starter: &Starter) {
         let number = self.seen;
         self.seen += 1;
-        if number <= self.answered || self.started.len() >= MOST_AHEAD {
+        if number <= self.answered || self.started.len() >= MOST_PIPELINED {
             return;
         }
         let Some(head) = head else { return };
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -8,8 +8,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version};
 use swiftcart_core::{
     AllowedRegions, AnswerLength, Attempt, Bid, BodyPrint, CallerPrint, Deadline, Fingerprint,
-    Haul, HeadFields, HeadPrint, Instant, Patience, Priority, Reason, RequestClass, RequestPrint,
-    RouteProfile, RouteTag, Routed, Timing,
+    HeadFields, HeadPrint, Instant, Patience, Payload, Priority, Reason, RequestClass,
+    RequestPrint, RouteProfile, RouteTag, Routed, Timing,
 };
 
 use super::headers::{
@@ -45,7 +45,7 @@
     /// How the route's policy treats the request; without one its method decides.
     pub terms: Option<CallTerms>,
     /// How much the request and its answer weigh on the way.
-    pub haul: Haul,
+    pub payload: Payload,
     /// The regions to which it may be sent.
     pub regions: AllowedRegions,
     /// What stands for the head and the service it comes from, the same when the request comes again.
@@ -157,9 +157,9 @@
         if let Some(policy) = policy {
             self.due = limit(self.due, policy.timeout_ms);
             let terms = CallTerms::from(policy).with_age(age);
-            let answer = match (terms.class, profile.haul()) {
-                (RequestClass::Download, _) | (_, Haul::Heavy) => AnswerLength::Long,
-                (_, Haul::Light) => AnswerLength::Short,
+            let answer = match (terms.class, profile.payload()) {
+                (RequestClass::Download, _) | (_, Payload::Heavy) => AnswerLength::Long,
+                (_, Payload::Light) => AnswerLength::Short,
             };
             let route = routed.route.into();
             self.take_terms(CallTerms {
@@ -168,11 +168,11 @@
                 ..terms
             });
         }
-        self.haul = match self.terms {
-            Some(terms) if terms.class == RequestClass::Upload => Haul::Heavy,
-            Some(terms) if terms.answer == AnswerLength::Long => Haul::Heavy,
-            Some(_) => Haul::Light,
-            None => profile.haul(),
+        self.payload = match self.terms {
+            Some(terms) if terms.class == RequestClass::Upload => Payload::Heavy,
+            Some(terms) if terms.answer == AnswerLength::Long => Payload::Heavy,
+            Some(_) => Payload::Light,
+            None => profile.payload(),
         };
     }
 
@@ -298,7 +298,7 @@
             idempotent,
             key,
             terms: None,
-            haul: Haul::Light,
+            payload: Payload::Light,
             regions: AllowedRegions::default(),
             print: CallPrint::default(),
         })
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -21,9 +21,9 @@
 use tokio_util::task::TaskTracker;
 use tower::{Service, ServiceExt};
 
-use super::ahead::{Scout, Starter};
 use super::answer::Answer;
 use super::origin::Origin;
+use super::pipelining::{Pipeline, Starter};
 use super::socket::Socket;
 use crate::logging::Event;
 use crate::shared::Shared;
@@ -143,10 +143,10 @@
         }
         let silence = self.shared.settings.limits.body_timeout();
         let origin = Origin::of(&stream);
-        let scout = self.starter.as_ref();
-        let scout = scout.map(|starter| Scout::new(starter, origin));
-        let socket = Socket::new(stream, silence, scout.clone());
-        let shown = scout.clone();
+        let pipeline = self.starter.as_ref();
+        let pipeline = pipeline.map(|starter| Pipeline::new(starter, origin));
+        let socket = Socket::new(stream, silence, pipeline.clone());
+        let shown = pipeline.clone();
         let service = service.map_request(move |mut request: Request<_>| {
             let extensions = request.extensions_mut();
             extensions.insert(shown.clone());
@@ -167,7 +167,7 @@
                 () = gone.as_mut() => return None,
                 result = conn.as_mut() => return Some(result),
                 () = self.closing.cancelled() => {}
-                () = self.unused(scout.as_ref()) => {}
+                () = self.unused(pipeline.as_ref()) => {}
             }
             conn.as_mut().graceful_shutdown();
             tokio::select! {
@@ -186,10 +186,10 @@
     }
 
     /// Waits until a caller's connection was unused for longer than callers were told.
-    async fn unused(&self, scout: Option<&Scout>) {
+    async fn unused(&self, pipeline: Option<&Pipeline>) {
         let told = self.shared.settings.limits.keep_alive();
-        match (scout, told) {
-            (Some(scout), Some(told)) => scout.unused(told + CROSSING).await,
+        match (pipeline, told) {
+            (Some(pipeline), Some(told)) => pipeline.unused(told + CROSSING).await,
             _ => pending().await,
         }
     }
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -15,12 +15,12 @@
 use tokio_util::task::AbortOnDropHandle;
 use tower::Service;
 
-use super::ahead::{Scout, Starter};
 use super::answer::{Answer, refuse};
 use super::body::{Outgoing, Source};
 use super::guard::Guard;
 use super::headers::{KEEP_ALIVE, LOAD, NOTICE, OUTCOME, told};
 use super::ingress::Ingress;
+use super::pipelining::{Pipeline, Starter};
 use super::request::Call;
 use super::serve::Answering;
 use crate::settings::Settings;
@@ -89,8 +89,8 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
         let (mut head, body) = request.into_parts();
-        let scout = head.extensions.remove::<Option<Scout>>().flatten();
-        let started = scout.as_ref().and_then(|scout| scout.take(&head));
+        let pipeline = head.extensions.remove::<Option<Pipeline>>().flatten();
+        let started = pipeline.as_ref().and_then(|pipeline| pipeline.take(&head));
         let mut response = match started {
             Some(started) => match started.await {
                 Ok(response) => response,
@@ -98,9 +98,9 @@
             },
             None => self.ingress.answer(head, Some(body)).await,
         };
-        if let Some(scout) = scout {
-            scout.answered();
-            self.keep(&mut response, scout.has_more());
+        if let Some(pipeline) = pipeline {
+            pipeline.answered();
+            self.keep(&mut response, pipeline.has_more());
         }
         response
     }
--- a/crates/swiftcart-node/src/calls/socket.rs
+++ b/crates/swiftcart-node/src/calls/socket.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
-use super::ahead::Scout;
+use super::pipelining::Pipeline;
 
 /// The longest time to read on after the last answer of a connection.
 const LINGER: Duration = Duration::from_secs(1);
@@ -44,13 +44,13 @@
     ahead: BytesMut,
     /// How reading has ended.
     end: Option<io::Result<()>>,
-    scout: Option<Scout>,
+    pipeline: Option<Pipeline>,
 }
 
 impl Socket {
     /// Creates a socket that bears `silence` at most while it has something to write.
     #[must_use]
-    pub fn new(stream: TcpStream, silence: Duration, scout: Option<Scout>) -> Self {
+    pub fn new(stream: TcpStream, silence: Duration, pipeline: Option<Pipeline>) -> Self {
         Self(Arc::new(Mutex::new(Inner {
             io: TokioIo::new(stream),
             silence,
@@ -59,7 +59,7 @@
             linger: None,
             ahead: BytesMut::new(),
             end: None,
-            scout,
+            pipeline,
         })))
     }
 
@@ -92,8 +92,8 @@
             Ok(()) if buf.filled().is_empty() => self.end = Some(Ok(())),
             Ok(()) => {
                 self.ahead.extend_from_slice(buf.filled());
-                if let Some(scout) = &self.scout {
-                    scout.look(buf.filled());
+                if let Some(pipeline) = &self.pipeline {
+                    pipeline.look(buf.filled());
                 }
             }
             Err(err) => self.end = Some(Err(err)),
@@ -176,7 +176,7 @@
             ready!(Pin::new(&mut inner.io).poll_shutdown(cx))?;
             inner.linger = Some(Box::pin(sleep(LINGER)));
         }
-        inner.scout = None;
+        inner.pipeline = None;
         while inner.end.is_none() {
             inner.ahead.clear();
             if inner.fill(cx).is_pending() {
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -17,8 +17,8 @@
 use super::pool::{Pool, Pooled};
 use super::request::Call;
 use super::runs::{Handed, Run, Runs};
-use crate::beside::Identity;
 use crate::clock::Clock;
+use crate::registration::Identity;
 use crate::settings::Headers;
 use crate::shared::Shared;
 
@@ -52,7 +52,7 @@
     #[must_use]
     pub fn new(shared: &Arc<Shared>, old: Option<&Self>, backend: Backend) -> Self {
         let limits = &shared.settings.limits;
-        let identity = shared.beside().identity().cloned();
+        let identity = shared.registration().identity().cloned();
         let same = old.filter(|old| {
             let same_addr = old.backend.addr == backend.addr;
             same_addr && old.backend.service == backend.service && old.identity == identity
@@ -77,7 +77,7 @@
             |old| Arc::clone(&old.admissions),
         );
         let runs = same.map_or_else(
-            || Runs::new(shared, shared.beside().id()),
+            || Runs::new(shared, shared.registration().id()),
             |old| Arc::clone(&old.runs),
         );
         let notices = same.map_or_else(
--- a/crates/swiftcart-node/src/clearing.rs
+++ b/crates/swiftcart-node/src/clearing.rs
@@ -19,7 +19,7 @@
 
 /// Names the part that a backend server has in a roll-out.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Part {
+pub struct RolloutRole {
     /// Its service.
     pub service: ServiceName,
     /// The order.
@@ -32,14 +32,14 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Cleared {
     /// The part.
-    pub part: Option<Part>,
+    pub part: Option<RolloutRole>,
     /// What it may be given.
     pub clearance: Clearance,
 }
 
 /// What the backend server is doing, as far as the roll-out has to know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Doing {
+pub struct Activity {
     /// Whether it is ready and has warmed up.
     pub ready: bool,
     /// Requests that it runs.
@@ -58,7 +58,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    part: Option<Part>,
+    part: Option<RolloutRole>,
     /// Its turn in the move, once that has begun.
     turn: Option<Turn>,
     clearance: Clearance,
@@ -118,7 +118,7 @@
     /// Takes credit; returns whether it is for this backend server.
     pub fn grant(&self, now: Instant, grant: &Grant) -> bool {
         let mut state = self.lock();
-        let fits = |part: &Part| part.order == grant.order && part.service == grant.service;
+        let fits = |part: &RolloutRole| part.order == grant.order && part.service == grant.service;
         let is_own = state.part.as_ref().is_some_and(fits) && state.epoch == grant.epoch;
         if is_own {
             state.credit = Some(Credit {
@@ -165,7 +165,7 @@
 
     /// Returns what the backend server was seen to do.
     #[must_use]
-    pub fn evidence(&self, doing: Doing) -> Option<Evidence> {
+    pub fn evidence(&self, activity: Activity) -> Option<Evidence> {
         let state = self.lock();
         let part = state.part.clone()?;
         Some(Evidence {
@@ -173,10 +173,10 @@
             order: part.order,
             side: part.side,
             epoch: state.epoch,
-            ready: doing.ready,
+            ready: activity.ready,
             open: matches!(state.clearance, Clearance::Open | Clearance::OnCredit),
             arrived: state.tally.handed(),
-            running: doing.running,
+            running: activity.running,
             routes: state.tally.routes(),
         })
     }
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -79,10 +79,10 @@
 }
 
 /// Counts and logs records of the platform that were passed over.
-fn note_odd(shared: &Shared, topic: &'static str, odd: u64) {
+fn note_unreadable(shared: &Shared, topic: &'static str, unreadable: u64) {
     let name = "swiftcart_platform_records_skipped_total";
-    shared.counters.add(name, "topic", topic, odd);
-    warn!(shared.logger, ""; "event" => Event::Skipped, "topic" => topic, "records" => odd);
+    shared.counters.add(name, "topic", topic, unreadable);
+    warn!(shared.logger, ""; "event" => Event::Skipped, "topic" => topic, "records" => unreadable);
 }
 
 /// Tells whether the fault switch lets packets to and from `addr` pass.
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -29,9 +29,9 @@
 use super::stream::Stream;
 use super::sync_server::{Pending, SyncServer};
 use super::{ControlError, Input};
-use crate::beside::Identity;
 use crate::edge::Edges;
 use crate::logging::{Event, unix_ms};
+use crate::registration::Identity;
 use crate::shared::Shared;
 
 /// Time between two ticks of the state machines.
--- a/crates/swiftcart-node/src/control/finder.rs
+++ b/crates/swiftcart-node/src/control/finder.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::{Input, note_odd};
+use super::{Input, note_unreadable};
 use crate::edge::{Asked, Directory, Listed};
 use crate::logging::Event;
 use crate::shared::Shared;
@@ -75,8 +75,8 @@
     let found = persist(&shared.logger, || directory.find(shared.id, entered)).await;
     info!(shared.logger, ""; "event" => Event::Found, "nodes" => found.nodes.len(),
         "held" => found.memos.len());
-    if directory.odd() > 0 {
-        note_odd(shared, "directory", directory.odd());
+    if directory.unreadable() > 0 {
+        note_unreadable(shared, "directory", directory.unreadable());
     }
     found
 }
--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -15,7 +15,7 @@
 use super::pulls::Pulled;
 use super::reader::{Duty, Read, STREAM};
 use super::stream::Todo;
-use super::{Input, note_odd};
+use super::{Input, note_unreadable};
 use crate::edge::SnapshotSource;
 use crate::logging::Event;
 
@@ -48,9 +48,9 @@
     pub(super) fn on_read(&mut self, result: Result<Read, PlatformError>) {
         let now = self.now();
         let duty = self.duty(now);
-        let odd = self.reader.done(now, duty, &result);
-        if odd > 0 {
-            note_odd(&self.shared, "config", odd);
+        let unreadable = self.reader.done(now, duty, &result);
+        if unreadable > 0 {
+            note_unreadable(&self.shared, "config", unreadable);
         }
         let orders = self.reader.whole().map(SnapshotSource::orders);
         self.take_orders(now, &orders.unwrap_or_default());
--- a/crates/swiftcart-node/src/control/members.rs
+++ b/crates/swiftcart-node/src/control/members.rs
@@ -18,7 +18,7 @@
         let now = self.now();
         self.clear_backend();
         let backend = self.shown(now, backend);
-        let identity = self.shared.beside().identity().cloned();
+        let identity = self.shared.registration().identity().cloned();
         let actions = match self.identity == identity {
             true => self.membership.update_me(now, backend),
             false => self.membership.replace_me(now, backend),
@@ -85,7 +85,7 @@
     /// Tells the membership of the nodes to which requests found no connection.
     pub(super) fn take_misses(&mut self) {
         let now = self.now();
-        for (node, tried) in self.shared.misses.take() {
+        for (node, tried) in self.shared.unreached.take() {
             self.membership.unreached(now, tried, node);
         }
     }
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -62,7 +62,7 @@
     /// Whether the last read found that nothing was published yet, or nothing newer.
     empty: bool,
     /// Records that were passed over so far, since they could not be read.
-    odd: u64,
+    unreadable: u64,
     next: Instant,
     /// When this node found out how many others there are and drew its turn.
     turn: Option<Instant>,
@@ -106,7 +106,7 @@
             task: None,
             long: false,
             empty: false,
-            odd: 0,
+            unreadable: 0,
             next: Instant::default(),
             turn: None,
             backoff: Backoff::new(),
@@ -140,7 +140,7 @@
         result: &Result<Read, PlatformError>,
     ) -> u64 {
         self.task = None;
-        let odd = self.take_odd();
+        let unreadable = self.take_unreadable();
         let wait = match result {
             Ok(read) => {
                 self.backoff.succeeded();
@@ -150,7 +150,7 @@
                 match read {
                     Read::Newest(Some(_)) if is_reader => SETTLE,
                     // Whoever writes what nobody can read does not set the pace of reads.
-                    Read::Newest(None) if odd > 0 => SETTLE,
+                    Read::Newest(None) if unreadable > 0 => SETTLE,
                     // Nothing was published yet: the readers wait for it, the others for them.
                     Read::Newest(None) if is_reader => Duration::ZERO,
                     Read::Page(_) if is_reader || duty.joining => Duration::ZERO,
@@ -163,13 +163,13 @@
             Err(e) => self.backoff.failed(e, &mut self.rng),
         };
         self.next = now + wait;
-        odd
+        unreadable
     }
 
     /// Returns how many more records were passed over since the last call.
-    fn take_odd(&mut self) -> u64 {
-        let odd = self.whole.as_ref().map_or(0, |whole| whole.odd());
-        odd - std::mem::replace(&mut self.odd, odd)
+    fn take_unreadable(&mut self) -> u64 {
+        let unreadable = self.whole.as_ref().map_or(0, |whole| whole.unreadable());
+        unreadable - std::mem::replace(&mut self.unreadable, unreadable)
     }
 
     /// Returns how many nodes of a failure domain read the log all the time.
--- a/crates/swiftcart-node/src/control/rollouts.rs
+++ b/crates/swiftcart-node/src/control/rollouts.rs
@@ -14,7 +14,7 @@
 use super::board::Settled;
 use super::control_loop::Control;
 use super::trials::Watched;
-use crate::clearing::{Cleared, Part};
+use crate::clearing::{Cleared, RolloutRole};
 use crate::edge::RolloutState;
 use crate::logging::{Event, unix_ms};
 
@@ -122,7 +122,7 @@
         let backend = self.backend.borrow().clone();
         let release = self
             .shared
-            .beside()
+            .registration()
             .identity()
             .map(|own| own.release.clone());
         let cleared = match &backend {
@@ -145,7 +145,7 @@
         let Some((rollout, side)) = rollouts.side(&backend.service, release) else {
             return Cleared::default();
         };
-        let part = Part {
+        let part = RolloutRole {
             service: backend.service.clone(),
             order: rollout.order,
             side,
@@ -262,8 +262,8 @@
                 "requests" => so_far.all, "at_new" => so_far.new, "route" => found.route.0,
                 "measure" => found.measure.as_str(), "old_runs" => found.old.all,
                 "old_bad" => found.old.bad, "new_runs" => found.new.all, "new_bad" => found.new.bad,
-                "weight" => format!("{:.1}", found.weight), "struck" => found.struck.bad,
-                "of_new" => found.struck.all, "alike" => found.like.bad, "of_old" => found.like.all),
+                "weight" => format!("{:.1}", found.weight), "affected" => found.affected.bad,
+                "of_new" => found.affected.all, "alike" => found.like.bad, "of_old" => found.like.all),
             None => info!(logger, ""; "event" => Event::Rollout, "service" => %service,
                 "order" => order.0, "stage" => stage.as_str(), "cause" => why,
                 "requests" => so_far.all, "at_new" => so_far.new),
--- a/crates/swiftcart-node/src/control/trials.rs
+++ b/crates/swiftcart-node/src/control/trials.rs
@@ -8,7 +8,7 @@
 };
 
 use super::control_loop::Control;
-use crate::clearing::Doing;
+use crate::clearing::Activity;
 use crate::edge::{RolloutRecord, RolloutState};
 use crate::logging::unix_ms;
 
@@ -43,12 +43,12 @@
         }
         let backend = self.backend.borrow().clone();
         let own = backend.as_ref().map(|backend| backend.readiness);
-        let warm = self.shared.beside().is_warm(now);
-        let doing = Doing {
+        let warm = self.shared.registration().is_warm(now);
+        let activity = Activity {
             ready: own == Some(Readiness::Ready) && warm,
             running: self.shared.running(),
         };
-        let Some(evidence) = self.shared.clearing.evidence(doing) else {
+        let Some(evidence) = self.shared.clearing.evidence(activity) else {
             return;
         };
         let rollout = self.watching.rollouts.get(&evidence.service);
--- a/crates/swiftcart-node/src/edge.rs
+++ b/crates/swiftcart-node/src/edge.rs
@@ -53,7 +53,7 @@
     }
 
     /// Returns how many records were passed over so far, since they could not be read.
-    fn odd(&self) -> u64 {
+    fn unreadable(&self) -> u64 {
         0
     }
 
@@ -185,7 +185,7 @@
     fn remove(&self, ids: Vec<NodeId>) -> Asked<'_, ()>;
 
     /// Returns how many entries were passed over so far, since they are no node's.
-    fn odd(&self) -> u64 {
+    fn unreadable(&self) -> u64 {
         0
     }
 }
--- a/crates/swiftcart-node/src/outlet.rs
+++ b/crates/swiftcart-node/src/egress.rs
@@ -14,14 +14,14 @@
 
 /// Follows what the node has handed to its instance's link.
 #[derive(Debug)]
-pub struct Outlet {
+pub struct Egress {
     clock: Clock,
     /// None where the link's rate is not known.
     link: Option<Mutex<Link>>,
 }
 
-impl Outlet {
-    /// Creates the outlet over a link.
+impl Egress {
+    /// Creates the egress over a link.
     #[must_use]
     pub fn new(clock: Clock, rate: Option<LinkRate>) -> Self {
         Self {
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod admin;
 mod args;
-mod beside;
 mod calls;
 mod clearing;
 mod clock;
@@ -14,16 +13,17 @@
 mod control;
 mod counters;
 mod edge;
+mod egress;
 mod faults;
 mod logging;
-mod misses;
 mod node;
-mod outlet;
 mod program;
 mod quotas;
+mod registration;
 mod settings;
 mod shared;
 mod suspects;
+mod unreached;
 mod warmup;
 
 pub use args::{Args, ArgsError};
--- a/crates/swiftcart-node/src/logging/call_log.rs
+++ b/crates/swiftcart-node/src/logging/call_log.rs
@@ -17,7 +17,7 @@
 
 /// Lines a second for announcements that are refused: each says what is wrong, and whoever sends
 /// many of them is known by the first ones.
-const ODD_LINES: u32 = 5;
+const IRREGULAR_LINES: u32 = 5;
 
 /// Writes lines about calls and counts those that it leaves out.
 #[derive(Debug)]
@@ -25,7 +25,7 @@
     logger: Logger,
     done: Mutex<Share>,
     failed: Mutex<Share>,
-    odd: Mutex<Share>,
+    irregular: Mutex<Share>,
 }
 
 /// The lines of one kind in the current second.
@@ -44,7 +44,7 @@
             logger,
             done: Mutex::default(),
             failed: Mutex::default(),
-            odd: Mutex::default(),
+            irregular: Mutex::default(),
         }
     }
 
@@ -62,8 +62,8 @@
 
     /// Returns the log for a line about a refused announcement, if there is room for it.
     #[must_use]
-    pub fn odd(&self, now: Instant) -> Option<&Logger> {
-        self.admit(&self.odd, ODD_LINES, "odd", now)
+    pub fn irregular(&self, now: Instant) -> Option<&Logger> {
+        self.admit(&self.irregular, IRREGULAR_LINES, "irregular", now)
     }
 
     fn admit(
--- a/crates/swiftcart-node/src/beside.rs
+++ b/crates/swiftcart-node/src/registration.rs
@@ -36,7 +36,7 @@
 
 /// Holds which backend server announced itself last, and which ones left.
 #[derive(Debug, Default, Clone)]
-pub struct Beside {
+pub struct Registration {
     succession: Succession,
     identity: Option<Identity>,
     warm: Instant,
@@ -44,7 +44,7 @@
     leaving: bool,
 }
 
-impl Beside {
+impl Registration {
     /// Takes an announcement; `None` when its id cannot be passed on in a header.
     pub fn hear(&mut self, now: Instant, said: Announced<'_>, process: Process) -> Option<Heard> {
         let id = HeaderValue::from_str(said.id).ok()?;
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -11,18 +11,18 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::beside::{Beside, Identity};
 use crate::clearing::Clearing;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::counters::Counters;
+use crate::egress::Egress;
 use crate::faults::Faults;
 use crate::logging::CallLog;
-use crate::misses::Misses;
-use crate::outlet::Outlet;
 use crate::quotas::Quotas;
+use crate::registration::{Identity, Registration};
 use crate::settings::{Headers, Settings};
 use crate::suspects::Suspects;
+use crate::unreached::UnreachedNodes;
 use crate::warmup::Warming;
 
 /// Tells whether a node takes callers' requests, and if not, why.
@@ -111,7 +111,7 @@
     /// The backend server beside this node, while its announcement is valid.
     pub backend: watch::Sender<Option<Backend>>,
     /// The id by which the backend server calls itself, and those of its predecessors.
-    pub beside: Mutex<Beside>,
+    pub registration: Mutex<Registration>,
     /// The backend server's pace in thousandths, 0 while it is not known.
     pub pace: AtomicU32,
     /// Requests that the backend server runs.
@@ -119,9 +119,9 @@
     /// When the announcement ends unless it is renewed.
     pub expiry: watch::Sender<Option<tokio::time::Instant>>,
     /// The instance's link.
-    pub link: Arc<Outlet>,
+    pub link: Arc<Egress>,
     /// The nodes to which no connection opened lately.
-    pub misses: Misses,
+    pub unreached: UnreachedNodes,
     /// The requests that end backend servers.
     pub suspects: Suspects,
     /// What client accounts have sent through this node.
@@ -164,7 +164,7 @@
         let table = Table::new();
         let view = View::new(Version::NONE, &table, [].into_iter(), id, &settings.domain);
         let clock = Clock::new();
-        let link = Outlet::new(clock, settings.link.rate());
+        let link = Egress::new(clock, settings.link.rate());
         let warmup = Warming::new(clock.now(), settings.cold.bounds());
         Arc::new(Self {
             headers: Arc::new(settings.headers.clone()),
@@ -182,11 +182,11 @@
             members: ArcSwap::default(),
             phase: watch::Sender::new(Phase::default()),
             backend: watch::Sender::new(None),
-            beside: Mutex::default(),
+            registration: Mutex::default(),
             pace: AtomicU32::new(0),
             running: Arc::default(),
             expiry: watch::Sender::new(None),
-            misses: Misses::default(),
+            unreached: UnreachedNodes::default(),
             suspects: Suspects::default(),
             quotas: Quotas::default(),
             clearing: Clearing::default(),
@@ -206,14 +206,16 @@
     }
 
     /// Locks what is known of the backend server's own id.
-    pub fn beside(&self) -> MutexGuard<'_, Beside> {
-        self.beside.lock().unwrap_or_else(PoisonError::into_inner)
+    pub fn registration(&self) -> MutexGuard<'_, Registration> {
+        self.registration
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notes that the process `identity` of the backend server said in an answer that it leaves: it is
     /// shown as draining from now on.
     pub fn leaves(&self, identity: Option<&Identity>) {
-        if !self.beside().leaves(identity) {
+        if !self.registration().leaves(identity) {
             return;
         }
         self.backend.send_if_modified(|backend| match backend {
--- a/crates/swiftcart-node/src/misses.rs
+++ b/crates/swiftcart-node/src/unreached.rs
@@ -9,9 +9,9 @@
 ///
 /// The map has one entry a node at most, and the control loop empties it with each tick.
 #[derive(Debug, Default)]
-pub struct Misses(Mutex<BTreeMap<NodeId, Instant>>);
+pub struct UnreachedNodes(Mutex<BTreeMap<NodeId, Instant>>);
 
-impl Misses {
+impl UnreachedNodes {
     /// Notes that a connection to `node` did not open that was tried at `tried`.
     pub fn note(&self, node: NodeId, tried: Instant) {
         self.lock().insert(node, tried);
--- a/crates/swiftcart-standin/src/backend/announce.rs
+++ b/crates/swiftcart-standin/src/backend/announce.rs
@@ -21,7 +21,7 @@
 const PATIENCE: Duration = Duration::from_secs(1);
 
 /// Bodies that another program might send, one after the other.
-const ODD: [&str; 5] = [
+const MALFORMED: [&str; 5] = [
     "{",
     "{\"service\":7}",
     "{\"service\":\"nobody\",\"addr\":\"10.0.0.1:1\",\"slots\":1,\"readiness\":\"asleep\"}",
@@ -103,10 +103,10 @@
     }
 
     async fn announce(&self) {
-        if self.shared.faults().odd {
+        if self.shared.faults().malformed {
             let life = self.shared.next_word();
-            let odd = ODD[life.seq as usize % ODD.len()];
-            self.send(Method::PUT, Body::from(odd)).await;
+            let malformed = MALFORMED[life.seq as usize % MALFORMED.len()];
+            self.send(Method::PUT, Body::from(malformed)).await;
         }
         match &self.shared.settings.id {
             Some(_) => self.announce_named().await,
--- a/crates/swiftcart-standin/src/backend/faults.rs
+++ b/crates/swiftcart-standin/src/backend/faults.rs
@@ -40,7 +40,7 @@
     /// its connections break, and announcements are numbered anew.
     pub restart: Option<Restart>,
     /// Sends an announcement that is none before each sound one.
-    pub odd: bool,
+    pub malformed: bool,
     /// Names this rate in its answers, in requests a second.
     pub rate: Option<f64>,
     /// Says in its answers that it leaves, and announces what it did before.
@@ -131,10 +131,10 @@
         self
     }
 
-    /// Sets whether odd announcements are sent.
+    /// Sets whether malformed announcements are sent.
     #[must_use]
-    pub const fn with_odd(mut self, odd: bool) -> Self {
-        self.odd = odd;
+    pub const fn with_malformed(mut self, malformed: bool) -> Self {
+        self.malformed = malformed;
         self
     }
 }
--- a/crates/swiftcart-standin/tests/backend.rs
+++ b/crates/swiftcart-standin/tests/backend.rs
@@ -389,7 +389,7 @@
     let settings = BackendSettings::new("booking").with_id("s-1", "norte");
     let backend = start(settings.with_admin(admin).with_ttl_ms(60_000)).await;
     until(|| seen.lock().unwrap().len() == 1).await;
-    backend.set_faults(BackendFaults::new().with_odd(true));
+    backend.set_faults(BackendFaults::new().with_malformed(true));
     until(|| seen.lock().unwrap().len() == 3).await;
     let sound = |(_, _, _, body): &(Method, String, HeaderMap, Bytes)| {
         serde_json::from_slice::<Value>(body).is_ok_and(|body| body["seq"].is_u64())
--- a/xtask/src/soak/plan.rs
+++ b/xtask/src/soak/plan.rs
@@ -125,7 +125,7 @@
         },
         5 => faults.with_restart(Restart::Later),
         6 => faults.with_restart(Restart::SetBack),
-        _ => faults.with_odd(true),
+        _ => faults.with_malformed(true),
     }
 }
 
