Add, rotate and revoke the keys of client accounts from the command line

Cause: accounts, quotas and homes are rows of the table, and operators of the product's own log had no way to write them: a sheet holds services and routes only.

Change: `swiftcart account list|add|rotate|revoke|quota|homes|remove`. Each changes the current table by one publish, and loses to an operator who changed the same account meanwhile. A key is drawn from the system's random source, shown once after the publish was accepted, and kept nowhere; the log and all listings have hashes. When the platform's answer is lost no key is shown, and the message says how to go on.

Ruled out: keys in sheets; they would stand in files, and in the version control of those files.

The node is not touched.

--- a/crates/swiftcart-cli/src/args.rs
+++ b/crates/swiftcart-cli/src/args.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod accounts;
 mod help;
 mod value;
 
@@ -11,7 +12,7 @@
 use getopts::{Matches, Options, ParsingStyle};
 use swiftcart_core::{PublishId, ServiceName, Version};
 
-use crate::{Error, MAX_NODES, Settings};
+use crate::{AccountChange, Error, MAX_NODES, Settings};
 use value::{ADDR, FORMAT, NODE, file, limit, publish_id, seconds, value, version};
 
 /// The time that `--wait` waits unless it is given a number of seconds.
@@ -55,6 +56,10 @@
     Status,
     /// Tell from log files what became of a request.
     Explain(Explain),
+    /// Show the client accounts.
+    Accounts,
+    /// Change a client account.
+    Account(AccountChange),
 }
 
 /// Options of `explain`.
@@ -149,9 +154,13 @@
             ["history", ..] => (help::Name::History, 1),
             ["status", ..] => (help::Name::Status, 1),
             ["explain", ..] => (help::Name::Explain, 1),
-            ["table", "--help" | "-h", ..] => {
+            ["table" | "account", "--help" | "-h", ..] => {
                 return Ok(Self::plain(Command::Help(help::all())));
             }
+            ["account", word, ..] => match accounts::Name::of(word) {
+                Some(name) => (help::Name::Account(name), 2),
+                None => return Err(Error::Command(format!("account {word}"))),
+            },
             ["table", word, ..] => return Err(Error::Command(format!("table {word}"))),
             [word, ..] => return Err(Error::Command(word.into())),
         };
@@ -181,6 +190,7 @@
             help::Name::History => Command::History(limit(own)?),
             help::Name::Status => Command::Status,
             help::Name::Explain => Command::Explain(explain(own)?),
+            help::Name::Account(name) => accounts::command(name, own)?,
         };
         match own.free.get(name.arguments()) {
             Some(extra) => Err(Error::Extra(extra.clone())),
--- /dev/null
+++ b/crates/swiftcart-cli/src/args/accounts.rs
@@ -0,0 +1,188 @@
+//! The options of the commands for client accounts.
+
+use getopts::{Matches, Options};
+use swiftcart_core::{Account, AccountName, Homes, Priority, Quota, Region};
+
+use super::Command;
+use super::value::value;
+use crate::{AccountChange, Error, LEAST_DIGITS};
+
+const RATE: &str = "write requests a second from 1 to 4294967295";
+const BURST: &str = "write requests from 1 to 4294967295";
+const RANK: &str = "write a rank from 0 to 255, 0 goes first";
+const KEY: &str = "write the first digits of a hash that account list shows, at least 4";
+
+const LIST: &str = "\
+Usage: swiftcart account list [OPTIONS]
+
+Shows the client accounts of the current table. Keys are shown by the first
+digits of their hashes.";
+
+const ADD: &str = "\
+Usage: swiftcart account add [OPTIONS] NAME
+
+Adds a client account with a first key, which is shown once.";
+
+const ROTATE: &str = "\
+Usage: swiftcart account rotate [OPTIONS] NAME
+
+Gives a client account another key, which is shown once. The other keys stay
+good until they are revoked.";
+
+const REVOKE: &str = "\
+Usage: swiftcart account revoke [OPTIONS] NAME KEY
+
+Takes away the key whose hash begins with the digits KEY.";
+
+const QUOTA: &str = "\
+Usage: swiftcart account quota [OPTIONS] NAME
+
+Sets what a client account may send through all nodes together; without --rate
+the limit is lifted.";
+
+const HOMES: &str = "\
+Usage: swiftcart account homes [OPTIONS] NAME [REGION]...
+
+Sets the regions in which the requests of a client account are run; without a
+region they are run everywhere.";
+
+const REMOVE: &str = "\
+Usage: swiftcart account remove [OPTIONS] NAME
+
+Removes a client account with all its keys.";
+
+/// Names a command for accounts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Name {
+    List,
+    Add,
+    Rotate,
+    Revoke,
+    Quota,
+    Homes,
+    Remove,
+}
+
+impl Name {
+    /// Returns the command that `word` names.
+    pub(super) fn of(word: &str) -> Option<Self> {
+        match word {
+            "list" => Some(Self::List),
+            "add" => Some(Self::Add),
+            "rotate" => Some(Self::Rotate),
+            "revoke" => Some(Self::Revoke),
+            "quota" => Some(Self::Quota),
+            "homes" => Some(Self::Homes),
+            "remove" => Some(Self::Remove),
+            _ => None,
+        }
+    }
+
+    /// Returns how many arguments the command takes at most.
+    pub(super) const fn arguments(self) -> usize {
+        match self {
+            Self::List => 0,
+            Self::Add | Self::Rotate | Self::Quota | Self::Remove => 1,
+            Self::Revoke => 2,
+            Self::Homes => usize::MAX,
+        }
+    }
+
+    /// Adds the options that the command takes besides those of all.
+    pub(super) fn add_options(self, options: &mut Options) {
+        if self != Self::List {
+            options.optopt("", "author", "who publishes (default: $USER)", "NAME");
+        }
+        if matches!(self, Self::Add | Self::Quota) {
+            options
+                .optopt("", "rate", "requests a second over all nodes", "N")
+                .optopt(
+                    "",
+                    "burst",
+                    "requests at once after a pause (default: the rate)",
+                    "N",
+                );
+        }
+        if self == Self::Add {
+            options.optopt(
+                "",
+                "rank",
+                "rank of its requests, in place of their routes'",
+                "N",
+            );
+        }
+    }
+
+    /// Returns the command's help, without its options.
+    pub(super) const fn brief(self) -> &'static str {
+        match self {
+            Self::List => LIST,
+            Self::Add => ADD,
+            Self::Rotate => ROTATE,
+            Self::Revoke => REVOKE,
+            Self::Quota => QUOTA,
+            Self::Homes => HOMES,
+            Self::Remove => REMOVE,
+        }
+    }
+}
+
+/// Returns what the command line asks for.
+pub(super) fn command(name: Name, own: &Matches) -> Result<Command, Error> {
+    let change = match name {
+        Name::List => return Ok(Command::Accounts),
+        Name::Add => AccountChange::Add(account(own)?, added(own)?),
+        Name::Rotate => AccountChange::Rotate(account(own)?),
+        Name::Revoke => AccountChange::Revoke(account(own)?, digits(own)?),
+        Name::Quota => AccountChange::Quota(account(own)?, quota(own)?),
+        Name::Homes => AccountChange::Homes(account(own)?, homes(own)),
+        Name::Remove => AccountChange::Remove(account(own)?),
+    };
+    Ok(Command::Account(change))
+}
+
+fn account(own: &Matches) -> Result<AccountName, Error> {
+    let name = own.free.first();
+    name.map(AccountName::new)
+        .ok_or(Error::Missing("the account's name"))
+}
+
+fn added(own: &Matches) -> Result<Account, Error> {
+    let rank = own.opt_str("rank");
+    let rank = rank.map(|text| value("rank", &text, RANK).map(Priority));
+    Ok(Account {
+        quota: quota(own)?,
+        priority: rank.transpose()?,
+        ..Account::new()
+    })
+}
+
+fn quota(own: &Matches) -> Result<Option<Quota>, Error> {
+    let number = |option: &'static str, cure| {
+        let text = own.opt_str(option);
+        text.map(|text| value(option, &text, cure)).transpose()
+    };
+    let (rate, burst) = (number("rate", RATE)?, number("burst", BURST)?);
+    match (rate, burst) {
+        (None, None) => Ok(None),
+        (None, Some(_)) => Err(Error::Missing("--rate, to which --burst belongs,")),
+        (Some(rate), burst) => Ok(Some(Quota {
+            rate,
+            burst: burst.unwrap_or(rate),
+        })),
+    }
+}
+
+fn digits(own: &Matches) -> Result<String, Error> {
+    let digits = own.free.get(1).ok_or(Error::Missing("the key's hash"))?;
+    let hex = digits.bytes().all(|b| b.is_ascii_hexdigit());
+    match hex && digits.len() >= LEAST_DIGITS {
+        true => Ok(digits.to_ascii_lowercase()),
+        false => Err(Error::Value("KEY", digits.clone(), KEY)),
+    }
+}
+
+fn homes(own: &Matches) -> Homes {
+    let regions = own.free.iter().skip(1);
+    regions.map(Region::new).collect()
+}
--- a/crates/swiftcart-cli/src/args/help.rs
+++ b/crates/swiftcart-cli/src/args/help.rs
@@ -2,6 +2,8 @@
 
 use getopts::Options;
 
+use super::accounts;
+
 /// Names a command that has options of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Name {
@@ -12,6 +14,7 @@
     History,
     Status,
     Explain,
+    Account(accounts::Name),
 }
 
 const ALL: &str = "\
@@ -25,6 +28,13 @@
     history         show the last publishes, rejected ones too
     status          show which nodes have which version
     explain         tell from the nodes' logs what became of a request
+    account list    show the client accounts
+    account add     add one, with a first key
+    account rotate  give one another key
+    account revoke  take a key away
+    account quota   set what one may send
+    account homes   set the regions in which its requests are run
+    account remove  remove one with all its keys
 
 Exit codes:
     0  done
@@ -87,6 +97,7 @@
             Self::Pull | Self::History | Self::Status => 0,
             Self::Check | Self::Diff | Self::Publish => 1,
             Self::Explain => usize::MAX,
+            Self::Account(name) => name.arguments(),
         }
     }
 
@@ -102,6 +113,7 @@
                     .optflag("", "force", "overwrite the file");
             }
             Self::Check | Self::Status | Self::Explain => {}
+            Self::Account(name) => name.add_options(&mut options),
             Self::Diff => {
                 options.optopt(
                     "",
@@ -142,6 +154,7 @@
             Self::History => HISTORY.into(),
             Self::Status => STATUS.into(),
             Self::Explain => EXPLAIN.into(),
+            Self::Account(name) => name.brief().into(),
         };
         self.options().usage(&brief)
     }
--- a/crates/swiftcart-cli/src/error.rs
+++ b/crates/swiftcart-cli/src/error.rs
@@ -8,7 +8,7 @@
 use swiftcart_core::{Offset, PublishId, ServiceName, Version};
 use swiftcart_platform::PlatformError;
 
-use crate::{Exit, Fault, SettingsError};
+use crate::{AccountError, Exit, Fault, SettingsError};
 
 /// Faults of a sheet that a message names before it only counts the rest.
 const NAMED: usize = 50;
@@ -123,6 +123,12 @@
             display("none of the {files} files has a line of the request {id:?}; \
                 give the logs of all nodes from the time of the request, and the id as the caller sent it")
         }
+        /// The change does not fit the current table.
+        Account(e: AccountError) {
+            from()
+            display("{e}")
+            source(e)
+        }
         /// The runtime did not start.
         Runtime(e: io::Error) {
             display("the runtime did not start: {e}")
@@ -142,7 +148,8 @@
             Self::NoService(_) | Self::NoVersion(..) | Self::Reused(_) => Exit::Usage,
             Self::Record(..) | Self::Exists(_) => Exit::Usage,
             Self::Platform(..) => Exit::Unreachable,
-            Self::Unsettled(..) => Exit::Unknown,
+            Self::Unsettled(..) | Self::Account(AccountError::Unsettled(..)) => Exit::Unknown,
+            Self::Account(_) => Exit::Usage,
             Self::File(..) | Self::NoCheckpoint(_) | Self::Expired | Self::Rule(_) => Exit::Failed,
             Self::Random(_) | Self::NoNode(_) | Self::Runtime(_) => Exit::Failed,
             Self::NoRequest(..) => Exit::Failed,
--- a/crates/swiftcart-cli/src/lib.rs
+++ b/crates/swiftcart-cli/src/lib.rs
@@ -4,6 +4,10 @@
 //! it, and see who published what and which nodes have it. The platform's log is the
 //! only judge: this tool folds the same records as every node.
 
+// One macro declares all variants of the error, one recursion for each.
+#![recursion_limit = "256"]
+
+mod account;
 mod admin;
 mod args;
 mod error;
@@ -20,6 +24,7 @@
 mod settings;
 mod sheet;
 
+pub use account::*;
 pub use admin::*;
 pub use args::*;
 pub use error::*;
--- a/crates/swiftcart-cli/src/publish.rs
+++ b/crates/swiftcart-cli/src/publish.rs
@@ -6,8 +6,8 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use swiftcart_core::{
-    Body, Earlier, Edit, Entry, Envelope, MAX_BODY, Offset, Publish, PublishId, Rejection, Verdict,
-    Version,
+    Body, Earlier, Edit, Entry, Envelope, MAX_BODY, Offset, Publish, PublishId, Rejection, Table,
+    Verdict, Version,
 };
 use swiftcart_platform::{Fate, Platform, PlatformError};
 
@@ -101,6 +101,35 @@
     })
 }
 
+/// Publishes what `edits` makes of the current table, as `author`.
+///
+/// # Errors
+///
+/// The same as [`publish`], and what `edits` returns.
+pub async fn amend(
+    platform: &Platform,
+    author: &str,
+    edits: impl FnOnce(&Table) -> Result<Vec<Edit>, Error>,
+    (retry, rng): (&mut Retry, &mut SmallRng),
+) -> Result<Published, Error> {
+    let journal = Journal::open(platform, Keep::default(), retry).await?;
+    let publish = Publish {
+        id: PublishId(rng.random()),
+        author: author.into(),
+        base: journal.fold().version(),
+        edits: edits(journal.fold().table())?,
+    };
+    let decision = match foresee(&journal, &publish) {
+        Some(decision) => decision,
+        None => settle(platform, journal, &publish, retry).await?,
+    };
+    Ok(Published {
+        id: publish.id,
+        edits: publish.edits,
+        decision,
+    })
+}
+
 /// Returns the version that the sheet was made from.
 pub(crate) fn base(file: &Path, sheet: &Sheet, over: Option<Version>) -> Result<Version, Error> {
     over.or(sheet.base)
--- a/crates/swiftcart-cli/src/run.rs
+++ b/crates/swiftcart-cli/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs a command.
 
+mod account;
 mod publishing;
 mod table;
 
@@ -29,6 +30,7 @@
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
 
 const NO_PLATFORM: &str = "give --platform IP:PORT or a settings file with platform";
+const NO_AUTHOR: &str = "give --author NAME or a settings file with author";
 const NO_NODES: &str = "give --node IP:PORT or a settings file with nodes";
 
 /// Runs the command and returns what to print.
@@ -48,6 +50,8 @@
         Command::History(limit) => history(settings, *limit).await,
         Command::Status => status(settings).await,
         Command::Explain(wanted) => explain(wanted),
+        Command::Accounts => account::list(settings).await,
+        Command::Account(change) => account::change(settings, change).await,
     }
 }
 
@@ -229,6 +233,13 @@
     }
 }
 
+/// Returns who publishes.
+fn author(settings: &Settings) -> Result<String, Error> {
+    let user = || std::env::var("USER").ok().filter(|user| !user.is_empty());
+    let author = settings.author.clone().or_else(user);
+    author.ok_or(Error::Unset("the author", NO_AUTHOR))
+}
+
 fn rng() -> Result<SmallRng, Error> {
     Ok(SmallRng::try_from_rng(&mut OsRng)?)
 }
--- /dev/null
+++ b/crates/swiftcart-cli/src/run/account.rs
@@ -0,0 +1,87 @@
+//! Runs the commands that show and change client accounts.
+
+use serde_json::json;
+use swiftcart_core::{KeyHash, Table};
+
+use super::{author, platform, retry, rng};
+use crate::{
+    AccountChange, AccountError, ApiKey, Decision, Error, Exit, Journal, Keep, Published, Report,
+    Settings, account_row, amend, render,
+};
+
+/// Shows the accounts of the current table.
+pub(super) async fn list(settings: &Settings) -> Result<Report, Error> {
+    let platform = platform(settings)?;
+    let journal = Journal::open(&platform, Keep::default(), &mut retry(settings)?).await?;
+    let (table, version) = (journal.fold().table(), journal.fold().version());
+    let rows = table
+        .accounts()
+        .map(|(name, account)| account_row(table, name, account));
+    let headings = ["account", "keys (hashes)", "quota", "rank", "homes"];
+    let text = render::grid(headings, rows.collect());
+    Ok(Report::new(
+        text,
+        json!({ "version": version, "accounts": shown(table) }),
+    ))
+}
+
+/// Publishes a change of an account, and shows its new key once.
+pub(super) async fn change(settings: &Settings, wanted: &AccountChange) -> Result<Report, Error> {
+    let author = author(settings)?;
+    let key = wanted.wants_key().then(ApiKey::draw).transpose()?;
+    let hash = key.as_ref().map_or(KeyHash::of(b""), ApiKey::hash);
+    let platform = platform(settings)?;
+    let (mut retry, mut rng) = (retry(settings)?, rng()?);
+    let edits = |table: &Table| wanted.edits(table, hash).map_err(Error::Account);
+    let tools = (&mut retry, &mut rng);
+    let published = match amend(&platform, &author, edits, tools).await {
+        Err(Error::Unsettled(_, e)) => {
+            let name = wanted.name().clone();
+            return Err(AccountError::Unsettled(name, e.to_string()).into());
+        }
+        result => result?,
+    };
+    Ok(tell(&published, wanted, key.as_ref()))
+}
+
+fn tell(published: &Published, wanted: &AccountChange, key: Option<&ApiKey>) -> Report {
+    let name = wanted.name();
+    match &published.decision {
+        Decision::Unchanged(version) => Report::new(
+            format!("nothing to change: account {name} is so already as of version {version}"),
+            json!({ "result": "unchanged", "version": version }),
+        ),
+        Decision::Accepted(version) => {
+            let text = format!("accepted as version {version}: account {name}");
+            let text = match key {
+                Some(key) => format!(
+                    "{text}\nkey {}\nIt is shown this once; nodes keep its hash {} only.",
+                    key.reveal(),
+                    key.hash()
+                ),
+                None => text,
+            };
+            let json = json!({
+                "result": "accepted", "version": version, "account": name,
+                "key": key.map(ApiKey::reveal), "hash": key.map(|key| key.hash().to_string()),
+            });
+            Report::new(text, json)
+        }
+        Decision::Rejected(rejection) => Report::new(
+            format!("rejected, nothing changed: {rejection}"),
+            json!({ "result": "rejected", "reason": rejection.kind(), "message": rejection.to_string() }),
+        )
+        .with_exit(Exit::Rejected),
+    }
+}
+
+fn shown(table: &Table) -> Vec<serde_json::Value> {
+    let accounts = table.accounts().map(|(name, account)| {
+        let keys: Vec<_> = account.keys.iter().map(KeyHash::to_string).collect();
+        json!({
+            "account": name, "keys": keys, "quota": account.quota, "priority": account.priority,
+            "homes": table.account_homes(name),
+        })
+    });
+    accounts.collect()
+}
--- a/crates/swiftcart-cli/src/run/publishing.rs
+++ b/crates/swiftcart-cli/src/run/publishing.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use swiftcart_core::{Rejection, Version};
 
-use super::{nodes, platform, progress, retry, rng, sheet};
+use super::{author, nodes, platform, progress, retry, rng, sheet};
 use crate::{
     Admin, Decision, Error, Exit, Fault, Published, Publishing, Report, Settings, Sheet, Straggler,
     publish as publish_sheet, render, wait_for,
@@ -14,13 +14,9 @@
 /// Stragglers that a line of progress names.
 const NAMED: usize = 5;
 
-const NO_AUTHOR: &str = "give --author NAME or a settings file with author";
-
 /// Publishes a sheet and, if asked, waits until it is in force everywhere.
 pub(super) async fn publish(settings: &Settings, wanted: &Publishing) -> Result<Report, Error> {
-    let user = || std::env::var("USER").ok().filter(|user| !user.is_empty());
-    let author = settings.author.clone().or_else(user);
-    let author = author.ok_or(Error::Unset("the author", NO_AUTHOR))?;
+    let author = author(settings)?;
     if wanted.wait.is_some() {
         nodes(settings)?;
     }
