Add the interfaces of the decisions under overload

Cause: the parts for services without room are built side by side and share types: the origin of a request, the standing of its account, the load that a backend server states, the class in which an ingress counts its asks, and the condition that enables them. Change: the types, their place in the terms that nodes exchange (earlier releases ignore them), and the setting overload.when, off by default. Conclusion: the parts can be built apart.

--- a/crates/swiftcart-core/src/account.rs
+++ b/crates/swiftcart-core/src/account.rs
@@ -9,6 +9,7 @@
 mod key;
 mod ledger;
 mod meter;
+mod share;
 mod usage;
 
 pub use directory::*;
@@ -16,4 +17,5 @@
 pub use key::*;
 pub use ledger::*;
 pub use meter::*;
+pub use share::*;
 pub use usage::*;
--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -35,7 +35,7 @@
 const IDLE_RETENTION: Duration = Duration::from_secs(60);
 
 /// Prospect of answering a request within its latency target.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RequestTiming {
     /// The request can still be answered in time.
     #[default]
--- /dev/null
+++ b/crates/swiftcart-core/src/stated_load.rs
@@ -0,0 +1,91 @@
+//! Load that a backend server states about itself in its responses.
+
+use std::str::FromStr;
+
+use quick_error::quick_error;
+
+/// Minimum and maximum stated pace that is believed, in percent of the usual service time.
+const PACE_RANGE: std::ops::RangeInclusive<u32> = 10..=10_000;
+
+/// Maximum stated number of slots, running or queued requests that is believed.
+const MAX_COUNT: u32 = 1 << 16;
+
+quick_error! {
+    /// Error of a statement that cannot be used.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum StatedLoadError {
+        /// The statement does not consist of three or four numbers.
+        Malformed {
+            display("the load is not three or four numbers separated by commas")
+        }
+        /// A number lies outside the believed range.
+        OutOfRange(number: u32) {
+            display("the load contains {number}, which is out of range")
+        }
+    }
+}
+
+/// Load that a backend server states in a response.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::StatedLoad;
+///
+/// let load: StatedLoad = "5,1,9,250".parse()?;
+/// assert_eq!((load.running, load.queued, load.slots), (5, 1, 9));
+/// assert_eq!(load.slowdown(), Some(2.5));
+/// assert!("5,1".parse::<StatedLoad>().is_err());
+/// # Ok::<(), swiftcart_core::StatedLoadError>(())
+/// ```
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct StatedLoad {
+    /// Requests that the backend server is running, for all of its callers.
+    pub running: u32,
+    /// Requests that wait in the backend server's own queue.
+    pub queued: u32,
+    /// Slots of the backend server.
+    pub slots: u32,
+    /// Current service time in percent of the usual one, if the backend server states it.
+    pub pace: Option<u32>,
+}
+
+impl StatedLoad {
+    /// Returns the current service time as a multiple of the usual one, if it is stated.
+    #[must_use]
+    pub fn slowdown(&self) -> Option<f64> {
+        self.pace.map(|percent| f64::from(percent) / 100.0)
+    }
+}
+
+impl FromStr for StatedLoad {
+    type Err = StatedLoadError;
+
+    /// Parses `running,queued,slots` or `running,queued,slots,pace`.
+    fn from_str(text: &str) -> Result<Self, StatedLoadError> {
+        let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
+        let mut next = || numbers.next().transpose();
+        let read = |number: Result<Option<u32>, _>| number.map_err(|_| StatedLoadError::Malformed);
+        let mut count = || match read(next())? {
+            Some(number) if number <= MAX_COUNT => Ok(number),
+            Some(number) => Err(StatedLoadError::OutOfRange(number)),
+            None => Err(StatedLoadError::Malformed),
+        };
+        let (running, queued, slots) = (count()?, count()?, count()?);
+        let pace = match read(next())? {
+            Some(percent) if !PACE_RANGE.contains(&percent) => {
+                return Err(StatedLoadError::OutOfRange(percent));
+            }
+            pace => pace,
+        };
+        match next() {
+            Ok(None) => Ok(Self {
+                running,
+                queued,
+                slots,
+                pace,
+            }),
+            Ok(Some(_)) | Err(_) => Err(StatedLoadError::Malformed),
+        }
+    }
+}
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod log;
 mod original;
+mod overload;
 mod quarantine;
 mod retrying;
 
@@ -17,8 +18,8 @@
 use swiftcart_core::{
     BalanceSettings, Balancer, CallResult, Candidate, Instant, MeshRetryBudget, NodeId,
     NoticeCache, Outcome, Pick, PickRequirements, PickRule, PolicyRetryState, Reason, Refusal,
-    RefusalHistory, ResolvedAccount, RetryBudget, RetrySettings, RetryState, RetryTarget,
-    RouteProfiles, ServiceEntry, SlotSearch, Version, startup_retry_after,
+    RefusalHistory, RequestOrigin, ResolvedAccount, RetryBudget, RetrySettings, RetryState,
+    RetryTarget, RouteProfiles, ServiceEntry, SlotSearch, Version, startup_retry_after,
 };
 
 use tokio::task::JoinError;
@@ -180,6 +181,9 @@
         let routed = with_rng(|rng| view.find(host(&head), head.uri.path(), rng))?;
         let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.apply_route(&routed, lock(&self.profiles).of(routed.route), now);
+        if self.decides_overload() && self.is_nested(&head) {
+            call.set_origin(RequestOrigin::Backend);
+        }
         let account_regions = account.as_ref().map(|account| &account.regions);
         call.regions = account_regions.map_or_else(
             || routed.regions.clone(),
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -12,7 +12,6 @@
 
 use super::log::ms;
 use super::{FailedAttempt, Ingress};
-use crate::calls::origin::CallerAddr;
 use crate::calls::request::Call;
 use crate::logging::Event;
 use crate::shared::Shared;
@@ -64,8 +63,7 @@
         let account_by_key =
             given.and_then(|key| accounts.account_by_key(KeyHash::of(key)).cloned());
         let is_keyless = !head.headers.contains_key(AUTHORIZATION);
-        let origin = CallerAddr::from_extensions(&head.extensions);
-        let is_local = origin.is_some_and(|origin| origin.is_instance(settings.listen.calls.ip()));
+        let is_local = self.is_nested(head);
         head.headers.remove(AUTHORIZATION);
         match (account_by_key, access) {
             (Some(account), _) => {
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -9,7 +9,8 @@
 use swiftcart_core::{
     AdmissionRequest, AllowedRegions, Attempt, BodyHash, CallerHash, Deadline, Fingerprint,
     HeadFields, HeadHash, Instant, Payload, Priority, QueueWait, Reason, RequestClass,
-    RequestDigest, RequestTiming, ResponseLength, RouteMatch, RouteProfile, RouteTag,
+    RequestDigest, RequestOrigin, RequestTiming, ResponseLength, RouteMatch, RouteProfile,
+    RouteTag,
 };
 
 use super::headers::{
@@ -190,6 +191,13 @@
         }
     }
 
+    /// Sets the origin of the request.
+    pub fn set_origin(&mut self, origin: RequestOrigin) {
+        if let Some(terms) = &mut self.terms {
+            terms.origin = origin;
+        }
+    }
+
     /// Computes the hashes of the head that the backend server receives.
     pub fn compute_print(&mut self, head: &Parts, names: &Headers) {
         let field = |name: &HeaderName| head.headers.get(name).map_or(&b""[..], |v| v.as_bytes());
--- a/crates/swiftcart-node/src/calls/terms.rs
+++ b/crates/swiftcart-node/src/calls/terms.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use http::HeaderValue;
-use swiftcart_core::{Policy, Priority, QueueWait, Reason, RequestClass, ResponseLength, RouteTag};
+use swiftcart_core::{
+    Policy, Priority, QueueWait, Reason, RequestClass, RequestOrigin, ResponseLength, RouteTag,
+    ShareStanding,
+};
 
 /// Policy terms of one request that an ingress sends to a guard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +30,10 @@
     pub answer: ResponseLength,
     /// Tag of the route.
     pub route: RouteTag,
+    /// Origin of the request at its ingress.
+    pub origin: RequestOrigin,
+    /// Standing of the client account relative to its share of the service.
+    pub standing: ShareStanding,
 }
 
 impl CallTerms {
@@ -59,10 +66,18 @@
                 0 => ResponseLength::Short,
                 _ => ResponseLength::Long,
             },
-            // The previous release does not send the route.
+            // Earlier releases do not send the fields from here on.
             route: parts.next().map_or(Ok(RouteTag::OTHERS), |part| {
                 part.parse().map(RouteTag).map_err(|_| Reason::BadRequest)
             })?,
+            origin: match parts.next() {
+                Some("b") => RequestOrigin::Backend,
+                Some(_) | None => RequestOrigin::Caller,
+            },
+            standing: match parts.next() {
+                Some("o") => ShareStanding::Beyond,
+                Some(_) | None => ShareStanding::Within,
+            },
         })
     }
 
@@ -106,8 +121,17 @@
         let repeat = u8::from(*repeat);
         let long = u8::from(self.answer == ResponseLength::Long);
         let waits = u8::from(self.queue_wait == QueueWait::Full);
+        let origin = match self.origin {
+            RequestOrigin::Caller => 'c',
+            RequestOrigin::Backend => 'b',
+        };
+        let standing = match self.standing {
+            ShareStanding::Within => 'w',
+            ShareStanding::Beyond => 'o',
+        };
         let text = format!(
-            "{class} {attempts} {priority} {target_ms} {repeat} {waits} {age_ms} {long} {route}"
+            "{class} {attempts} {priority} {target_ms} {repeat} {waits} {age_ms} {long} {route} \
+             {origin} {standing}"
         );
         // Letters, digits and spaces always form a valid header value.
         HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
@@ -126,6 +150,8 @@
             age_ms: 0,
             answer: ResponseLength::Short,
             route: RouteTag::OTHERS,
+            origin: RequestOrigin::Caller,
+            standing: ShareStanding::Within,
         }
     }
 }
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod link;
 mod load;
+mod overload;
 mod quotas;
 mod retries;
 mod rollouts;
@@ -30,6 +31,7 @@
 pub use headers::{Headers, Name};
 pub use limits::Limits;
 pub use link::LinkSettings;
+pub use overload::{Overload, OverloadTrigger};
 pub use quotas::Quotas;
 pub use retries::Retries;
 pub use rollouts::Rollouts;
@@ -86,6 +88,9 @@
     /// Tolerance by which client accounts may exceed their quotas.
     #[serde(default)]
     pub quotas: Quotas,
+    /// Services whose overload is decided at the ingress.
+    #[serde(default)]
+    pub overload: Overload,
     /// Limits for the load of cold backend servers.
     #[serde(default)]
     pub cold: Cold,
