Leave the retry budget to urgent requests while a service sheds

Cause: a service that refuses attempts although it has free slots uses up the mesh's retry budget within seconds; the budget went to whoever asked first, so that urgent requests found it empty. Change: where overload is decided for the service, a retry leaves what more urgent classes asked for in the last second, projected over the window, less what they have taken (budget/demand.rs, MeshRetryBudget::take_for). Otherwise as before.

--- a/crates/swiftcart-core/src/budget.rs
+++ b/crates/swiftcart-core/src/budget.rs
@@ -1,9 +1,12 @@
 //! Retry budget of a whole mesh, enforced by each node without coordination.
 
+mod demand;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use crate::{Instant, ServiceName};
+use crate::{AskClass, Instant, ServiceName};
+use demand::RetryDemand;
 
 /// Fraction of the mesh's budget available to retries of refused requests.
 ///
@@ -90,12 +93,15 @@
     current: Counts,
     /// Counts of the preceding seconds, oldest first.
     past: VecDeque<Counts>,
+    demand: RetryDemand,
 }
 
-#[derive(Debug, Default, Clone, Copy, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 struct Counts {
     requests: u32,
     retries: f64,
+    /// Retries taken by requests of a known class.
+    by_class: BTreeMap<AskClass, u32>,
 }
 
 impl MeshRetryBudget {
@@ -110,7 +116,7 @@
 
     /// Records a request for `service`, which is part of a retry with probability `repeated`.
     pub fn first(&mut self, now: Instant, service: &ServiceName, repeated: f64) {
-        let counts = self.current_counts(now, service);
+        let counts = &mut self.window(now, service).current;
         counts.requests = counts.requests.saturating_add(1);
         counts.retries += repeated;
     }
@@ -125,27 +131,60 @@
         cause: RetryCause,
     ) -> bool {
         let settings = self.settings;
-        self.current_counts(now, service);
-        let Some(window) = self.services.get(service) else {
-            return false;
-        };
-        let total = window.total();
-        let own = settings.share * f64::from(total.requests);
-        let floor = settings.floor / nodes.max(1) as f64;
-        let available = total.retries + 1.0 <= cause.share() * (own + floor);
-        if available {
-            let counts = self.current_counts(now, service);
-            counts.retries += 1.0;
+        let window = self.window(now, service);
+        window.take(settings, nodes, cause, 0.0)
+    }
+
+    /// Takes one retry like [`take`](Self::take), but leaves the retries that requests of more
+    /// urgent classes are expected to need.
+    ///
+    /// A service that turns work away although it has room uses up the budget within seconds. In
+    /// the order of arrival, urgent requests would find it empty. What more urgent classes asked
+    /// for in the last second is projected over the window, less what they have taken already.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use swiftcart_core::{
+    ///     AskClass, Instant, MeshRetryBudget, MeshRetryBudgetSettings, Priority, RequestTiming,
+    ///     RetryCause, ServiceName,
+    /// };
+    ///
+    /// let settings = MeshRetryBudgetSettings { share: 0.2, floor: 20.0, window_s: 10 };
+    /// let mut budget = MeshRetryBudget::new(settings);
+    /// let (now, booking) = (Instant::from_millis(0), ServiceName::new("booking"));
+    /// let class = |n| AskClass { priority: Priority(n), timing: RequestTiming::InTime };
+    /// let mut take = |n| budget.take_for(now, &booking, 1, RetryCause::Refused, class(n));
+    /// assert!(take(1), "no more urgent request needs a retry");
+    /// assert!(take(0));
+    /// assert!(!take(1), "ten retries are expected to be needed for urgent requests");
+    /// assert!(take(0));
+    /// ```
+    pub fn take_for(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        nodes: usize,
+        cause: RetryCause,
+        class: AskClass,
+    ) -> bool {
+        let settings = self.settings;
+        let window = self.window(now, service);
+        window.demand.record(now.elapsed(), class);
+        let reserved = window.reserved(class, settings.window_s);
+        let taken = window.take(settings, nodes, cause, reserved);
+        if taken {
+            *window.current.by_class.entry(class).or_default() += 1;
         }
-        available
+        taken
     }
 
-    /// Advances the window to the current second and returns the counts of that second.
-    fn current_counts(&mut self, now: Instant, service: &ServiceName) -> &mut Counts {
+    /// Advances the window of a service to the current second and returns it.
+    fn window(&mut self, now: Instant, service: &ServiceName) -> &mut Window {
         let length = u64::from(self.settings.window_s.max(1));
         let window = self.services.entry(service.clone()).or_default();
         window.advance(now.elapsed(), length);
-        &mut window.current
+        window
     }
 }
 
@@ -161,11 +200,35 @@
         }
     }
 
-    fn total(&self) -> Counts {
-        let seconds = self.past.iter().chain([&self.current]);
-        seconds.fold(Counts::default(), |sum, second| Counts {
-            requests: sum.requests.saturating_add(second.requests),
-            retries: sum.retries + second.retries,
-        })
+    /// Takes one retry if the budget has one left besides `reserved` ones.
+    fn take(
+        &mut self,
+        settings: MeshRetryBudgetSettings,
+        nodes: usize,
+        cause: RetryCause,
+        reserved: f64,
+    ) -> bool {
+        let requests: u32 = self.seconds().map(|second| second.requests).sum();
+        let retries: f64 = self.seconds().map(|second| second.retries).sum();
+        let own = settings.share * f64::from(requests);
+        let floor = settings.floor / nodes.max(1) as f64;
+        let available = retries + reserved + 1.0 <= cause.share() * (own + floor);
+        if available {
+            self.current.retries += 1.0;
+        }
+        available
+    }
+
+    /// Returns the retries that classes more urgent than `class` are expected to need beyond those
+    /// that they have taken in the window.
+    fn reserved(&self, class: AskClass, window_s: u32) -> f64 {
+        let expected = self.demand.ahead_of(class) * f64::from(window_s.max(1));
+        let taken = |second: &Counts| second.by_class.range(..class).map(|(_, n)| n).sum::<u32>();
+        let taken: u32 = self.seconds().map(taken).sum();
+        (expected - f64::from(taken)).max(0.0)
+    }
+
+    fn seconds(&self) -> impl Iterator<Item = &Counts> {
+        self.past.iter().chain([&self.current])
     }
 }
--- a/crates/swiftcart-core/tests/policy_retries.rs
+++ b/crates/swiftcart-core/tests/policy_retries.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use swiftcart_core::*;
 
@@ -169,3 +171,63 @@
     assert_eq!(taken(RetryCause::Refused), 10);
     assert_eq!(taken(RetryCause::RefusedNonIdempotent), 4);
 }
+
+/// Number of requests of each priority that arrive in one second of the play.
+const ARRIVALS_PER_S: u64 = 20;
+
+/// Share of the attempts that the backend servers refuse although they have free slots.
+const SHED_SHARE: f64 = 0.55;
+
+/// Plays ten seconds in which a service refuses a fixed share of all attempts, and returns the
+/// numbers of requests served for the priorities 0 and 1.
+fn play_shedding(by_class: bool) -> [u32; 2] {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let (mut budget, service) = (budget(0.2, 60.0), ServiceName::new("booking"));
+    let mut served = [0; 2];
+    for n in 0..10 * 2 * ARRIVALS_PER_S {
+        let now = Instant::from_millis(n * 500 / ARRIVALS_PER_S);
+        let priority = (n % 2) as u8;
+        let class = AskClass {
+            priority: Priority(priority),
+            timing: RequestTiming::InTime,
+        };
+        budget.first(now, &service, 0.0);
+        let mut retry = || match by_class {
+            true => budget.take_for(now, &service, 1, RetryCause::RefusedNonIdempotent, class),
+            false => budget.take(now, &service, 1, RetryCause::RefusedNonIdempotent),
+        };
+        let sends = usize::from(MAX_BACKEND_SENDS);
+        let runs =
+            (0..sends).any(|sent| (sent == 0 || retry()) && rng.random::<f64>() >= SHED_SHARE);
+        served[usize::from(priority)] += u32::from(runs);
+    }
+    served
+}
+
+#[test]
+fn a_service_that_sheds_serves_urgent_requests_with_the_budget() {
+    let [urgent, others] = play_shedding(true);
+    let [urgent_before, others_before] = play_shedding(false);
+    assert!(
+        urgent > urgent_before + 20,
+        "{urgent}, {urgent_before} in order of arrival"
+    );
+    let (all, all_before) = (urgent + others, urgent_before + others_before);
+    assert!(
+        f64::from(all) >= 0.95 * f64::from(all_before),
+        "{all}, {all_before}"
+    );
+}
+
+#[test]
+fn a_budget_without_urgent_demand_is_open_to_all_classes() {
+    let mut budget = budget(0.2, 9.0);
+    let service = ServiceName::new("booking");
+    (0..100).for_each(|_| budget.first(START, &service, 0.0));
+    let class = AskClass {
+        priority: Priority(7),
+        timing: RequestTiming::Late,
+    };
+    let mut take = || budget.take_for(START, &service, 1, RetryCause::Refused, class);
+    assert_eq!((0..1000).take_while(|_| take()).count(), 14);
+}
--- a/crates/swiftcart-node/src/calls/ingress/retrying.rs
+++ b/crates/swiftcart-node/src/calls/ingress/retrying.rs
@@ -90,6 +90,10 @@
         };
         let nodes = self.shared.members.load().len();
         let budget = || match &self.mesh_budget {
+            Some(mesh_budget) if self.decides_overload() => {
+                let class = call.class(self.balancer().mean_pace());
+                lock(mesh_budget).take_for(now, entry.name(), nodes, cause, class)
+            }
             Some(mesh_budget) => lock(mesh_budget).take(now, entry.name(), nodes, cause),
             None => lock(&self.budget).take(now),
         };
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -7,8 +7,8 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version};
 use swiftcart_core::{
-    AdmissionRequest, AllowedRegions, Attempt, BodyHash, CallerHash, Deadline, Fingerprint,
-    HeadFields, HeadHash, Instant, Payload, Priority, QueueWait, Reason, RequestClass,
+    AdmissionRequest, AllowedRegions, AskClass, Attempt, BodyHash, CallerHash, Deadline,
+    Fingerprint, HeadFields, HeadHash, Instant, Payload, Priority, QueueWait, Reason, RequestClass,
     RequestDigest, RequestOrigin, RequestTiming, ResponseLength, RouteMatch, RouteProfile,
     RouteTag,
 };
@@ -257,6 +257,17 @@
         }
     }
 
+    /// Returns the class in which the request competes with others of its service.
+    ///
+    /// `typical` is the share of the target that a call usually takes.
+    #[must_use]
+    pub fn class(&self, typical: f64) -> AskClass {
+        AskClass {
+            priority: self.terms.map_or(Priority(0), |terms| terms.priority),
+            timing: self.timing(typical),
+        }
+    }
+
     /// Returns the tag of the request's route, or [`RouteTag::OTHERS`] without a policy.
     #[must_use]
     pub fn route(&self) -> RouteTag {
