Log requests that their ingress drops at the guard

Cause: a guard wrote its line only after a request had ended. When the ingress closed the connection first, since its caller had gone or at the deadline that both share, the request was dropped without a line, so that a trace named no backend server. Ruled out: limits on lines (a single request), a line written late (the test waits 20 s). Change: a pending request that is dropped writes its line: timeout at the deadline, else caller-gone.

--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -8,8 +8,8 @@
 use hyper::body::Body;
 use slog::{error, info};
 use swiftcart_core::{
-    Backend, CallResult, ColdStartLimit, Limits, Load, NodeId, Notice, Pace, ProcessNotice,
-    Readiness, Reason, Refusal, ServerRate, ServiceEntry, Version,
+    Backend, CallResult, ColdStartLimit, HOP_ALLOWANCE, Limits, Load, NodeId, Notice, Pace,
+    ProcessNotice, Readiness, Reason, Refusal, ServerRate, ServiceEntry, Version,
 };
 
 use super::admissions::Slot;
@@ -62,6 +62,47 @@
     }
 }
 
+/// Request at the guard that has no result yet. Dropping it before completion logs why the request
+/// ended.
+///
+/// The ingress closes the connection when its caller disconnects or at the deadline, which may be
+/// before the guard's own timeout.
+struct PendingRun<'a> {
+    guard: &'a Guard,
+    call: &'a Call,
+    service: &'a str,
+    open: bool,
+}
+
+impl<'a> PendingRun<'a> {
+    const fn new(guard: &'a Guard, call: &'a Call, service: &'a str) -> Self {
+        Self {
+            guard,
+            call,
+            service,
+            open: true,
+        }
+    }
+
+    /// Marks the request as finished.
+    fn complete(mut self) {
+        self.open = false;
+    }
+}
+
+impl Drop for PendingRun<'_> {
+    fn drop(&mut self) {
+        if self.open {
+            let now = self.guard.shared.clock.now();
+            let reason = match self.call.due.misses(now, HOP_ALLOWANCE) {
+                true => Reason::Timeout,
+                false => Reason::CallerGone,
+            };
+            self.guard.log(self.call, self.service, reason.into());
+        }
+    }
+}
+
 impl Guard {
     /// Creates a guard without a backend server.
     #[must_use]
@@ -216,7 +257,9 @@
         service: &str,
         request: Request<Outgoing>,
     ) -> Result<Response<Answer>, Refusal> {
+        let pending = PendingRun::new(self, call, service);
         let result = self.admit(call, service, request).await;
+        pending.complete();
         if let Err(refusal) = &result {
             let counters = &self.shared.counters;
             let reason = refusal.reason.as_str();
