Rank nested calls by the requests that they serve

Cause: a running request fails if a call that it makes is refused, which wastes its run and its other calls. Admission lets such a call wait for a share of its own short target only, less than the time until a slot frees at a service full of long requests. Requests of callers are admitted as before.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -22,7 +22,9 @@
 use rand::Rng;
 
 use crate::rate::RetryScheduler;
-use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample, ServerRate};
+use crate::{
+    CallResult, Instant, Limits, Load, Pace, Reason, Refusal, RequestOrigin, Sample, ServerRate,
+};
 pub use admission_state::AdmissionState;
 pub use egress_limiter::EgressLimiter;
 use limit::AdaptiveLimit;
@@ -173,7 +175,7 @@
         let request = request.into();
         let urgency = self.urgency(now, &request);
         self.targets.record(request.target);
-        let queue_wait = self.queue_wait(&request);
+        let queue_wait = self.queue_wait(now, &request);
         let wait = self.expected_wait(now, self.queue.ahead_of(urgency));
         let busy_reason = match self.running() < self.limit() {
             true => Reason::Throttled,
@@ -438,12 +440,19 @@
 
     /// Returns `true` if the queue has a place for a request of this urgency. The place of a less
     /// urgent request counts as free.
+    ///
+    /// Their time bounds the wait of nested calls, so they may fill the queue beyond its usual
+    /// capacity.
     fn has_room(&self, urgency: Urgency) -> bool {
-        self.queue.ahead_of(urgency) < self.queue_capacity()
+        let capacity = match urgency.origin {
+            RequestOrigin::Backend => self.settings.queue as usize,
+            RequestOrigin::Caller => self.queue_capacity(),
+        };
+        self.queue.ahead_of(urgency) < capacity
     }
 
-    /// Displaces the least urgent requests until the queue has a free place or holds no request
-    /// that is less urgent than `urgency`.
+    /// Displaces the least urgent requests of callers until the queue has a free place or holds
+    /// none that is less urgent than `urgency`.
     fn make_room<R: Rng + ?Sized>(&mut self, now: Instant, urgency: Urgency, rng: &mut R) {
         while self.queue.len() >= self.queue_capacity() {
             let Some(least) = self.queue.displace(urgency) else {
@@ -464,9 +473,10 @@
         )
     }
 
-    fn queue_wait(&self, request: &AdmissionRequest) -> Duration {
+    fn queue_wait(&self, now: Instant, request: &AdmissionRequest) -> Duration {
         let default_wait = self.settings.wait;
-        request.longest_wait(default_wait, self.targets.p90().unwrap_or(default_wait))
+        let p90_target = self.targets.p90().unwrap_or(default_wait);
+        request.longest_wait(now, default_wait, p90_target)
     }
 
     /// Queues a request, displacing a less urgent one if the queue is full.
@@ -482,7 +492,7 @@
             .due
             .minus(self.service_times.min_service_time())
             .at();
-        let queue_wait = now + self.queue_wait(&request);
+        let queue_wait = now + self.queue_wait(now, &request);
         let reason = match queue_wait < latest {
             true => Reason::Overloaded,
             false => Reason::DeadlinePassed,
--- a/crates/swiftcart-core/src/admission/queue.rs
+++ b/crates/swiftcart-core/src/admission/queue.rs
@@ -5,7 +5,7 @@
 
 use super::Ticket;
 use super::request::{ResponseLength, Urgency};
-use crate::{Instant, Reason};
+use crate::{Instant, Reason, RequestOrigin};
 
 /// Order in which queued requests are started.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
@@ -55,16 +55,14 @@
         self.waiting.insert(place, waiting);
     }
 
-    /// Removes and returns the least urgent request if it is less urgent than `urgency`.
+    /// Removes and returns the least urgent request of a caller if it is less urgent than
+    /// `urgency`.
     pub(super) fn displace(&mut self, urgency: Urgency) -> Option<Waiting> {
-        let less_urgent = self
-            .waiting
-            .back()
-            .is_some_and(|last| last.urgency > urgency);
-        if less_urgent {
-            self.waiting.pop_back()
-        } else {
-            None
+        let is_callers = |w: &Waiting| w.urgency.origin == RequestOrigin::Caller;
+        let last = self.waiting.iter().rposition(is_callers)?;
+        match self.waiting[last].urgency > urgency {
+            true => self.waiting.remove(last),
+            false => None,
         }
     }
 
--- a/crates/swiftcart-core/src/admission/request.rs
+++ b/crates/swiftcart-core/src/admission/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{Deadline, Instant, Priority};
+use crate::{Deadline, Instant, Priority, RequestOrigin};
 
 /// Share of the latency target that a request may wait for a slot.
 ///
@@ -34,6 +34,13 @@
 /// retries would displace first attempts.
 const MAX_AGE_SHARE: f64 = 0.6;
 
+/// Maximum share of the time left to the request that it serves, that a nested call may wait.
+///
+/// The other half remains for the nested call itself and for the rest of that request. A refused
+/// nested call wastes a run that already occupies a slot elsewhere, so it waits until a slot is
+/// free rather than for a share of its own short target.
+const NESTED_WAIT_SHARE: f64 = 0.5;
+
 /// Time that a request may spend in the queue.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum QueueWait {
@@ -69,6 +76,10 @@
     pub age: Duration,
     /// Expected length of the response.
     pub response_length: ResponseLength,
+    /// Origin of the request.
+    pub origin: RequestOrigin,
+    /// Rest of the latency target of the request that a nested call serves, if known.
+    pub parent_target: Option<Duration>,
 }
 
 /// Ability of a request to meet its latency target.
@@ -79,7 +90,10 @@
 }
 
 /// Sort key of queued requests: by priority, then requests that can meet their target before late
-/// ones, then by the end of the full queue wait.
+/// ones, then nested calls before callers' requests, then by the end of the full queue wait.
+///
+/// A refused nested call wastes the work done for the request that it serves, while a refused
+/// caller's request has cost nothing yet.
 ///
 /// Under overload the queue is always full, so the order decides which requests are served at all.
 /// With half of the slots that the load needs, an order by target time served all nested calls with
@@ -89,6 +103,7 @@
 pub(super) struct Urgency {
     priority: Priority,
     timeliness: Timeliness,
+    pub(super) origin: RequestOrigin,
     until: Instant,
 }
 
@@ -103,9 +118,28 @@
             queue_wait: QueueWait::Full,
             age: Duration::ZERO,
             response_length: ResponseLength::Short,
+            origin: RequestOrigin::Caller,
+            parent_target: None,
         }
     }
 
+    /// Sets the origin of the request.
+    ///
+    /// A nested call may wait for a share of the time left to the request that it serves.
+    #[must_use]
+    pub const fn with_origin(mut self, origin: RequestOrigin) -> Self {
+        self.origin = origin;
+        self
+    }
+
+    /// Sets the rest of the latency target of the request that a nested call serves, which bounds
+    /// the wait of the nested call.
+    #[must_use]
+    pub const fn with_parent_target(mut self, rest: Option<Duration>) -> Self {
+        self.parent_target = rest;
+        self
+    }
+
     /// Sets the expected length of the response.
     #[must_use]
     pub const fn with_response_length(mut self, response_length: ResponseLength) -> Self {
@@ -151,7 +185,7 @@
     pub fn until(&self, now: Instant, default_wait: Duration) -> Instant {
         let longest = self.target.unwrap_or(default_wait);
         self.due
-            .within(now, self.longest_wait(default_wait, longest))
+            .within(now, self.longest_wait(now, default_wait, longest))
             .at()
     }
 
@@ -159,7 +193,31 @@
     ///
     /// `default_wait` is the maximum wait of a request without a target. `p90_target` is the 90th
     /// percentile of the targets at the guard.
-    pub(super) fn longest_wait(&self, default_wait: Duration, p90_target: Duration) -> Duration {
+    pub(super) fn longest_wait(
+        &self,
+        now: Instant,
+        default_wait: Duration,
+        p90_target: Duration,
+    ) -> Duration {
+        let own_wait = self.longest_own_wait(default_wait, p90_target);
+        match (self.origin, self.queue_wait) {
+            (RequestOrigin::Backend, QueueWait::Full) => {
+                own_wait.max(self.parent_wait(now)).min(default_wait)
+            }
+            (RequestOrigin::Backend | RequestOrigin::Caller, _) => own_wait,
+        }
+    }
+
+    /// Returns the wait after which the request that a nested call serves can still be answered in
+    /// time.
+    fn parent_wait(&self, now: Instant) -> Duration {
+        let left = self.due.left(now);
+        let left = self.parent_target.map_or(left, |target| target.min(left));
+        left.mul_f64(NESTED_WAIT_SHARE)
+    }
+
+    /// Returns the maximum wait that the request's own target permits.
+    fn longest_own_wait(&self, default_wait: Duration, p90_target: Duration) -> Duration {
         let target = self.target.unwrap_or(default_wait);
         match (self.queue_wait, self.target) {
             (QueueWait::Short, _) => target.mul_f64(SHORT_WAIT_SHARE).min(default_wait),
@@ -190,13 +248,21 @@
         Urgency {
             priority: self.priority,
             timeliness: self.timeliness(),
-            until: now + full.longest_wait(default_wait, p90_target),
+            origin: self.origin,
+            until: now + full.longest_wait(now, default_wait, p90_target),
         }
     }
 
+    /// Returns whether the request can meet its target. The target of the request that it serves
+    /// counts for a nested call.
     fn timeliness(&self) -> Timeliness {
-        match self.target {
-            Some(target) if self.age > target.mul_f64(MAX_AGE_SHARE) => Timeliness::Late,
+        match (self.origin, self.target) {
+            (RequestOrigin::Backend, _) if self.parent_target == Some(Duration::ZERO) => {
+                Timeliness::Late
+            }
+            (RequestOrigin::Caller, Some(target)) if self.age > target.mul_f64(MAX_AGE_SHARE) => {
+                Timeliness::Late
+            }
             _ => Timeliness::InTime,
         }
     }
