Give nested calls the rank and the patience of the requests that they serve

Cause: guards did not know that a request was a call of a running one, and the address of the connection alone does not tell: callers may share the instance with the backend server. Change: guards record what they hand over; the ingress takes a request for a nested call if it comes from the instance itself, belongs to no client account and a running request lasts as long as its deadline, and sends the rest of that request's target in the terms. Without accounts no call is ranked. Counters of ranked, waiting and refused nested calls, and the origin in the guard's line. Calls of services without client accounts keep the rank of their route.

--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -65,6 +65,7 @@
     ticket: Ticket,
     start: Instant,
     target: Option<Duration>,
+    queued: bool,
     open: bool,
     running: Option<Running>,
 }
@@ -243,6 +244,7 @@
             ticket,
             start: now,
             target: admission_request.target,
+            queued: waits,
             open: true,
             running: None,
         };
@@ -313,6 +315,12 @@
         self.start
     }
 
+    /// Returns `true` if the request waited for the slot in the queue.
+    #[must_use]
+    pub const fn was_queued(&self) -> bool {
+        self.queued
+    }
+
     /// Records that the head of the response arrived, and that `bytes` bytes follow.
     pub fn head(&self, bytes: u64) {
         let now = self.admissions.clock.now();
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -9,7 +9,7 @@
 use slog::{error, info};
 use swiftcart_core::{
     Backend, CallResult, ColdStartLimit, Limits, Load, NodeId, Notice, Pace, ProcessNotice,
-    Readiness, Reason, Refusal, ServerRate, ServiceEntry, Version,
+    Readiness, Reason, Refusal, RequestOrigin, ServerRate, ServiceEntry, Version,
 };
 
 use super::admissions::Slot;
@@ -221,11 +221,20 @@
             let counters = &self.shared.counters;
             let reason = refusal.reason.as_str();
             counters.count("swiftcart_guard_refusals_total", "reason", reason);
+            self.count_nested(call, "refused");
             self.log(call, service, *refusal);
         }
         result
     }
 
+    /// Counts a nested call of another request under the result of its admission.
+    fn count_nested(&self, call: &Call, result: &'static str) {
+        if call.origin() == RequestOrigin::Backend {
+            let counters = &self.shared.counters;
+            counters.count("swiftcart_nested_admissions_total", "result", result);
+        }
+    }
+
     /// Logs a request that was not forwarded to the backend server or received no response.
     fn log(&self, call: &Call, service: &str, refusal: Refusal) {
         let now = self.shared.clock.now();
@@ -236,7 +245,8 @@
         let instance = self.shared.registration().id().map(str::to_owned);
         info!(log, ""; "event" => Event::Guard, "id" => %call.id, "service" => service,
             "instance" => instance.as_deref().unwrap_or("-"),
-            "reason" => refusal.reason.as_str(), "running" => load.running,
+            "origin" => call.origin().as_str(), "reason" => refusal.reason.as_str(),
+            "running" => load.running,
             "queued" => load.queued, "limit" => load.limit,
             "left_ms" => u64::try_from(call.due.left(now).as_millis()).unwrap_or(u64::MAX),
             "age_ms" => u64::try_from(call.age().as_millis()).unwrap_or(u64::MAX),
@@ -262,6 +272,14 @@
         let slot = upstream.enter(call).await?;
         let counters = &self.shared.counters;
         counters.stage(Stage::Queue, slot.start().since(arrived));
+        self.count_nested(
+            call,
+            if slot.was_queued() {
+                "waited"
+            } else {
+                "at-once"
+            },
+        );
         if let Err(refusal) = self.record_start(call, &slot, &request) {
             slot.withdraw();
             return Err(refusal);
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -18,8 +18,8 @@
 use swiftcart_core::{
     BalanceSettings, Balancer, CallResult, Candidate, Instant, MeshRetryBudget, NodeId,
     NoticeCache, Outcome, Pick, PickRequirements, PickRule, PolicyRetryState, Reason, Refusal,
-    RefusalHistory, RequestOrigin, ResolvedAccount, RetryBudget, RetrySettings, RetryState,
-    RetryTarget, RouteProfiles, ServiceEntry, SlotSearch, Version, startup_retry_after,
+    RefusalHistory, ResolvedAccount, RetryBudget, RetrySettings, RetryState, RetryTarget,
+    RouteProfiles, ServiceEntry, SlotSearch, Version, startup_retry_after,
 };
 
 use tokio::task::JoinError;
@@ -163,6 +163,7 @@
         let settings = &self.shared.settings;
         let now = self.shared.clock.now();
         let mut call = Call::from_caller(&mut head, settings, now)?;
+        let given_due = call.due;
         let phase = *self.shared.phase.borrow();
         match phase {
             Phase::Ready | Phase::Leaving | Phase::Finishing => {}
@@ -181,8 +182,8 @@
         let routed = with_rng(|rng| view.find(host(&head), head.uri.path(), rng))?;
         let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.apply_route(&routed, lock(&self.profiles).of(routed.route), now);
-        if self.decides_overload() && self.is_nested(&head) {
-            call.set_origin(RequestOrigin::Backend);
+        if account.is_none() {
+            self.rank_nested(&mut call, &head, given_due);
         }
         let account_regions = account.as_ref().map(|account| &account.regions);
         call.regions = account_regions.map_or_else(
@@ -207,6 +208,7 @@
             Err(failed) if failed.refusal.reason.outcome() == Outcome::NotRun => {
                 let now = self.shared.clock.now();
                 lock(&self.refusal_history).refused(now, call.print.head, first);
+                self.count_nested_refusal(&call, failed.refusal.reason.as_str());
             }
             _ => {}
         }
--- a/crates/swiftcart-node/src/calls/ingress/overload.rs
+++ b/crates/swiftcart-node/src/calls/ingress/overload.rs
@@ -1,9 +1,11 @@
 //! Decisions of the ingress about services that have less room than their callers ask for.
 
 use http::request::Parts;
+use swiftcart_core::{Deadline, RequestOrigin};
 
 use super::Ingress;
 use crate::calls::origin::CallerAddr;
+use crate::calls::request::Call;
 use crate::settings::OverloadTrigger;
 
 impl Ingress {
@@ -16,6 +18,33 @@
             || overload.has(OverloadTrigger::Accounts) && has_accounts()
     }
 
+    /// Gives a nested call the rank of the running request that it serves.
+    ///
+    /// `due` is the deadline that the backend server sent, by which the running request is found.
+    /// Callers may share the instance with the backend server, but they have client accounts, while
+    /// nested calls belong to none. Without accounts both look alike, and no call is ranked.
+    pub(super) fn rank_nested(&self, call: &mut Call, head: &Parts, due: Deadline) {
+        let has_accounts = !self.shared.view.load().accounts().is_empty();
+        if !(self.decides_overload() && has_accounts && self.is_nested(head)) {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let Some(parent) = self.shared.nested.parent(due) else {
+            return;
+        };
+        let source = call.set_nested(parent, now);
+        let counters = &self.shared.counters;
+        counters.count("swiftcart_nested_calls_total", "rank", source.as_str());
+    }
+
+    /// Counts a nested call that was refused in the end, which fails the request that it serves.
+    pub(super) fn count_nested_refusal(&self, call: &Call, reason: &'static str) {
+        if call.origin() == RequestOrigin::Backend {
+            let counters = &self.shared.counters;
+            counters.count("swiftcart_nested_refusals_total", "reason", reason);
+        }
+    }
+
     /// Returns `true` if the request is a nested call of the local backend server.
     ///
     /// The address of the connection decides, since a caller could forge any header.
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version};
 use swiftcart_core::{
     AdmissionRequest, AllowedRegions, Attempt, BodyHash, CallerHash, Deadline, Fingerprint,
-    HeadFields, HeadHash, Instant, Payload, Priority, QueueWait, Reason, RequestClass,
+    HeadFields, HeadHash, Instant, ParentRank, Payload, Priority, QueueWait, Reason, RequestClass,
     RequestDigest, RequestOrigin, RequestTiming, ResponseLength, RouteMatch, RouteProfile,
     RouteTag,
 };
@@ -54,6 +54,26 @@
     pub print: CallPrint,
 }
 
+/// Source of the rank of a nested call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RankSource {
+    /// The request that it serves, which is more urgent.
+    Parent,
+    /// Its own route, which is as urgent as the request that it serves.
+    Own,
+}
+
+impl RankSource {
+    /// Returns the label of the source in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Parent => "parent",
+            Self::Own => "own",
+        }
+    }
+}
+
 /// Partial fingerprint of a request, available before its body has arrived.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct CallPrint {
@@ -191,13 +211,41 @@
         }
     }
 
-    /// Sets the origin of the request.
-    pub fn set_origin(&mut self, origin: RequestOrigin) {
-        if let Some(terms) = &mut self.terms {
-            terms.origin = origin;
+    /// Returns the origin of the request.
+    #[must_use]
+    pub fn origin(&self) -> RequestOrigin {
+        self.terms
+            .map_or(RequestOrigin::Caller, |terms| terms.origin)
+    }
+
+    /// Marks the request as a nested call of a request with the rank `parent`.
+    ///
+    /// A nested call is at least as urgent as the request that it serves. Returns the source of
+    /// its rank.
+    pub fn set_nested(&mut self, parent: ParentRank, now: Instant) -> RankSource {
+        let Some(terms) = &mut self.terms else {
+            return RankSource::Own;
+        };
+        terms.origin = RequestOrigin::Backend;
+        let rest = parent.target.map(|end| end.since(now).as_millis());
+        terms.parent_ms = rest.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX));
+        let own = terms.priority;
+        terms.priority = own.min(parent.priority);
+        match terms.priority < own {
+            true => RankSource::Parent,
+            false => RankSource::Own,
         }
     }
 
+    /// Returns the rank that nested calls of the request get, or `None` without a policy.
+    #[must_use]
+    pub fn parent_rank(&self, now: Instant) -> Option<ParentRank> {
+        self.terms.map(|terms| ParentRank {
+            priority: terms.priority,
+            target: Some(now + terms.target_left()),
+        })
+    }
+
     /// Computes the hashes of the head that the backend server receives.
     pub fn compute_print(&mut self, head: &Parts, names: &Headers) {
         let field = |name: &HeaderName| head.headers.get(name).map_or(&b""[..], |v| v.as_bytes());
@@ -226,6 +274,8 @@
                 .with_queue_wait(terms.queue_wait)
                 .with_age(terms.age())
                 .with_response_length(terms.answer)
+                .with_origin(terms.origin)
+                .with_parent_target(terms.parent_target())
         })
     }
 
--- a/crates/swiftcart-node/src/calls/terms.rs
+++ b/crates/swiftcart-node/src/calls/terms.rs
@@ -34,6 +34,8 @@
     pub origin: RequestOrigin,
     /// Standing of the client account relative to its share of the service.
     pub standing: ShareStanding,
+    /// Rest of the latency target of the request that a nested call serves, in milliseconds.
+    pub parent_ms: Option<u32>,
 }
 
 impl CallTerms {
@@ -78,6 +80,7 @@
                 Some("o") => ShareStanding::Beyond,
                 Some(_) | None => ShareStanding::Within,
             },
+            parent_ms: parts.next().and_then(|part| part.parse().ok()),
         })
     }
 
@@ -93,6 +96,22 @@
         Duration::from_millis(self.age_ms as u64)
     }
 
+    /// Returns the rest of the latency target of the request that a nested call serves, if known.
+    #[must_use]
+    pub fn parent_target(&self) -> Option<Duration> {
+        self.parent_ms.map(|ms| Duration::from_millis(ms.into()))
+    }
+
+    /// Returns the rest of the latency target of the request itself, or of the request that it
+    /// serves if it is a nested call.
+    #[must_use]
+    pub fn target_left(&self) -> Duration {
+        match self.parent_target() {
+            Some(rest) => rest,
+            None => self.target().saturating_sub(self.age()),
+        }
+    }
+
     /// Sets the time since the caller's first attempt.
     #[must_use]
     pub fn with_age(mut self, age: Duration) -> Self {
@@ -129,9 +148,12 @@
             ShareStanding::Within => 'w',
             ShareStanding::Beyond => 'o',
         };
+        let parent = self
+            .parent_ms
+            .map_or_else(|| "-".to_owned(), |ms| ms.to_string());
         let text = format!(
             "{class} {attempts} {priority} {target_ms} {repeat} {waits} {age_ms} {long} {route} \
-             {origin} {standing}"
+             {origin} {standing} {parent}"
         );
         // Letters, digits and spaces always form a valid header value.
         HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
@@ -152,6 +174,7 @@
             route: RouteTag::OTHERS,
             origin: RequestOrigin::Caller,
             standing: ShareStanding::Within,
+            parent_ms: None,
         }
     }
 }
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -18,6 +18,7 @@
 use super::request::Call;
 use super::runs::{FingerprintSource, Run, RunTracker};
 use crate::clock::Clock;
+use crate::nested::NestedCalls;
 use crate::registration::Identity;
 use crate::settings::Headers;
 use crate::shared::Shared;
@@ -34,6 +35,7 @@
     admissions: Arc<Admissions>,
     runs: Arc<RunTracker>,
     notices: Arc<Notices>,
+    nested: Arc<NestedCalls>,
 }
 
 /// Head of a response, with the connection that its body arrives on.
@@ -106,6 +108,7 @@
             admissions,
             runs,
             notices,
+            nested: Arc::clone(&shared.nested),
         }
     }
 
@@ -229,6 +232,8 @@
         mut request: Request<Outgoing>,
     ) -> Result<Sent, Reason> {
         self.set_headers(request.headers_mut(), until, call)?;
+        let rank = call.parent_rank(self.clock.now());
+        let _running = rank.and_then(|rank| self.nested.start(Deadline::at_instant(until), rank));
         let until = self.clock.tokio(until);
         let source = FingerprintSource::new(call.print, request.body());
         let mut run = None;
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -16,6 +16,7 @@
 mod egress;
 mod faults;
 mod logging;
+mod nested;
 mod node;
 mod program;
 mod quotas;
--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -16,7 +16,7 @@
     Backend, Body, Envelope, Limits, NodeId, Publish, PublishId, Readiness, ServiceName, Table,
     Version, diff,
 };
-use swiftcart_node::{Node, Phase, Settings, silent_log};
+use swiftcart_node::{Node, Phase, PlatformAdapters, Settings, silent_log};
 use swiftcart_standin::{BackendServer, BackendSettings, Log};
 use tokio::net::TcpStream;
 
@@ -111,7 +111,13 @@
 }
 
 async fn start_with(settings: Settings) -> Node {
-    let node = Node::start(settings, silent_log()).await.unwrap();
+    start_on(settings, PlatformAdapters::new()).await
+}
+
+/// Starts a node on the platform that `adapters` connect it to, and waits until it is ready.
+pub async fn start_on(settings: Settings, adapters: PlatformAdapters) -> Node {
+    let node = Node::start_with(settings, adapters, silent_log());
+    let node = node.await.unwrap();
     let mut phase = node.shared().phase.subscribe();
     let ready = phase.wait_for(|phase| *phase == Phase::Ready);
     tokio::time::timeout(CONDITION_TIMEOUT, ready)
