--- a/crates/swiftcart-core/src/admission/request.rs
+++ b/crates/swiftcart-core/src/admission/request.rs
@@ -34,11 +34,10 @@
 /// retries would displace first attempts.
 const MAX_AGE_SHARE: f64 = 0.6;
 
-/// Maximum share of the time left to the request that it serves, that a nested call may wait.
+/// Maximum share of its parent request's time left that a nested call may wait.
 ///
-/// The other half remains for the nested call itself and for the rest of that request. A refused
-/// nested call wastes a run that already occupies a slot elsewhere, so it waits until a slot is
-/// free rather than for a share of its own short target.
+/// The other half remains for the nested call itself and for the rest of the parent's run. A
+/// refused nested call wastes that run, which already occupies a slot elsewhere.
 const NESTED_WAIT_SHARE: f64 = 0.5;
 
 /// Time that a request may spend in the queue.
