--- a/crates/swiftcart-node/tests/settings.rs
+++ b/crates/swiftcart-node/tests/settings.rs
@@ -30,7 +30,7 @@
     r#""domain": "norte","#,
     r#""domain": "norte", "colour": 1,"#,
     "f: colour: 1 is refused: unknown field `colour`, expected one of `domain`, `regions`, `listen`, \
-     `seeds`, `platform`, `mesh_key`, `limits`, `gossip`, `log`, `service`, `headers`, `announcements`, `answers`, `link`, `retries`, `rollouts`, `quotas`, `cold`, `stop`, \
+     `seeds`, `platform`, `mesh_key`, `limits`, `gossip`, `log`, `service`, `headers`, `announcements`, `answers`, `link`, `retries`, `rollouts`, `quotas`, `overload`, `cold`, `stop`, \
      `claims`, `first_start`, `threads` at line 2 column 29: add, fix or remove this key"
 )]
 #[case::unknown_nested_key(
