Count requests reported late in the time in which they were made

Cause: when a partition heals, when an account's ledger moves or when a process was suspended, nodes report the counts of several seconds at once. The ledger took them for a burst and for debt, and limited accounts far below their quota for seconds. Ledgers that no longer ran an account still sent ratios for it, and a report that was lost left its node on an equal share until the next request. Change: a node tells a new ledger only what the former one was not told; counts that are reported late enter the arrival average spread over their time, and use tokens that a full bucket discarded meanwhile. A ledger that was suspended starts again, a ledger that has started lifts no limit for half a second and lets its ratio rise freely for two. Nodes obey only the account's own ledger, repeat unanswered reports, and round their equal share at random, so that many small shares stay within the quota. A node whose reports are late uses its equal share.

--- a/crates/swiftcart-core/src/account/ledger.rs
+++ b/crates/swiftcart-core/src/account/ledger.rs
@@ -10,6 +10,9 @@
 /// Time constant of the moving average of arrivals.
 const ARRIVAL_AVERAGING_TIME: Duration = Duration::from_millis(400);
 
+/// Time in which the nodes that have requests of an account report to a ledger that has started.
+const SETTLING_TIME: Duration = Duration::from_millis(500);
+
 /// Minimum age of an account's state that is used to average its arrivals.
 const MIN_AVERAGING_AGE: Duration = Duration::from_millis(100);
 
@@ -35,9 +38,23 @@
 /// are partitioned, and the partitioned nodes keep admitting their ratio for some seconds.
 const MAX_RISE_PER_SEC: f64 = 1.5;
 
+/// Time after the start of a ledger in which the admission ratio rises without limit. Callers that
+/// return after a restart exceed the usual arrivals for about a second.
+const UNLIMITED_RISE_TIME: Duration = Duration::from_secs(2);
+
 /// Lower bound of the cap on a rising admission ratio.
 const MIN_RATIO_CAP: f64 = 0.1;
 
+/// Time constant for which tokens that a full bucket discarded count for requests reported late. It
+/// is shorter than the window of a quota, so that the tokens of earlier windows are not used.
+const DISCARD_RETENTION: Duration = Duration::from_millis(2_500);
+
+/// Time without a round of the ledger after which nodes have replaced it.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
+/// Time after a suspension in which waiting reports are read.
+const CATCH_UP_TIME: Duration = Duration::from_millis(100);
+
 /// Interval at which the ratio of a limited account is sent to all nodes again.
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -96,6 +113,10 @@
     bounds: QuotaBounds,
     /// Share of all nodes that this node can reach.
     reachable_share: f64,
+    /// Time of the last call of [`limit_updates`](Self::limit_updates).
+    last_round: Option<Instant>,
+    /// Time at which the process continued after it was suspended.
+    resumed: Option<Instant>,
     accounts: BTreeMap<AccountTag, AccountQuota>,
 }
 
@@ -107,6 +128,8 @@
     started: Instant,
     /// Token balance, negative after too many requests.
     tokens: f64,
+    /// Tokens that a full bucket discarded lately, a decayed sum.
+    discarded: f64,
     /// Moving average of the requests per second at all nodes, before the correction for a new
     /// state.
     average_arrivals: f64,
@@ -131,6 +154,26 @@
     updated: Instant,
 }
 
+impl NodeReport {
+    const fn new(now: Instant, usage: &Usage) -> Self {
+        Self {
+            epoch: usage.epoch,
+            arrived: usage.arrived,
+            admitted: usage.admitted,
+            updated: now,
+        }
+    }
+
+    /// Returns the report with which the node's epoch began.
+    const fn reset(self) -> Self {
+        Self {
+            arrived: 0,
+            admitted: 0,
+            ..self
+        }
+    }
+}
+
 impl QuotaLedger {
     /// Creates an empty ledger.
     #[must_use]
@@ -138,6 +181,8 @@
         Self {
             bounds,
             reachable_share: 1.0,
+            last_round: None,
+            resumed: None,
             accounts: BTreeMap::new(),
         }
     }
@@ -151,6 +196,8 @@
     }
 
     /// Applies the counts of a node, and returns the ratio that the node has to admit.
+    ///
+    /// A ledger that has started lately lifts no limit, since it knows a part of the arrivals only.
     pub fn receive(
         &mut self,
         now: Instant,
@@ -158,22 +205,32 @@
         usage: &Usage,
         quota: Quota,
     ) -> AdmissionRatio {
+        self.restart_after_stall(now);
         let reachable_share = self.reachable_share;
+        let is_catching_up = self.is_catching_up(now);
         let state = self.accounts.entry(usage.account);
         let state = state.or_insert_with(|| AccountQuota::new(now, quota));
         state.quota = quota;
         state.advance(now, reachable_share);
-        state.record(now, from, usage);
+        match is_catching_up {
+            true => state.skip(now, from, usage),
+            false => state.record(now, from, usage),
+        }
         state.update_ratio(reachable_share, self.bounds);
         AdmissionRatio {
             account: usage.account,
-            permille: state.permille,
+            permille: match state.permille {
+                AdmissionRatio::ALL if state.is_settling() => AdmissionRatio::UNCHANGED,
+                permille => permille,
+            },
         }
     }
 
     /// Returns the admission ratios to send to all nodes now: those of limited accounts, and those
     /// of accounts whose limit has just been lifted.
     pub fn limit_updates(&mut self, now: Instant) -> Vec<AdmissionRatio> {
+        self.restart_after_stall(now);
+        self.last_round = Some(now);
         let (reachable_share, bounds) = (self.reachable_share, self.bounds);
         self.accounts.retain(|_, state| state.expire_nodes(now));
         let mut due = Vec::new();
@@ -194,6 +251,21 @@
         }
         due
     }
+
+    /// Discards all counts if this process was suspended for so long that other nodes have replaced
+    /// the ledger. The reports that waited meanwhile would otherwise count as a burst.
+    fn restart_after_stall(&mut self, now: Instant) {
+        let has_stalled = |last| now.since(last) >= STALL_TIME;
+        if self.last_round.is_some_and(has_stalled) {
+            self.accounts.clear();
+            (self.last_round, self.resumed) = (Some(now), Some(now));
+        }
+    }
+
+    /// Returns `true` while reports arrive that waited during a suspension of the process.
+    fn is_catching_up(&self, now: Instant) -> bool {
+        self.resumed.is_some_and(|at| now.since(at) < CATCH_UP_TIME)
+    }
 }
 
 impl AccountQuota {
@@ -204,6 +276,7 @@
             quota,
             started: now,
             tokens: INITIAL_BURST_SHARE * f64::from(quota.burst),
+            discarded: 0.0,
             average_arrivals: 0.0,
             updated: now,
             ratio: 1.0,
@@ -218,37 +291,52 @@
         let elapsed = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
         let burst = f64::from(self.quota.burst) * reachable_share;
-        self.tokens = (self.tokens + elapsed * self.rate(reachable_share)).min(burst);
+        let tokens = self.tokens + elapsed * self.rate(reachable_share);
+        self.tokens = tokens.min(burst);
+        self.discarded *= (-elapsed / DISCARD_RETENTION.as_secs_f64()).exp();
+        self.discarded += tokens - self.tokens;
         self.average_arrivals *= (-elapsed / ARRIVAL_AVERAGING_TIME.as_secs_f64()).exp();
     }
 
+    /// Counts the requests of a node since its last report.
     fn record(&mut self, now: Instant, from: NodeId, usage: &Usage) {
-        let reported = NodeReport {
-            epoch: usage.epoch,
-            arrived: usage.arrived,
-            admitted: usage.admitted,
-            updated: now,
-        };
+        let reported = NodeReport::new(now, usage);
         let counting_time = Duration::from_millis(usage.counted_ms.into());
-        let zero = NodeReport {
-            arrived: 0,
-            admitted: 0,
-            ..reported
-        };
-        let previous = match self.nodes.get(&from) {
-            Some(previous) if previous.epoch == usage.epoch => *previous,
-            _ if counting_time <= now.since(self.started) + FEEDBACK_DELAY => zero,
-            _ => reported,
+        let (previous, accrual_time) = match self.nodes.get(&from) {
+            Some(previous) if previous.epoch == usage.epoch => (*previous, Duration::ZERO),
+            _ if counting_time <= now.since(self.started) + FEEDBACK_DELAY => {
+                (reported.reset(), counting_time)
+            }
+            _ => (reported, Duration::ZERO),
         };
         if reported.arrived < previous.arrived {
             return;
         }
-        self.average_arrivals +=
-            (reported.arrived - previous.arrived) as f64 / ARRIVAL_AVERAGING_TIME.as_secs_f64();
-        self.tokens -= reported.admitted as f64 - previous.admitted as f64;
+        let arrived = (reported.arrived - previous.arrived) as f64;
+        let admitted = reported.admitted as f64 - previous.admitted as f64;
+        self.average_arrivals += arrived * averaging_weight(accrual_time);
+        self.charge(admitted, accrual_time);
         self.nodes.insert(from, reported);
     }
 
+    /// Takes the counts of a node as the base of its next report, without counting them.
+    fn skip(&mut self, now: Instant, from: NodeId, usage: &Usage) {
+        self.nodes.insert(from, NodeReport::new(now, usage));
+    }
+
+    /// Takes the tokens of requests that were admitted over `accrual_time`.
+    ///
+    /// Requests that are reported late used the tokens of their own time, also those that a full
+    /// bucket has discarded since.
+    fn charge(&mut self, admitted: f64, accrual_time: Duration) {
+        let covered = match accrual_time > FEEDBACK_DELAY {
+            true => admitted.min(self.discarded),
+            false => 0.0,
+        };
+        self.discarded -= covered;
+        self.tokens -= admitted - covered;
+    }
+
     /// Returns the arrivals per second. The average of a new state covers only a part of the
     /// averaging time and is scaled up accordingly.
     fn arrival_rate(&self) -> f64 {
@@ -260,6 +348,11 @@
         self.average_arrivals / (1.0 - (-age / ARRIVAL_AVERAGING_TIME.as_secs_f64()).exp())
     }
 
+    /// Returns `true` if nodes may exist that have not reported to this ledger yet.
+    fn is_settling(&self) -> bool {
+        self.updated.since(self.started) < SETTLING_TIME
+    }
+
     fn update_ratio(&mut self, reachable_share: f64, bounds: QuotaBounds) {
         let (rate, arrival_rate) = (self.rate(reachable_share), self.arrival_rate());
         let excess = (arrival_rate - rate).max(0.0);
@@ -270,7 +363,10 @@
         let allowed = rate + (self.tokens - floor) / BURST_RELEASE_TIME.as_secs_f64();
         let ratio = allowed.max(0.0) / arrival_rate.max(f64::MIN_POSITIVE);
         let elapsed = self.updated.since(self.decided).as_secs_f64();
-        let max_ratio = (self.ratio * MAX_RISE_PER_SEC.powf(elapsed)).max(MIN_RATIO_CAP);
+        let max_ratio = match self.updated.since(self.started) < UNLIMITED_RISE_TIME {
+            true => 1.0,
+            false => (self.ratio * MAX_RISE_PER_SEC.powf(elapsed)).max(MIN_RATIO_CAP),
+        };
         self.decided = self.updated;
         self.ratio = ratio.min(max_ratio).min(1.0);
         self.permille = (self.ratio * f64::from(AdmissionRatio::ALL)) as u16;
@@ -288,3 +384,14 @@
         !self.nodes.is_empty()
     }
 }
+
+/// Returns the effect of one request on the moving average of arrivals, in requests per second.
+///
+/// The request belongs to a report whose requests arrived evenly over `accrual_time`.
+fn averaging_weight(accrual_time: Duration) -> f64 {
+    let averaging_secs = ARRIVAL_AVERAGING_TIME.as_secs_f64();
+    match accrual_time.as_secs_f64() {
+        secs if secs <= averaging_secs => 1.0 / averaging_secs,
+        secs => (1.0 - (-secs / averaging_secs).exp()) / secs,
+    }
+}
--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -6,8 +6,8 @@
 use rand::Rng;
 
 use super::{AccountTag, AdmissionRatio, Quota, Usage};
-use crate::rate::RetryScheduler;
-use crate::{Instant, RateShare, Reason, Refusal};
+use crate::rate::{RetryScheduler, TokenBucket};
+use crate::{Instant, NodeId, Reason, Refusal};
 
 /// Maximum delay of a report to the ledger about an account that is not limited.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(300);
@@ -70,7 +70,7 @@
     epoch: u32,
     nodes: usize,
     accounts: HashMap<AccountTag, AccountCounts>,
-    /// Accounts whose counts have changed since their last report.
+    /// Accounts with counts that were not reported yet, or whose report was not answered.
     unreported: BTreeSet<AccountTag>,
 }
 
@@ -82,13 +82,19 @@
     arrived: u64,
     admitted: u64,
     reported: Reported,
-    /// Time of the earliest report that the ledger has not answered.
+    /// Time of the last request.
+    requested: Instant,
+    /// Node that the counts were last reported to.
+    ledger: Option<NodeId>,
+    /// Time of the earliest request since the last report.
+    unreported_since: Option<Instant>,
+    /// Time of the earliest request that was reported and not answered by the ledger.
     pending_since: Option<Instant>,
     /// Admission ratio from the ledger; `received` is the time at which it arrived.
     ratio: f64,
     received: Instant,
     /// Equal share of the quota, used while the ledger is unreachable.
-    fallback: RateShare,
+    fallback: Option<TokenBucket>,
     quota: Quota,
     nodes: usize,
     retry_scheduler: RetryScheduler,
@@ -139,9 +145,11 @@
         let (nodes, epoch) = (self.nodes, self.epoch);
         let counts = self.accounts.entry(account);
         let counts = counts.or_insert_with(|| AccountCounts::new(now, epoch, quota, nodes));
-        counts.set_split(now, quota, nodes);
+        counts.set_split(quota, nodes);
         let refused_late = timing == RequestTiming::Late && counts.is_limited(now);
         counts.arrived += u64::from(!refused_late);
+        counts.requested = now;
+        counts.unreported_since.get_or_insert(now);
         self.unreported.insert(account);
         match !refused_late && counts.try_admit(now, rng) {
             true => {
@@ -157,9 +165,10 @@
     }
 
     /// Removes an admitted request that did not run from the counts.
-    pub fn cancel_admission(&mut self, account: AccountTag) {
+    pub fn cancel_admission(&mut self, now: Instant, account: AccountTag) {
         if let Some(counts) = self.accounts.get_mut(&account) {
             counts.admitted = counts.admitted.saturating_sub(1);
+            counts.unreported_since.get_or_insert(now);
             self.unreported.insert(account);
         }
     }
@@ -174,31 +183,42 @@
             counts.or_insert_with(|| AccountCounts::new(now, epoch, Quota::default(), nodes));
         }
         if let Some(counts) = self.accounts.get_mut(&update.account) {
-            counts.ratio = update.ratio();
-            counts.received = now;
+            if update.permille != AdmissionRatio::UNCHANGED {
+                counts.ratio = update.ratio();
+                counts.received = now;
+            }
             counts.pending_since = None;
+            counts.fallback = None;
         }
     }
 
-    /// Returns the reports that are due to be sent to the ledgers.
-    pub fn due(&mut self, now: Instant) -> Vec<Usage> {
-        let limited_interval =
-            LIMITED_REPORT_INTERVAL * u32::try_from(self.nodes).unwrap_or(u32::MAX);
-        let (nodes, accounts) = (self.nodes, &mut self.accounts);
+    /// Returns the accounts whose counts have to be reported now, for the first time or again.
+    pub fn due(&mut self, now: Instant) -> Vec<AccountTag> {
+        let accounts = &mut self.accounts;
         let mut due = Vec::new();
         self.unreported.retain(|account| {
             let Some(counts) = accounts.get_mut(account) else {
                 return false;
             };
-            let keep = !counts.is_due(now, limited_interval, nodes);
-            if !keep {
-                due.push(counts.report(now, *account));
+            counts.abandon(now);
+            let is_open = counts.unreported_since.is_some() || counts.pending_since.is_some();
+            if is_open && counts.is_due(now) {
+                due.push(*account);
             }
-            keep
+            is_open
         });
         due
     }
 
+    /// Returns the report about an account to the node that runs its ledger, if the account has
+    /// counts.
+    ///
+    /// A node that takes the ledger over from another one is told only what the other one was not.
+    pub fn report(&mut self, now: Instant, account: AccountTag, ledger: NodeId) -> Option<Usage> {
+        let counts = self.accounts.get_mut(&account)?;
+        Some(counts.report(now, account, ledger))
+    }
+
     /// Removes accounts that have been idle for the retention time.
     pub fn sweep(&mut self, now: Instant) {
         let recent = |counts: &AccountCounts| {
@@ -237,10 +257,13 @@
                 admitted: 0,
                 sent: now,
             },
+            requested: now,
+            ledger: None,
+            unreported_since: None,
             pending_since: None,
             ratio: 1.0,
             received: now,
-            fallback: RateShare::new(now).with_rate(now, quota.rate, nodes),
+            fallback: None,
             quota,
             nodes,
             retry_scheduler: RetryScheduler::new(now),
@@ -248,48 +271,78 @@
     }
 
     /// Splits the fallback share again if the quota or the number of nodes has changed.
-    fn set_split(&mut self, now: Instant, quota: Quota, nodes: usize) {
+    fn set_split(&mut self, quota: Quota, nodes: usize) {
         if (self.quota, self.nodes) != (quota, nodes) {
             (self.quota, self.nodes) = (quota, nodes);
-            self.fallback.split(now, quota.rate, nodes);
+            self.fallback = None;
         }
     }
 
     fn try_admit<R: Rng + ?Sized>(&mut self, now: Instant, rng: &mut R) -> bool {
         match () {
-            () if self.is_ledger_unreachable(now) => self.fallback.take(now, rng).is_ok(),
+            () if self.is_ledger_unreachable(now) => self.take_fallback(now, rng),
             () if self.is_limited(now) => rng.random::<f64>() < self.ratio,
             () => true,
         }
     }
 
-    /// Returns `true` if the ledger has not answered within the timeout.
+    /// Takes a token of this node's equal share of the quota.
+    ///
+    /// The first tokens are rounded at random, so that the shares of all nodes add up to the quota
+    /// also if each is below one request. A limited account has used its burst already.
+    fn take_fallback<R: Rng + ?Sized>(&mut self, now: Instant, rng: &mut R) -> bool {
+        let (rate, burst) = (f64::from(self.quota.rate), f64::from(self.quota.burst));
+        let share = burst / self.nodes as f64;
+        let saved = if self.is_limited(now) { 0.0 } else { share };
+        let bucket = self.fallback.get_or_insert_with(|| {
+            let tokens = saved + rng.random::<f64>();
+            TokenBucket::new(now, rate / self.nodes as f64, share.max(1.0), tokens)
+        });
+        bucket.take(now)
+    }
+
+    /// Returns `true` if the ledger has not answered within the timeout, or if this node could not
+    /// send a report in time.
     fn is_ledger_unreachable(&self, now: Instant) -> bool {
-        let is_overdue = |sent| now.since(sent) >= LEDGER_TIMEOUT;
-        self.pending_since.is_some_and(is_overdue)
+        let is_overdue = |since| now.since(since) >= LEDGER_TIMEOUT;
+        let is_late = |since| now.since(since) >= LEDGER_TIMEOUT + limited_interval(self.nodes);
+        self.pending_since.is_some_and(is_overdue) || self.unreported_since.is_some_and(is_late)
     }
 
     fn is_limited(&self, now: Instant) -> bool {
         self.ratio < 1.0 && now.since(self.received) < LIMIT_TTL
     }
 
-    fn is_due(&self, now: Instant, limited_interval: Duration, nodes: usize) -> bool {
+    /// Stops repeating an unanswered report of an account that has become idle.
+    ///
+    /// The account may no longer have a quota, and then no ledger answers.
+    fn abandon(&mut self, now: Instant) {
+        if now.since(self.requested) >= LIMIT_TTL {
+            self.pending_since = None;
+        }
+    }
+
+    /// Returns `true` if the counts have to be reported now, for the first time or again.
+    fn is_due(&self, now: Instant) -> bool {
         let elapsed = now.since(self.reported.sent);
-        let has_low_rate = f64::from(self.quota.rate) <= LOW_RATE_PER_NODE * nodes as f64;
+        let has_low_rate = f64::from(self.quota.rate) <= LOW_RATE_PER_NODE * self.nodes as f64;
         match self.is_limited(now) {
-            true => elapsed >= limited_interval,
+            true => elapsed >= limited_interval(self.nodes),
             false if has_low_rate && self.arrived > self.reported.arrived => true,
             false => {
-                elapsed >= MAX_REPORT_DELAY
-                    || self.arrived - self.reported.arrived >= REPORT_THRESHOLD
+                let unreported = self.arrived.saturating_sub(self.reported.arrived);
+                elapsed >= MAX_REPORT_DELAY || unreported >= REPORT_THRESHOLD
             }
         }
     }
 
-    fn report(&mut self, now: Instant, account: AccountTag) -> Usage {
-        if self.is_ledger_unreachable(now) {
-            self.start_epoch();
+    fn report(&mut self, now: Instant, account: AccountTag, ledger: NodeId) -> Usage {
+        let since = self.unreported_since.unwrap_or(now);
+        let is_new = self.ledger.replace(ledger).is_some_and(|old| old != ledger);
+        if is_new || self.is_ledger_unreachable(now) {
+            self.start_epoch(since);
         }
+        self.unreported_since = None;
         self.reported = Reported {
             arrived: self.arrived,
             admitted: self.admitted,
@@ -305,13 +358,21 @@
         }
     }
 
-    /// Starts a new epoch without the counts that were reported and not answered. The equal shares
-    /// of all nodes already stay within the quota. If these counts were reported later, the ledger
-    /// would deduct them a second time.
-    fn start_epoch(&mut self) {
+    /// Starts a new epoch without the counts that were reported, of which the first was made at
+    /// `since`.
+    ///
+    /// A ledger that was told these counts has charged them. While no ledger can be reached, the
+    /// equal shares of all nodes already stay within the quota. If the counts were reported again,
+    /// a ledger would deduct them a second time.
+    fn start_epoch(&mut self, since: Instant) {
         self.epoch = self.epoch.wrapping_add(1);
-        self.started = self.reported.sent;
+        self.started = since;
         self.arrived = self.arrived.saturating_sub(self.reported.arrived);
         self.admitted = self.admitted.saturating_sub(self.reported.admitted);
     }
 }
+
+/// Returns the interval between the reports of a limited account.
+fn limited_interval(nodes: usize) -> Duration {
+    LIMITED_REPORT_INTERVAL * u32::try_from(nodes).unwrap_or(u32::MAX)
+}
--- a/crates/swiftcart-core/src/account/usage.rs
+++ b/crates/swiftcart-core/src/account/usage.rs
@@ -54,6 +54,10 @@
     /// Value of `permille` at which all requests are admitted.
     pub const ALL: u16 = 1000;
 
+    /// Value of `permille` with which a ledger that has started lately confirms a report without a
+    /// decision. Earlier releases admit all requests.
+    pub const UNCHANGED: u16 = u16::MAX;
+
     /// Returns the ratio as a number from 0 to 1.
     #[must_use]
     pub fn ratio(&self) -> f64 {
--- a/crates/swiftcart-core/tests/quota.rs
+++ b/crates/swiftcart-core/tests/quota.rs
@@ -4,6 +4,7 @@
 #[path = "support/quota.rs"]
 mod quota;
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use quota::{Load, bound, simulate};
@@ -11,7 +12,7 @@
 use rand::rngs::SmallRng;
 use rstest::rstest;
 use swiftcart_core::{
-    AccountTag, AdmissionRatio, Instant, Quota, QuotaMeter, Reason, RequestTiming,
+    AccountTag, AdmissionRatio, Instant, NodeId, Quota, QuotaMeter, Reason, RequestTiming,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -27,6 +28,12 @@
 #[case::network_partition(Load { partition: Some((5 * SECOND, 8 * SECOND)), ..Load::new(69, 160, 800.0) })]
 #[case::ledger_killed(Load { killed: Some((6 * SECOND, 0)), ..Load::new(69, 160, 800.0) })]
 #[case::all_nodes_killed(Load { killed: Some((6 * SECOND, 68)), ..Load::new(69, 160, 800.0) })]
+#[case::small_account_partitioned(Load { partition: Some((5 * SECOND, 6 * SECOND)), ..Load::new(69, 10, 50.0) })]
+#[case::herd(Load { killed: Some((6 * SECOND, 68)), returning: Some((6 * SECOND, 800)), ..Load::new(69, 160, 800.0) })]
+#[case::ledger_moved_for_a_while(Load { moved: Some((6 * SECOND, 6 * SECOND)), ..Load::new(69, 160, 800.0) })]
+#[case::ledger_of_small_account_moved(Load { moved: Some((6 * SECOND, 6 * SECOND)), ..Load::new(69, 10, 50.0) })]
+#[case::reports_stalled(Load { stalled: Some((6 * SECOND, 3 * SECOND)), ..Load::new(69, 160, 800.0) })]
+#[case::ledger_frozen(Load { frozen: Some((6 * SECOND, 4 * SECOND)), ..Load::new(69, 160, 800.0) })]
 #[case::quota_lowered(Load { lowered: Some((6 * SECOND, Quota { rate: 20, burst: 20 })), ..Load::new(69, 160, 100.0) })]
 fn mesh_total_stays_within_quota_and_tolerance(
     #[case] load: Load,
@@ -68,6 +75,15 @@
 #[case::lossy(Load { loss: 0.1, ..Load::new(69, 160, 100.0) })]
 #[case::ledger_killed(Load { killed: Some((6 * SECOND, 0)), ..Load::new(69, 160, 100.0) })]
 #[case::all_nodes_restarted(Load { killed: Some((6 * SECOND, 68)), ..Load::new(69, 160, 100.0) })]
+#[case::partition(Load { partition: Some((5 * SECOND, 6 * SECOND)), ..Load::new(69, 160, 100.0) })]
+#[case::partition_close_to_quota(Load { partition: Some((5 * SECOND, 6 * SECOND)), ..Load::new(69, 160, 140.0) })]
+#[case::partition_of_small_account(Load { partition: Some((5 * SECOND, 6 * SECOND)), ..Load::new(69, 10, 6.0) })]
+#[case::herd(Load { killed: Some((6 * SECOND, 68)), returning: Some((6 * SECOND, 100)), ..Load::new(69, 160, 100.0) })]
+#[case::ledger_moved_for_a_while(Load { moved: Some((6 * SECOND, 6 * SECOND)), ..Load::new(69, 160, 100.0) })]
+#[case::ledger_of_small_account_moved(Load { moved: Some((6 * SECOND, 6 * SECOND)), ..Load::new(69, 10, 6.0) })]
+#[case::reports_stalled(Load { stalled: Some((6 * SECOND, 6 * SECOND)), ..Load::new(69, 160, 100.0) })]
+#[case::ledger_frozen(Load { frozen: Some((6 * SECOND, 4 * SECOND)), ..Load::new(69, 160, 100.0) })]
+#[case::ledger_of_account_close_to_quota_frozen(Load { frozen: Some((6 * SECOND, 4 * SECOND)), ..Load::new(69, 160, 140.0) })]
 fn account_below_its_quota_is_not_limited(
     #[case] load: Load,
     #[values(1, 2, 3, 4, 5, 6)] seed: u64,
@@ -79,6 +95,8 @@
 
 const ACCOUNT: AccountTag = AccountTag(7);
 
+const LEDGER: NodeId = NodeId(SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7600));
+
 /// Sends a request every 10 ms for 10 s to a meter whose reports no ledger answers. Returns the
 /// number of admitted requests.
 fn admitted_without_ledger(meter: &mut QuotaMeter, quota: Quota) -> usize {
@@ -86,7 +104,9 @@
     let times = (0..10_000).step_by(10).map(Instant::from_millis);
     let admitted = times.filter(|now| {
         let result = meter.admit(*now, ACCOUNT, quota, RequestTiming::InTime, &mut rng);
-        meter.due(*now);
+        for account in meter.due(*now) {
+            meter.report(*now, account, LEDGER);
+        }
         result.is_ok()
     });
     admitted.count()
--- a/crates/swiftcart-core/tests/support/quota.rs
+++ b/crates/swiftcart-core/tests/support/quota.rs
@@ -20,6 +20,12 @@
 
 const STEP: Duration = Duration::from_millis(10);
 
+/// Time over which callers return from an outage.
+const RETURN_TIME: Duration = Duration::from_millis(500);
+
+/// Maximum difference between the times at which nodes notice a change of the membership.
+const MAX_VIEW_LAG: Duration = Duration::from_millis(700);
+
 /// Size and load of the mesh, and the faults injected into it.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
@@ -38,6 +44,16 @@
     pub killed: Option<(Duration, usize)>,
     /// Time at which the quota is lowered, and the lower quota.
     pub lowered: Option<(Duration, Quota)>,
+    /// Time at which callers return from an outage, and their number.
+    pub returning: Option<(Duration, usize)>,
+    /// Time at which another node becomes the ledger of the account, and the duration.
+    pub moved: Option<(Duration, Duration)>,
+    /// Start and duration of a stall in which the control loops of a third of the nodes send and
+    /// receive nothing, while the nodes still serve requests.
+    pub stalled: Option<(Duration, Duration)>,
+    /// Start and duration of a stall of the ledger's node. The other nodes replace it after 2 s,
+    /// and it takes the ledger back 0.3 s after the stall.
+    pub frozen: Option<(Duration, Duration)>,
 }
 
 impl Load {
@@ -51,6 +67,10 @@
             partition: None,
             killed: None,
             lowered: None,
+            returning: None,
+            moved: None,
+            stalled: None,
+            frozen: None,
         }
     }
 }
@@ -148,7 +168,13 @@
     }
 
     fn send_requests(&mut self, at: Duration) {
-        let mean = self.load.requests * STEP.as_secs_f64();
+        let returning = match self.load.returning {
+            Some((from, number)) if (from..from + RETURN_TIME).contains(&at) => {
+                number as f64 / RETURN_TIME.as_secs_f64()
+            }
+            _ => 0.0,
+        };
+        let mean = (self.load.requests + returning) * STEP.as_secs_f64();
         let number = mean as usize + usize::from(self.rng.random::<f64>() < mean.fract());
         for _ in 0..number {
             let node = match self.rng.random::<f64>() < self.load.skew {
@@ -172,9 +198,17 @@
 
     fn send_reports(&mut self, now: Instant) {
         for node in 0..self.load.nodes {
-            let list = self.meters[node].due(now);
+            if self.is_stalled(node, now) {
+                continue;
+            }
+            let ledger = self.ledger_of(node, now);
+            let meter = &mut self.meters[node];
+            let due = meter.due(now).into_iter();
+            let list: Vec<Usage> = due
+                .filter_map(|account| meter.report(now, account, node_id(ledger)))
+                .collect();
             if !list.is_empty() {
-                self.send(now, node, self.ledger_of(node, now), Message::Usage(list));
+                self.send(now, node, ledger, Message::Usage(list));
             }
             let due = self.ledgers[node].limit_updates(now);
             if due.is_empty() {
@@ -190,13 +224,29 @@
     /// nodes behind the partition then have a ledger of their own.
     fn ledger_of(&self, node: usize, now: Instant) -> usize {
         let first = self.load.nodes / 3;
-        match self.load.partition {
-            Some((at, lasts)) => {
-                let detected = at + Duration::from_secs(2)..at + lasts;
-                let separated = detected.contains(&now.elapsed()) && node >= first;
-                if separated { first } else { 0 }
-            }
-            None => 0,
+        let lag = MAX_VIEW_LAG.mul_f64(node as f64 / self.load.nodes as f64);
+        let at = now.elapsed().saturating_sub(lag);
+        let detected =
+            |(start, lasts)| (start + Duration::from_secs(2)..start + lasts).contains(&at);
+        let separated = self.load.partition.is_some_and(detected) && node >= first;
+        let moved = |(start, lasts)| (start..start + lasts).contains(&at);
+        let replaced = |(start, lasts)| {
+            let back = start + lasts + Duration::from_millis(300);
+            node > 0 && (start + Duration::from_secs(2)..back).contains(&at)
+        };
+        match self.load.moved.is_some_and(moved) || self.load.frozen.is_some_and(replaced) {
+            true => first + 1,
+            false if separated => first,
+            false => 0,
+        }
+    }
+
+    /// Returns `true` if the control loop of `node` is stalled.
+    fn is_stalled(&self, node: usize, now: Instant) -> bool {
+        let stalled = |(start, lasts)| (start..start + lasts).contains(&now.elapsed());
+        match node {
+            0 => self.load.frozen.is_some_and(stalled),
+            node => self.load.stalled.is_some_and(stalled) && node.is_multiple_of(3),
         }
     }
 
@@ -220,10 +270,10 @@
 
     fn deliver(&mut self, now: Instant) {
         let quota = self.quota(now.elapsed());
-        let (due, later): (VecDeque<_>, _) = self
-            .in_flight
-            .drain(..)
-            .partition(|envelope| envelope.due <= now);
+        let in_flight = std::mem::take(&mut self.in_flight);
+        let (due, later): (VecDeque<_>, _) = in_flight
+            .into_iter()
+            .partition(|envelope| envelope.due <= now && !self.is_stalled(envelope.to, now));
         self.in_flight = later;
         for envelope in due {
             match envelope.message {
@@ -237,6 +287,8 @@
                     let answers = answers.collect();
                     self.send(now, envelope.to, envelope.from, Message::Admit(answers));
                 }
+                // Other nodes than the account's ledger do not count this node's requests.
+                Message::Admit(_) if envelope.from != self.ledger_of(envelope.to, now) => {}
                 Message::Admit(list) => {
                     for admittance in list {
                         self.meters[envelope.to].receive(now, admittance);
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -33,7 +33,8 @@
     pub(super) fn settle<T>(self, result: &Result<T, FailedAttempt>) {
         match result {
             Err(failed) if failed.refusal.reason.outcome() == Outcome::NotRun => {
-                self.shared.quotas.cancel_admission(&self.account);
+                let now = self.shared.clock.now();
+                self.shared.quotas.cancel_admission(now, &self.account);
             }
             _ => {}
         }
--- a/crates/swiftcart-node/src/control/quotas.rs
+++ b/crates/swiftcart-node/src/control/quotas.rs
@@ -7,7 +7,7 @@
 use slog::info;
 use swiftcart_core::{
     AccountTag, AdmissionRatio, Datagram, Instant, MAX_USAGE_ENTRIES, NodeId, QuotaBounds,
-    QuotaLedger, QuotaMessage, Usage, rank,
+    QuotaLedger, QuotaMessage, QuotaMeter, Usage, rank,
 };
 
 use super::control_loop::Control;
@@ -58,7 +58,7 @@
         }
         self.refresh_ledger_nodes(now);
         let due = self.shared.quotas.with(|meter| meter.due(now));
-        self.send_usage(now, due);
+        self.send_usage(now, &due);
         if now >= self.accounting.next_round {
             self.accounting.next_round = now + LEDGER_INTERVAL;
             self.broadcast_limits(now);
@@ -79,20 +79,22 @@
                     self.net.send(from, &Datagram::Quotas(message));
                 }
             }
-            QuotaMessage::Admit(list) => self.apply_ratios(now, list),
+            QuotaMessage::Admit(list) => self.apply_ratios(now, from, list),
         }
     }
 
-    fn send_usage(&mut self, now: Instant, due: Vec<Usage>) {
+    fn send_usage(&mut self, now: Instant, due: &[AccountTag]) {
         let mut by_node: BTreeMap<NodeId, Vec<Usage>> = BTreeMap::new();
-        for usage in due {
-            let node = self.ledger_node(usage.account);
-            by_node.entry(node).or_default().push(usage);
+        for account in due {
+            let node = self.ledger_node(*account);
+            let report = |meter: &mut QuotaMeter| meter.report(now, *account, node);
+            let usage = self.shared.quotas.with(report);
+            by_node.entry(node).or_default().extend(usage);
         }
         for (node, list) in by_node {
             if node == self.shared.id {
                 let answers = self.record_usage(now, node, &list);
-                self.apply_ratios(now, &answers);
+                self.apply_ratios(now, node, &answers);
                 continue;
             }
             for chunk in list.chunks(MAX_USAGE_ENTRIES) {
@@ -113,21 +115,27 @@
         limited.collect()
     }
 
-    fn apply_ratios(&self, now: Instant, list: &[AdmissionRatio]) {
-        self.shared.quotas.with(|meter| {
-            for ratio in list {
-                meter.receive(now, *ratio);
+    /// Applies the ratios of accounts whose ledger runs on `from`.
+    ///
+    /// Other ratios are ignored: while a partition heals, the ledger of the other side knows only a
+    /// part of the arrivals.
+    fn apply_ratios(&mut self, now: Instant, from: NodeId, list: &[AdmissionRatio]) {
+        for ratio in list {
+            if self.ledger_node(ratio.account) == from {
+                self.shared.quotas.with(|meter| meter.receive(now, *ratio));
             }
-        });
+        }
     }
 
     fn broadcast_limits(&mut self, now: Instant) {
-        let due = self.accounting.ledger.limit_updates(now);
+        let mut due = self.accounting.ledger.limit_updates(now);
+        // The ledger of an account may have moved to another node.
+        due.retain(|ratio| self.ledger_node(ratio.account) == self.shared.id);
         if due.is_empty() {
             return;
         }
-        self.apply_ratios(now, &due);
         let me = self.shared.id;
+        self.apply_ratios(now, me, &due);
         let others = self.membership.members().map(|member| member.id);
         let others: Vec<NodeId> = others
             .filter(|id| *id != me && self.membership.routable(*id))
--- a/crates/swiftcart-node/src/quotas.rs
+++ b/crates/swiftcart-node/src/quotas.rs
@@ -43,9 +43,9 @@
     }
 
     /// Returns the quota that an admitted request used, since the request did not run.
-    pub fn cancel_admission(&self, account: &ResolvedAccount) {
+    pub fn cancel_admission(&self, now: Instant, account: &ResolvedAccount) {
         if account.quota.is_some() {
-            self.with(|meter| meter.cancel_admission(account.tag));
+            self.with(|meter| meter.cancel_admission(now, account.tag));
         }
     }
 
