Give an account's quota to its most urgent requests, and count returning callers once

Cause: which requests of an account over its quota were admitted was drawn by lot. A request that was admitted and found no room was given back to the balance, but not to the arrivals, so that callers who returned to a full service looked like an account over its quota. The retry delay assumed an equal share of the quota at each node. Change: a node keeps decayed counts of an account's requests by the route's priority and admits the most urgent ones, so that the admitted share stays the ledger's ratio. A cancelled admission is taken from both counts; the age of the epoch orders the reports. The retry delay follows what the node admits. Only where the settings decide about overload; otherwise all requests have one rank, which is the lot as before. Conclusion: the quota serves what is urgent, and a full service costs no quota.

--- a/crates/swiftcart-core/src/account.rs
+++ b/crates/swiftcart-core/src/account.rs
@@ -9,6 +9,7 @@
 mod key;
 mod ledger;
 mod meter;
+mod rank_counts;
 mod share;
 mod usage;
 
--- a/crates/swiftcart-core/src/account/ledger.rs
+++ b/crates/swiftcart-core/src/account/ledger.rs
@@ -151,6 +151,8 @@
     epoch: u32,
     arrived: u64,
     admitted: u64,
+    /// Age of the epoch at the node, which orders its reports.
+    counted_ms: u32,
     updated: Instant,
 }
 
@@ -160,6 +162,7 @@
             epoch: usage.epoch,
             arrived: usage.arrived,
             admitted: usage.admitted,
+            counted_ms: usage.counted_ms,
             updated: now,
         }
     }
@@ -309,12 +312,14 @@
             }
             _ => (reported, Duration::ZERO),
         };
-        if reported.arrived < previous.arrived {
+        if reported.counted_ms < previous.counted_ms {
             return;
         }
-        let arrived = (reported.arrived - previous.arrived) as f64;
+        // Both counts decrease when requests that were admitted have not run.
+        let arrived = reported.arrived as f64 - previous.arrived as f64;
         let admitted = reported.admitted as f64 - previous.admitted as f64;
-        self.average_arrivals += arrived * averaging_weight(accrual_time);
+        let average = self.average_arrivals + arrived * averaging_weight(accrual_time);
+        self.average_arrivals = average.max(0.0);
         self.charge(admitted, accrual_time);
         self.nodes.insert(from, reported);
     }
--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -5,9 +5,10 @@
 
 use rand::Rng;
 
+use super::rank_counts::RankCounts;
 use super::{AccountTag, AdmissionRatio, Quota, Usage};
 use crate::rate::{RetryScheduler, TokenBucket};
-use crate::{Instant, NodeId, Reason, Refusal};
+use crate::{Instant, NodeId, Priority, Reason, Refusal};
 
 /// Maximum delay of a report to the ledger about an account that is not limited.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(300);
@@ -44,6 +45,33 @@
     Late,
 }
 
+/// Attributes of a request that decide about its admission by a quota.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct QuotaRequest {
+    /// Priority among the requests of the same account.
+    pub priority: Priority,
+    /// Prospect of an answer in time.
+    pub timing: RequestTiming,
+}
+
+impl QuotaRequest {
+    /// Creates the attributes of a request that can still be answered in time.
+    #[must_use]
+    pub const fn new(priority: Priority) -> Self {
+        Self {
+            priority,
+            timing: RequestTiming::InTime,
+        }
+    }
+
+    /// Sets the prospect of an answer in time.
+    #[must_use]
+    pub const fn with_timing(mut self, timing: RequestTiming) -> Self {
+        self.timing = timing;
+        self
+    }
+}
+
 /// Admission control by account quotas for the requests that one node receives from callers.
 ///
 /// A node admits requests before the ledger has counted them, so that no request waits for a
@@ -51,19 +79,22 @@
 /// deducts the excess from later admissions. While the ledger is unreachable, every node admits an
 /// equal share of the quota.
 ///
+/// The quota of a limited account goes to its most urgent requests first. A node that has counted
+/// few requests draws by lot.
+///
 /// # Examples
 ///
 /// ```
 /// use rand::{SeedableRng, rngs::SmallRng};
-/// use swiftcart_core::{AccountTag, AdmissionRatio, Instant, Quota, QuotaMeter, RequestTiming};
+/// use swiftcart_core::{AccountTag, AdmissionRatio, Instant, Quota, QuotaMeter, QuotaRequest};
 ///
 /// let (now, account) = (Instant::from_millis(0), AccountTag(7));
 /// let quota = Quota { rate: 10, burst: 10 };
 /// let mut rng = SmallRng::seed_from_u64(1);
 /// let mut meter = QuotaMeter::new(1);
-/// assert!(meter.admit(now, account, quota, RequestTiming::InTime, &mut rng).is_ok());
+/// assert!(meter.admit(now, account, quota, QuotaRequest::default(), &mut rng).is_ok());
 /// meter.receive(now, AdmissionRatio { account, permille: 0 });
-/// assert!(meter.admit(now, account, quota, RequestTiming::InTime, &mut rng).is_err());
+/// assert!(meter.admit(now, account, quota, QuotaRequest::default(), &mut rng).is_err());
 /// ```
 #[derive(Debug, Clone)]
 pub struct QuotaMeter {
@@ -98,6 +129,7 @@
     quota: Quota,
     nodes: usize,
     retry_scheduler: RetryScheduler,
+    ranks: RankCounts,
 }
 
 /// Counts in the last report, and its time.
@@ -139,25 +171,29 @@
         now: Instant,
         account: AccountTag,
         quota: Quota,
-        timing: RequestTiming,
+        request: QuotaRequest,
         rng: &mut R,
     ) -> Result<(), Refusal> {
         let (nodes, epoch) = (self.nodes, self.epoch);
         let counts = self.accounts.entry(account);
         let counts = counts.or_insert_with(|| AccountCounts::new(now, epoch, quota, nodes));
         counts.set_split(quota, nodes);
-        let refused_late = timing == RequestTiming::Late && counts.is_limited(now);
+        let refused_late = request.timing == RequestTiming::Late && counts.is_limited(now);
         counts.arrived += u64::from(!refused_late);
         counts.requested = now;
         counts.unreported_since.get_or_insert(now);
         self.unreported.insert(account);
-        match !refused_late && counts.try_admit(now, rng) {
+        let admitted = !refused_late && counts.try_admit(now, request.priority, rng);
+        if !refused_late {
+            counts.ranks.record(now, request.priority);
+        }
+        match admitted {
             true => {
                 counts.admitted += 1;
                 Ok(())
             }
             false => {
-                let rate = f64::from(quota.rate) / nodes as f64;
+                let rate = counts.admitted_rate(now);
                 let retry_after = counts.retry_scheduler.next(now, Duration::ZERO, rate, rng);
                 Err(Refusal::new(Reason::OverQuota).with_retry(retry_after))
             }
@@ -165,8 +201,11 @@
     }
 
     /// Removes an admitted request that did not run from the counts.
+    ///
+    /// Its caller comes back and is counted then.
     pub fn cancel_admission(&mut self, now: Instant, account: AccountTag) {
         if let Some(counts) = self.accounts.get_mut(&account) {
+            counts.arrived = counts.arrived.saturating_sub(1);
             counts.admitted = counts.admitted.saturating_sub(1);
             counts.unreported_since.get_or_insert(now);
             self.unreported.insert(account);
@@ -267,6 +306,7 @@
             quota,
             nodes,
             retry_scheduler: RetryScheduler::new(now),
+            ranks: RankCounts::new(now),
         }
     }
 
@@ -278,16 +318,33 @@
         }
     }
 
-    fn try_admit<R: Rng + ?Sized>(&mut self, now: Instant, rng: &mut R) -> bool {
+    fn try_admit<R: Rng + ?Sized>(
+        &mut self,
+        now: Instant,
+        priority: Priority,
+        rng: &mut R,
+    ) -> bool {
         match () {
             // The ledger gives the part of a node that reports nothing to the others.
             () if self.is_report_late(now) && self.ratio < 1.0 => false,
             () if self.is_ledger_unreachable(now) => self.take_fallback(now, rng),
-            () if self.is_limited(now) => rng.random::<f64>() < self.ratio,
+            () if self.is_limited(now) => {
+                rng.random::<f64>() < self.ranks.admitted_share(priority, self.ratio)
+            }
             () => true,
         }
     }
 
+    /// Returns the requests per second that this node admits of a limited account: its equal share
+    /// of the quota, or what the ratio has left it lately.
+    fn admitted_rate(&self, now: Instant) -> f64 {
+        let share = f64::from(self.quota.rate) / self.nodes as f64;
+        match self.is_limited(now) {
+            true => share.max(self.ratio * self.ranks.rate()),
+            false => share,
+        }
+    }
+
     /// Takes a token of this node's equal share of the quota.
     ///
     /// The first tokens are rounded at random, so that the shares of all nodes add up to the quota
--- a/crates/swiftcart-core/tests/quota.rs
+++ b/crates/swiftcart-core/tests/quota.rs
@@ -12,7 +12,8 @@
 use rand::rngs::SmallRng;
 use rstest::rstest;
 use swiftcart_core::{
-    AccountTag, AdmissionRatio, Instant, NodeId, Quota, QuotaMeter, Reason, RequestTiming,
+    AccountTag, AdmissionRatio, Instant, NodeId, Priority, Quota, QuotaMeter, QuotaRequest, Reason,
+    RequestTiming,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -34,6 +35,7 @@
 #[case::ledger_of_small_account_moved(Load { moved: Some((6 * SECOND, 6 * SECOND)), ..Load::new(69, 10, 50.0) })]
 #[case::reports_stalled(Load { stalled: Some((6 * SECOND, 6 * SECOND)), ..Load::new(69, 160, 800.0) })]
 #[case::ledger_frozen(Load { frozen: Some((6 * SECOND, 4 * SECOND)), ..Load::new(69, 160, 800.0) })]
+#[case::room_returns_to_full_service(Load { unserved: Some((0.85, 8 * SECOND)), ..Load::new(69, 160, 640.0) })]
 #[case::quota_lowered(Load { lowered: Some((6 * SECOND, Quota { rate: 20, burst: 20 })), ..Load::new(69, 160, 100.0) })]
 fn mesh_total_stays_within_quota_and_tolerance(
     #[case] load: Load,
@@ -83,13 +85,15 @@
 #[case::ledger_of_small_account_moved(Load { moved: Some((6 * SECOND, 6 * SECOND)), ..Load::new(69, 10, 6.0) })]
 #[case::reports_stalled(Load { stalled: Some((6 * SECOND, 6 * SECOND)), ..Load::new(69, 160, 100.0) })]
 #[case::ledger_frozen(Load { frozen: Some((6 * SECOND, 4 * SECOND)), ..Load::new(69, 160, 100.0) })]
+#[case::callers_return_to_full_service(Load { unserved: Some((0.85, TIME)), ..Load::new(69, 160, 640.0) })]
 #[case::ledger_of_account_close_to_quota_frozen(Load { frozen: Some((6 * SECOND, 4 * SECOND)), ..Load::new(69, 160, 140.0) })]
 fn account_below_its_quota_is_not_limited(
     #[case] load: Load,
     #[values(1, 2, 3, 4, 5, 6)] seed: u64,
 ) {
     let outcome = simulate(load, TIME, seed);
-    let served = outcome.admitted.len() as f64 / outcome.requests as f64;
+    let admitted = outcome.admitted.len() + outcome.unserved;
+    let served = admitted as f64 / outcome.requests as f64;
     assert!(served >= 0.98, "admitted only {served:.3} of the requests");
 }
 
@@ -103,7 +107,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let times = (0..10_000).step_by(10).map(Instant::from_millis);
     let admitted = times.filter(|now| {
-        let result = meter.admit(*now, ACCOUNT, quota, RequestTiming::InTime, &mut rng);
+        let result = meter.admit(*now, ACCOUNT, quota, QuotaRequest::default(), &mut rng);
         for account in meter.due(*now) {
             meter.report(*now, account, LEDGER);
         }
@@ -134,7 +138,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut meter = QuotaMeter::new(1);
     let start = Instant::from_millis(0);
-    let first = meter.admit(start, ACCOUNT, quota, RequestTiming::InTime, &mut rng);
+    let first = meter.admit(start, ACCOUNT, quota, QuotaRequest::default(), &mut rng);
     assert!(first.is_ok());
     meter.set_nodes(10);
     let admitted = admitted_without_ledger(&mut meter, quota);
@@ -161,7 +165,7 @@
 fn refused_callers_get_increasing_retry_delays() {
     let (mut meter, mut rng) = (meter_with_ratio(0), SmallRng::seed_from_u64(1));
     let now = Instant::from_millis(0);
-    let mut admit = || meter.admit(now, ACCOUNT, QUOTA, RequestTiming::InTime, &mut rng);
+    let mut admit = || meter.admit(now, ACCOUNT, QUOTA, QuotaRequest::default(), &mut rng);
     let (first, second) = (admit().unwrap_err(), admit().unwrap_err());
     assert_eq!(first.reason, Reason::OverQuota);
     assert!(first.retry_after < second.retry_after);
@@ -173,7 +177,42 @@
 fn late_request_is_admitted_only_without_limit(#[case] permille: u16, #[case] expected: bool) {
     let (mut meter, mut rng) = (meter_with_ratio(permille), SmallRng::seed_from_u64(1));
     let now = Instant::from_millis(0);
-    let mut admit = |timing| meter.admit(now, ACCOUNT, QUOTA, timing, &mut rng).is_ok();
+    let mut admit = |timing| {
+        let request = QuotaRequest::default().with_timing(timing);
+        meter.admit(now, ACCOUNT, QUOTA, request, &mut rng).is_ok()
+    };
     assert_eq!(admit(RequestTiming::Late), expected);
     assert!(admit(RequestTiming::InTime));
 }
+
+#[rstest]
+#[case::first_rank_fits(3, [0, 1, 2], [1.0, 0.0, 0.0])]
+#[case::second_rank_fits_in_part(2, [0, 1, 2], [1.0, 0.5, 0.0])]
+#[case::one_rank_is_drawn_by_lot(2, [0, 0, 0], [0.5, 0.5, 0.5])]
+fn quota_goes_to_the_most_urgent_requests(
+    #[case] excess: u16,
+    #[case] priorities: [u8; 3],
+    #[case] expected: [f64; 3],
+) {
+    let (account, permille) = (ACCOUNT, AdmissionRatio::ALL / excess);
+    let mut meter = QuotaMeter::new(1);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut admitted = [0_u32; 3];
+    for (at, class) in (0..4_800).map(|at| (at, at as usize % 3)) {
+        let now = Instant::from_millis(at);
+        meter.report(now, account, LEDGER);
+        meter.receive(now, AdmissionRatio { account, permille });
+        let request = QuotaRequest::new(Priority(priorities[class]));
+        let result = meter.admit(now, ACCOUNT, QUOTA, request, &mut rng);
+        admitted[class] += u32::from(result.is_ok());
+    }
+    let total = f64::from(admitted.iter().sum::<u32>()) / 4_800.0;
+    assert!(
+        (total * f64::from(excess) - 1.0).abs() < 0.05,
+        "{admitted:?}"
+    );
+    for (admitted, expected) in admitted.iter().zip(expected) {
+        let share = f64::from(*admitted) / 1_600.0;
+        assert!((share - expected).abs() < 0.1, "{share} of {expected}");
+    }
+}
--- a/crates/swiftcart-core/tests/support/quota.rs
+++ b/crates/swiftcart-core/tests/support/quota.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use swiftcart_core::{
     AccountTag, AdmissionRatio, Instant, NodeId, Quota, QuotaBounds, QuotaLedger, QuotaMeter,
-    RequestTiming, Usage,
+    QuotaRequest, Usage,
 };
 
 pub const ACCOUNT: AccountTag = AccountTag(7);
@@ -23,6 +23,9 @@
 /// Time over which callers return from an outage.
 const RETURN_TIME: Duration = Duration::from_millis(500);
 
+/// Time for which a request waits for room.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
 /// Maximum difference between the times at which nodes notice a change of the membership.
 const MAX_VIEW_LAG: Duration = Duration::from_millis(700);
 
@@ -54,6 +57,9 @@
     /// Start and duration of a stall of the ledger's node. The other nodes replace it after 2 s,
     /// and it takes the ledger back 0.3 s after the stall.
     pub frozen: Option<(Duration, Duration)>,
+    /// Share of the admitted requests that find no room and do not run, and the time at which there
+    /// is room for all.
+    pub unserved: Option<(f64, Duration)>,
 }
 
 impl Load {
@@ -71,6 +77,7 @@
             moved: None,
             stalled: None,
             frozen: None,
+            unserved: None,
         }
     }
 }
@@ -80,6 +87,7 @@
 pub struct Outcome {
     pub requests: usize,
     pub admitted: Vec<Duration>,
+    pub unserved: usize,
     pub messages: usize,
 }
 
@@ -121,6 +129,8 @@
     meters: Vec<QuotaMeter>,
     ledgers: Vec<QuotaLedger>,
     in_flight: VecDeque<Envelope>,
+    /// Nodes of the requests that wait for room in vain, and the time at which they are refused.
+    waiting: VecDeque<(Duration, usize)>,
     outcome: Outcome,
 }
 
@@ -139,6 +149,7 @@
         meters,
         ledgers: vec![QuotaLedger::new(BOUNDS); load.nodes],
         in_flight: VecDeque::new(),
+        waiting: VecDeque::new(),
         outcome: Outcome::default(),
     };
     let mut at = Duration::ZERO;
@@ -155,6 +166,7 @@
         self.kill_nodes(at);
         self.deliver(now);
         self.send_requests(at);
+        self.refuse_waiting(at);
         if at.as_millis().is_multiple_of(50) {
             self.send_reports(now);
         }
@@ -186,16 +198,29 @@
                 Instant::new(at),
                 ACCOUNT,
                 quota,
-                RequestTiming::InTime,
+                QuotaRequest::default(),
                 &mut self.rng,
             );
             self.outcome.requests += 1;
-            if result.is_ok() {
-                self.outcome.admitted.push(at);
+            let unserved = self.load.unserved.filter(|(_, until)| at < *until);
+            let is_unserved = unserved.is_some_and(|(share, _)| self.rng.random::<f64>() < share);
+            match result {
+                Ok(()) if is_unserved => self.waiting.push_back((at + MAX_WAIT, node)),
+                Ok(()) => self.outcome.admitted.push(at),
+                Err(_) => {}
             }
         }
     }
 
+    /// Cancels the requests that have waited for room in vain.
+    fn refuse_waiting(&mut self, at: Duration) {
+        let due = self.waiting.partition_point(|(due, _)| *due <= at);
+        for (_, node) in self.waiting.drain(..due) {
+            self.meters[node].cancel_admission(Instant::new(at), ACCOUNT);
+            self.outcome.unserved += 1;
+        }
+    }
+
     fn send_reports(&mut self, now: Instant) {
         for node in 0..self.load.nodes {
             if self.is_stalled(node, now) {
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -7,7 +7,8 @@
 use http::{HeaderMap, HeaderValue};
 use slog::info;
 use swiftcart_core::{
-    Access, Accounts, KeyHash, Outcome, QuotaMeter, Reason, Refusal, ResolvedAccount,
+    Access, Accounts, KeyHash, Outcome, Priority, QuotaMeter, QuotaRequest, Reason, Refusal,
+    ResolvedAccount,
 };
 
 use super::log::ms;
@@ -96,12 +97,12 @@
         let Some(account) = account else {
             return Ok(None);
         };
+        let request = self.quota_request(call);
         if let Some(priority) = account.priority {
             call.set_priority(priority);
         }
         let now = self.shared.clock.now();
-        let timing = call.timing(self.balancer().mean_pace());
-        let charged = self.shared.quotas.admit(now, &account, timing);
+        let charged = self.shared.quotas.admit(now, &account, request);
         charged.inspect_err(|refusal| self.log_quota(call, &account, *refusal))?;
         Ok(Some(QuotaCharge {
             shared: &self.shared,
@@ -111,6 +112,18 @@
 }
 
 impl Ingress {
+    /// Returns the attributes of a request for the quota of its account.
+    ///
+    /// The route's priority orders the requests of one account, also if the account's own priority
+    /// overrides it among the requests of all.
+    fn quota_request(&self, call: &Call) -> QuotaRequest {
+        let priority = match call.terms {
+            Some(terms) if self.decides_overload() => terms.priority,
+            _ => Priority::default(),
+        };
+        QuotaRequest::new(priority).with_timing(call.timing(self.balancer().mean_pace()))
+    }
+
     /// Logs a request that exceeds a quota, with the values behind the decision.
     fn log_quota(&self, call: &Call, account: &ResolvedAccount, refusal: Refusal) {
         let now = self.shared.clock.now();
--- a/crates/swiftcart-node/src/quotas.rs
+++ b/crates/swiftcart-node/src/quotas.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use rand::Rng;
-use swiftcart_core::{Instant, QuotaMeter, Refusal, RequestTiming, ResolvedAccount};
+use swiftcart_core::{Instant, QuotaMeter, QuotaRequest, Refusal, ResolvedAccount};
 
 use crate::calls::with_rng;
 
@@ -32,12 +32,12 @@
         &self,
         now: Instant,
         account: &ResolvedAccount,
-        timing: RequestTiming,
+        request: QuotaRequest,
     ) -> Result<(), Refusal> {
         match account.quota {
-            Some(quota) => {
-                with_rng(|rng| self.with(|meter| meter.admit(now, account.tag, quota, timing, rng)))
-            }
+            Some(quota) => with_rng(|rng| {
+                self.with(|meter| meter.admit(now, account.tag, quota, request, rng))
+            }),
             None => Ok(()),
         }
     }
