--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -239,8 +239,7 @@
             let Some(counts) = accounts.get_mut(account) else {
                 return false;
             };
-            counts.abandon(now);
-            let is_open = counts.unreported_since.is_some() || counts.pending_since.is_some();
+            let is_open = counts.is_open(now);
             if is_open && counts.is_due(now) {
                 due.push(*account);
             }
@@ -376,13 +375,13 @@
         self.ratio < 1.0 && now.since(self.received) < LIMIT_TTL
     }
 
-    /// Stops repeating an unanswered report of an account that has become idle.
+    /// Returns `true` if the ledger has to be told the counts, for the first time or again.
     ///
-    /// The account may no longer have a quota, and then no ledger answers.
-    fn abandon(&mut self, now: Instant) {
-        if now.since(self.requested) >= LIMIT_TTL {
-            self.pending_since = None;
-        }
+    /// The report of an account that has become idle is not repeated for ever: the account may no
+    /// longer have a quota, and then no ledger answers.
+    fn is_open(&self, now: Instant) -> bool {
+        let is_repeated = self.pending_since.is_some() && now.since(self.requested) < LIMIT_TTL;
+        self.unreported_since.is_some() || is_repeated
     }
 
     /// Returns `true` if the counts have to be reported now, for the first time or again.
