Part a full service fairly among client accounts

Cause: when a service has less room than its callers ask for, an account that sends many times its usual took the room of the others of the same priority. Change: each ingress counts, by service and priority, what its accounts ask and what is served, and finds the share of each by weighted max-min; the weight is the rate of the account's quota, or one. It marks the part of an account's requests beyond its share by lot, and guards place these behind the others of their priority. It applies for three seconds after a refusal for want of room, where the settings decide about overload. A log line tells when an account turns, counters tell the requests by standing. The order tests of the guard pass.

--- a/crates/swiftcart-core/src/account.rs
+++ b/crates/swiftcart-core/src/account.rs
@@ -6,6 +6,7 @@
 
 mod directory;
 mod entry;
+mod fair_shares;
 mod key;
 mod ledger;
 mod meter;
@@ -15,6 +16,7 @@
 
 pub use directory::*;
 pub use entry::*;
+pub use fair_shares::*;
 pub use key::*;
 pub use ledger::*;
 pub use meter::*;
--- a/crates/swiftcart-core/src/account/directory.rs
+++ b/crates/swiftcart-core/src/account/directory.rs
@@ -21,6 +21,15 @@
     pub regions: AllowedRegions,
 }
 
+impl ResolvedAccount {
+    /// Returns the weight of the account in shares of a full service: the rate of its quota, or one
+    /// without a quota.
+    #[must_use]
+    pub fn weight(&self) -> f64 {
+        self.quota.map_or(1.0, |quota| f64::from(quota.rate))
+    }
+}
+
 /// Directory of accounts by API key and by tag.
 ///
 /// # Examples
--- /dev/null
+++ b/crates/swiftcart-core/src/account/fair_shares.rs
@@ -0,0 +1,242 @@
+//! Fair shares of client accounts in a service that has less room than its callers ask for.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::{AccountTag, ShareStanding};
+use crate::Instant;
+
+/// Time constant over which requests are counted.
+const COUNTING_TIME: Duration = Duration::from_secs(10);
+
+/// Time for which shares apply after a refusal for want of room.
+const CONTENTION_TIME: Duration = Duration::from_secs(3);
+
+/// Interval at which the share of an account of weight one is computed again.
+const LEVEL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Maximum number of accounts that are counted apart, so that the memory stays bounded.
+const MAX_ACCOUNTS: usize = 1024;
+
+/// Number of requests below which the counts say too little about the accounts.
+const MIN_REQUESTS: f64 = 10.0;
+
+/// Part of the room that shares are made of. Requests within a share then find room also when a few
+/// more of them than usual arrive at once, and the rest goes to whoever waits.
+const SHARED_PART: f64 = 0.9;
+
+/// Decayed count below which an account is forgotten.
+const MIN_ASKED: f64 = 0.05;
+
+/// Part of an account's requests within its share below which the account counts as beyond it.
+const BEYOND_PART: f64 = 0.8;
+
+/// Shares of client accounts in the room that the callers of one node get, by weighted max-min
+/// fairness.
+///
+/// An account that asks for less than its share gets all that it asks for. The rest is parted among
+/// the others by weight. The room is what was served lately, so that nodes need no messages. The
+/// requests of an account beyond its share are drawn by lot. They are only placed behind others:
+/// room that nobody within a share needs goes to them.
+///
+/// One value covers the requests of one service and one priority, since shares hold among requests
+/// of the same priority only.
+///
+/// # Examples
+///
+/// ```
+/// use rand::{SeedableRng, rngs::SmallRng};
+/// use swiftcart_core::{AccountTag, FairShares, Instant, ShareStanding};
+///
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let mut shares = FairShares::new();
+/// let now = Instant::from_millis(0);
+/// let decision = shares.ask(now, AccountTag(7), 1.0, true, &mut rng);
+/// assert_eq!(decision.standing, ShareStanding::Within);
+/// ```
+#[derive(Debug, Default, Clone)]
+pub struct FairShares {
+    accounts: HashMap<AccountTag, Demand>,
+    served: f64,
+    updated: Instant,
+    /// Requests that an account of weight one may send in the counting time.
+    level: Level,
+    /// Time of the last refusal for want of room.
+    refused: Option<Instant>,
+}
+
+/// Decision about one request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShareDecision {
+    /// Standing of the request.
+    pub standing: ShareStanding,
+    /// Standing of the account, if it has just changed.
+    pub turned: Option<ShareStanding>,
+    /// Part of the account's requests that lies within its share.
+    pub part: f64,
+}
+
+/// Decayed count of an account's requests.
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    weight: f64,
+    asked: f64,
+    standing: ShareStanding,
+}
+
+/// Share of an account of weight one, and the time at which it was computed.
+#[derive(Debug, Default, Clone, Copy)]
+struct Level {
+    share: Option<f64>,
+    computed: Option<Instant>,
+}
+
+impl FairShares {
+    /// Creates shares without any counts.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request, and returns its standing.
+    ///
+    /// `is_first` is `false` for a caller that returns after a refusal. Its request was counted
+    /// before. Without it, an account whose callers return at once would seem to ask for more.
+    pub fn ask<R: Rng + ?Sized>(
+        &mut self,
+        now: Instant,
+        account: AccountTag,
+        weight: f64,
+        is_first: bool,
+        rng: &mut R,
+    ) -> ShareDecision {
+        self.decay(now);
+        self.refresh_level(now);
+        let share = self.share(now);
+        let is_full = self.accounts.len() >= MAX_ACCOUNTS;
+        let demand = match self.accounts.get_mut(&account) {
+            Some(demand) => demand,
+            None if is_full => return ShareDecision::within(),
+            None => self.accounts.entry(account).or_insert(Demand::new(weight)),
+        };
+        demand.weight = weight;
+        demand.asked += if is_first { 1.0 } else { 0.0 };
+        let part = share.map_or(1.0, |share| demand.part_within(share));
+        ShareDecision {
+            standing: match rng.random::<f64>() < part {
+                true => ShareStanding::Within,
+                false => ShareStanding::Beyond,
+            },
+            turned: demand.turn(part),
+            part,
+        }
+    }
+
+    /// Counts a request that was served.
+    pub fn served(&mut self, now: Instant) {
+        self.decay(now);
+        self.served += 1.0;
+    }
+
+    /// Records a refusal for want of room.
+    pub const fn refused(&mut self, now: Instant) {
+        self.refused = Some(now);
+    }
+
+    /// Returns the share of an account of weight one while the service lacks room.
+    fn share(&self, now: Instant) -> Option<f64> {
+        let is_recent = |at| now.since(at) < CONTENTION_TIME;
+        let is_contended = self.refused.is_some_and(is_recent);
+        self.level.share.filter(|_| is_contended)
+    }
+
+    fn refresh_level(&mut self, now: Instant) {
+        let is_recent = |at| now.since(at) < LEVEL_INTERVAL;
+        if self.level.computed.is_some_and(is_recent) {
+            return;
+        }
+        self.accounts.retain(|_, demand| demand.asked > MIN_ASKED);
+        self.level = Level {
+            share: self.fill(),
+            computed: Some(now),
+        };
+    }
+
+    /// Returns the level at which the accounts use up what was served, or `None` if they asked for
+    /// no more, or for too little to tell.
+    fn fill(&self) -> Option<f64> {
+        let asked: f64 = self.accounts.values().map(|demand| demand.asked).sum();
+        if asked < MIN_REQUESTS {
+            return None;
+        }
+        let mut demands: Vec<Demand> = self.accounts.values().copied().collect();
+        demands.sort_by(|a, b| a.level().total_cmp(&b.level()));
+        let mut room = SHARED_PART * self.served;
+        let mut weights: f64 = demands.iter().map(|demand| demand.weight).sum();
+        for demand in &demands {
+            if demand.level() * weights > room {
+                return Some(room / weights);
+            }
+            room -= demand.asked;
+            weights -= demand.weight;
+        }
+        None
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+        let factor = (-elapsed / COUNTING_TIME.as_secs_f64()).exp();
+        self.served *= factor;
+        let demands = self.accounts.values_mut();
+        demands.for_each(|demand| demand.asked *= factor);
+    }
+}
+
+impl ShareDecision {
+    const fn within() -> Self {
+        Self {
+            standing: ShareStanding::Within,
+            turned: None,
+            part: 1.0,
+        }
+    }
+}
+
+impl Demand {
+    const fn new(weight: f64) -> Self {
+        Self {
+            weight,
+            asked: 0.0,
+            standing: ShareStanding::Within,
+        }
+    }
+
+    /// Returns the level at which the account's share equals what it asks for.
+    fn level(&self) -> f64 {
+        self.asked / self.weight
+    }
+
+    /// Returns the part of the requests that lies within the share at `level`.
+    ///
+    /// Counts of a few requests vary by chance. An account may exceed its share by one standard
+    /// deviation, so that small accounts are not placed behind others for one request too many.
+    fn part_within(&self, level: f64) -> f64 {
+        let share = self.weight * level;
+        ((share + share.sqrt()) / self.asked.max(f64::MIN_POSITIVE)).min(1.0)
+    }
+
+    /// Updates the account's standing, and returns it if it has changed.
+    fn turn(&mut self, part: f64) -> Option<ShareStanding> {
+        let standing = match part {
+            part if part < BEYOND_PART => ShareStanding::Beyond,
+            part if part >= 1.0 => ShareStanding::Within,
+            _ => self.standing,
+        };
+        let has_turned = standing != self.standing;
+        self.standing = standing;
+        has_turned.then_some(standing)
+    }
+}
--- a/crates/swiftcart-core/src/account/share.rs
+++ b/crates/swiftcart-core/src/account/share.rs
@@ -17,3 +17,20 @@
     /// The account has used more than its share.
     Beyond,
 }
+
+impl ShareStanding {
+    /// Returns the name in logs and metrics.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(swiftcart_core::ShareStanding::Beyond.as_str(), "beyond");
+    /// ```
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Within => "within",
+            Self::Beyond => "beyond",
+        }
+    }
+}
--- a/crates/swiftcart-core/src/admission/request.rs
+++ b/crates/swiftcart-core/src/admission/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{Deadline, Instant, Priority};
+use crate::{Deadline, Instant, Priority, ShareStanding};
 
 /// Share of the latency target that a request may wait for a slot.
 ///
@@ -69,6 +69,8 @@
     pub age: Duration,
     /// Expected length of the response.
     pub response_length: ResponseLength,
+    /// Standing of the client account relative to its share of the service.
+    pub standing: ShareStanding,
 }
 
 /// Ability of a request to meet its latency target.
@@ -78,8 +80,8 @@
     Late,
 }
 
-/// Sort key of queued requests: by priority, then requests that can meet their target before late
-/// ones, then by the end of the full queue wait.
+/// Sort key of queued requests: by priority, then requests within the share of their account, then
+/// requests that can meet their target before late ones, then by the end of the full queue wait.
 ///
 /// Under overload the queue is always full, so the order decides which requests are served at all.
 /// With half of the slots that the load needs, an order by target time served all nested calls with
@@ -88,6 +90,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Urgency {
     priority: Priority,
+    standing: ShareStanding,
     timeliness: Timeliness,
     until: Instant,
 }
@@ -103,9 +106,17 @@
             queue_wait: QueueWait::Full,
             age: Duration::ZERO,
             response_length: ResponseLength::Short,
+            standing: ShareStanding::Within,
         }
     }
 
+    /// Sets the standing of the client account.
+    #[must_use]
+    pub const fn with_standing(mut self, standing: ShareStanding) -> Self {
+        self.standing = standing;
+        self
+    }
+
     /// Sets the expected length of the response.
     #[must_use]
     pub const fn with_response_length(mut self, response_length: ResponseLength) -> Self {
@@ -189,6 +200,7 @@
         };
         Urgency {
             priority: self.priority,
+            standing: self.standing,
             timeliness: self.timeliness(),
             until: now + full.longest_wait(default_wait, p90_target),
         }
--- a/crates/swiftcart-core/tests/admission_order.rs
+++ b/crates/swiftcart-core/tests/admission_order.rs
@@ -60,6 +60,42 @@
     assert_eq!(started, expected);
 }
 
+#[rstest]
+#[case::behind_requests_within(&[(0, ShareStanding::Beyond), (0, ShareStanding::Within)], &[1, 0])]
+#[case::before_less_urgent_requests(&[(1, ShareStanding::Within), (0, ShareStanding::Beyond)], &[1, 0])]
+fn requests_beyond_a_share_start(
+    #[case] requests: &[(u8, ShareStanding)],
+    #[case] order: &[usize],
+) {
+    let (mut guard, mut rng, running) = saturated_guard(2);
+    let mut offer = |(priority, standing): &(u8, ShareStanding)| {
+        let request = request(None).with_priority(Priority(*priority));
+        match guard.offer(START, request.with_standing(*standing), &mut rng) {
+            Admit::Queue(ticket) => ticket,
+            other => panic!("the request must be queued, got {other:?}"),
+        }
+    };
+    let waiting: Vec<Ticket> = requests.iter().map(&mut offer).collect();
+    let sample = Sample::new(Duration::from_millis(CALL_MS), CallResult::Success);
+    let started: Vec<Ticket> = running
+        .into_iter()
+        .flat_map(|ticket| guard.done(ticket, START, &sample))
+        .collect();
+    let expected: Vec<Ticket> = order.iter().map(|i| waiting[*i]).collect();
+    assert_eq!(started, expected);
+}
+
+#[test]
+fn request_beyond_a_share_takes_a_free_slot_at_once() {
+    let mut guard = Admission::new(START, AdmissionSettings::default()).with_slots(1);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let request = request(None).with_standing(ShareStanding::Beyond);
+    assert!(matches!(
+        guard.offer(START, request, &mut rng),
+        Admit::Run(_)
+    ));
+}
+
 /// Simulates an overloaded service that gets orders (0) and nested calls (1) of equal priority, and
 /// has half of the slots that the load needs.
 ///
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod failed;
+mod fair_share;
 mod forward;
 mod log;
 mod original;
@@ -36,6 +37,7 @@
 use crate::logging::Event;
 use crate::shared::{Phase, Shared};
 use failed::{FailedAttempt, call_result, is_retryable_failure};
+use fair_share::AccountShares;
 use forward::take_load_report;
 use log::PendingCall;
 use original::OriginalRequest;
@@ -51,6 +53,7 @@
     mesh_budget: Option<Mutex<MeshRetryBudget>>,
     profiles: Mutex<RouteProfiles>,
     refusal_history: Mutex<RefusalHistory>,
+    shares: Mutex<AccountShares>,
     /// Latest process notice of each backend server, as reported by its guard.
     notices: Mutex<NoticeCache>,
 }
@@ -84,6 +87,7 @@
                 .map(|retries| Mutex::new(MeshRetryBudget::new(retries.budget()))),
             profiles: Mutex::default(),
             refusal_history: Mutex::default(),
+            shares: Mutex::default(),
             notices: Mutex::default(),
         }
     }
@@ -223,8 +227,12 @@
         original: &OriginalRequest,
     ) -> Result<Response<Answer>, FailedAttempt> {
         self.check_quarantine(&call, original).await?;
-        let charge = self.charge_quota(&mut call, account)?;
+        let charge = self.charge_quota(&mut call, account.clone())?;
+        let class = self.set_share_standing(&mut call, account.as_deref(), entry);
         let result = self.run_attempts(&call, entry, original).await;
+        if let Some(class) = class {
+            self.settle_share(&class, &result);
+        }
         if let Some(charge) = charge {
             charge.settle(&result);
         }
--- /dev/null
+++ b/crates/swiftcart-node/src/calls/ingress/fair_share.rs
@@ -0,0 +1,95 @@
+//! Standing of requests relative to the fair share of their client account.
+
+use std::collections::HashMap;
+
+use slog::info;
+use swiftcart_core::{
+    FairShares, Priority, Reason, ResolvedAccount, ServiceEntry, ServiceName, ShareDecision,
+};
+
+use super::{FailedAttempt, Ingress, lock};
+use crate::calls::request::Call;
+use crate::calls::rng::with_rng;
+use crate::logging::Event;
+
+/// Requests among which accounts have shares: those of one service and one priority.
+type ShareClass = (ServiceName, Priority);
+
+/// Fair shares of the accounts by service and priority.
+#[derive(Debug, Default)]
+pub(super) struct AccountShares {
+    classes: HashMap<ShareClass, FairShares>,
+}
+
+impl Ingress {
+    /// Sets the standing of an account's request.
+    ///
+    /// Returns the class in which the request is counted, or `None` if shares do not apply.
+    pub(super) fn set_share_standing(
+        &self,
+        call: &mut Call,
+        account: Option<&ResolvedAccount>,
+        entry: &ServiceEntry,
+    ) -> Option<ShareClass> {
+        let (account, terms) = (account?, call.terms?);
+        if !self.decides_overload() {
+            return None;
+        }
+        let now = self.shared.clock.now();
+        let first = lock(&self.refusal_history).first_attempt(now, call.print.head);
+        let class = (entry.name().clone(), terms.priority);
+        let decision = with_rng(|rng| {
+            let mut shares = lock(&self.shares);
+            let shares = shares.classes.entry(class.clone()).or_default();
+            shares.ask(now, account.tag, account.weight(), first.is_none(), rng)
+        });
+        call.set_standing(decision.standing);
+        let standing = decision.standing.as_str();
+        let counters = &self.shared.counters;
+        counters.count("swiftcart_share_requests_total", "standing", standing);
+        self.log_turn(call, account, &class, decision);
+        Some(class)
+    }
+
+    /// Counts the end of a request in the shares of its class.
+    pub(super) fn settle_share<T>(&self, class: &ShareClass, result: &Result<T, FailedAttempt>) {
+        let now = self.shared.clock.now();
+        let mut shares = lock(&self.shares);
+        let Some(shares) = shares.classes.get_mut(class) else {
+            return;
+        };
+        match result {
+            Ok(_) => shares.served(now),
+            Err(failed) if is_for_want_of_room(failed.refusal.reason) => shares.refused(now),
+            Err(_) => {}
+        }
+    }
+
+    /// Logs an account that has begun or ceased to ask for more than its share.
+    fn log_turn(
+        &self,
+        call: &Call,
+        account: &ResolvedAccount,
+        (service, priority): &ShareClass,
+        decision: ShareDecision,
+    ) {
+        let (Some(turned), now) = (decision.turned, self.shared.clock.now()) else {
+            return;
+        };
+        let counters = &self.shared.counters;
+        counters.count("swiftcart_share_turns_total", "standing", turned.as_str());
+        if let Some(log) = self.shared.call_log.irregular(now) {
+            info!(log, ""; "event" => Event::Share, "id" => %call.id, "account" => %account.name,
+                "service" => %service, "priority" => priority.0, "standing" => turned.as_str(),
+                "weight" => account.weight(), "part" => (decision.part * 1000.0).round() / 1000.0);
+        }
+    }
+}
+
+/// Returns `true` if a request was refused since backend servers had no room.
+const fn is_for_want_of_room(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::QueueFull | Reason::Overloaded | Reason::Throttled | Reason::Shed
+    )
+}
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -10,7 +10,7 @@
     AdmissionRequest, AllowedRegions, Attempt, BodyHash, CallerHash, Deadline, Fingerprint,
     HeadFields, HeadHash, Instant, Payload, Priority, QueueWait, Reason, RequestClass,
     RequestDigest, RequestOrigin, RequestTiming, ResponseLength, RouteMatch, RouteProfile,
-    RouteTag,
+    RouteTag, ShareStanding,
 };
 
 use super::headers::{
@@ -198,6 +198,13 @@
         }
     }
 
+    /// Sets the standing of the client account relative to its share of the service.
+    pub fn set_standing(&mut self, standing: ShareStanding) {
+        if let Some(terms) = &mut self.terms {
+            terms.standing = standing;
+        }
+    }
+
     /// Computes the hashes of the head that the backend server receives.
     pub fn compute_print(&mut self, head: &Parts, names: &Headers) {
         let field = |name: &HeaderName| head.headers.get(name).map_or(&b""[..], |v| v.as_bytes());
@@ -226,6 +233,7 @@
                 .with_queue_wait(terms.queue_wait)
                 .with_age(terms.age())
                 .with_response_length(terms.answer)
+                .with_standing(terms.standing)
         })
     }
 
