Keep late requests behind those beyond a share

Cause: within a priority, requests within a share went first even when they were too late for their target, so that a full service spent its places on late answers. Change: the order is priority, timeliness, standing. Conclusion: shares part the room for answers that are still in time.

--- a/crates/swiftcart-core/src/admission/request.rs
+++ b/crates/swiftcart-core/src/admission/request.rs
@@ -80,8 +80,11 @@
     Late,
 }
 
-/// Sort key of queued requests: by priority, then requests within the share of their account, then
-/// requests that can meet their target before late ones, then by the end of the full queue wait.
+/// Sort key of queued requests: by priority, then requests that can meet their target before late
+/// ones, then those within the share of their account, then by the end of the full queue wait.
+///
+/// A late request gives its account little, so that it does not displace a request that can still
+/// meet its target, whoever sent it.
 ///
 /// Under overload the queue is always full, so the order decides which requests are served at all.
 /// With half of the slots that the load needs, an order by target time served all nested calls with
@@ -90,8 +93,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Urgency {
     priority: Priority,
-    standing: ShareStanding,
     timeliness: Timeliness,
+    standing: ShareStanding,
     until: Instant,
 }
 
@@ -200,8 +203,8 @@
         };
         Urgency {
             priority: self.priority,
-            standing: self.standing,
             timeliness: self.timeliness(),
+            standing: self.standing,
             until: now + full.longest_wait(default_wait, p90_target),
         }
     }
--- a/crates/swiftcart-core/tests/admission_order.rs
+++ b/crates/swiftcart-core/tests/admission_order.rs
@@ -85,6 +85,22 @@
     assert_eq!(started, expected);
 }
 
+#[test]
+fn late_request_within_a_share_starts_after_a_timely_one_beyond() {
+    let (mut guard, mut rng, running) = saturated_guard(2);
+    let late = request(Some(400)).with_age(Duration::from_millis(350));
+    let timely = request(Some(400)).with_standing(ShareStanding::Beyond);
+    let waiting = [late, timely].map(|request| match guard.offer(START, request, &mut rng) {
+        Admit::Queue(ticket) => ticket,
+        other => panic!("the request must be queued, got {other:?}"),
+    });
+    let sample = Sample::new(Duration::from_millis(CALL_MS), CallResult::Success);
+    let started = running
+        .into_iter()
+        .flat_map(|ticket| guard.done(ticket, START, &sample));
+    assert_eq!(started.collect::<Vec<_>>(), [waiting[1], waiting[0]]);
+}
+
 #[test]
 fn request_beyond_a_share_takes_a_free_slot_at_once() {
     let mut guard = Admission::new(START, AdmissionSettings::default()).with_slots(1);
