--- a/crates/swiftcart-core/src/account.rs
+++ b/crates/swiftcart-core/src/account.rs
@@ -6,14 +6,17 @@
 
 mod directory;
 mod entry;
+mod fair_shares;
 mod key;
 mod ledger;
 mod meter;
+mod rank_counts;
 mod share;
 mod usage;
 
 pub use directory::*;
 pub use entry::*;
+pub use fair_shares::*;
 pub use key::*;
 pub use ledger::*;
 pub use meter::*;
--- a/crates/swiftcart-core/src/admission/request.rs
+++ b/crates/swiftcart-core/src/admission/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{Deadline, Instant, Priority, RequestOrigin};
+use crate::{Deadline, Instant, Priority, RequestOrigin, ShareStanding};
 
 /// Share of the latency target that a request may wait for a slot.
 ///
@@ -79,6 +79,8 @@
     pub origin: RequestOrigin,
     /// Rest of the latency target of the request that a nested call serves, if known.
     pub parent_target: Option<Duration>,
+    /// Standing of the client account relative to its share of the service.
+    pub standing: ShareStanding,
 }
 
 /// Ability of a request to meet its latency target.
@@ -89,10 +91,12 @@
 }
 
 /// Sort key of queued requests: by priority, then requests that can meet their target before late
-/// ones, then nested calls before callers' requests, then by the end of the full queue wait.
+/// ones, then nested calls before callers' requests, then those within the share of their account,
+/// then by the end of the full queue wait.
 ///
 /// A refused nested call wastes the work done for the request that it serves, while a refused
-/// caller's request has cost nothing yet.
+/// caller's request has cost nothing yet. A late request gives its account little, so that it does
+/// not displace a request that can still meet its target, whoever sent it.
 ///
 /// Under overload the queue is always full, so the order decides which requests are served at all.
 /// With half of the slots that the load needs, an order by target time served all nested calls with
@@ -103,6 +107,7 @@
     priority: Priority,
     timeliness: Timeliness,
     pub(super) origin: RequestOrigin,
+    standing: ShareStanding,
     until: Instant,
 }
 
@@ -119,6 +124,7 @@
             response_length: ResponseLength::Short,
             origin: RequestOrigin::Caller,
             parent_target: None,
+            standing: ShareStanding::Within,
         }
     }
 
@@ -139,6 +145,13 @@
         self
     }
 
+    /// Sets the standing of the client account.
+    #[must_use]
+    pub const fn with_standing(mut self, standing: ShareStanding) -> Self {
+        self.standing = standing;
+        self
+    }
+
     /// Sets the expected length of the response.
     #[must_use]
     pub const fn with_response_length(mut self, response_length: ResponseLength) -> Self {
@@ -248,6 +261,7 @@
             priority: self.priority,
             timeliness: self.timeliness(),
             origin: self.origin,
+            standing: self.standing,
             until: now + full.longest_wait(now, default_wait, p90_target),
         }
     }
--- a/crates/swiftcart-core/tests/support/quota.rs
+++ b/crates/swiftcart-core/tests/support/quota.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use swiftcart_core::{
     AccountTag, AdmissionRatio, Instant, NodeId, Quota, QuotaBounds, QuotaLedger, QuotaMeter,
-    RequestTiming, Usage,
+    QuotaRequest, Usage,
 };
 
 pub const ACCOUNT: AccountTag = AccountTag(7);
@@ -20,6 +20,15 @@
 
 const STEP: Duration = Duration::from_millis(10);
 
+/// Time over which callers return from an outage.
+const RETURN_TIME: Duration = Duration::from_millis(500);
+
+/// Time for which a request waits for room.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+/// Maximum difference between the times at which nodes notice a change of the membership.
+const MAX_VIEW_LAG: Duration = Duration::from_millis(700);
+
 /// Size and load of the mesh, and the faults injected into it.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
@@ -38,6 +47,19 @@
     pub killed: Option<(Duration, usize)>,
     /// Time at which the quota is lowered, and the lower quota.
     pub lowered: Option<(Duration, Quota)>,
+    /// Time at which callers return from an outage, and their number.
+    pub returning: Option<(Duration, usize)>,
+    /// Time at which another node becomes the ledger of the account, and the duration.
+    pub moved: Option<(Duration, Duration)>,
+    /// Start and duration of a stall in which the control loops of a third of the nodes send and
+    /// receive nothing, while the nodes still serve requests.
+    pub stalled: Option<(Duration, Duration)>,
+    /// Start and duration of a stall of the ledger's node. The other nodes replace it after 2 s,
+    /// and it takes the ledger back 0.3 s after the stall.
+    pub frozen: Option<(Duration, Duration)>,
+    /// Share of the admitted requests that find no room and do not run, and the time at which there
+    /// is room for all.
+    pub unserved: Option<(f64, Duration)>,
 }
 
 impl Load {
@@ -51,6 +73,11 @@
             partition: None,
             killed: None,
             lowered: None,
+            returning: None,
+            moved: None,
+            stalled: None,
+            frozen: None,
+            unserved: None,
         }
     }
 }
@@ -60,6 +87,7 @@
 pub struct Outcome {
     pub requests: usize,
     pub admitted: Vec<Duration>,
+    pub unserved: usize,
     pub messages: usize,
 }
 
@@ -101,6 +129,8 @@
     meters: Vec<QuotaMeter>,
     ledgers: Vec<QuotaLedger>,
     in_flight: VecDeque<Envelope>,
+    /// Nodes of the requests that wait for room in vain, and the time at which they are refused.
+    waiting: VecDeque<(Duration, usize)>,
     outcome: Outcome,
 }
 
@@ -119,6 +149,7 @@
         meters,
         ledgers: vec![QuotaLedger::new(BOUNDS); load.nodes],
         in_flight: VecDeque::new(),
+        waiting: VecDeque::new(),
         outcome: Outcome::default(),
     };
     let mut at = Duration::ZERO;
@@ -135,6 +166,7 @@
         self.kill_nodes(at);
         self.deliver(now);
         self.send_requests(at);
+        self.refuse_waiting(at);
         if at.as_millis().is_multiple_of(50) {
             self.send_reports(now);
         }
@@ -148,7 +180,13 @@
     }
 
     fn send_requests(&mut self, at: Duration) {
-        let mean = self.load.requests * STEP.as_secs_f64();
+        let returning = match self.load.returning {
+            Some((from, number)) if (from..from + RETURN_TIME).contains(&at) => {
+                number as f64 / RETURN_TIME.as_secs_f64()
+            }
+            _ => 0.0,
+        };
+        let mean = (self.load.requests + returning) * STEP.as_secs_f64();
         let number = mean as usize + usize::from(self.rng.random::<f64>() < mean.fract());
         for _ in 0..number {
             let node = match self.rng.random::<f64>() < self.load.skew {
@@ -160,21 +198,42 @@
                 Instant::new(at),
                 ACCOUNT,
                 quota,
-                RequestTiming::InTime,
+                QuotaRequest::default(),
                 &mut self.rng,
             );
             self.outcome.requests += 1;
-            if result.is_ok() {
-                self.outcome.admitted.push(at);
+            let unserved = self.load.unserved.filter(|(_, until)| at < *until);
+            let is_unserved = unserved.is_some_and(|(share, _)| self.rng.random::<f64>() < share);
+            match result {
+                Ok(()) if is_unserved => self.waiting.push_back((at + MAX_WAIT, node)),
+                Ok(()) => self.outcome.admitted.push(at),
+                Err(_) => {}
             }
         }
     }
 
+    /// Cancels the requests that have waited for room in vain.
+    fn refuse_waiting(&mut self, at: Duration) {
+        let due = self.waiting.partition_point(|(due, _)| *due <= at);
+        for (_, node) in self.waiting.drain(..due) {
+            self.meters[node].cancel_admission(Instant::new(at), ACCOUNT);
+            self.outcome.unserved += 1;
+        }
+    }
+
     fn send_reports(&mut self, now: Instant) {
         for node in 0..self.load.nodes {
-            let list = self.meters[node].due(now);
+            if self.is_stalled(node, now) {
+                continue;
+            }
+            let ledger = self.ledger_of(node, now);
+            let meter = &mut self.meters[node];
+            let due = meter.due(now).into_iter();
+            let list: Vec<Usage> = due
+                .filter_map(|account| meter.report(now, account, node_id(ledger)))
+                .collect();
             if !list.is_empty() {
-                self.send(now, node, self.ledger_of(node, now), Message::Usage(list));
+                self.send(now, node, ledger, Message::Usage(list));
             }
             let due = self.ledgers[node].limit_updates(now);
             if due.is_empty() {
@@ -190,13 +249,29 @@
     /// nodes behind the partition then have a ledger of their own.
     fn ledger_of(&self, node: usize, now: Instant) -> usize {
         let first = self.load.nodes / 3;
-        match self.load.partition {
-            Some((at, lasts)) => {
-                let detected = at + Duration::from_secs(2)..at + lasts;
-                let separated = detected.contains(&now.elapsed()) && node >= first;
-                if separated { first } else { 0 }
-            }
-            None => 0,
+        let lag = MAX_VIEW_LAG.mul_f64(node as f64 / self.load.nodes as f64);
+        let at = now.elapsed().saturating_sub(lag);
+        let detected =
+            |(start, lasts)| (start + Duration::from_secs(2)..start + lasts).contains(&at);
+        let separated = self.load.partition.is_some_and(detected) && node >= first;
+        let moved = |(start, lasts)| (start..start + lasts).contains(&at);
+        let replaced = |(start, lasts)| {
+            let back = start + lasts + Duration::from_millis(300);
+            node > 0 && (start + Duration::from_secs(2)..back).contains(&at)
+        };
+        match self.load.moved.is_some_and(moved) || self.load.frozen.is_some_and(replaced) {
+            true => first + 1,
+            false if separated => first,
+            false => 0,
+        }
+    }
+
+    /// Returns `true` if the control loop of `node` is stalled.
+    fn is_stalled(&self, node: usize, now: Instant) -> bool {
+        let stalled = |(start, lasts)| (start..start + lasts).contains(&now.elapsed());
+        match node {
+            0 => self.load.frozen.is_some_and(stalled),
+            node => self.load.stalled.is_some_and(stalled) && node.is_multiple_of(3),
         }
     }
 
@@ -220,10 +295,10 @@
 
     fn deliver(&mut self, now: Instant) {
         let quota = self.quota(now.elapsed());
-        let (due, later): (VecDeque<_>, _) = self
-            .in_flight
-            .drain(..)
-            .partition(|envelope| envelope.due <= now);
+        let in_flight = std::mem::take(&mut self.in_flight);
+        let (due, later): (VecDeque<_>, _) = in_flight
+            .into_iter()
+            .partition(|envelope| envelope.due <= now && !self.is_stalled(envelope.to, now));
         self.in_flight = later;
         for envelope in due {
             match envelope.message {
@@ -237,6 +312,8 @@
                     let answers = answers.collect();
                     self.send(now, envelope.to, envelope.from, Message::Admit(answers));
                 }
+                // Other nodes than the account's ledger do not count this node's requests.
+                Message::Admit(_) if envelope.from != self.ledger_of(envelope.to, now) => {}
                 Message::Admit(list) => {
                     for admittance in list {
                         self.meters[envelope.to].receive(now, admittance);
--- a/crates/swiftcart-node/src/quotas.rs
+++ b/crates/swiftcart-node/src/quotas.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use rand::Rng;
-use swiftcart_core::{Instant, QuotaMeter, Refusal, RequestTiming, ResolvedAccount};
+use swiftcart_core::{Instant, QuotaMeter, QuotaRequest, Refusal, ResolvedAccount};
 
 use crate::calls::with_rng;
 
@@ -32,20 +32,20 @@
         &self,
         now: Instant,
         account: &ResolvedAccount,
-        timing: RequestTiming,
+        request: QuotaRequest,
     ) -> Result<(), Refusal> {
         match account.quota {
-            Some(quota) => {
-                with_rng(|rng| self.with(|meter| meter.admit(now, account.tag, quota, timing, rng)))
-            }
+            Some(quota) => with_rng(|rng| {
+                self.with(|meter| meter.admit(now, account.tag, quota, request, rng))
+            }),
             None => Ok(()),
         }
     }
 
     /// Returns the quota that an admitted request used, since the request did not run.
-    pub fn cancel_admission(&self, account: &ResolvedAccount) {
+    pub fn cancel_admission(&self, now: Instant, account: &ResolvedAccount) {
         if account.quota.is_some() {
-            self.with(|meter| meter.cancel_admission(account.tag));
+            self.with(|meter| meter.cancel_admission(now, account.tag));
         }
     }
 
