Decide overload by service, and let peers forget a slowdown

Cause: the trigger stated-pace is a property of a service, and decides_overload did not know which service a request is for. An ingress kept the pace of a slow moment until the next response, which may come seconds after the moment. Change: decides_overload takes the service entry; the balancer keeps when a guard of each service last reported a slowdown. Guards report the slowdown behind the pace, peers keep the usual pace apart from it, and it decays within a second. The announced pace is the usual one. Conclusion: no guard reports a slowdown yet, so nothing changes before the statements are read.

--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -24,6 +24,10 @@
 /// Weight of one reported pace in the moving average over all backend servers.
 const PACE_WEIGHT: f64 = 0.05;
 
+/// Time for which a service counts as one whose backend servers state their pace, after the last
+/// response that reported it.
+const STATED_PACE_PERIOD: Duration = Duration::from_secs(30);
+
 /// Settings for the selection among backend servers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BalanceSettings {
@@ -191,6 +195,8 @@
     peers: HashMap<NodeId, Peer>,
     /// Candidates of each service of the view.
     groups: Vec<Vec<NodeId>>,
+    /// Time of the last response of each service of the view that reported a slowdown.
+    slowdowns_at: Vec<Option<Instant>>,
     unreachable: UnreachableDomains,
     /// Moving average of the reported paces, used for backend servers that have not reported one.
     mean_pace: Option<f64>,
@@ -205,6 +211,7 @@
             settings,
             peers: HashMap::new(),
             groups: Vec::new(),
+            slowdowns_at: Vec::new(),
             unreachable: UnreachableDomains::default(),
             mean_pace: None,
         }
@@ -217,6 +224,7 @@
     pub fn adopt(&mut self, now: Instant, view: &View) {
         self.peers.values_mut().for_each(|p| p.departed = true);
         self.groups.clear();
+        self.slowdowns_at.clear();
         for (service, entry) in view.services().iter().enumerate() {
             let candidates = || entry.candidates().iter().chain(entry.tried());
             let ids: Vec<_> = candidates().map(|c| c.id).collect();
@@ -236,6 +244,9 @@
                     peer.domain = Some(candidate.domain).filter(|_| !candidate.in_same_domain());
                 }
             }
+            let told = ids.iter().filter_map(|id| self.peers.get(id));
+            self.slowdowns_at
+                .push(told.filter_map(Peer::slowdown_at).max());
             self.groups.push(ids);
         }
         self.peers.retain(|_, p| !p.departed || p.running > 0);
@@ -298,7 +309,10 @@
             }
             (None, _) | (_, CallResult::Failure | CallResult::Cancelled) => {}
         }
-        if let Some(pace) = sample.pace.map(Pace::ratio) {
+        if let (Some(at), Some(_)) = (self.slowdowns_at.get_mut(peer.service), sample.slowdown) {
+            *at = Some(now);
+        }
+        if let Some(pace) = sample.usual_pace().map(Pace::ratio) {
             let mean_pace = self.mean_pace.get_or_insert(pace);
             *mean_pace += PACE_WEIGHT * (pace - *mean_pace);
         }
@@ -319,6 +333,15 @@
         self.mean_pace.unwrap_or(0.0)
     }
 
+    /// Returns `true` if the backend servers of `entry` have recently stated the pace of their hosts.
+    #[must_use]
+    pub fn states_pace(&self, now: Instant, entry: &ServiceEntry) -> bool {
+        let mut all = entry.candidates().iter().chain(entry.tried());
+        let peer = all.find_map(|candidate| self.peers.get(&candidate.id));
+        let at = peer.and_then(|peer| *self.slowdowns_at.get(peer.service)?);
+        at.is_some_and(|at| now.since(at) < STATED_PACE_PERIOD)
+    }
+
     /// Returns the number of tracked backend servers.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{BalanceSettings, CallResult, Pace, Sample};
-use crate::{DomainTag, Instant};
+use crate::{DomainTag, Instant, Slowdown};
 
 /// Minimum share of its regular load that a backend server gets during slow start.
 const MIN_SLOW_START_SHARE: f64 = 0.1;
@@ -54,8 +54,10 @@
     latency_at: Instant,
     usage: f64,
     usage_at: Instant,
-    /// Most recent pace, from a response or an announcement.
+    /// Most recent usual pace, from a response or an announcement.
     pace: Option<Pace>,
+    /// Most recent slowdown from a response, with the time of the response.
+    slowdown: Option<(Slowdown, Instant)>,
     /// Most recent pace that was announced to all nodes.
     announced: Option<Pace>,
     /// Time of the last refusal of a long response for lack of link capacity.
@@ -83,6 +85,7 @@
             usage: 0.0,
             usage_at: now,
             pace: None,
+            slowdown: None,
             announced: None,
             link_busy: None,
             limited_until: None,
@@ -101,7 +104,11 @@
             self.usage = load.usage();
             self.usage_at = now;
         }
-        self.pace = sample.pace.or(self.pace);
+        self.pace = sample.usual_pace().or(self.pace);
+        self.slowdown = sample
+            .slowdown
+            .map(|slowdown| (slowdown, now))
+            .or(self.slowdown);
         match sample.result {
             CallResult::Success => {
                 self.record_latency(now, sample.latency, s.decay_time);
@@ -247,13 +254,25 @@
         mean_pace: f64,
         s: &BalanceSettings,
     ) -> f64 {
-        let pace = self.pace.map_or(mean_pace, Pace::ratio);
+        let pace = self.pace.map_or(mean_pace, Pace::ratio) * self.slowdown(now);
         let own = f64::from(self.running) / f64::from(slots.max(1));
         let usage = self.usage(now, s.load_decay).max(own);
         let failure_rate = 1.0 + FAILURE_RATE_WEIGHT * self.failure_rate(now, s.decay_time);
         pace * (1.0 + usage.powi(USAGE_EXPONENT)) * failure_rate
     }
 
+    /// Returns the last reported slowdown, decayed by its age.
+    fn slowdown(&self, now: Instant) -> f64 {
+        self.slowdown.map_or(1.0, |(slowdown, at)| {
+            slowdown.believed_factor(now.since(at))
+        })
+    }
+
+    /// Returns the time of the last response that reported a slowdown.
+    pub(super) fn slowdown_at(&self) -> Option<Instant> {
+        self.slowdown.map(|(_, at)| at)
+    }
+
     /// Returns the failure rate, decayed so that a failing backend server is tried again.
     fn failure_rate(&self, now: Instant, decay_time: Duration) -> f64 {
         self.failure_rate * decay(now.since(self.result_at), decay_time)
--- a/crates/swiftcart-core/src/balance/sample.rs
+++ b/crates/swiftcart-core/src/balance/sample.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::Slowdown;
+
 /// Load of a guard, as reported in its responses.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Load {
@@ -91,6 +93,8 @@
     pub load: Option<Load>,
     /// Pace of the backend server, as reported in the response.
     pub pace: Option<Pace>,
+    /// Slowdown that is part of the pace, if the backend server states one.
+    pub slowdown: Option<Slowdown>,
     /// Target latency of the call: the time within which the response has its full value.
     pub target: Option<Duration>,
     /// Time until the guard accepts the next request of this node, if a rate limit applies.
@@ -106,6 +110,7 @@
             result,
             load: None,
             pace: None,
+            slowdown: None,
             target: None,
             retry_after: None,
         }
@@ -125,6 +130,24 @@
         self
     }
 
+    /// Sets the slowdown that is part of the pace.
+    #[must_use]
+    pub const fn with_slowdown(mut self, slowdown: Slowdown) -> Self {
+        self.slowdown = Some(slowdown);
+        self
+    }
+
+    /// Returns the reported pace without the slowdown of the moment.
+    #[must_use]
+    pub fn usual_pace(&self) -> Option<Pace> {
+        match (self.pace, self.slowdown) {
+            (Some(pace), Some(slowdown)) => {
+                Some(Pace::from_ratio(pace.ratio() / slowdown.factor()))
+            }
+            (pace, _) => pace,
+        }
+    }
+
     /// Sets the target latency of the call.
     #[must_use]
     pub const fn with_target(mut self, target: Duration) -> Self {
--- a/crates/swiftcart-core/src/stated_load.rs
+++ b/crates/swiftcart-core/src/stated_load.rs
@@ -1,9 +1,13 @@
 //! Load that a backend server states about itself in its responses.
 
+mod slowdown;
+
 use std::str::FromStr;
 
 use quick_error::quick_error;
 
+pub use slowdown::*;
+
 /// Minimum and maximum stated pace that is believed, in percent of the usual service time.
 const PACE_RANGE: std::ops::RangeInclusive<u32> = 10..=10_000;
 
--- a/crates/swiftcart-core/tests/pace.rs
+++ b/crates/swiftcart-core/tests/pace.rs
@@ -146,3 +146,55 @@
     membership.announce_pace(START, Pace(700));
     assert_eq!(membership.me().pace, None, "no backend server");
 }
+
+/// Returns the share of 1000 picks that a backend server gets `age_ms` after it reported a slowdown
+/// of 2.5, beside one of the same usual pace.
+fn picks_after_slowdown(age_ms: u64) -> usize {
+    let members = [3, 5].map(|n| member(n, "a", "norte"));
+    let table = Table::new().with_service("a", Limits::default());
+    let view = support::view(&table, &members);
+    let mut balancer = Balancer::new(support::node(1), BalanceSettings::default());
+    balancer.adopt(START, &view);
+    for (n, slowdown) in [(3, Slowdown(250)), (5, Slowdown(100))] {
+        let pace = Pace::from_ratio(0.3 * slowdown.factor());
+        let sample = Sample::new(Duration::from_millis(100), CallResult::Success);
+        let sample = sample.with_pace(pace).with_slowdown(slowdown);
+        balancer.started(support::node(n));
+        balancer.finished(support::node(n), START, &sample);
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let entry = view.service("a").expect("service in the table");
+    let picks = (0..1000).filter_map(|_| balancer.pick(at(age_ms), entry, &[], &mut rng));
+    picks.filter(|pick| pick.id == support::node(3)).count()
+}
+
+#[rstest]
+#[case::at_once(0, 0..=0)]
+#[case::while_it_may_last(300, 0..=0)]
+#[case::when_it_has_passed(1_000, 400..=600)]
+fn slow_moment_costs_picks(#[case] age_ms: u64, #[case] expected: std::ops::RangeInclusive<usize>) {
+    let picks = picks_after_slowdown(age_ms);
+    assert!(expected.contains(&picks), "{picks}");
+}
+
+#[rstest]
+#[case::no_slowdown(None, 0, false)]
+#[case::lately(Some(Slowdown(100)), 29_000, true)]
+#[case::long_ago(Some(Slowdown(100)), 30_000, false)]
+fn service_states_its_pace(
+    #[case] slowdown: Option<Slowdown>,
+    #[case] age_ms: u64,
+    #[case] expected: bool,
+) {
+    let members = [3, 5].map(|n| member(n, "a", "norte"));
+    let table = Table::new().with_service("a", Limits::default());
+    let view = support::view(&table, &members);
+    let mut balancer = Balancer::new(support::node(1), BalanceSettings::default());
+    balancer.adopt(START, &view);
+    let mut sample = Sample::new(Duration::from_millis(100), CallResult::Success);
+    sample.slowdown = slowdown;
+    balancer.finished(support::node(5), START, &sample);
+    balancer.adopt(at(100), &view);
+    let entry = view.service("a").expect("service in the table");
+    assert_eq!(balancer.states_pace(at(age_ms), entry), expected);
+}
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -8,12 +8,13 @@
 
 use swiftcart_core::{
     Admission, AdmissionRequest, AdmissionSettings, AdmissionState, Admit, CallResult, Instant,
-    Limits, Load, Pace, RateShare, Reason, Refusal, Refused, Sample, ServerRate, Ticket,
+    Limits, Load, RateShare, Reason, Refusal, Refused, Sample, ServerRate, Ticket,
 };
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
 use super::answer::AnswerEnd;
+use super::guard::Report;
 use super::rng::with_rng;
 use crate::clock::Clock;
 use crate::egress::Egress;
@@ -134,10 +135,16 @@
         self.lock().admission.load()
     }
 
-    /// Returns the pace of the backend server; `None` until it is known.
+    /// Returns the state that is reported with a response.
     #[must_use]
-    pub fn pace(&self) -> Option<Pace> {
-        self.lock().admission.pace(self.clock.now())
+    pub fn report(&self) -> Report {
+        let now = self.clock.now();
+        let admission = &self.lock().admission;
+        Report {
+            load: admission.load(),
+            pace: admission.pace(now),
+            slowdown: None,
+        }
     }
 
     /// Waits for a slot to run a request.
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -9,7 +9,7 @@
 use slog::{error, info};
 use swiftcart_core::{
     Backend, CallResult, ColdStartLimit, Limits, Load, NodeId, Notice, Pace, ProcessNotice,
-    Readiness, Reason, Refusal, ServerRate, ServiceEntry, Version,
+    Readiness, Reason, Refusal, ServerRate, ServiceEntry, Slowdown, Version,
 };
 
 use super::admissions::Slot;
@@ -32,6 +32,31 @@
     pub load: Load,
     /// Pace of the backend server; `None` until it is known.
     pub pace: Option<Pace>,
+    /// Slowdown that is part of the pace; `None` unless the backend server states it.
+    pub slowdown: Option<Slowdown>,
+}
+
+impl Report {
+    /// Returns the value of the load header: running, queued and limit, then the pace and the
+    /// slowdown if they are known.
+    ///
+    /// An unknown pace in front of a known slowdown is 0.
+    fn header_value(&self) -> Option<HeaderValue> {
+        let Load {
+            running,
+            queued,
+            limit,
+        } = self.load;
+        let pace = self.pace.map_or(0, |Pace(pace)| pace);
+        let text = match (self.slowdown, pace) {
+            (Some(Slowdown(slowdown)), _) => {
+                format!("{running} {queued} {limit} {pace} {slowdown}")
+            }
+            (None, 0) => format!("{running} {queued} {limit}"),
+            (None, _) => format!("{running} {queued} {limit} {pace}"),
+        };
+        HeaderValue::try_from(text).ok()
+    }
 }
 
 /// Guard of the backend server beside this node: the only process that sends requests to it.
@@ -121,19 +146,10 @@
         &self.shared
     }
 
-    /// Returns the value of the load header for responses to other nodes: running, queued and
-    /// limit, then the pace if it is known.
+    /// Returns the value of the load header for responses to other nodes.
     #[must_use]
     pub fn load(&self) -> Option<HeaderValue> {
-        let upstream = self.upstream.load();
-        let upstream = upstream.as_ref()?;
-        let load = upstream.load();
-        let pace = self.update_pace(upstream);
-        let mut text = format!("{} {} {}", load.running, load.queued, load.limit);
-        if let Some(Pace(pace)) = pace {
-            text.push_str(&format!(" {pace}"));
-        }
-        HeaderValue::try_from(text).ok()
+        self.report()?.header_value()
     }
 
     /// Applies a notice of the backend server that another node received.
@@ -168,23 +184,21 @@
         f64::from(repeats) / f64::from(running.max(repeats).max(1))
     }
 
-    /// Returns the report for the ingress of this node.
+    /// Returns the report for the ingress of this node, and stores the usual pace in the shared
+    /// state from which it is sent to all nodes.
     #[must_use]
     pub fn report(&self) -> Option<Report> {
         let upstream = self.upstream.load();
         let upstream = upstream.as_ref()?;
-        Some(Report {
-            load: upstream.load(),
-            pace: self.update_pace(upstream),
-        })
-    }
-
-    /// Returns the pace, and stores it in the shared state from which it is sent to other nodes.
-    fn update_pace(&self, upstream: &Upstream) -> Option<Pace> {
-        let pace = upstream.pace();
-        let shown = pace.map_or(0, |Pace(pace)| pace);
+        let report = upstream.report();
+        // A slowdown has passed before all nodes know of it.
+        let factor = report.slowdown.map_or(1.0, Slowdown::factor);
+        let usual = report
+            .pace
+            .map(|pace| Pace::from_ratio(pace.ratio() / factor));
+        let shown = usual.map_or(0, |Pace(pace)| pace);
         self.shared.pace.store(shown, Ordering::Relaxed);
-        pace
+        Some(report)
     }
 
     /// Closes idle connections and updates the gauges of the load and of the rate that the backend
--- a/crates/swiftcart-node/src/calls/in_flight.rs
+++ b/crates/swiftcart-node/src/calls/in_flight.rs
@@ -75,6 +75,7 @@
             Sample::new(now.since(self.start), result).with_retry_after(self.retry_after);
         sample.load = self.report.map(|report| report.load);
         sample.pace = self.report.and_then(|report| report.pace);
+        sample.slowdown = self.report.and_then(|report| report.slowdown);
         let mut balancer = self.balancer.lock().unwrap_or_else(PoisonError::into_inner);
         let ejected = balancer.finished(self.id, now, &sample);
         drop(balancer);
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -181,7 +181,7 @@
         let routed = with_rng(|rng| view.find(host(&head), head.uri.path(), rng))?;
         let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.apply_route(&routed, lock(&self.profiles).of(routed.route), now);
-        if self.decides_overload() && self.is_nested(&head) {
+        if self.decides_overload(routed.entry) && self.is_nested(&head) {
             call.set_origin(RequestOrigin::Backend);
         }
         let account_regions = account.as_ref().map(|account| &account.regions);
--- a/crates/swiftcart-node/src/calls/ingress/forward.rs
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -1,7 +1,7 @@
 //! Forwarding of requests to the guard beside another backend server.
 
 use http::{HeaderValue, Response};
-use swiftcart_core::{HOP_ALLOWANCE, Load, Pace, Pick, Reason, Refusal, RetryState};
+use swiftcart_core::{HOP_ALLOWANCE, Load, Pace, Pick, Reason, Refusal, RetryState, Slowdown};
 
 use super::original::OriginalRequest;
 use super::{FailedAttempt, Ingress, lock};
@@ -114,6 +114,7 @@
             queued: next()?,
             limit: next()?,
         },
-        pace: next().map(Pace),
+        pace: next().filter(|pace| *pace > 0).map(Pace),
+        slowdown: next().filter(|slowdown| *slowdown > 0).map(Slowdown),
     })
 }
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -6,12 +6,13 @@
 use hyper::body::Incoming;
 use swiftcart_core::{
     AdmissionSettings, AdmissionState, Backend, Deadline, Instant, LimitRule, LimitSettings,
-    Limits, Load, Notice, Outcome, Pace, ProcessNotice, Readiness, Reason, Refusal, ServiceName,
+    Limits, Load, Notice, Outcome, ProcessNotice, Readiness, Reason, Refusal, ServiceName,
 };
 
 use super::admissions::{Admissions, Slot};
 use super::body::Outgoing;
 use super::exchange::exchange;
+use super::guard::Report;
 use super::headers::DEADLINE;
 use super::notices::Notices;
 use super::pool::{Pool, Pooled};
@@ -163,10 +164,10 @@
         self.admissions.load()
     }
 
-    /// Returns the pace of the backend server that is reported with responses.
+    /// Returns the state that is reported with responses.
     #[must_use]
-    pub fn pace(&self) -> Option<Pace> {
-        self.admissions.pace()
+    pub fn report(&self) -> Report {
+        self.admissions.report()
     }
 
     /// Returns the current notice from the responses of the backend server.
