Believe the load that a backend server states

Cause: hosts of backend servers are shared and 2.5 times slow for moments of 600 ms. A guard learns the pace by an average of 32 finished calls, which hears of a moment when it has passed. Change: LoadBelief, a state machine that takes statements with a pace. They count relative to what the server usually states and less with their age, and the time of finished calls confirms or refutes them. The guard multiplies its usual service times by the believed slowdown, refuses requests that may go to another guard while the server is slow, and leaves slots to others that use them.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -22,7 +22,10 @@
 use rand::Rng;
 
 use crate::rate::RetryScheduler;
-use crate::{CallResult, Instant, Limits, Load, Pace, Reason, Refusal, Sample, ServerRate};
+use crate::{
+    CallResult, Instant, Limits, Load, LoadBelief, Pace, Reason, Refusal, Sample, ServerRate,
+    Slowdown, StatedLoad,
+};
 pub use admission_state::AdmissionState;
 pub use egress_limiter::EgressLimiter;
 use limit::AdaptiveLimit;
@@ -48,6 +51,10 @@
 /// Minimum retry delay of a refusal whose caller should use another backend server.
 const FAILOVER_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Slowdown from which the guard refuses requests that may go to another guard. A quarter of a call's
+/// time is more than another hop costs.
+const AVOIDED_SLOWDOWN: f64 = 1.25;
+
 /// Admission control of one backend server.
 ///
 /// At most `min(announced slots, the table's concurrency, the adaptive limit)` requests run
@@ -99,6 +106,8 @@
     link_delay: Duration,
     targets: TargetEstimator,
     promises: RetryScheduler,
+    /// Belief in the load that the backend server states.
+    belief: LoadBelief,
     /// Requests displaced from the queue by more urgent requests and not yet returned.
     displaced: Vec<Refused>,
 }
@@ -122,6 +131,7 @@
             link_delay: Duration::ZERO,
             targets: TargetEstimator::default(),
             promises: RetryScheduler::new(now),
+            belief: LoadBelief::default(),
             displaced: Vec::new(),
         }
     }
@@ -146,6 +156,15 @@
         self.start_queued(now)
     }
 
+    /// Applies the load that the backend server states in a response, and returns the requests to
+    /// start.
+    ///
+    /// Apply the statement before the end of the request that it answers is recorded.
+    pub fn set_stated_load(&mut self, now: Instant, stated: StatedLoad) -> Vec<Ticket> {
+        self.belief.observe(now, stated, self.running());
+        self.start_queued(now)
+    }
+
     /// Sets the admission state, and returns the queued requests that are refused because of it.
     ///
     /// Running requests are not affected.
@@ -175,7 +194,7 @@
         self.targets.record(request.target);
         let queue_wait = self.queue_wait(&request);
         let wait = self.expected_wait(now, self.queue.ahead_of(urgency));
-        let busy_reason = match self.running() < self.limit() {
+        let busy_reason = match self.running() < self.places(now) {
             true => Reason::Throttled,
             false => Reason::Overloaded,
         };
@@ -187,9 +206,15 @@
             AdmissionState::Open if self.limit() == 0 => {
                 self.refuse_elsewhere(Reason::NotReady, rng)
             }
-            AdmissionState::Open if due.misses(now, self.service_times.min_service_time()) => {
+            AdmissionState::Open if due.misses(now, self.min_service_time(now)) => {
                 Admit::Refuse(Refusal::new(Reason::DeadlinePassed))
             }
+            AdmissionState::Open
+                if request.queue_wait == QueueWait::Short
+                    && self.belief.slowdown(now) >= AVOIDED_SLOWDOWN =>
+            {
+                Admit::Refuse(Refusal::new(Reason::Overloaded))
+            }
             AdmissionState::Open if !self.egress_has_room(request.response_length) => {
                 match self.link_wait() <= queue_wait {
                     true if self.has_room(urgency) => Admit::Queue(self.enqueue(now, request, rng)),
@@ -205,8 +230,7 @@
                 Admit::Refuse(self.refuse_busy(Reason::QueueFull, request.queue_wait, now, rng))
             }
             AdmissionState::Open
-                if wait > queue_wait
-                    || due.misses(now, wait + self.service_times.min_service_time()) =>
+                if wait > queue_wait || due.misses(now, wait + self.min_service_time(now)) =>
             {
                 Admit::Refuse(self.refuse_busy(busy_reason, request.queue_wait, now, rng))
             }
@@ -230,7 +254,7 @@
     /// Records a finished request, and returns the queued requests to start.
     pub fn done(&mut self, ticket: Ticket, now: Instant, sample: &Sample) -> Vec<Ticket> {
         if let Some(running) = self.remove(ticket) {
-            self.record(sample, running.in_flight);
+            self.record(now, sample, &running);
         }
         self.start_queued(now)
     }
@@ -314,13 +338,18 @@
         to_u32(self.queue.len())
     }
 
-    /// Returns the time at which the rate limit lets a queued request start.
+    /// Returns the time at which a queued request may start even if no running one ends: the rate
+    /// limit lets it start, or others no longer use the backend server's slots.
     ///
-    /// Returns `None` if no request is queued, if all slots are in use, or if the rate limit does
-    /// not delay a start.
+    /// Returns `None` if no request is queued, if this guard's requests use all slots, or if
+    /// nothing else delays a start.
     #[must_use]
     pub fn next_start_at(&self, now: Instant) -> Option<Instant> {
-        let held = self.throttle.wait(now, 0);
+        let others = match self.running() < self.places(now) {
+            true => Duration::ZERO,
+            false => self.belief.others_until().since(now),
+        };
+        let held = self.throttle.wait(now, 0).max(others);
         let waits = self.queue.len() > 0 && self.running() < self.limit();
         (waits && !held.is_zero()).then(|| now + held)
     }
@@ -335,6 +364,20 @@
         }
     }
 
+    /// Returns the last statement of the backend server that includes its pace.
+    #[must_use]
+    pub const fn stated_load(&self) -> Option<StatedLoad> {
+        self.belief.last()
+    }
+
+    /// Returns the slowdown that is part of the pace, or `None` if the backend server has not
+    /// stated its pace.
+    #[must_use]
+    pub fn slowdown(&self, now: Instant) -> Option<Slowdown> {
+        let stated = self.belief.last();
+        stated.map(|_| Slowdown::from_factor(self.belief.slowdown(now)))
+    }
+
     /// Returns the concurrency that the backend server can sustain.
     ///
     /// With a named rate, the concurrency is the rate times the mean service time (Little's law),
@@ -351,16 +394,18 @@
         })
     }
 
-    /// Returns the backend server's pace, or `None` before the first call with a latency target has
-    /// ended.
+    /// Returns the backend server's pace at this moment, or `None` before the first call with a
+    /// latency target has ended.
     ///
-    /// The ages of the running calls count, too. They reveal that the backend server has become
+    /// It is the usual pace times the slowdown that the backend server states. The ages of the running calls count, too. They reveal that the backend server has become
     /// slow before any of these calls ends.
     #[must_use]
     pub fn pace(&self, now: Instant) -> Option<Pace> {
         let ages = self.running.values();
-        self.pace_estimator
-            .pace(ages.filter_map(|running| running.target_ratio(now)))
+        self.pace_estimator.pace(
+            self.belief.slowdown(now),
+            ages.filter_map(|running| running.target_ratio(now)),
+        )
     }
 
     fn resize(&mut self, slots: u32, limits: Limits) {
@@ -399,6 +444,7 @@
             start: now,
             target,
             response_length,
+            run: self.belief.begin(now),
         };
         self.running.insert(ticket, running);
     }
@@ -413,7 +459,22 @@
 
     /// Returns `true` if a slot is free and the rate limit allows a request to start now.
     fn can_start(&self, now: Instant) -> bool {
-        self.running() < self.limit() && self.throttle.has_token(now)
+        self.running() < self.places(now) && self.throttle.has_token(now)
+    }
+
+    /// Returns the number of requests that may run while others use slots of the backend server,
+    /// at least 1 if the limit is.
+    fn places(&self, now: Instant) -> u32 {
+        let limit = self.limit();
+        limit
+            .saturating_sub(self.belief.others(now))
+            .max(limit.min(1))
+    }
+
+    /// Returns the minimum service time at this moment.
+    fn min_service_time(&self, now: Instant) -> Duration {
+        self.service_times
+            .min_service_time(self.belief.slowdown(now))
     }
 
     /// Returns `true` if the instance's link has capacity for a response of this length.
@@ -478,10 +539,7 @@
     ) -> Ticket {
         self.make_room(now, self.urgency(now, &request), rng);
         let ticket = self.new_ticket();
-        let latest = request
-            .due
-            .minus(self.service_times.min_service_time())
-            .at();
+        let latest = request.due.minus(self.min_service_time(now)).at();
         let queue_wait = now + self.queue_wait(&request);
         let reason = match queue_wait < latest {
             true => Reason::Overloaded,
@@ -516,13 +574,18 @@
         started
     }
 
-    fn record(&mut self, sample: &Sample, running: u32) {
+    /// Records the time that a call would usually have taken.
+    fn record(&mut self, now: Instant, sample: &Sample, running: &Running) {
         if sample.result != CallResult::Success {
             return;
         }
-        self.service_times.record(sample.latency);
-        self.pace_estimator.record(sample);
-        self.limit.record(sample.latency, running);
+        let usual = Sample {
+            latency: self.belief.finish(&running.run, now, sample.latency),
+            ..*sample
+        };
+        self.service_times.record(usual.latency);
+        self.pace_estimator.record(&usual);
+        self.limit.record(usual.latency, running.in_flight);
     }
 
     /// Returns the maximum number of queued requests.
@@ -531,9 +594,15 @@
         (most.ceil() as usize).min(self.settings.queue as usize)
     }
 
+    /// Returns the calls per second that the backend server finishes at this moment.
+    fn done_per_sec(&self, now: Instant) -> Option<f64> {
+        let done = self.service_times.throughput(self.places(now));
+        done.map(|done| done / self.belief.slowdown(now))
+    }
+
     /// Returns the calls per second that the backend server finishes, bounded by the named rate.
-    fn throughput(&self) -> Option<f64> {
-        let done = self.service_times.throughput(self.limit());
+    fn throughput(&self, now: Instant) -> Option<f64> {
+        let done = self.done_per_sec(now);
         match (done, self.throttle.rate()) {
             (Some(done), Some(rate)) => Some(done.min(rate)),
             (done, rate) => done.or(rate),
@@ -542,15 +611,21 @@
 
     /// Returns the expected wait of a request that is queued behind `ahead` others.
     ///
-    /// The request waits for the rate limit and, if all slots are in use, for a free slot.
+    /// The request waits for the rate limit and, if all slots are in use, for a free slot. Slots
+    /// that others use are soon free.
     fn expected_wait(&self, now: Instant, ahead: usize) -> Duration {
         let effective_limit = f64::from(to_u32(ahead)) + 1.0;
-        let done = self.service_times.throughput(self.limit());
+        let done = self.done_per_sec(now);
         let secs = done.map_or(0.0, |done| effective_limit / done);
         let slot = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
-        match self.running() < self.limit() {
-            true => self.throttle.wait(now, ahead),
-            false => slot.max(self.throttle.wait(now, ahead)),
+        let others = self.belief.others_until().since(now);
+        let throttled = self.throttle.wait(now, ahead);
+        match self.running() {
+            running if running < self.places(now) => throttled,
+            running if running.saturating_add(to_u32(ahead)) < self.limit() => {
+                slot.min(others).max(throttled)
+            }
+            _ => slot.max(throttled),
         }
     }
 
@@ -586,7 +661,7 @@
         rng: &mut R,
     ) -> Refusal {
         let wait = self.expected_wait(now, self.queue.len());
-        let rate = self.throughput().unwrap_or(1.0);
+        let rate = self.throughput(now).unwrap_or(1.0);
         let after = self.promises.next(now, wait, rate, rng);
         Refusal::new(reason).with_retry(after)
     }
--- a/crates/swiftcart-core/src/admission/pace_estimator.rs
+++ b/crates/swiftcart-core/src/admission/pace_estimator.rs
@@ -39,9 +39,10 @@
 
     /// Returns the pace, or `None` before the first call with a target has ended.
     ///
-    /// `ages` are the ages of the running calls, as multiples of their targets.
-    pub(super) fn pace(&self, ages: impl Iterator<Item = f64>) -> Option<Pace> {
-        let ended = self.mean?;
+    /// `slowdown` is the current service time as a multiple of the usual one. `ages` are the ages
+    /// of the running calls, as multiples of their targets.
+    pub(super) fn pace(&self, slowdown: f64, ages: impl Iterator<Item = f64>) -> Option<Pace> {
+        let ended = self.mean? * slowdown;
         Some(Pace::from_ratio(ended.max(overdue(ages))))
     }
 }
--- a/crates/swiftcart-core/src/admission/running.rs
+++ b/crates/swiftcart-core/src/admission/running.rs
@@ -4,7 +4,7 @@
 
 use super::ResponseLength;
 use super::pace_estimator::target_ratio;
-use crate::Instant;
+use crate::{Instant, RunStart};
 
 /// A request that the backend server is running.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -15,6 +15,8 @@
     /// Latency target.
     pub(super) target: Option<Duration>,
     pub(super) response_length: ResponseLength,
+    /// Start of the run, for the slowdown of the backend server while it lasts.
+    pub(super) run: RunStart,
 }
 
 impl Running {
--- a/crates/swiftcart-core/src/admission/service_times.rs
+++ b/crates/swiftcart-core/src/admission/service_times.rs
@@ -39,9 +39,9 @@
         Some(f64::from(running) / mean)
     }
 
-    /// Returns the minimum service time, or zero before the first call has ended.
-    pub(super) fn min_service_time(&self) -> Duration {
-        let secs = self.min_secs.unwrap_or(0.0);
+    /// Returns the minimum service time under `slowdown`, or zero before the first call has ended.
+    pub(super) fn min_service_time(&self, slowdown: f64) -> Duration {
+        let secs = self.min_secs.unwrap_or(0.0) * slowdown;
         Duration::try_from_secs_f64(secs).unwrap_or(Duration::ZERO)
     }
 }
--- a/crates/swiftcart-core/src/stated_load.rs
+++ b/crates/swiftcart-core/src/stated_load.rs
@@ -1,12 +1,18 @@
 //! Load that a backend server states about itself in its responses.
 
+mod belief;
+mod level;
 mod slowdown;
+mod trust;
 
 use std::str::FromStr;
 
 use quick_error::quick_error;
 
+pub use belief::*;
+use level::Level;
 pub use slowdown::*;
+use trust::Trust;
 
 /// Minimum and maximum stated pace that is believed, in percent of the usual service time.
 const PACE_RANGE: std::ops::RangeInclusive<u32> = 10..=10_000;
--- a/crates/swiftcart-core/src/stated_load/slowdown.rs
+++ b/crates/swiftcart-core/src/stated_load/slowdown.rs
@@ -56,9 +56,20 @@
 }
 
 /// Returns the part of `excess`, over a factor of 1, that is believed at this age.
-fn believed_excess(excess: f64, age: Duration) -> f64 {
+pub(super) fn believed_excess(excess: f64, age: Duration) -> f64 {
     match age.as_secs_f64() {
         age if age < MAX_AGE_SECS => excess * (-age / DECAY_SECS).exp(),
         _ => 0.0,
     }
 }
+
+/// Returns the work that a backend server does in `elapsed` after it stated `excess`, in seconds of
+/// usual service time.
+///
+/// The server works at the reciprocal of the believed factor, of which this is the integral.
+pub(super) fn work_secs(excess: f64, elapsed: Duration) -> f64 {
+    let secs = elapsed.as_secs_f64();
+    let believed = secs.min(MAX_AGE_SECS);
+    let growth = (believed / DECAY_SECS).exp();
+    secs - believed + DECAY_SECS * ((growth + excess) / (1.0 + excess)).ln()
+}
