Read the load that backend servers state and tell it to peers

Cause: guards passed the header on and did not read it. Change: headers.load names the header, by default none; the deployment sets it. A statement that cannot be used is counted by reason, and logged once for each process and reason. Conclusion: ingresses hear of a slow moment with the next response of a guard.

--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -22,6 +22,7 @@
 mod serve;
 mod service;
 mod socket;
+mod stated_load;
 mod terms;
 mod upstream;
 mod verdict;
--- a/crates/swiftcart-node/src/calls/admissions.rs
+++ b/crates/swiftcart-node/src/calls/admissions.rs
@@ -8,7 +8,7 @@
 
 use swiftcart_core::{
     Admission, AdmissionRequest, AdmissionSettings, AdmissionState, Admit, CallResult, Instant,
-    Limits, Load, RateShare, Reason, Refusal, Refused, Sample, ServerRate, Ticket,
+    Limits, Load, RateShare, Reason, Refusal, Refused, Sample, ServerRate, StatedLoad, Ticket,
 };
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -129,6 +129,20 @@
         state.refuse(refused);
     }
 
+    /// Applies the load that the backend server stated in a response.
+    pub fn set_stated_load(&self, stated: StatedLoad) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let started = state.admission.set_stated_load(now, stated);
+        state.wake(started);
+    }
+
+    /// Returns the last load that the backend server stated with its pace.
+    #[must_use]
+    pub fn stated_load(&self) -> Option<StatedLoad> {
+        self.lock().admission.stated_load()
+    }
+
     /// Returns the load that is reported with a response.
     #[must_use]
     pub fn load(&self) -> Load {
@@ -143,7 +157,7 @@
         Report {
             load: admission.load(),
             pace: admission.pace(now),
-            slowdown: None,
+            slowdown: admission.slowdown(now),
         }
     }
 
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -9,7 +9,7 @@
 use slog::{error, info};
 use swiftcart_core::{
     Backend, CallResult, ColdStartLimit, Limits, Load, NodeId, Notice, Pace, ProcessNotice,
-    Readiness, Reason, Refusal, ServerRate, ServiceEntry, Slowdown, Version,
+    Readiness, Reason, Refusal, ServerRate, ServiceEntry, Slowdown, StatedLoad, Version,
 };
 
 use super::admissions::Slot;
@@ -201,14 +201,16 @@
         Some(report)
     }
 
-    /// Closes idle connections and updates the gauges of the load and of the rate that the backend
-    /// server announced.
+    /// Closes idle connections and updates the gauges of the load, and of the rate and the load
+    /// that the backend server stated.
     pub fn sweep(&self) {
         let upstream = self.upstream.load();
-        let (load, rate) = upstream.as_ref().map_or_else(Default::default, |upstream| {
+        let (load, rate, stated) = upstream.as_ref().map_or_else(Default::default, |upstream| {
             upstream.sweep();
-            (upstream.load(), upstream.process_notice().notice.rate)
+            let rate = upstream.process_notice().notice.rate;
+            (upstream.load(), rate, upstream.stated_load())
         });
+        self.show_stated_load(stated);
         let rate = rate.map_or(0.0, ServerRate::per_second);
         let counters = &self.shared.counters;
         counters.gauge("swiftcart_running").set(load.running);
@@ -217,6 +219,24 @@
         counters.gauge("swiftcart_server_rate").set(rate);
     }
 
+    /// Updates the gauges of the load that the backend server stated.
+    fn show_stated_load(&self, stated: Option<StatedLoad>) {
+        let Some(stated) = stated else { return };
+        let counters = &self.shared.counters;
+        let slowdown = self.report().and_then(|report| report.slowdown);
+        counters
+            .gauge("swiftcart_stated_running")
+            .set(stated.running);
+        counters.gauge("swiftcart_stated_queued").set(stated.queued);
+        counters.gauge("swiftcart_stated_slots").set(stated.slots);
+        counters
+            .gauge("swiftcart_stated_slowdown")
+            .set(stated.slowdown().unwrap_or(1.0));
+        counters
+            .gauge("swiftcart_slowdown")
+            .set(slowdown.map_or(1.0, Slowdown::factor));
+    }
+
     /// Sends a request to the backend server if the backend server belongs to `service` and the
     /// request is admitted.
     ///
@@ -246,12 +266,15 @@
         let Some(log) = self.shared.call_log.failed(now) else {
             return;
         };
-        let load = self.report().map(|report| report.load).unwrap_or_default();
+        let report = self.report();
+        let load = report.map(|report| report.load).unwrap_or_default();
+        let slowdown = report.and_then(|report| report.slowdown);
         let instance = self.shared.registration().id().map(str::to_owned);
         info!(log, ""; "event" => Event::Guard, "id" => %call.id, "service" => service,
             "instance" => instance.as_deref().unwrap_or("-"),
             "reason" => refusal.reason.as_str(), "running" => load.running,
             "queued" => load.queued, "limit" => load.limit,
+            "slowdown" => slowdown.map(Slowdown::factor),
             "left_ms" => u64::try_from(call.due.left(now).as_millis()).unwrap_or(u64::MAX),
             "age_ms" => u64::try_from(call.age().as_millis()).unwrap_or(u64::MAX),
             "print" => %call.print);
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -7,6 +7,7 @@
 use swiftcart_core::{
     AdmissionSettings, AdmissionState, Backend, Deadline, Instant, LimitRule, LimitSettings,
     Limits, Load, Notice, Outcome, ProcessNotice, Readiness, Reason, Refusal, ServiceName,
+    StatedLoad,
 };
 
 use super::admissions::{Admissions, Slot};
@@ -18,6 +19,7 @@
 use super::pool::{Pool, Pooled};
 use super::request::Call;
 use super::runs::{FingerprintSource, Run, RunTracker};
+use super::stated_load::StatedLoads;
 use crate::clock::Clock;
 use crate::registration::Identity;
 use crate::settings::Headers;
@@ -35,6 +37,7 @@
     admissions: Arc<Admissions>,
     runs: Arc<RunTracker>,
     notices: Arc<Notices>,
+    stated_loads: Arc<StatedLoads>,
 }
 
 /// Head of a response, with the connection that its body arrives on.
@@ -88,6 +91,10 @@
             || Notices::new(shared, identity.as_ref()),
             |old| Arc::clone(&old.notices),
         );
+        let stated_loads = same.map_or_else(
+            || StatedLoads::new(shared),
+            |old| Arc::clone(&old.stated_loads),
+        );
         let pool = same
             .filter(|old| old.backend.connections == backend.connections)
             .map_or_else(
@@ -107,6 +114,7 @@
             admissions,
             runs,
             notices,
+            stated_loads,
         }
     }
 
@@ -170,6 +178,12 @@
         self.admissions.report()
     }
 
+    /// Returns the last load that the backend server stated with its pace.
+    #[must_use]
+    pub fn stated_load(&self) -> Option<StatedLoad> {
+        self.admissions.stated_load()
+    }
+
     /// Returns the current notice from the responses of the backend server.
     #[must_use]
     pub fn process_notice(&self) -> ProcessNotice {
@@ -247,6 +261,9 @@
                 notice
                     .into_iter()
                     .for_each(|notice| self.apply_notice(notice));
+                if let Some(stated) = self.stated_loads.read(call, response.headers()) {
+                    self.admissions.set_stated_load(stated);
+                }
                 Ok(Sent {
                     run: run.with_status(response.status()),
                     response,
--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -101,6 +101,13 @@
     start_with(settings).await
 }
 
+/// Starts a node that reads the load of its backend server from the header `name`.
+pub async fn node_that_reads_load(log: &Log, name: &str) -> Node {
+    let mut settings = settings(log, &[]);
+    settings.headers.load = Some(name.to_owned().try_into().unwrap());
+    start_with(settings).await
+}
+
 async fn start(log: &Log, seeds: &[SocketAddr]) -> Node {
     start_with(settings(log, seeds)).await
 }
