Show each gauge of the stated load in its own row

Cause: the page test of xtask wants a row for each metric, and three shared one; the gauges also kept the last statement of a backend server that had left. Change: a row each; the gauges are 0 while the backend server states no pace. Measured: xtask's pages test failed before (case_2_metrics) and passes.

--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -219,22 +219,21 @@
         counters.gauge("swiftcart_server_rate").set(rate);
     }
 
-    /// Updates the gauges of the load that the backend server stated.
+    /// Updates the gauges of the load that the backend server stated, which are 0 while it does not
+    /// state its pace.
     fn show_stated_load(&self, stated: Option<StatedLoad>) {
-        let Some(stated) = stated else { return };
+        let believed = self.report().and_then(|report| report.slowdown);
+        let stated = stated.unwrap_or_default();
         let counters = &self.shared.counters;
-        let slowdown = self.report().and_then(|report| report.slowdown);
-        counters
-            .gauge("swiftcart_stated_running")
-            .set(stated.running);
-        counters.gauge("swiftcart_stated_queued").set(stated.queued);
-        counters.gauge("swiftcart_stated_slots").set(stated.slots);
-        counters
-            .gauge("swiftcart_stated_slowdown")
-            .set(stated.slowdown().unwrap_or(1.0));
-        counters
-            .gauge("swiftcart_slowdown")
-            .set(slowdown.map_or(1.0, Slowdown::factor));
+        let gauge = |name, value: f64| counters.gauge(name).set(value);
+        gauge("swiftcart_stated_running", stated.running.into());
+        gauge("swiftcart_stated_queued", stated.queued.into());
+        gauge("swiftcart_stated_slots", stated.slots.into());
+        gauge(
+            "swiftcart_stated_slowdown",
+            stated.slowdown().unwrap_or(0.0),
+        );
+        gauge("swiftcart_slowdown", believed.map_or(1.0, Slowdown::factor));
     }
 
     /// Sends a request to the backend server if the backend server belongs to `service` and the
