--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -23,7 +23,8 @@
 
 use crate::rate::RetryScheduler;
 use crate::{
-    CallResult, Instant, Limits, Load, Pace, Reason, Refusal, RequestOrigin, Sample, ServerRate,
+    CallResult, Instant, Limits, Load, LoadBelief, Pace, Reason, Refusal, RequestOrigin, Sample,
+    ServerRate, Slowdown, StatedLoad,
 };
 pub use admission_state::AdmissionState;
 pub use egress_limiter::EgressLimiter;
@@ -50,6 +51,13 @@
 /// Minimum retry delay of a refusal whose caller should use another backend server.
 const FAILOVER_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Slowdown from which the guard refuses requests that may go to another guard. A quarter of a call's
+/// time is more than another hop costs.
+const AVOIDED_SLOWDOWN: f64 = 1.25;
+
+/// Time for which other guards count as full after a request that found no free slot at them.
+const CROWDED_PERIOD: Duration = Duration::from_millis(250);
+
 /// Admission control of one backend server.
 ///
 /// At most `min(announced slots, the table's concurrency, the adaptive limit)` requests run
@@ -101,6 +109,10 @@
     link_delay: Duration,
     targets: TargetEstimator,
     promises: RetryScheduler,
+    /// Belief in the load that the backend server states.
+    belief: LoadBelief,
+    /// Time of the last request that other guards had no free slot for.
+    crowded_at: Option<Instant>,
     /// Requests displaced from the queue by more urgent requests and not yet returned.
     displaced: Vec<Refused>,
 }
@@ -124,6 +136,8 @@
             link_delay: Duration::ZERO,
             targets: TargetEstimator::default(),
             promises: RetryScheduler::new(now),
+            belief: LoadBelief::default(),
+            crowded_at: None,
             displaced: Vec::new(),
         }
     }
@@ -148,6 +162,15 @@
         self.start_queued(now)
     }
 
+    /// Applies the load that the backend server states in a response, and returns the requests to
+    /// start.
+    ///
+    /// Apply the statement before the end of the request that it answers is recorded.
+    pub fn set_stated_load(&mut self, now: Instant, stated: StatedLoad) -> Vec<Ticket> {
+        self.belief.observe(now, stated, self.running());
+        self.start_queued(now)
+    }
+
     /// Sets the admission state, and returns the queued requests that are refused because of it.
     ///
     /// Running requests are not affected.
@@ -177,10 +200,13 @@
         self.targets.record(request.target);
         let queue_wait = self.queue_wait(now, &request);
         let wait = self.expected_wait(now, self.queue.ahead_of(urgency));
-        let busy_reason = match self.running() < self.limit() {
+        let busy_reason = match self.running() < self.places(now) {
             true => Reason::Throttled,
             false => Reason::Overloaded,
         };
+        if request.queue_wait == QueueWait::Full {
+            self.crowded_at = Some(now);
+        }
         let due = request.due;
         match self.state {
             AdmissionState::Warming => self.refuse_elsewhere(Reason::Warming, rng),
@@ -189,9 +215,14 @@
             AdmissionState::Open if self.limit() == 0 => {
                 self.refuse_elsewhere(Reason::NotReady, rng)
             }
-            AdmissionState::Open if due.misses(now, self.service_times.min_service_time()) => {
+            AdmissionState::Open if due.misses(now, self.min_service_time(now)) => {
                 Admit::Refuse(Refusal::new(Reason::DeadlinePassed))
             }
+            AdmissionState::Open
+                if request.queue_wait == QueueWait::Short && self.is_avoided(now) =>
+            {
+                Admit::Refuse(Refusal::new(Reason::Overloaded))
+            }
             AdmissionState::Open if !self.egress_has_room(request.response_length) => {
                 match self.link_wait() <= queue_wait {
                     true if self.has_room(urgency) => Admit::Queue(self.enqueue(now, request, rng)),
@@ -207,8 +238,7 @@
                 Admit::Refuse(self.refuse_busy(Reason::QueueFull, request.queue_wait, now, rng))
             }
             AdmissionState::Open
-                if wait > queue_wait
-                    || due.misses(now, wait + self.service_times.min_service_time()) =>
+                if wait > queue_wait || due.misses(now, wait + self.min_service_time(now)) =>
             {
                 Admit::Refuse(self.refuse_busy(busy_reason, request.queue_wait, now, rng))
             }
@@ -232,7 +262,7 @@
     /// Records a finished request, and returns the queued requests to start.
     pub fn done(&mut self, ticket: Ticket, now: Instant, sample: &Sample) -> Vec<Ticket> {
         if let Some(running) = self.remove(ticket) {
-            self.record(sample, running.in_flight);
+            self.record(now, sample, &running);
         }
         self.start_queued(now)
     }
@@ -316,13 +346,18 @@
         to_u32(self.queue.len())
     }
 
-    /// Returns the time at which the rate limit lets a queued request start.
+    /// Returns the time at which a queued request may start even if no running one ends: the rate
+    /// limit lets it start, or others no longer use the backend server's slots.
     ///
-    /// Returns `None` if no request is queued, if all slots are in use, or if the rate limit does
-    /// not delay a start.
+    /// Returns `None` if no request is queued, if this guard's requests use all slots, or if
+    /// nothing else delays a start.
     #[must_use]
     pub fn next_start_at(&self, now: Instant) -> Option<Instant> {
-        let held = self.throttle.wait(now, 0);
+        let others = match self.running() < self.places(now) {
+            true => Duration::ZERO,
+            false => self.belief.others_until().since(now),
+        };
+        let held = self.throttle.wait(now, 0).max(others);
         let waits = self.queue.len() > 0 && self.running() < self.limit();
         (waits && !held.is_zero()).then(|| now + held)
     }
@@ -337,6 +372,20 @@
         }
     }
 
+    /// Returns the last statement of the backend server that includes its pace.
+    #[must_use]
+    pub const fn stated_load(&self) -> Option<StatedLoad> {
+        self.belief.last()
+    }
+
+    /// Returns the slowdown that is part of the pace, or `None` if the backend server has not
+    /// stated its pace.
+    #[must_use]
+    pub fn slowdown(&self, now: Instant) -> Option<Slowdown> {
+        let stated = self.belief.last();
+        stated.map(|_| Slowdown::from_factor(self.belief.slowdown(now)))
+    }
+
     /// Returns the concurrency that the backend server can sustain.
     ///
     /// With a named rate, the concurrency is the rate times the mean service time (Little's law),
@@ -353,16 +402,18 @@
         })
     }
 
-    /// Returns the backend server's pace, or `None` before the first call with a latency target has
-    /// ended.
+    /// Returns the backend server's pace at this moment, or `None` before the first call with a
+    /// latency target has ended.
     ///
-    /// The ages of the running calls count, too. They reveal that the backend server has become
+    /// It is the usual pace times the slowdown that the backend server states. The ages of the running calls count, too. They reveal that the backend server has become
     /// slow before any of these calls ends.
     #[must_use]
     pub fn pace(&self, now: Instant) -> Option<Pace> {
         let ages = self.running.values();
-        self.pace_estimator
-            .pace(ages.filter_map(|running| running.target_ratio(now)))
+        self.pace_estimator.pace(
+            self.belief.slowdown(now),
+            ages.filter_map(|running| running.target_ratio(now)),
+        )
     }
 
     fn resize(&mut self, slots: u32, limits: Limits) {
@@ -401,6 +452,7 @@
             start: now,
             target,
             response_length,
+            run: self.belief.begin(now),
         };
         self.running.insert(ticket, running);
     }
@@ -415,7 +467,29 @@
 
     /// Returns `true` if a slot is free and the rate limit allows a request to start now.
     fn can_start(&self, now: Instant) -> bool {
-        self.running() < self.limit() && self.throttle.has_token(now)
+        self.running() < self.places(now) && self.throttle.has_token(now)
+    }
+
+    /// Returns `true` if the backend server is slow at this moment and other guards seem to have
+    /// free slots.
+    fn is_avoided(&self, now: Instant) -> bool {
+        let is_crowded = |at: Instant| now.since(at) < CROWDED_PERIOD;
+        self.belief.slowdown(now) >= AVOIDED_SLOWDOWN && !self.crowded_at.is_some_and(is_crowded)
+    }
+
+    /// Returns the number of requests that may run while others use slots of the backend server,
+    /// at least 1 if the limit is.
+    fn places(&self, now: Instant) -> u32 {
+        let limit = self.limit();
+        limit
+            .saturating_sub(self.belief.others(now))
+            .max(limit.min(1))
+    }
+
+    /// Returns the minimum service time at this moment.
+    fn min_service_time(&self, now: Instant) -> Duration {
+        self.service_times
+            .min_service_time(self.belief.slowdown(now))
     }
 
     /// Returns `true` if the instance's link has capacity for a response of this length.
@@ -488,10 +562,7 @@
     ) -> Ticket {
         self.make_room(now, self.urgency(now, &request), rng);
         let ticket = self.new_ticket();
-        let latest = request
-            .due
-            .minus(self.service_times.min_service_time())
-            .at();
+        let latest = request.due.minus(self.min_service_time(now)).at();
         let queue_wait = now + self.queue_wait(now, &request);
         let reason = match queue_wait < latest {
             true => Reason::Overloaded,
@@ -526,13 +597,18 @@
         started
     }
 
-    fn record(&mut self, sample: &Sample, running: u32) {
+    /// Records the time that a call would usually have taken.
+    fn record(&mut self, now: Instant, sample: &Sample, running: &Running) {
         if sample.result != CallResult::Success {
             return;
         }
-        self.service_times.record(sample.latency);
-        self.pace_estimator.record(sample);
-        self.limit.record(sample.latency, running);
+        let usual = Sample {
+            latency: self.belief.finish(&running.run, now, sample.latency),
+            ..*sample
+        };
+        self.service_times.record(usual.latency);
+        self.pace_estimator.record(&usual);
+        self.limit.record(usual.latency, running.in_flight);
     }
 
     /// Returns the maximum number of queued requests.
@@ -541,9 +617,15 @@
         (most.ceil() as usize).min(self.settings.queue as usize)
     }
 
+    /// Returns the calls per second that the backend server finishes at this moment.
+    fn done_per_sec(&self, now: Instant) -> Option<f64> {
+        let done = self.service_times.throughput(self.places(now));
+        done.map(|done| done / self.belief.slowdown(now))
+    }
+
     /// Returns the calls per second that the backend server finishes, bounded by the named rate.
-    fn throughput(&self) -> Option<f64> {
-        let done = self.service_times.throughput(self.limit());
+    fn throughput(&self, now: Instant) -> Option<f64> {
+        let done = self.done_per_sec(now);
         match (done, self.throttle.rate()) {
             (Some(done), Some(rate)) => Some(done.min(rate)),
             (done, rate) => done.or(rate),
@@ -552,15 +634,21 @@
 
     /// Returns the expected wait of a request that is queued behind `ahead` others.
     ///
-    /// The request waits for the rate limit and, if all slots are in use, for a free slot.
+    /// The request waits for the rate limit and, if all slots are in use, for a free slot. Slots
+    /// that others use are soon free.
     fn expected_wait(&self, now: Instant, ahead: usize) -> Duration {
         let effective_limit = f64::from(to_u32(ahead)) + 1.0;
-        let done = self.service_times.throughput(self.limit());
+        let done = self.done_per_sec(now);
         let secs = done.map_or(0.0, |done| effective_limit / done);
         let slot = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
-        match self.running() < self.limit() {
-            true => self.throttle.wait(now, ahead),
-            false => slot.max(self.throttle.wait(now, ahead)),
+        let others = self.belief.others_until().since(now);
+        let throttled = self.throttle.wait(now, ahead);
+        match self.running() {
+            running if running < self.places(now) => throttled,
+            running if running.saturating_add(to_u32(ahead)) < self.limit() => {
+                slot.min(others).max(throttled)
+            }
+            _ => slot.max(throttled),
         }
     }
 
@@ -596,7 +684,7 @@
         rng: &mut R,
     ) -> Refusal {
         let wait = self.expected_wait(now, self.queue.len());
-        let rate = self.throughput().unwrap_or(1.0);
+        let rate = self.throughput(now).unwrap_or(1.0);
         let after = self.promises.next(now, wait, rate, rng);
         Refusal::new(reason).with_retry(after)
     }
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -9,7 +9,8 @@
 use slog::{error, info};
 use swiftcart_core::{
     Backend, CallResult, ColdStartLimit, HOP_ALLOWANCE, Limits, Load, NodeId, Notice, Pace,
-    ProcessNotice, Readiness, Reason, Refusal, RequestOrigin, ServerRate, ServiceEntry, Version,
+    ProcessNotice, Readiness, Reason, Refusal, RequestOrigin, ServerRate, ServiceEntry, Slowdown,
+    StatedLoad, Version,
 };
 
 use super::admissions::Slot;
@@ -32,6 +33,31 @@
     pub load: Load,
     /// Pace of the backend server; `None` until it is known.
     pub pace: Option<Pace>,
+    /// Slowdown that is part of the pace; `None` unless the backend server states it.
+    pub slowdown: Option<Slowdown>,
+}
+
+impl Report {
+    /// Returns the value of the load header: running, queued and limit, then the pace and the
+    /// slowdown if they are known.
+    ///
+    /// An unknown pace in front of a known slowdown is 0.
+    fn header_value(&self) -> Option<HeaderValue> {
+        let Load {
+            running,
+            queued,
+            limit,
+        } = self.load;
+        let pace = self.pace.map_or(0, |Pace(pace)| pace);
+        let text = match (self.slowdown, pace) {
+            (Some(Slowdown(slowdown)), _) => {
+                format!("{running} {queued} {limit} {pace} {slowdown}")
+            }
+            (None, 0) => format!("{running} {queued} {limit}"),
+            (None, _) => format!("{running} {queued} {limit} {pace}"),
+        };
+        HeaderValue::try_from(text).ok()
+    }
 }
 
 /// Guard of the backend server beside this node: the only process that sends requests to it.
@@ -162,19 +188,10 @@
         &self.shared
     }
 
-    /// Returns the value of the load header for responses to other nodes: running, queued and
-    /// limit, then the pace if it is known.
+    /// Returns the value of the load header for responses to other nodes.
     #[must_use]
     pub fn load(&self) -> Option<HeaderValue> {
-        let upstream = self.upstream.load();
-        let upstream = upstream.as_ref()?;
-        let load = upstream.load();
-        let pace = self.update_pace(upstream);
-        let mut text = format!("{} {} {}", load.running, load.queued, load.limit);
-        if let Some(Pace(pace)) = pace {
-            text.push_str(&format!(" {pace}"));
-        }
-        HeaderValue::try_from(text).ok()
+        self.report()?.header_value()
     }
 
     /// Applies a notice of the backend server that another node received.
@@ -209,33 +226,33 @@
         f64::from(repeats) / f64::from(running.max(repeats).max(1))
     }
 
-    /// Returns the report for the ingress of this node.
+    /// Returns the report for the ingress of this node, and stores the usual pace in the shared
+    /// state from which it is sent to all nodes.
     #[must_use]
     pub fn report(&self) -> Option<Report> {
         let upstream = self.upstream.load();
         let upstream = upstream.as_ref()?;
-        Some(Report {
-            load: upstream.load(),
-            pace: self.update_pace(upstream),
-        })
-    }
-
-    /// Returns the pace, and stores it in the shared state from which it is sent to other nodes.
-    fn update_pace(&self, upstream: &Upstream) -> Option<Pace> {
-        let pace = upstream.pace();
-        let shown = pace.map_or(0, |Pace(pace)| pace);
+        let report = upstream.report();
+        // A slowdown has passed before all nodes know of it.
+        let factor = report.slowdown.map_or(1.0, Slowdown::factor);
+        let usual = report
+            .pace
+            .map(|pace| Pace::from_ratio(pace.ratio() / factor));
+        let shown = usual.map_or(0, |Pace(pace)| pace);
         self.shared.pace.store(shown, Ordering::Relaxed);
-        pace
+        Some(report)
     }
 
-    /// Closes idle connections and updates the gauges of the load and of the rate that the backend
-    /// server announced.
+    /// Closes idle connections and updates the gauges of the load, and of the rate and the load
+    /// that the backend server stated.
     pub fn sweep(&self) {
         let upstream = self.upstream.load();
-        let (load, rate) = upstream.as_ref().map_or_else(Default::default, |upstream| {
+        let (load, rate, stated) = upstream.as_ref().map_or_else(Default::default, |upstream| {
             upstream.sweep();
-            (upstream.load(), upstream.process_notice().notice.rate)
+            let rate = upstream.process_notice().notice.rate;
+            (upstream.load(), rate, upstream.stated_load())
         });
+        self.show_stated_load(stated);
         let rate = rate.map_or(0.0, ServerRate::per_second);
         let counters = &self.shared.counters;
         counters.gauge("swiftcart_running").set(load.running);
@@ -244,6 +261,23 @@
         counters.gauge("swiftcart_server_rate").set(rate);
     }
 
+    /// Updates the gauges of the load that the backend server stated, which are 0 while it does not
+    /// state its pace.
+    fn show_stated_load(&self, stated: Option<StatedLoad>) {
+        let believed = self.report().and_then(|report| report.slowdown);
+        let stated = stated.unwrap_or_default();
+        let counters = &self.shared.counters;
+        let gauge = |name, value: f64| counters.gauge(name).set(value);
+        gauge("swiftcart_stated_running", stated.running.into());
+        gauge("swiftcart_stated_queued", stated.queued.into());
+        gauge("swiftcart_stated_slots", stated.slots.into());
+        gauge(
+            "swiftcart_stated_slowdown",
+            stated.slowdown().unwrap_or(0.0),
+        );
+        gauge("swiftcart_slowdown", believed.map_or(1.0, Slowdown::factor));
+    }
+
     /// Sends a request to the backend server if the backend server belongs to `service` and the
     /// request is admitted.
     ///
@@ -284,13 +318,16 @@
         let Some(log) = self.shared.call_log.failed(now) else {
             return;
         };
-        let load = self.report().map(|report| report.load).unwrap_or_default();
+        let report = self.report();
+        let load = report.map(|report| report.load).unwrap_or_default();
+        let slowdown = report.and_then(|report| report.slowdown);
         let instance = self.shared.registration().id().map(str::to_owned);
         info!(log, ""; "event" => Event::Guard, "id" => %call.id, "service" => service,
             "instance" => instance.as_deref().unwrap_or("-"),
             "origin" => call.origin().as_str(), "reason" => refusal.reason.as_str(),
             "running" => load.running,
             "queued" => load.queued, "limit" => load.limit,
+            "slowdown" => slowdown.map(Slowdown::factor),
             "left_ms" => u64::try_from(call.due.left(now).as_millis()).unwrap_or(u64::MAX),
             "age_ms" => u64::try_from(call.age().as_millis()).unwrap_or(u64::MAX),
             "print" => %call.print);
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -187,7 +187,7 @@
         let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.apply_route(&routed, lock(&self.profiles).of(routed.route), now);
         if account.is_none() {
-            self.rank_nested(&mut call, &head, given_due);
+            self.rank_nested(&mut call, &head, routed.entry, given_due);
         }
         let account_regions = account.as_ref().map(|account| &account.regions);
         call.regions = account_regions.map_or_else(
@@ -198,6 +198,7 @@
         call.compute_print(&head, &settings.headers);
         let first_attempt = lock(&self.refusal_history).first_attempt(now, call.print.head);
         let first = first_attempt.unwrap_or(now);
+        call.returning = first_attempt.is_some();
         call.raise_age(now.since(first));
         let limits = &settings.limits;
         let original = OriginalRequest::new(head, body, limits.replay_bytes, limits.body_timeout());
@@ -229,7 +230,7 @@
         original: &OriginalRequest,
     ) -> Result<Response<Answer>, FailedAttempt> {
         self.check_quarantine(&call, original).await?;
-        let charge = self.charge_quota(&mut call, account.clone())?;
+        let charge = self.charge_quota(&mut call, account.clone(), entry)?;
         let class = self.set_share_standing(&mut call, account.as_deref(), entry);
         let result = self.run_attempts(&call, entry, original).await;
         if let Some(class) = class {
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -8,7 +8,7 @@
 use slog::info;
 use swiftcart_core::{
     Access, Accounts, KeyHash, Outcome, Priority, QuotaMeter, QuotaRequest, Reason, Refusal,
-    ResolvedAccount,
+    ResolvedAccount, ServiceEntry,
 };
 
 use super::log::ms;
@@ -93,11 +93,12 @@
         &self,
         call: &mut Call,
         account: Option<Arc<ResolvedAccount>>,
+        entry: &ServiceEntry,
     ) -> Result<Option<QuotaCharge<'_>>, Refusal> {
         let Some(account) = account else {
             return Ok(None);
         };
-        let request = self.quota_request(call);
+        let request = self.quota_request(call, entry);
         if let Some(priority) = account.priority {
             call.set_priority(priority);
         }
@@ -116,9 +117,9 @@
     ///
     /// The route's priority orders the requests of one account, also if the account's own priority
     /// overrides it among the requests of all.
-    fn quota_request(&self, call: &Call) -> QuotaRequest {
+    fn quota_request(&self, call: &Call, entry: &ServiceEntry) -> QuotaRequest {
         let priority = match call.terms {
-            Some(terms) if self.decides_overload() => terms.priority,
+            Some(terms) if self.decides_overload(entry) => terms.priority,
             _ => Priority::default(),
         };
         QuotaRequest::new(priority).with_timing(call.timing(self.balancer().mean_pace()))
--- a/crates/swiftcart-node/src/calls/ingress/fair_share.rs
+++ b/crates/swiftcart-node/src/calls/ingress/fair_share.rs
@@ -32,16 +32,15 @@
         entry: &ServiceEntry,
     ) -> Option<ShareClass> {
         let (account, terms) = (account?, call.terms?);
-        if !self.decides_overload() {
+        if !self.decides_overload(entry) {
             return None;
         }
         let now = self.shared.clock.now();
-        let first = lock(&self.refusal_history).first_attempt(now, call.print.head);
         let class = (entry.name().clone(), terms.priority);
         let decision = with_rng(|rng| {
             let mut shares = lock(&self.shares);
             let shares = shares.classes.entry(class.clone()).or_default();
-            shares.ask(now, account.tag, account.weight(), first.is_none(), rng)
+            shares.ask(now, account.tag, account.weight(), !call.returning, rng)
         });
         call.set_standing(decision.standing);
         let standing = decision.standing.as_str();
--- a/crates/swiftcart-node/src/calls/ingress/overload.rs
+++ b/crates/swiftcart-node/src/calls/ingress/overload.rs
@@ -1,7 +1,7 @@
 //! Decisions of the ingress about services that have less room than their callers ask for.
 
 use http::request::Parts;
-use swiftcart_core::{Deadline, RequestOrigin};
+use swiftcart_core::{Deadline, RequestOrigin, ServiceEntry};
 
 use super::Ingress;
 use crate::calls::origin::CallerAddr;
@@ -9,13 +9,18 @@
 use crate::settings::OverloadTrigger;
 
 impl Ingress {
-    /// Returns `true` if the settings and the configuration in force enable the decisions about
-    /// overload.
-    pub(super) fn decides_overload(&self) -> bool {
+    /// Returns `true` if the settings, the configuration in force and the backend servers of
+    /// `entry` enable the decisions about overload.
+    pub(super) fn decides_overload(&self, entry: &ServiceEntry) -> bool {
         let overload = &self.shared.settings.overload;
+        let states_pace = || {
+            let now = self.shared.clock.now();
+            self.balancer().states_pace(now, entry)
+        };
         let has_accounts = || !self.shared.view.load().accounts().is_empty();
         overload.has(OverloadTrigger::Always)
             || overload.has(OverloadTrigger::Accounts) && has_accounts()
+            || overload.has(OverloadTrigger::StatedPace) && states_pace()
     }
 
     /// Gives a nested call the rank of the running request that it serves.
@@ -23,9 +28,15 @@
     /// `due` is the deadline that the backend server sent, by which the running request is found.
     /// Callers may share the instance with the backend server, but they have client accounts, while
     /// nested calls belong to none. Without accounts both look alike, and no call is ranked.
-    pub(super) fn rank_nested(&self, call: &mut Call, head: &Parts, due: Deadline) {
+    pub(super) fn rank_nested(
+        &self,
+        call: &mut Call,
+        head: &Parts,
+        entry: &ServiceEntry,
+        due: Deadline,
+    ) {
         let has_accounts = !self.shared.view.load().accounts().is_empty();
-        if !(self.decides_overload() && has_accounts && self.is_nested(head)) {
+        if !(self.decides_overload(entry) && has_accounts && self.is_nested(head)) {
             return;
         }
         let now = self.shared.clock.now();
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -6,17 +6,20 @@
 use hyper::body::Incoming;
 use swiftcart_core::{
     AdmissionSettings, AdmissionState, Backend, Deadline, Instant, LimitRule, LimitSettings,
-    Limits, Load, Notice, Outcome, Pace, ProcessNotice, Readiness, Reason, Refusal, ServiceName,
+    Limits, Load, Notice, Outcome, ProcessNotice, Readiness, Reason, Refusal, ServiceName,
+    StatedLoad,
 };
 
 use super::admissions::{Admissions, Slot};
 use super::body::Outgoing;
 use super::exchange::exchange;
+use super::guard::Report;
 use super::headers::DEADLINE;
 use super::notices::Notices;
 use super::pool::{Pool, Pooled};
 use super::request::Call;
 use super::runs::{FingerprintSource, Run, RunTracker};
+use super::stated_load::StatedLoads;
 use crate::clock::Clock;
 use crate::nested::NestedCalls;
 use crate::registration::Identity;
@@ -36,6 +39,7 @@
     runs: Arc<RunTracker>,
     notices: Arc<Notices>,
     nested: Arc<NestedCalls>,
+    stated_loads: Arc<StatedLoads>,
 }
 
 /// Head of a response, with the connection that its body arrives on.
@@ -89,6 +93,10 @@
             || Notices::new(shared, identity.as_ref()),
             |old| Arc::clone(&old.notices),
         );
+        let stated_loads = same.map_or_else(
+            || StatedLoads::new(shared),
+            |old| Arc::clone(&old.stated_loads),
+        );
         let pool = same
             .filter(|old| old.backend.connections == backend.connections)
             .map_or_else(
@@ -109,6 +117,7 @@
             runs,
             notices,
             nested: Arc::clone(&shared.nested),
+            stated_loads,
         }
     }
 
@@ -166,10 +175,16 @@
         self.admissions.load()
     }
 
-    /// Returns the pace of the backend server that is reported with responses.
+    /// Returns the state that is reported with responses.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        self.admissions.report()
+    }
+
+    /// Returns the last load that the backend server stated with its pace.
     #[must_use]
-    pub fn pace(&self) -> Option<Pace> {
-        self.admissions.pace()
+    pub fn stated_load(&self) -> Option<StatedLoad> {
+        self.admissions.stated_load()
     }
 
     /// Returns the current notice from the responses of the backend server.
@@ -251,6 +266,9 @@
                 notice
                     .into_iter()
                     .for_each(|notice| self.apply_notice(notice));
+                if let Some(stated) = self.stated_loads.read(call, response.headers()) {
+                    self.admissions.set_stated_load(stated);
+                }
                 Ok(Sent {
                     run: run.with_status(response.status()),
                     response,
