Let a plan decide which requests leave their failure domain

Cause: each request compares a few near with a few far guards and crosses as soon as the near one is believed full or the far one a little faster. With a demand that swings by domain, much crosses while the own domain has free slots, and domains send requests to each other at the same time. Change: SpillPlan keeps the usage of a service in each domain from the reports that responses bring, and a share of the requests that leaves. A request with a draw searches its own domain first; it leaves if its draw lies under the share, or after a refusal while the domain is crowded, for a domain that is clearly less used, or if another domain saves half a target. Without a draw nothing changes.

--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -13,7 +13,10 @@
 
 use rand::Rng;
 
-use crate::{Instant, NodeId, ServiceEntry, View};
+use crate::{
+    DomainSlots, Instant, NodeId, ServiceEntry, ServiceName, SpillCause, SpillPlan, SpillStatus,
+    View,
+};
 pub use pace_announcer::*;
 use peer::Peer;
 pub use pick_requirements::*;
@@ -131,6 +134,8 @@
     pub peer: SocketAddr,
     /// Rule that selected the backend server.
     pub rule: PickRule,
+    /// Cause for which the request leaves its failure domain.
+    pub cause: Option<SpillCause>,
     /// `true` if the backend server is believed to have a free slot.
     pub free: bool,
 }
@@ -146,6 +151,9 @@
 /// their backend servers, the expected latency replaces the score. Another failure domain is then
 /// also used when its expected latency is lower by more than the cost of the detour.
 ///
+/// For a request with a [`SpillDraw`](crate::SpillDraw), the service's [`SpillPlan`] decides
+/// whether it leaves the failure domain.
+///
 /// The state is one entry for each candidate of the view last passed to [`Balancer::adopt`], and
 /// for each departed candidate with calls in flight. Apart from `adopt`, the run time of a method
 /// depends on the number of candidates only in three cases: an ejection, a selection while most
@@ -191,11 +199,20 @@
     peers: HashMap<NodeId, Peer>,
     /// Candidates of each service of the view.
     groups: Vec<Vec<NodeId>>,
+    /// Spill plan of each service of the view.
+    plans: Vec<ServicePlan>,
     unreachable: UnreachableDomains,
     /// Moving average of the reported paces, used for backend servers that have not reported one.
     mean_pace: Option<f64>,
 }
 
+/// Spill plan of one service.
+#[derive(Debug, Clone, PartialEq)]
+struct ServicePlan {
+    name: ServiceName,
+    plan: SpillPlan,
+}
+
 impl Balancer {
     /// Creates a balancer without any candidates.
     #[must_use]
@@ -205,6 +222,7 @@
             settings,
             peers: HashMap::new(),
             groups: Vec::new(),
+            plans: Vec::new(),
             unreachable: UnreachableDomains::default(),
             mean_pace: None,
         }
@@ -239,6 +257,7 @@
             self.groups.push(ids);
         }
         self.peers.retain(|_, p| !p.departed || p.running > 0);
+        self.adopt_plans(view);
     }
 
     /// Selects a candidate of `entry` that is not in `exclude`, or `None` if there is none.
@@ -266,6 +285,7 @@
             requirements,
             now,
             exclude,
+            domain: None,
         };
         selection.select(entry, rng)
     }
@@ -274,6 +294,9 @@
     pub fn started(&mut self, id: NodeId) {
         if let Some(peer) = self.peers.get_mut(&id) {
             peer.running = peer.running.saturating_add(1);
+            if let Some(service) = self.plans.get_mut(peer.service) {
+                service.plan.started(peer.domain);
+            }
         }
     }
 
@@ -283,6 +306,12 @@
             return false;
         };
         let failed = peer.finish(now, sample, &self.settings);
+        if let Some(service) = self.plans.get_mut(peer.service) {
+            service.plan.finished(peer.domain);
+            if let Some(load) = sample.load {
+                service.plan.record(now, peer.domain, id, load.usage());
+            }
+        }
         match (peer.domain, sample.result) {
             (Some(domain), CallResult::Unreachable) => {
                 self.unreachable.record_failure(domain, id, now);
@@ -319,6 +348,12 @@
         self.mean_pace.unwrap_or(0.0)
     }
 
+    /// Returns the figures of the spill plan of each service.
+    pub fn spill_status(&self, now: Instant) -> impl Iterator<Item = (&ServiceName, SpillStatus)> {
+        let plans = self.plans.iter();
+        plans.map(move |service| (&service.name, service.plan.status(now)))
+    }
+
     /// Returns the number of tracked backend servers.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -337,6 +372,39 @@
         self.peers.get(&id).is_some_and(|p| p.ejected(now))
     }
 
+    /// Replaces the spill plans by those of a new view. Plans of services that remain are kept.
+    fn adopt_plans(&mut self, view: &View) {
+        let old = std::mem::take(&mut self.plans);
+        let mut old: HashMap<_, _> = old.into_iter().map(|s| (s.name, s.plan)).collect();
+        for entry in view.services() {
+            let mut plan = old.remove(entry.name()).unwrap_or_default();
+            plan.set_domains(&self.domain_slots(entry));
+            let name = entry.name().clone();
+            self.plans.push(ServicePlan { name, plan });
+        }
+    }
+
+    /// Returns the slots of a service in each failure domain of the node's region.
+    fn domain_slots(&self, entry: &ServiceEntry) -> Vec<DomainSlots> {
+        let mut domains: Vec<DomainSlots> = Vec::new();
+        for candidate in entry.near().iter().chain(entry.far()) {
+            let domain = Some(candidate.domain).filter(|_| !candidate.in_same_domain());
+            let running = self.peers.get(&candidate.id).map_or(0, |p| p.running);
+            match domains.iter_mut().find(|known| known.domain == domain) {
+                Some(known) => {
+                    known.slots += candidate.slots;
+                    known.running += running;
+                }
+                None => domains.push(DomainSlots {
+                    domain,
+                    slots: candidate.slots,
+                    running,
+                }),
+            }
+        }
+        domains
+    }
+
     /// Ejects an unreachable backend server, unless it is the last one in rotation.
     ///
     /// The limit on ejections does not apply here, because a failure domain that is cut off can
@@ -373,6 +441,13 @@
         }
     }
 
+    /// Returns the spill plan of a service.
+    fn plan(&self, entry: &ServiceEntry) -> Option<&SpillPlan> {
+        let peer = self.peers.get(&entry.candidates().first()?.id)?;
+        let service = self.plans.get(peer.service)?;
+        (service.name == *entry.name()).then_some(&service.plan)
+    }
+
     /// Returns the candidates of the service that `id` belongs to.
     fn group(&self, id: NodeId) -> &[NodeId] {
         let group = self.peers.get(&id).and_then(|p| self.groups.get(p.service));
--- a/crates/swiftcart-core/src/balance/pick_requirements.rs
+++ b/crates/swiftcart-core/src/balance/pick_requirements.rs
@@ -1,7 +1,7 @@
 //! Requirements of a request on its backend server.
 
 use super::Payload;
-use crate::AllowedRegions;
+use crate::{AllowedRegions, SpillDraw};
 
 /// Requirements of a request on its backend server, apart from the service.
 ///
@@ -19,6 +19,9 @@
     pub payload: Payload,
     /// Regions to which the request may be sent.
     pub regions: AllowedRegions,
+    /// Draw that decides with the service's spill plan whether the request leaves its failure
+    /// domain, or `None` to compare a few candidates instead.
+    pub spill: Option<SpillDraw>,
 }
 
 impl PickRequirements {
@@ -28,6 +31,13 @@
         self.regions = regions;
         self
     }
+
+    /// Sets the draw that decides with the spill plan whether the request leaves its failure domain.
+    #[must_use]
+    pub const fn with_spill(mut self, draw: Option<SpillDraw>) -> Self {
+        self.spill = draw;
+        self
+    }
 }
 
 impl From<Payload> for PickRequirements {
--- a/crates/swiftcart-core/src/balance/selection.rs
+++ b/crates/swiftcart-core/src/balance/selection.rs
@@ -4,7 +4,9 @@
 
 use super::peer::Peer;
 use super::{Balancer, Payload, Pick, PickRequirements, PickRule};
-use crate::{Candidate, Instant, NodeId, ServiceEntry};
+use crate::{
+    Candidate, DomainTag, Instant, NodeId, ServiceEntry, SpillAdvice, SpillCause, SpillTarget,
+};
 
 /// Maximum number of random draws for a usable candidate before the candidates are scanned in
 /// order, and maximum number of further draws for a candidate that passes slow start.
@@ -27,6 +29,14 @@
 /// equal.
 const BETTER_RATIO: f64 = 0.9;
 
+/// Maximum number of further candidates of the own failure domain that are considered before a
+/// request with a spill draw leaves it for lack of a free slot.
+const MAX_SEARCHED: usize = 16;
+
+/// Minimum time, in multiples of the target latency, that another failure domain has to save while
+/// a spill plan equalizes the usage.
+const MIN_SAVING: f64 = 0.5;
+
 /// Load of a canary backend server relative to the others. Some releases fail only at full load.
 const CANARY_LOAD: f64 = 1.3;
 
@@ -40,8 +50,13 @@
     pub(super) requirements: &'a PickRequirements,
     pub(super) now: Instant,
     pub(super) exclude: &'a [NodeId],
+    /// Failure domain to which the selection is restricted.
+    pub(super) domain: Option<DomainTag>,
 }
 
+/// Candidate with the rule and the cause of its selection.
+type Choice<'a> = (CandidateState<'a>, PickRule, Option<SpillCause>);
+
 /// Candidate together with its balancer state, so that the state is looked up only once.
 #[derive(Clone, Copy)]
 struct CandidateState<'a> {
@@ -62,10 +77,13 @@
         let regional = self.regional(entry, rng);
         let remote = self.best(entry.remote(), rng);
         match (regional, remote) {
-            (Some((state, _)), Some(remote)) if self.outweighs_remote_detour(remote, state) => {
+            (Some((state, ..)), Some(remote)) if self.outweighs_remote_detour(remote, state) => {
                 Some(self.pick(remote, PickRule::Remote))
             }
-            (Some((state, rule)), _) => Some(self.pick(state, rule)),
+            (Some((state, rule, cause)), _) => Some(Pick {
+                cause,
+                ..self.pick(state, rule)
+            }),
             (None, Some(remote)) => Some(self.pick(remote, PickRule::Remote)),
             (None, None) => self.any_candidate(entry.candidates(), rng),
         }
@@ -76,19 +94,59 @@
         &self,
         entry: &'a ServiceEntry,
         rng: &mut R,
-    ) -> Option<(CandidateState<'a>, PickRule)> {
+    ) -> Option<Choice<'a>> {
         let own = entry.own().map(|c| self.lookup(c));
         let own = own.filter(|own| self.usable(*own) && !self.is_full(*own));
-        let near = self.best(entry.near(), rng);
+        let near = self.near(entry, own.is_some(), rng);
         let here = match (own, near) {
             (Some(own), Some(near)) if self.worth_a_hop(near, own) => Some((near, PickRule::Near)),
             (Some(own), _) => Some((own, PickRule::Own)),
             (None, Some(near)) if !self.is_full(near) => Some((near, PickRule::Near)),
             (None, _) => None,
         };
+        let choice = match (self.spill_advice(entry), near) {
+            (Some(advice), Some(near)) => {
+                return Some(self.advised(advice, here, near, entry, rng));
+            }
+            _ => self.sampled(here, near, entry, rng),
+        };
+        let (state, rule) = choice?;
+        Some((state, rule, self.sampled_cause(rule, here, near)))
+    }
+
+    /// Returns the best of a few candidates of the own failure domain.
+    ///
+    /// If that one is believed full, a request with a spill draw looks for another one.
+    fn near<R: Rng + ?Sized>(
+        &self,
+        entry: &'a ServiceEntry,
+        has_own: bool,
+        rng: &mut R,
+    ) -> Option<CandidateState<'a>> {
+        let near = self.best(entry.near(), rng)?;
+        if has_own || self.requirements.spill.is_none() || !self.is_full(near) {
+            return Some(near);
+        }
+        let all = entry.near();
+        let (head, tail) = all.split_at(rng.random_range(0..all.len()));
+        let searched = tail.iter().chain(head).take(MAX_SEARCHED);
+        let mut states = searched.map(|candidate| self.lookup(candidate));
+        let free = states.find(|s| self.usable(*s) && !self.is_full(*s) && self.is_warm(*s, rng));
+        Some(free.unwrap_or(near))
+    }
+
+    /// Selects the better of the choice of the own failure domain and a few candidates of others.
+    fn sampled<R: Rng + ?Sized>(
+        &self,
+        here: Option<(CandidateState<'a>, PickRule)>,
+        near: Option<CandidateState<'a>>,
+        entry: &'a ServiceEntry,
+        rng: &mut R,
+    ) -> Option<(CandidateState<'a>, PickRule)> {
         let far = self.best(entry.far(), rng);
+        let saving = self.requirements.payload.penalty();
         match (here, near, far) {
-            (Some((here, _)), _, Some(far)) if self.outweighs_detour(far, here) => {
+            (Some((here, _)), _, Some(far)) if self.outweighs_detour(far, here, saving) => {
                 Some((far, PickRule::Spill))
             }
             (Some(here), _, _) => Some(here),
@@ -102,6 +160,102 @@
         }
     }
 
+    /// Returns the cause of a selection by [`sampled`](Self::sampled).
+    fn sampled_cause(
+        &self,
+        rule: PickRule,
+        here: Option<(CandidateState<'_>, PickRule)>,
+        near: Option<CandidateState<'_>>,
+    ) -> Option<SpillCause> {
+        match (rule, here, near) {
+            (PickRule::Spill, Some(_), _) => Some(SpillCause::Faster),
+            (PickRule::Spill, None, Some(_)) => Some(SpillCause::GuardsFull),
+            (PickRule::Spill, None, None) => Some(SpillCause::NoneNear),
+            _ => None,
+        }
+    }
+
+    /// Returns the advice of the service's spill plan, or `None` if the request has no draw or the
+    /// plan lacks fresh reports.
+    fn spill_advice(&self, entry: &ServiceEntry) -> Option<SpillAdvice> {
+        let draw = self.requirements.spill?;
+        let plan = self.balancer.plan(entry)?;
+        let unreachable = &self.balancer.unreachable;
+        plan.advise(self.now, draw, |domain| {
+            !unreachable.is_unreachable(domain, self.now)
+        })
+    }
+
+    /// Selects a candidate as the spill plan advises.
+    ///
+    /// `near` is the best candidate of the own failure domain, and `here` is the choice of that
+    /// domain unless it is believed full.
+    fn advised<R: Rng + ?Sized>(
+        &self,
+        advice: SpillAdvice,
+        here: Option<(CandidateState<'a>, PickRule)>,
+        near: CandidateState<'a>,
+        entry: &'a ServiceEntry,
+        rng: &mut R,
+    ) -> Choice<'a> {
+        let refusals = || {
+            entry
+                .near()
+                .iter()
+                .filter(|c| self.exclude.contains(&c.id))
+                .count()
+        };
+        let cause = match (here, advice.leaves) {
+            _ if self.requirements.payload == Payload::Heavy => None,
+            (Some((_, PickRule::Own)), _) => None,
+            (None, None) => Some(SpillCause::GuardsFull),
+            (_, None) if advice.max_refusals.is_some_and(|max| refusals() >= max) => {
+                Some(SpillCause::GuardsFull)
+            }
+            (_, leaves) => leaves,
+        };
+        let there = cause.and_then(|_| self.best_at(advice.target, entry, rng));
+        match (here, there) {
+            (_, Some(far)) if !self.is_full(far) => (far, PickRule::Spill, cause),
+            (Some((here, rule)), _) => match self.much_faster(here, entry, rng) {
+                Some(far) => (far, PickRule::Spill, Some(SpillCause::Faster)),
+                None => (here, rule, None),
+            },
+            (None, _) => (near, PickRule::Near, None),
+        }
+    }
+
+    /// Returns the best of a few candidates in the advised failure domain.
+    fn best_at<R: Rng + ?Sized>(
+        &self,
+        target: SpillTarget,
+        entry: &'a ServiceEntry,
+        rng: &mut R,
+    ) -> Option<CandidateState<'a>> {
+        match target {
+            SpillTarget::Nowhere => None,
+            SpillTarget::Any => self.best(entry.far(), rng),
+            SpillTarget::Domain(domain) => {
+                let domain = Some(domain);
+                Selection { domain, ..*self }.best(entry.far(), rng)
+            }
+        }
+    }
+
+    /// Returns a candidate of another failure domain that is faster than `here` by at least
+    /// [`MIN_SAVING`].
+    fn much_faster<R: Rng + ?Sized>(
+        &self,
+        here: CandidateState<'a>,
+        entry: &'a ServiceEntry,
+        rng: &mut R,
+    ) -> Option<CandidateState<'a>> {
+        let saving = self.requirements.payload.penalty().max(MIN_SAVING);
+        self.expected(here).filter(|here| *here > saving)?;
+        let far = self.best(entry.far(), rng)?;
+        self.outweighs_detour(far, here, saving).then_some(far)
+    }
+
     /// Returns a canary backend server for a random fraction of the requests.
     ///
     /// The fraction gives each canary slightly more load than the other backend servers get. A
@@ -134,13 +288,16 @@
         (!self.is_full(canary)).then_some(canary)
     }
 
-    /// Returns `true` if `far`, in another failure domain, is faster than `here` by more than the
-    /// cost of the detour.
-    fn outweighs_detour(&self, far: CandidateState<'_>, here: CandidateState<'_>) -> bool {
+    /// Returns `true` if `far`, in another failure domain, is faster than `here` by more than
+    /// `saving`, in multiples of the target.
+    fn outweighs_detour(
+        &self,
+        far: CandidateState<'_>,
+        here: CandidateState<'_>,
+        saving: f64,
+    ) -> bool {
         match (self.expected(far), self.expected(here)) {
-            (Some(there), Some(here)) => {
-                !self.is_full(far) && there + self.requirements.payload.penalty() < here
-            }
+            (Some(there), Some(here)) => !self.is_full(far) && there + saving < here,
             _ => false,
         }
     }
@@ -246,6 +403,7 @@
             id: state.candidate.id,
             peer: state.candidate.peer,
             rule,
+            cause: None,
             free: !self.is_full(state),
         }
     }
@@ -259,6 +417,7 @@
         let failure_threshold = self.balancer.settings.failure_threshold;
         !self.exclude.contains(&state.candidate.id)
             && self.allowed(state.candidate)
+            && self.domain.is_none_or(|d| d == state.candidate.domain)
             && !self.is_unreachable(state.candidate)
             && state
                 .peer
--- a/crates/swiftcart-core/src/slot_search.rs
+++ b/crates/swiftcart-core/src/slot_search.rs
@@ -32,7 +32,7 @@
 /// use swiftcart_core::{NodeId, QueueWait, Payload, Pick, PickRule, Reason, SlotSearch};
 ///
 /// let guard = |n| NodeId(([10, 0, 0, n], 7000).into());
-/// let pick = |n| Pick { id: guard(n), peer: guard(n).0, rule: PickRule::Near, free: true };
+/// let pick = |n| Pick { id: guard(n), peer: guard(n).0, rule: PickRule::Near, cause: None, free: true };
 /// let mut slot_search = SlotSearch::new(2, Payload::Light);
 /// for n in 1..=2 {
 ///     assert!(!slot_search.switch_to_queueing(Some(&pick(n))));
--- a/crates/swiftcart-core/tests/regions.rs
+++ b/crates/swiftcart-core/tests/regions.rs
@@ -92,6 +92,7 @@
         id: node(n),
         peer: node(n).0,
         rule,
+        cause: None,
         free: true,
     };
     assert!(!slot_search.switch_to_queueing(Some(&pick(2, PickRule::Spill))));
--- a/crates/swiftcart-core/tests/slot_search.rs
+++ b/crates/swiftcart-core/tests/slot_search.rs
@@ -18,6 +18,7 @@
         id: guard(n),
         peer: guard(n).0,
         rule,
+        cause: None,
         free,
     }
 }
--- a/crates/swiftcart-core/tests/support/mesh_load.rs
+++ b/crates/swiftcart-core/tests/support/mesh_load.rs
@@ -1,9 +1,10 @@
 //! Simulation of a service under load in virtual time.
 //!
 //! Ingresses choose a guard, guards admit requests, and backend servers run them.
+#![allow(dead_code, reason = "each test target uses a subset")]
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -38,6 +39,55 @@
     pub duration: Duration,
 }
 
+/// Choice of the guard for a request.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// The balancer compares a few candidates.
+    #[default]
+    Sampled,
+    /// The balancer follows its spill plan.
+    Planned,
+    /// The true loads of all guards are known: a free slot of the own domain, else any free slot.
+    Oracle,
+}
+
+/// Failure of one domain.
+#[derive(Debug, Clone, Copy)]
+pub struct Outage {
+    pub domain: usize,
+    pub from: Duration,
+    pub until: Duration,
+    /// `true` if the domain's nodes restart, `false` if only the links to others are cut.
+    pub restart: bool,
+}
+
+/// Distribution of the load, and failures.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Scenario {
+    pub choice: Choice,
+    /// Relative amplitude by which the demand of each domain swings, in phases of its own.
+    pub swing: f64,
+    /// Maximum number of requests that arrive at once, at least 1.
+    pub clump: usize,
+    /// Additional one-way latency between domains.
+    pub far_latency: Duration,
+    /// Age of the loads that guards report.
+    pub report_age: Duration,
+    pub outage: Option<Outage>,
+}
+
+/// Period of the swings.
+const SWING_PERIOD: Duration = Duration::from_secs(15);
+
+impl Scenario {
+    /// Returns the demand of a domain relative to its mean.
+    pub fn demand(&self, domain: usize, domains: usize, at: Instant) -> f64 {
+        let turns = at.elapsed().as_secs_f64() / SWING_PERIOD.as_secs_f64();
+        let phase = domain as f64 / domains as f64;
+        1.0 + self.swing * (std::f64::consts::TAU * (turns + phase)).sin()
+    }
+}
+
 /// Result of a simulation.
 #[derive(Debug, Default, Clone)]
 pub struct Outcome {
@@ -48,6 +98,11 @@
     pub attempts: usize,
     /// Start times of the requests at each backend server.
     pub starts: Vec<Vec<Instant>>,
+    /// Requests answered by another failure domain.
+    pub crossed: usize,
+    /// Times and pairs of domains of the answers from another one.
+    pub crossings: Vec<(Instant, usize, usize)>,
+    pub causes: HashMap<SpillCause, usize>,
 }
 
 impl Outcome {
@@ -56,6 +111,11 @@
         self.in_time as f64 / self.requests.max(1) as f64
     }
 
+    /// Returns the share of the requests answered by another failure domain.
+    pub fn crossed(&self) -> f64 {
+        self.crossed as f64 / self.requests.max(1) as f64
+    }
+
     /// Returns the mean number of attempts per request.
     pub fn attempts_per_request(&self) -> f64 {
         self.attempts as f64 / self.requests.max(1) as f64
@@ -94,6 +154,7 @@
 struct Call {
     ingress: usize,
     arrived: Instant,
+    draw: SpillDraw,
     slot_search: SlotSearch,
     tries: PolicyRetryState,
     sent: Instant,
@@ -105,11 +166,16 @@
     service_time: Duration,
     waiting: HashMap<Ticket, usize>,
     server: usize,
+    /// Loads by time, for reports of a certain age.
+    reported: VecDeque<(Instant, Load)>,
 }
 
 struct Simulation {
     load: Workload,
+    scenario: Scenario,
     rng: SmallRng,
+    /// Random numbers of the scenario, so that an even load does not depend on it.
+    scenario_rng: SmallRng,
     now: Instant,
     next: u64,
     events: BinaryHeap<Reverse<(Instant, u64)>>,
@@ -121,9 +187,14 @@
     outcome: Outcome,
 }
 
-/// Runs the simulation with one seed.
+/// Runs the simulation of an even load with one seed.
 pub fn simulate(load: &Workload, seed: u64) -> Outcome {
-    let mut simulation = Simulation::new(load, seed);
+    simulate_scenario(load, Scenario::default(), seed)
+}
+
+/// Runs the simulation of a scenario with one seed.
+pub fn simulate_scenario(load: &Workload, scenario: Scenario, seed: u64) -> Outcome {
+    let mut simulation = Simulation::new(load, scenario, seed);
     simulation.schedule(Duration::ZERO, Event::Arrive);
     while let Some(Reverse((at, number))) = simulation.events.pop() {
         if at.elapsed() >= load.duration + DEADLINE {
@@ -138,7 +209,7 @@
 }
 
 impl Simulation {
-    fn new(load: &Workload, seed: u64) -> Self {
+    fn new(load: &Workload, scenario: Scenario, seed: u64) -> Self {
         let node_number = |n: usize| u16::try_from(n + 1).expect("few nodes");
         let domain = |n: usize| format!("domain-{}", n % load.domains);
         let members: Vec<Member> = (0..load.nodes)
@@ -177,11 +248,13 @@
                     service_time: load.service_time.mul_f64(slowdown),
                     waiting: HashMap::new(),
                     server: n,
+                    reported: VecDeque::new(),
                 };
                 (me.id, guard)
             });
         Self {
             rng: SmallRng::seed_from_u64(seed),
+            scenario_rng: SmallRng::seed_from_u64(!seed),
             now: start,
             next: 0,
             events: BinaryHeap::new(),
@@ -195,6 +268,7 @@
                 ..Outcome::default()
             },
             load: load.clone(),
+            scenario,
         }
     }
 
@@ -225,18 +299,109 @@
         if self.now.elapsed() >= self.load.duration {
             return;
         }
-        let pause = -self.rng.random::<f64>().max(1e-9).ln() / self.load.request_rate;
+        // Demand is thinned from its peak.
+        let clump = self
+            .scenario_rng
+            .random_range(1..=self.scenario.clump.max(1));
+        let peak = self.load.request_rate * (1.0 + self.scenario.swing);
+        let mean_clump = (1 + self.scenario.clump.max(1)) as f64 / 2.0;
+        let pause = -self.rng.random::<f64>().max(1e-9).ln() * mean_clump / peak;
         self.schedule(Duration::from_secs_f64(pause), Event::Arrive);
-        self.calls.push(Call {
-            ingress: self.rng.random_range(0..self.load.nodes),
-            arrived: self.now,
-            slot_search: SlotSearch::new(self.load.servers, Payload::Light),
-            tries: PolicyRetryState::default(),
-            sent: self.now,
-        });
-        let call = self.calls.len() - 1;
-        self.outcome.requests += usize::from(self.is_counted(call));
-        self.send(call);
+        let ingress = self.rng.random_range(0..self.load.nodes);
+        let domains = self.load.domains;
+        let demand = self.scenario.demand(ingress % domains, domains, self.now);
+        let is_thinned = self.scenario_rng.random::<f64>() * (1.0 + self.scenario.swing) > demand;
+        if is_thinned || self.is_restarting(ingress % domains) {
+            return;
+        }
+        for _ in 0..clump {
+            self.calls.push(Call {
+                ingress,
+                arrived: self.now,
+                draw: SpillDraw::random(&mut self.scenario_rng),
+                slot_search: SlotSearch::new(self.load.servers, Payload::Light),
+                tries: PolicyRetryState::default(),
+                sent: self.now,
+            });
+            let call = self.calls.len() - 1;
+            self.outcome.requests += usize::from(self.is_counted(call));
+            self.send(call);
+        }
+    }
+
+    fn domain_of(&self, guard: NodeId) -> usize {
+        self.guards[&guard].server % self.load.domains
+    }
+
+    /// Returns `true` if `call` and `guard` are in different domains.
+    fn crosses(&self, call: usize, guard: NodeId) -> bool {
+        self.calls[call].ingress % self.load.domains != self.domain_of(guard)
+    }
+
+    fn outage(&self) -> Option<Outage> {
+        let at = self.now.elapsed();
+        self.scenario
+            .outage
+            .filter(|o| o.from <= at && at < o.until)
+    }
+
+    fn is_restarting(&self, domain: usize) -> bool {
+        self.outage()
+            .is_some_and(|o| o.restart && o.domain == domain)
+    }
+
+    /// Returns `true` if the ingress of `call` and `guard` cannot reach each other.
+    fn is_cut_off(&self, call: usize, guard: NodeId) -> bool {
+        let domains = [
+            self.calls[call].ingress % self.load.domains,
+            self.domain_of(guard),
+        ];
+        self.outage().is_some_and(|o| {
+            domains.contains(&o.domain) && (o.restart || self.crosses(call, guard))
+        })
+    }
+
+    fn hop(&self, call: usize, guard: NodeId) -> Duration {
+        match self.crosses(call, guard) {
+            true => HOP_LATENCY + self.scenario.far_latency,
+            false => HOP_LATENCY,
+        }
+    }
+
+    /// Selects a guard by the true loads.
+    fn oracle(&mut self, ingress: usize, excluded: &[NodeId]) -> Option<Pick> {
+        let entry = self.views[ingress].service("sensor").expect("the service");
+        let free = |c: &&Candidate| {
+            let load = self.guards[&c.id].admission.load();
+            load.usage() < 1.0 && !excluded.contains(&c.id)
+        };
+        let fastest = |all: &[Candidate]| {
+            let free = all.iter().filter(free);
+            free.min_by_key(|c| self.guards[&c.id].service_time)
+                .copied()
+        };
+        let candidate = fastest(entry.near()).or_else(|| fastest(entry.far()));
+        let any = entry.near()[self.rng.random_range(0..entry.near().len())];
+        Some(Pick {
+            id: candidate.unwrap_or(any).id,
+            peer: candidate.unwrap_or(any).peer,
+            rule: PickRule::Near,
+            cause: None,
+            free: candidate.is_some(),
+        })
+    }
+
+    fn pick(&mut self, call: usize, excluded: &[NodeId]) -> Option<Pick> {
+        let Call { ingress, draw, .. } = self.calls[call];
+        let draw = match self.scenario.choice {
+            Choice::Oracle => return self.oracle(ingress, excluded),
+            Choice::Planned => Some(draw),
+            Choice::Sampled => None,
+        };
+        let entry = self.views[ingress].service("sensor").expect("the service");
+        let requirements = PickRequirements::default().with_spill(draw);
+        let balancer = &self.balancers[ingress];
+        balancer.pick_for(&requirements, self.now, entry, excluded, &mut self.rng)
     }
 
     fn due(&self, call: usize) -> Deadline {
@@ -245,11 +410,10 @@
 
     fn send(&mut self, call: usize) {
         let ingress = self.calls[call].ingress;
-        let entry = self.views[ingress].service("sensor").expect("the service");
-        let slot_search = &mut self.calls[call].slot_search;
         let pick = loop {
-            let excluded = slot_search.excluded().to_vec();
-            let pick = self.balancers[ingress].pick(self.now, entry, &excluded, &mut self.rng);
+            let excluded = self.calls[call].slot_search.excluded().to_vec();
+            let pick = self.pick(call, &excluded);
+            let slot_search = &mut self.calls[call].slot_search;
             if !slot_search.switch_to_queueing(pick.as_ref()) {
                 break pick;
             }
@@ -261,7 +425,15 @@
         self.outcome.attempts += usize::from(self.is_counted(call));
         self.balancers[ingress].started(pick.id);
         self.calls[call].sent = self.now;
-        self.schedule(HOP_LATENCY, Event::Offer(call, pick.id));
+        if let Some(cause) = pick.cause.filter(|_| self.is_counted(call)) {
+            *self.outcome.causes.entry(cause).or_default() += 1;
+        }
+        if self.is_cut_off(call, pick.id) {
+            let sample = Sample::new(HOP_LATENCY, CallResult::Unreachable);
+            let refused = Event::Refused(call, pick.id, Reason::PeerUnreachable, sample);
+            return self.schedule(HOP_LATENCY, refused);
+        }
+        self.schedule(self.hop(call, pick.id), Event::Offer(call, pick.id));
     }
 
     fn offer(&mut self, call: usize, id: NodeId) {
@@ -319,13 +491,22 @@
         let sample = self
             .sample(id, call, CallResult::Refused)
             .with_retry_after(again);
-        self.schedule(HOP_LATENCY, Event::Refused(call, id, reason, sample));
+        self.schedule(self.hop(call, id), Event::Refused(call, id, reason, sample));
     }
 
-    fn sample(&self, id: NodeId, call: usize, result: CallResult) -> Sample {
-        let admission = &self.guards[&id].admission;
-        let time = (self.now + HOP_LATENCY).since(self.calls[call].sent);
-        let mut sample = Sample::new(time, result).with_load(admission.load());
+    fn sample(&mut self, id: NodeId, call: usize, result: CallResult) -> Sample {
+        let time = (self.now + self.hop(call, id)).since(self.calls[call].sent);
+        let Guard {
+            admission,
+            reported,
+            ..
+        } = self.guards.get_mut(&id).expect("a guard");
+        reported.push_back((self.now, admission.load()));
+        let is_old = |at: Instant| self.now.since(at) >= self.scenario.report_age;
+        while reported.get(1).is_some_and(|(at, _)| is_old(*at)) {
+            reported.pop_front();
+        }
+        let mut sample = Sample::new(time, result).with_load(reported[0].1);
         sample.pace = admission.pace(self.now);
         sample
     }
@@ -337,7 +518,7 @@
         self.start_all(id, started);
         self.schedule_wake(id);
         let sample = self.sample(id, call, CallResult::Success);
-        self.schedule(HOP_LATENCY, Event::Answer(call, id, sample));
+        self.schedule(self.hop(call, id), Event::Answer(call, id, sample));
     }
 
     fn wake(&mut self, id: NodeId) {
@@ -360,7 +541,19 @@
 
     fn answered(&mut self, call: usize, id: NodeId, sample: Sample) {
         let ingress = self.calls[call].ingress;
+        if self.is_cut_off(call, id) {
+            let lost = Sample::new(sample.latency, CallResult::Unreachable);
+            self.balancers[ingress].finished(id, self.now, &lost);
+            return;
+        }
         self.balancers[ingress].finished(id, self.now, &sample);
+        if self.crosses(call, id) && self.is_counted(call) {
+            self.outcome.crossed += 1;
+            let domains = (ingress % self.load.domains, self.domain_of(id));
+            self.outcome
+                .crossings
+                .push((self.now, domains.0, domains.1));
+        }
         let in_time = self.now.since(self.calls[call].arrived) <= TARGET;
         self.outcome.in_time += usize::from(self.is_counted(call) && in_time);
     }
