Use the spill plan at the ingress where overload is decided

Cause: the plan is to work where the settings call for the decisions about overload, and operators have to see it. Change: the ingress gives each request a draw if it decides about overload. Causes of crossings are counted and logged with the attempt, gauges show usage and share of each service, and a line tells when a service begins or ceases to spill. Conclusion: nothing changes without the setting.

--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -8,7 +8,9 @@
 mod overload;
 mod quarantine;
 mod retrying;
+mod spill;
 
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::request::Parts;
@@ -19,7 +21,8 @@
     BalanceSettings, Balancer, CallResult, Candidate, Instant, MeshRetryBudget, NodeId,
     NoticeCache, Outcome, Pick, PickRequirements, PickRule, PolicyRetryState, Reason, Refusal,
     RefusalHistory, RequestOrigin, ResolvedAccount, RetryBudget, RetrySettings, RetryState,
-    RetryTarget, RouteProfiles, ServiceEntry, SlotSearch, Version, startup_retry_after,
+    RetryTarget, RouteProfiles, ServiceEntry, ServiceName, SlotSearch, SpillDraw, Version,
+    startup_retry_after,
 };
 
 use tokio::task::JoinError;
@@ -53,6 +56,8 @@
     refusal_history: Mutex<RefusalHistory>,
     /// Latest process notice of each backend server, as reported by its guard.
     notices: Mutex<NoticeCache>,
+    /// Services of which a share of the requests leaves the failure domain.
+    spilling: Mutex<HashSet<ServiceName>>,
 }
 
 /// State of one call across its attempts.
@@ -85,6 +90,7 @@
             profiles: Mutex::default(),
             refusal_history: Mutex::default(),
             notices: Mutex::default(),
+            spilling: Mutex::default(),
         }
     }
 
@@ -102,9 +108,12 @@
         }
     }
 
-    /// Closes idle connections to peers.
+    /// Closes idle connections to peers and reports the spill plans.
     pub fn sweep(&self) {
         self.peers.sweep();
+        if self.decides_overload() {
+            self.report_spill();
+        }
     }
 
     /// Answers one request from a caller.
@@ -181,9 +190,11 @@
         let routed = with_rng(|rng| view.find(host(&head), head.uri.path(), rng))?;
         let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.apply_route(&routed, lock(&self.profiles).of(routed.route), now);
-        if self.decides_overload() && self.is_nested(&head) {
+        let decides_overload = self.decides_overload();
+        if decides_overload && self.is_nested(&head) {
             call.set_origin(RequestOrigin::Backend);
         }
+        call.spill = decides_overload.then(|| with_rng(SpillDraw::random));
         let account_regions = account.as_ref().map(|account| &account.regions);
         call.regions = account_regions.map_or_else(
             || routed.regions.clone(),
@@ -349,10 +360,13 @@
                 id,
                 peer: candidate.peer,
                 rule: PickRule::Near,
+                cause: None,
                 free: true,
             })
         });
-        let need = PickRequirements::from(call.payload).with_regions(call.regions.clone());
+        let need = PickRequirements::from(call.payload)
+            .with_regions(call.regions.clone())
+            .with_spill(call.spill);
         preferred.or_else(|| with_rng(|rng| balancer.pick_for(&need, now, entry, tried, rng)))
     }
 
@@ -369,6 +383,10 @@
             state.slot_search.queue_wait(),
         );
         let retry_state = state.retry_state;
+        if let Some(cause) = pick.cause {
+            let counters = &self.shared.counters;
+            counters.count("swiftcart_spills_total", "cause", cause.as_str());
+        }
         let mut in_flight = InFlight::new(&self.shared, &self.balancer, pick.id);
         let service = entry.name().as_str();
         let result = match pick.id == self.shared.id {
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, StatusCode};
 use slog::info;
-use swiftcart_core::{Instant, Pick, Reason, Refusal, RetryTarget, ServiceEntry};
+use swiftcart_core::{Instant, Pick, Reason, Refusal, RetryTarget, ServiceEntry, SpillCause};
 
 use super::{CallState, FailedAttempt, Ingress};
 use crate::calls::request::Call;
@@ -76,7 +76,7 @@
         if let Some(log) = log {
             info!(log, ""; "event" => Event::Answer, "id" => %call.id, "service" => %entry.name(),
                 "status" => status.as_u16(), "tries" => state.failures + 1, "guard" => %pick.id,
-                "rule" => ?pick.rule, "ms" => ms(now.since(state.start)),
+                "rule" => ?pick.rule, "cause" => cause_label(pick), "ms" => ms(now.since(state.start)),
                 "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
                 "print" => %call.print);
         }
@@ -100,6 +100,7 @@
         let load = load.map(|load| format!("{}/{}/{}", load.running, load.queued, load.limit));
         info!(log, ""; "event" => Event::Try, "id" => %call.id, "service" => %entry.name(),
             "try" => state.failures, "guard" => %pick.id, "rule" => ?pick.rule,
+            "cause" => cause_label(pick),
             "reason" => failed.refusal.reason.as_str(), "load" => load.as_deref().unwrap_or("-"),
             "next" => next.map_or_else(|why| why, target_label), "ms" => ms(now.since(state.start)),
             "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
@@ -127,6 +128,11 @@
     }
 }
 
+/// Returns the cause for which a request leaves its failure domain, or a dash.
+fn cause_label(pick: &Pick) -> &'static str {
+    pick.cause.map_or("-", SpillCause::as_str)
+}
+
 const fn target_label(next: RetryTarget) -> &'static str {
     match next {
         RetryTarget::Other => "another",
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -10,7 +10,7 @@
     AdmissionRequest, AllowedRegions, Attempt, BodyHash, CallerHash, Deadline, Fingerprint,
     HeadFields, HeadHash, Instant, Payload, Priority, QueueWait, Reason, RequestClass,
     RequestDigest, RequestOrigin, RequestTiming, ResponseLength, RouteMatch, RouteProfile,
-    RouteTag,
+    RouteTag, SpillDraw,
 };
 
 use super::headers::{
@@ -50,6 +50,8 @@
     pub payload: Payload,
     /// Regions to which the request may be sent.
     pub regions: AllowedRegions,
+    /// Draw that decides whether the request leaves its failure domain, if spill plans do.
+    pub spill: Option<SpillDraw>,
     /// Hashes of the head and the calling service, the same for repeats of the request.
     pub print: CallPrint,
 }
@@ -319,6 +321,7 @@
             terms: None,
             payload: Payload::Light,
             regions: AllowedRegions::default(),
+            spill: None,
             print: CallPrint::default(),
         })
     }
--- a/crates/swiftcart-node/src/counters.rs
+++ b/crates/swiftcart-node/src/counters.rs
@@ -115,6 +115,13 @@
         self.recorder.register_gauge(&key, &METADATA)
     }
 
+    /// Returns the gauge `name` of one service. The table bounds the number of services.
+    pub fn service_gauge(&self, name: &'static str, service: &str) -> Gauge {
+        let labels = vec![Label::new("service", service.to_owned())];
+        self.recorder
+            .register_gauge(&Key::from_parts(name, labels), &METADATA)
+    }
+
     /// Renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
