--- a/crates/swiftcart-core/examples/call_cost/cost.rs
+++ b/crates/swiftcart-core/examples/call_cost/cost.rs
@@ -55,6 +55,15 @@
         limit: SLOTS,
     };
     let sample = Sample::new(Duration::from_millis(20), CallResult::Success).with_load(load);
+    let requirements = PickRequirements::default().with_spill(Some(SpillDraw::new(0.5)));
+    let mut planned = balancer.clone();
+    for candidate in entry.candidates() {
+        planned.started(candidate.id);
+        planned.finished(candidate.id, now, &sample);
+    }
+    print_decision("pick_planned", backends, || {
+        black_box(planned.pick_for(&requirements, now, entry, &[], &mut rng));
+    });
     let mut at = 0;
     print_decision("pick_started_finished", backends, || {
         at += 1;
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -76,9 +76,9 @@
         if let Some(log) = log {
             info!(log, ""; "event" => Event::Answer, "id" => %call.id, "service" => %entry.name(),
                 "status" => status.as_u16(), "tries" => state.failures + 1, "guard" => %pick.id,
-                "rule" => ?pick.rule, "cause" => cause_label(pick), "ms" => ms(now.since(state.start)),
+                "rule" => ?pick.rule, "ms" => ms(now.since(state.start)),
                 "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
-                "print" => %call.print);
+                "print" => %call.print, "cause" => cause_label(pick));
         }
     }
 
@@ -100,11 +100,10 @@
         let load = load.map(|load| format!("{}/{}/{}", load.running, load.queued, load.limit));
         info!(log, ""; "event" => Event::Try, "id" => %call.id, "service" => %entry.name(),
             "try" => state.failures, "guard" => %pick.id, "rule" => ?pick.rule,
-            "cause" => cause_label(pick),
             "reason" => failed.refusal.reason.as_str(), "load" => load.as_deref().unwrap_or("-"),
             "next" => next.map_or_else(|why| why, target_label), "ms" => ms(now.since(state.start)),
             "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
-            "print" => %call.print);
+            "print" => %call.print, "cause" => cause_label(pick));
     }
 
     /// Logs a refusal with which this node itself answers the caller.
