Move the planned selection into a module of its own

Cause: selection.rs had grown, and a choice was a tuple with the cause found afterwards. Change: selection/planned.rs follows the advice; a choice is a type with its cause.

--- a/crates/swiftcart-core/src/balance/selection.rs
+++ b/crates/swiftcart-core/src/balance/selection.rs
@@ -1,12 +1,12 @@
 //! Selection among the candidates of a service.
 
+mod planned;
+
 use rand::Rng;
 
 use super::peer::Peer;
 use super::{Balancer, Payload, Pick, PickRequirements, PickRule};
-use crate::{
-    Candidate, DomainTag, Instant, NodeId, ServiceEntry, SpillAdvice, SpillCause, SpillTarget,
-};
+use crate::{Candidate, DomainTag, Instant, NodeId, ServiceEntry, SpillCause};
 
 /// Maximum number of random draws for a usable candidate before the candidates are scanned in
 /// order, and maximum number of further draws for a candidate that passes slow start.
@@ -33,10 +33,6 @@
 /// request with a spill draw leaves it for lack of a free slot.
 const MAX_SEARCHED: usize = 16;
 
-/// Minimum time, in multiples of the target latency, that another failure domain has to save while
-/// a spill plan equalizes the usage.
-const MIN_SAVING: f64 = 0.5;
-
 /// Load of a canary backend server relative to the others. Some releases fail only at full load.
 const CANARY_LOAD: f64 = 1.3;
 
@@ -55,7 +51,32 @@
 }
 
 /// Candidate with the rule and the cause of its selection.
-type Choice<'a> = (CandidateState<'a>, PickRule, Option<SpillCause>);
+#[derive(Clone, Copy)]
+struct Choice<'a> {
+    state: CandidateState<'a>,
+    rule: PickRule,
+    cause: Option<SpillCause>,
+}
+
+impl<'a> Choice<'a> {
+    /// Creates a choice within the node's own failure domain.
+    const fn near(state: CandidateState<'a>, rule: PickRule) -> Self {
+        Self {
+            state,
+            rule,
+            cause: None,
+        }
+    }
+
+    /// Creates a choice in another failure domain of the region.
+    const fn spill(state: CandidateState<'a>, cause: SpillCause) -> Self {
+        Self {
+            state,
+            rule: PickRule::Spill,
+            cause: Some(cause),
+        }
+    }
+}
 
 /// Candidate together with its balancer state, so that the state is looked up only once.
 #[derive(Clone, Copy)]
@@ -77,12 +98,12 @@
         let regional = self.regional(entry, rng);
         let remote = self.best(entry.remote(), rng);
         match (regional, remote) {
-            (Some((state, ..)), Some(remote)) if self.outweighs_remote_detour(remote, state) => {
+            (Some(here), Some(remote)) if self.outweighs_remote_detour(remote, here.state) => {
                 Some(self.pick(remote, PickRule::Remote))
             }
-            (Some((state, rule, cause)), _) => Some(Pick {
-                cause,
-                ..self.pick(state, rule)
+            (Some(here), _) => Some(Pick {
+                cause: here.cause,
+                ..self.pick(here.state, here.rule)
             }),
             (None, Some(remote)) => Some(self.pick(remote, PickRule::Remote)),
             (None, None) => self.any_candidate(entry.candidates(), rng),
@@ -99,19 +120,17 @@
         let own = own.filter(|own| self.usable(*own) && !self.is_full(*own));
         let near = self.near(entry, own.is_some(), rng);
         let here = match (own, near) {
-            (Some(own), Some(near)) if self.worth_a_hop(near, own) => Some((near, PickRule::Near)),
-            (Some(own), _) => Some((own, PickRule::Own)),
-            (None, Some(near)) if !self.is_full(near) => Some((near, PickRule::Near)),
+            (Some(own), Some(near)) if self.worth_a_hop(near, own) => {
+                Some(Choice::near(near, PickRule::Near))
+            }
+            (Some(own), _) => Some(Choice::near(own, PickRule::Own)),
+            (None, Some(near)) if !self.is_full(near) => Some(Choice::near(near, PickRule::Near)),
             (None, _) => None,
         };
-        let choice = match (self.spill_advice(entry), near) {
-            (Some(advice), Some(near)) => {
-                return Some(self.advised(advice, here, near, entry, rng));
-            }
+        match (self.spill_advice(entry), near) {
+            (Some(advice), Some(near)) => Some(self.planned(advice, here, near, entry, rng)),
             _ => self.sampled(here, near, entry, rng),
-        };
-        let (state, rule) = choice?;
-        Some((state, rule, self.sampled_cause(rule, here, near)))
+        }
     }
 
     /// Returns the best of a few candidates of the own failure domain.
@@ -138,124 +157,30 @@
     /// Selects the better of the choice of the own failure domain and a few candidates of others.
     fn sampled<R: Rng + ?Sized>(
         &self,
-        here: Option<(CandidateState<'a>, PickRule)>,
+        here: Option<Choice<'a>>,
         near: Option<CandidateState<'a>>,
         entry: &'a ServiceEntry,
         rng: &mut R,
-    ) -> Option<(CandidateState<'a>, PickRule)> {
+    ) -> Option<Choice<'a>> {
         let far = self.best(entry.far(), rng);
         let saving = self.requirements.payload.penalty();
         match (here, near, far) {
-            (Some((here, _)), _, Some(far)) if self.outweighs_detour(far, here, saving) => {
-                Some((far, PickRule::Spill))
+            (Some(here), _, Some(far)) if self.outweighs_detour(far, here.state, saving) => {
+                Some(Choice::spill(far, SpillCause::Faster))
             }
             (Some(here), _, _) => Some(here),
             (None, Some(near), _) if self.requirements.payload == Payload::Heavy => {
-                Some((near, PickRule::Near))
-            }
-            (None, _, Some(far)) if !self.is_full(far) => Some((far, PickRule::Spill)),
-            (None, Some(near), _) => Some((near, PickRule::Near)),
-            (None, None, Some(far)) => Some((far, PickRule::Spill)),
-            (None, None, None) => None,
-        }
-    }
-
-    /// Returns the cause of a selection by [`sampled`](Self::sampled).
-    fn sampled_cause(
-        &self,
-        rule: PickRule,
-        here: Option<(CandidateState<'_>, PickRule)>,
-        near: Option<CandidateState<'_>>,
-    ) -> Option<SpillCause> {
-        match (rule, here, near) {
-            (PickRule::Spill, Some(_), _) => Some(SpillCause::Faster),
-            (PickRule::Spill, None, Some(_)) => Some(SpillCause::GuardsFull),
-            (PickRule::Spill, None, None) => Some(SpillCause::NoneNear),
-            _ => None,
-        }
-    }
-
-    /// Returns the advice of the service's spill plan, or `None` if the request has no draw or the
-    /// plan lacks fresh reports.
-    fn spill_advice(&self, entry: &ServiceEntry) -> Option<SpillAdvice> {
-        let draw = self.requirements.spill?;
-        let plan = self.balancer.plan(entry)?;
-        let unreachable = &self.balancer.unreachable;
-        plan.advise(self.now, draw, |domain| {
-            !unreachable.is_unreachable(domain, self.now)
-        })
-    }
-
-    /// Selects a candidate as the spill plan advises.
-    ///
-    /// `near` is the best candidate of the own failure domain, and `here` is the choice of that
-    /// domain unless it is believed full.
-    fn advised<R: Rng + ?Sized>(
-        &self,
-        advice: SpillAdvice,
-        here: Option<(CandidateState<'a>, PickRule)>,
-        near: CandidateState<'a>,
-        entry: &'a ServiceEntry,
-        rng: &mut R,
-    ) -> Choice<'a> {
-        let refusals = || {
-            entry
-                .near()
-                .iter()
-                .filter(|c| self.exclude.contains(&c.id))
-                .count()
-        };
-        let cause = match (here, advice.leaves) {
-            _ if self.requirements.payload == Payload::Heavy => None,
-            (Some((_, PickRule::Own)), _) => None,
-            (None, None) => Some(SpillCause::GuardsFull),
-            (_, None) if advice.max_refusals.is_some_and(|max| refusals() >= max) => {
-                Some(SpillCause::GuardsFull)
+                Some(Choice::near(near, PickRule::Near))
             }
-            (_, leaves) => leaves,
-        };
-        let there = cause.and_then(|_| self.best_at(advice.target, entry, rng));
-        match (here, there) {
-            (_, Some(far)) if !self.is_full(far) => (far, PickRule::Spill, cause),
-            (Some((here, rule)), _) => match self.much_faster(here, entry, rng) {
-                Some(far) => (far, PickRule::Spill, Some(SpillCause::Faster)),
-                None => (here, rule, None),
-            },
-            (None, _) => (near, PickRule::Near, None),
-        }
-    }
-
-    /// Returns the best of a few candidates in the advised failure domain.
-    fn best_at<R: Rng + ?Sized>(
-        &self,
-        target: SpillTarget,
-        entry: &'a ServiceEntry,
-        rng: &mut R,
-    ) -> Option<CandidateState<'a>> {
-        match target {
-            SpillTarget::Nowhere => None,
-            SpillTarget::Any => self.best(entry.far(), rng),
-            SpillTarget::Domain(domain) => {
-                let domain = Some(domain);
-                Selection { domain, ..*self }.best(entry.far(), rng)
+            (None, Some(_), Some(far)) if !self.is_full(far) => {
+                Some(Choice::spill(far, SpillCause::GuardsFull))
             }
+            (None, Some(near), _) => Some(Choice::near(near, PickRule::Near)),
+            (None, None, Some(far)) => Some(Choice::spill(far, SpillCause::NoneNear)),
+            (None, None, None) => None,
         }
     }
 
-    /// Returns a candidate of another failure domain that is faster than `here` by at least
-    /// [`MIN_SAVING`].
-    fn much_faster<R: Rng + ?Sized>(
-        &self,
-        here: CandidateState<'a>,
-        entry: &'a ServiceEntry,
-        rng: &mut R,
-    ) -> Option<CandidateState<'a>> {
-        let saving = self.requirements.payload.penalty().max(MIN_SAVING);
-        self.expected(here).filter(|here| *here > saving)?;
-        let far = self.best(entry.far(), rng)?;
-        self.outweighs_detour(far, here, saving).then_some(far)
-    }
-
     /// Returns a canary backend server for a random fraction of the requests.
     ///
     /// The fraction gives each canary slightly more load than the other backend servers get. A
--- a/crates/swiftcart-core/tests/spill.rs
+++ b/crates/swiftcart-core/tests/spill.rs
@@ -346,7 +346,7 @@
     let [sampled, planned] = [Choice::Sampled, Choice::Planned].map(run);
     let (in_time, crossed) = (planned.in_time(), planned.crossed());
     println!(
-        "F{nodes} {:.4} {in_time:.4}, {:.4} {crossed:.4}",
+        "{nodes} nodes: in time {:.4} {in_time:.4}, crossed {:.4} {crossed:.4}",
         sampled.in_time(),
         sampled.crossed(),
     );
