--- a/crates/swiftcart-node/tests/calls.rs
+++ b/crates/swiftcart-node/tests/calls.rs
@@ -6,20 +6,25 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use common::{
-    SERVICE, announce, backend_at, call, dead_addr, head, log_with, node, node_beside, request,
-    until, wait_until_routed,
+    SERVICE, announce, backend_at, call, dead_addr, head, log_with, node, node_beside,
+    node_deciding, request, until, wait_until_routed,
 };
 use http_body_util::{BodyExt, Full};
 use rstest::rstest;
 use swiftcart_core::Limits;
+use swiftcart_node::OverloadTrigger;
 use swiftcart_standin::{BackendFaults, BackendSettings, ExecutionCounts, Load, Shape};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+/// Time in which the node reports its metrics at least once.
+const TWO_SWEEPS: Duration = Duration::from_secs(2);
+
 #[tokio::test]
 async fn responses_are_complete_over_one_node_and_over_two() {
     let log = log_with(Limits::default()).await;
@@ -48,6 +53,27 @@
     );
 }
 
+#[rstest]
+#[case::off(&[], false)]
+#[case::always(&[OverloadTrigger::Always], true)]
+#[case::no_accounts(&[OverloadTrigger::Accounts], false)]
+#[tokio::test]
+async fn spill_plans_are_reported_if_overload_is_decided(
+    #[case] when: &[OverloadTrigger],
+    #[case] expected: bool,
+) {
+    let log = log_with(Limits::default()).await;
+    let node = node_deciding(&log, when).await;
+    let _backend = backend_at(&node, BackendSettings::new(SERVICE)).await;
+    tokio::time::sleep(TWO_SWEEPS).await;
+    let metrics = node.shared().counters.render();
+    assert_eq!(
+        metrics.contains("swiftcart_spill_share"),
+        expected,
+        "{metrics}"
+    );
+}
+
 /// Behaviour of a scripted backend server on each connection.
 #[derive(Debug, Clone, Copy)]
 enum Script {
--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -16,7 +16,7 @@
     Backend, Body, Envelope, Limits, NodeId, Publish, PublishId, Readiness, ServiceName, Table,
     Version, diff,
 };
-use swiftcart_node::{Node, Phase, Settings, silent_log};
+use swiftcart_node::{Node, OverloadTrigger, Phase, Settings, silent_log};
 use swiftcart_standin::{BackendServer, BackendSettings, Log};
 use tokio::net::TcpStream;
 
@@ -101,6 +101,13 @@
     start_with(settings).await
 }
 
+/// Starts a node that decides about overload under the conditions `when`.
+pub async fn node_deciding(log: &Log, when: &[OverloadTrigger]) -> Node {
+    let mut settings = settings(log, &[]);
+    settings.overload.when = when.to_vec();
+    start_with(settings).await
+}
+
 async fn start(log: &Log, seeds: &[SocketAddr]) -> Node {
     start_with(settings(log, seeds)).await
 }
