--- a/crates/swiftcart-core/src/balance/selection.rs
+++ b/crates/swiftcart-core/src/balance/selection.rs
@@ -1,10 +1,12 @@
 //! Selection among the candidates of a service.
 
+mod planned;
+
 use rand::Rng;
 
 use super::peer::Peer;
 use super::{Balancer, Payload, Pick, PickRequirements, PickRule};
-use crate::{Candidate, Instant, NodeId, ServiceEntry};
+use crate::{Candidate, DomainTag, Instant, NodeId, ServiceEntry, SpillCause};
 
 /// Maximum number of random draws for a usable candidate before the candidates are scanned in
 /// order, and maximum number of further draws for a candidate that passes slow start.
@@ -27,6 +29,10 @@
 /// equal.
 const BETTER_RATIO: f64 = 0.9;
 
+/// Maximum number of further candidates of the own failure domain that are considered before a
+/// request with a spill draw leaves it for lack of a free slot.
+const MAX_SEARCHED: usize = 16;
+
 /// Load of a canary backend server relative to the others. Some releases fail only at full load.
 const CANARY_LOAD: f64 = 1.3;
 
@@ -40,6 +46,36 @@
     pub(super) requirements: &'a PickRequirements,
     pub(super) now: Instant,
     pub(super) exclude: &'a [NodeId],
+    /// Failure domain to which the selection is restricted.
+    pub(super) domain: Option<DomainTag>,
+}
+
+/// Candidate with the rule and the cause of its selection.
+#[derive(Clone, Copy)]
+struct Choice<'a> {
+    state: CandidateState<'a>,
+    rule: PickRule,
+    cause: Option<SpillCause>,
+}
+
+impl<'a> Choice<'a> {
+    /// Creates a choice within the node's own failure domain.
+    const fn near(state: CandidateState<'a>, rule: PickRule) -> Self {
+        Self {
+            state,
+            rule,
+            cause: None,
+        }
+    }
+
+    /// Creates a choice in another failure domain of the region.
+    const fn spill(state: CandidateState<'a>, cause: SpillCause) -> Self {
+        Self {
+            state,
+            rule: PickRule::Spill,
+            cause: Some(cause),
+        }
+    }
 }
 
 /// Candidate together with its balancer state, so that the state is looked up only once.
@@ -62,10 +98,13 @@
         let regional = self.regional(entry, rng);
         let remote = self.best(entry.remote(), rng);
         match (regional, remote) {
-            (Some((state, _)), Some(remote)) if self.outweighs_remote_detour(remote, state) => {
+            (Some(here), Some(remote)) if self.outweighs_remote_detour(remote, here.state) => {
                 Some(self.pick(remote, PickRule::Remote))
             }
-            (Some((state, rule)), _) => Some(self.pick(state, rule)),
+            (Some(here), _) => Some(Pick {
+                cause: here.cause,
+                ..self.pick(here.state, here.rule)
+            }),
             (None, Some(remote)) => Some(self.pick(remote, PickRule::Remote)),
             (None, None) => self.any_candidate(entry.candidates(), rng),
         }
@@ -76,28 +115,68 @@
         &self,
         entry: &'a ServiceEntry,
         rng: &mut R,
-    ) -> Option<(CandidateState<'a>, PickRule)> {
+    ) -> Option<Choice<'a>> {
         let own = entry.own().map(|c| self.lookup(c));
         let own = own.filter(|own| self.usable(*own) && !self.is_full(*own));
-        let near = self.best(entry.near(), rng);
+        let near = self.near(entry, own.is_some(), rng);
         let here = match (own, near) {
-            (Some(own), Some(near)) if self.worth_a_hop(near, own) => Some((near, PickRule::Near)),
-            (Some(own), _) => Some((own, PickRule::Own)),
-            (None, Some(near)) if !self.is_full(near) => Some((near, PickRule::Near)),
+            (Some(own), Some(near)) if self.worth_a_hop(near, own) => {
+                Some(Choice::near(near, PickRule::Near))
+            }
+            (Some(own), _) => Some(Choice::near(own, PickRule::Own)),
+            (None, Some(near)) if !self.is_full(near) => Some(Choice::near(near, PickRule::Near)),
             (None, _) => None,
         };
+        match (self.spill_advice(entry), near) {
+            (Some(advice), Some(near)) => Some(self.planned(advice, here, near, entry, rng)),
+            _ => self.sampled(here, near, entry, rng),
+        }
+    }
+
+    /// Returns the best of a few candidates of the own failure domain.
+    ///
+    /// If that one is believed full, a request with a spill draw looks for another one.
+    fn near<R: Rng + ?Sized>(
+        &self,
+        entry: &'a ServiceEntry,
+        has_own: bool,
+        rng: &mut R,
+    ) -> Option<CandidateState<'a>> {
+        let near = self.best(entry.near(), rng)?;
+        if has_own || self.requirements.spill.is_none() || !self.is_full(near) {
+            return Some(near);
+        }
+        let all = entry.near();
+        let (head, tail) = all.split_at(rng.random_range(0..all.len()));
+        let searched = tail.iter().chain(head).take(MAX_SEARCHED);
+        let mut states = searched.map(|candidate| self.lookup(candidate));
+        let free = states.find(|s| self.usable(*s) && !self.is_full(*s) && self.is_warm(*s, rng));
+        Some(free.unwrap_or(near))
+    }
+
+    /// Selects the better of the choice of the own failure domain and a few candidates of others.
+    fn sampled<R: Rng + ?Sized>(
+        &self,
+        here: Option<Choice<'a>>,
+        near: Option<CandidateState<'a>>,
+        entry: &'a ServiceEntry,
+        rng: &mut R,
+    ) -> Option<Choice<'a>> {
         let far = self.best(entry.far(), rng);
+        let saving = self.requirements.payload.penalty();
         match (here, near, far) {
-            (Some((here, _)), _, Some(far)) if self.outweighs_detour(far, here) => {
-                Some((far, PickRule::Spill))
+            (Some(here), _, Some(far)) if self.outweighs_detour(far, here.state, saving) => {
+                Some(Choice::spill(far, SpillCause::Faster))
             }
             (Some(here), _, _) => Some(here),
             (None, Some(near), _) if self.requirements.payload == Payload::Heavy => {
-                Some((near, PickRule::Near))
+                Some(Choice::near(near, PickRule::Near))
             }
-            (None, _, Some(far)) if !self.is_full(far) => Some((far, PickRule::Spill)),
-            (None, Some(near), _) => Some((near, PickRule::Near)),
-            (None, None, Some(far)) => Some((far, PickRule::Spill)),
+            (None, Some(_), Some(far)) if !self.is_full(far) => {
+                Some(Choice::spill(far, SpillCause::GuardsFull))
+            }
+            (None, Some(near), _) => Some(Choice::near(near, PickRule::Near)),
+            (None, None, Some(far)) => Some(Choice::spill(far, SpillCause::NoneNear)),
             (None, None, None) => None,
         }
     }
@@ -134,13 +213,16 @@
         (!self.is_full(canary)).then_some(canary)
     }
 
-    /// Returns `true` if `far`, in another failure domain, is faster than `here` by more than the
-    /// cost of the detour.
-    fn outweighs_detour(&self, far: CandidateState<'_>, here: CandidateState<'_>) -> bool {
+    /// Returns `true` if `far`, in another failure domain, is faster than `here` by more than
+    /// `saving`, in multiples of the target.
+    fn outweighs_detour(
+        &self,
+        far: CandidateState<'_>,
+        here: CandidateState<'_>,
+        saving: f64,
+    ) -> bool {
         match (self.expected(far), self.expected(here)) {
-            (Some(there), Some(here)) => {
-                !self.is_full(far) && there + self.requirements.payload.penalty() < here
-            }
+            (Some(there), Some(here)) => !self.is_full(far) && there + saving < here,
             _ => false,
         }
     }
@@ -246,6 +328,7 @@
             id: state.candidate.id,
             peer: state.candidate.peer,
             rule,
+            cause: None,
             free: !self.is_full(state),
         }
     }
@@ -259,6 +342,7 @@
         let failure_threshold = self.balancer.settings.failure_threshold;
         !self.exclude.contains(&state.candidate.id)
             && self.allowed(state.candidate)
+            && self.domain.is_none_or(|d| d == state.candidate.domain)
             && !self.is_unreachable(state.candidate)
             && state
                 .peer
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -9,7 +9,9 @@
 mod overload;
 mod quarantine;
 mod retrying;
+mod spill;
 
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::request::Parts;
@@ -20,7 +22,7 @@
     BalanceSettings, Balancer, CallResult, Candidate, Instant, MeshRetryBudget, NodeId,
     NoticeCache, Outcome, Pick, PickRequirements, PickRule, PolicyRetryState, Reason, Refusal,
     RefusalHistory, ResolvedAccount, RetryBudget, RetrySettings, RetryState, RetryTarget,
-    RouteProfiles, ServiceEntry, SlotSearch, Version, startup_retry_after,
+    RouteProfiles, ServiceEntry, ServiceName, SlotSearch, SpillDraw, Version, startup_retry_after,
 };
 
 use tokio::task::JoinError;
@@ -56,6 +58,8 @@
     shares: Mutex<AccountShares>,
     /// Latest process notice of each backend server, as reported by its guard.
     notices: Mutex<NoticeCache>,
+    /// Services of which a share of the requests leaves the failure domain.
+    spilling: Mutex<HashSet<ServiceName>>,
 }
 
 /// State of one call across its attempts.
@@ -89,6 +93,7 @@
             refusal_history: Mutex::default(),
             shares: Mutex::default(),
             notices: Mutex::default(),
+            spilling: Mutex::default(),
         }
     }
 
@@ -106,9 +111,10 @@
         }
     }
 
-    /// Closes idle connections to peers.
+    /// Closes idle connections to peers and reports the spill plans.
     pub fn sweep(&self) {
         self.peers.sweep();
+        self.report_spill();
     }
 
     /// Answers one request from a caller.
@@ -189,6 +195,8 @@
         if account.is_none() {
             self.rank_nested(&mut call, &head, routed.entry, given_due);
         }
+        let decides_overload = self.decides_overload(routed.entry);
+        call.spill = decides_overload.then(|| with_rng(SpillDraw::random));
         let account_regions = account.as_ref().map(|account| &account.regions);
         call.regions = account_regions.map_or_else(
             || routed.regions.clone(),
@@ -360,10 +368,13 @@
                 id,
                 peer: candidate.peer,
                 rule: PickRule::Near,
+                cause: None,
                 free: true,
             })
         });
-        let need = PickRequirements::from(call.payload).with_regions(call.regions.clone());
+        let need = PickRequirements::from(call.payload)
+            .with_regions(call.regions.clone())
+            .with_spill(call.spill);
         preferred.or_else(|| with_rng(|rng| balancer.pick_for(&need, now, entry, tried, rng)))
     }
 
@@ -380,6 +391,10 @@
             state.slot_search.queue_wait(),
         );
         let retry_state = state.retry_state;
+        if let Some(cause) = pick.cause {
+            let counters = &self.shared.counters;
+            counters.count("swiftcart_spills_total", "cause", cause.as_str());
+        }
         let mut in_flight = InFlight::new(&self.shared, &self.balancer, pick.id);
         let service = entry.name().as_str();
         let result = match pick.id == self.shared.id {
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -10,7 +10,7 @@
     AdmissionRequest, AllowedRegions, AskClass, Attempt, BodyHash, CallerHash, Deadline,
     Fingerprint, HeadFields, HeadHash, Instant, ParentRank, Payload, Priority, QueueWait, Reason,
     RequestClass, RequestDigest, RequestOrigin, RequestTiming, ResponseLength, RouteMatch,
-    RouteProfile, RouteTag, ShareStanding,
+    RouteProfile, RouteTag, ShareStanding, SpillDraw,
 };
 
 use super::headers::{
@@ -52,6 +52,8 @@
     pub regions: AllowedRegions,
     /// `true` if this node refused the request before, and it comes back at the time it was told.
     pub returning: bool,
+    /// Draw that decides whether the request leaves its failure domain, if spill plans do.
+    pub spill: Option<SpillDraw>,
     /// Hashes of the head and the calling service, the same for repeats of the request.
     pub print: CallPrint,
 }
@@ -391,6 +393,7 @@
             payload: Payload::Light,
             regions: AllowedRegions::default(),
             returning: false,
+            spill: None,
             print: CallPrint::default(),
         })
     }
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -89,6 +89,8 @@
     Quota,
     /// A client account has begun or ceased to ask for more than its share of a service.
     Share,
+    /// A share of a service's requests begins or ceases to leave the failure domain.
+    Spill,
     /// A connection could not be accepted.
     Refused,
     /// A caller's request got its response.
@@ -137,6 +139,7 @@
             Self::Drain => "drain",
             Self::Quota => "quota",
             Self::Share => "share",
+            Self::Spill => "spill",
             Self::Refused => "refused",
             Self::Answer => "answer",
             Self::Try => "try",
