Decide at the ingress, once, that a service has no room

Cause: when callers want more than a service can take, a request asks up to seven guards, all of which are full. Each refusal costs processors and links, and the caller waits for all of them. Change: AskThrottle counts what the guards of a service accept per class of requests. A new request is refused at the door by chance, a refused one asks further guards only while asks are accepted or most requests find a place, and queues at its only guard. Returning requests, classes judged by more urgent ones, guards of other failure domains and broken guards have rules of their own. RefusalHistory keeps the time that a caller was told, and Reason has no-room. Nothing uses the decision yet.

--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -198,6 +198,8 @@
     Unauthenticated, "unauthenticated", 401, NotRun;
     /// The client account has exceeded its quota.
     OverQuota, "over-quota", 429, NotRun;
+    /// The service has no room for requests of this priority at the moment.
+    NoRoom, "no-room", 503, NotRun;
 }
 
 impl fmt::Display for Reason {
--- a/crates/swiftcart-core/src/refusal_history.rs
+++ b/crates/swiftcart-core/src/refusal_history.rs
@@ -11,6 +11,15 @@
 /// Maximum number of refusals that are remembered.
 const MAX_REFUSALS: usize = 4096;
 
+/// Earlier refusal of a request that has come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct PriorRefusal {
+    /// Time of the first attempt.
+    pub first: Instant,
+    /// Time from which the caller was told to come back, if it was told one.
+    pub retry_at: Option<Instant>,
+}
+
 /// History of refused requests, used to find the first attempt of a retried request.
 ///
 /// A retry has the same head as the first attempt, except that the remaining time may differ. Each
@@ -31,12 +40,20 @@
 /// ```
 #[derive(Debug, Default, Clone)]
 pub struct RefusalHistory {
-    /// Times of the first attempts of refused requests, in the order of the refusals.
-    first_attempts: HashMap<HeadHash, VecDeque<Instant>>,
+    /// Refusals by head, in their order.
+    refusals: HashMap<HeadHash, VecDeque<PriorRefusal>>,
     /// Remembered refusals in the order of their time.
     order: VecDeque<(Instant, HeadHash)>,
 }
 
+impl PriorRefusal {
+    /// Returns `true` if the caller was told a time and has waited for it.
+    #[must_use]
+    pub fn has_waited(&self, now: Instant) -> bool {
+        self.retry_at.is_some_and(|at| now >= at)
+    }
+}
+
 impl RefusalHistory {
     /// Creates an empty history.
     #[must_use]
@@ -46,27 +63,41 @@
 
     /// Records the refusal of a request whose first attempt was at `first`.
     pub fn refused(&mut self, now: Instant, head: HeadHash, first: Instant) {
+        self.record(
+            now,
+            head,
+            PriorRefusal {
+                first,
+                retry_at: None,
+            },
+        );
+    }
+
+    /// Records a refusal like [`RefusalHistory::refused`], with the time that the caller was told.
+    pub fn record(&mut self, now: Instant, head: HeadHash, refusal: PriorRefusal) {
         self.evict_expired(now);
         if self.order.len() >= MAX_REFUSALS {
             self.drop_oldest();
         }
         self.order.push_back((now, head));
-        self.first_attempts
-            .entry(head)
-            .or_default()
-            .push_back(first);
+        self.refusals.entry(head).or_default().push_back(refusal);
     }
 
     /// Returns the time of the first attempt if the request matches an earlier refusal, which is
     /// then removed.
     pub fn first_attempt(&mut self, now: Instant, head: HeadHash) -> Option<Instant> {
+        self.take(now, head).map(|refusal| refusal.first)
+    }
+
+    /// Removes and returns the earlier refusal that the request matches.
+    pub fn take(&mut self, now: Instant, head: HeadHash) -> Option<PriorRefusal> {
         self.evict_expired(now);
-        let attempts = self.first_attempts.get_mut(&head)?;
-        let first = attempts.pop_front();
-        if attempts.is_empty() {
-            self.first_attempts.remove(&head);
+        let refusals = self.refusals.get_mut(&head)?;
+        let refusal = refusals.pop_front();
+        if refusals.is_empty() {
+            self.refusals.remove(&head);
         }
-        first
+        refusal
     }
 
     fn evict_expired(&mut self, now: Instant) {
@@ -77,7 +108,7 @@
     }
 
     /// Removes the oldest refusal. If this refusal has already been matched, it is only removed
-    /// from `order`: its entry in `first_attempts` was removed by the match.
+    /// from `order`: its entry in `refusals` was removed by the match.
     fn drop_oldest(&mut self) {
         let Some((_, head)) = self.order.pop_front() else {
             return;
@@ -87,12 +118,12 @@
             .iter()
             .filter(|(_, other)| *other == head)
             .count();
-        if let Some(attempts) = self.first_attempts.get_mut(&head) {
-            while attempts.len() > later {
-                attempts.pop_front();
+        if let Some(refusals) = self.refusals.get_mut(&head) {
+            while refusals.len() > later {
+                refusals.pop_front();
             }
-            if attempts.is_empty() {
-                self.first_attempts.remove(&head);
+            if refusals.is_empty() {
+                self.refusals.remove(&head);
             }
         }
     }
--- a/crates/swiftcart-core/src/retry.rs
+++ b/crates/swiftcart-core/src/retry.rs
@@ -375,6 +375,7 @@
         | Reason::NotIdempotent
         | Reason::TriesSpent
         | Reason::Unauthenticated
-        | Reason::OverQuota => false,
+        | Reason::OverQuota
+        | Reason::NoRoom => false,
     }
 }
--- a/crates/swiftcart-core/src/slot_search.rs
+++ b/crates/swiftcart-core/src/slot_search.rs
@@ -50,6 +50,10 @@
     excluded: Vec<NodeId>,
     /// Guards among `excluded` that refused only because they were full.
     full: Vec<NodeId>,
+    /// Guard that refused last because it was full.
+    refused_by: Option<NodeId>,
+    /// Number of full guards that refused although the request could queue.
+    full_refusals: u8,
 }
 
 impl SlotSearch {
@@ -66,6 +70,8 @@
             payload,
             excluded: Vec::new(),
             full: Vec::new(),
+            refused_by: None,
+            full_refusals: 0,
         }
     }
 
@@ -77,6 +83,8 @@
             payload: Payload::Light,
             excluded: Vec::new(),
             full: Vec::new(),
+            refused_by: None,
+            full_refusals: 0,
         }
     }
 
@@ -111,13 +119,36 @@
         };
         let switches = self.stage == Stage::Ask && exhausted;
         if switches {
-            self.stage = Stage::Queue;
-            let full = std::mem::take(&mut self.full);
-            self.excluded.retain(|id| !full.contains(id));
+            self.queue_now();
         }
         switches
     }
 
+    /// Switches to queueing. Full guards are no longer excluded.
+    pub fn queue_now(&mut self) {
+        self.stage = Stage::Queue;
+        let full = std::mem::take(&mut self.full);
+        self.excluded.retain(|id| !full.contains(id));
+    }
+
+    /// Returns `true` while guards are asked for a free slot before the request queues.
+    #[must_use]
+    pub fn is_asking(&self) -> bool {
+        self.stage == Stage::Ask
+    }
+
+    /// Returns the guard that refused last because it was full.
+    #[must_use]
+    pub const fn refused_by(&self) -> Option<NodeId> {
+        self.refused_by
+    }
+
+    /// Returns the number of full guards that refused although the request could queue.
+    #[must_use]
+    pub const fn full_refusals(&self) -> u8 {
+        self.full_refusals
+    }
+
     /// Queues from now on, for a request that may only be sent to the same guards again.
     pub const fn settle(&mut self) {
         self.stage = Stage::Queue;
@@ -130,6 +161,11 @@
             reason,
             Reason::QueueFull | Reason::LinkBusy | Reason::Overloaded | Reason::Throttled
         );
+        let queued = self.queue_wait() == QueueWait::Full;
+        if full {
+            self.refused_by = Some(guard);
+        }
+        self.full_refusals = self.full_refusals.saturating_add((full && queued).into());
         match (self.stage, self.payload) {
             (Stage::Ask, _) if full => self.full.push(guard),
             (Stage::Queue, Payload::Heavy) if full => self.stage = Stage::AskRemaining,
--- a/crates/swiftcart-core/tests/named_rates.rs
+++ b/crates/swiftcart-core/tests/named_rates.rs
@@ -26,6 +26,7 @@
         request_rate: 400.0,
         named_rates: rates.to_vec(),
         duration: Duration::from_secs(16),
+        ..Workload::default()
     }
 }
 
--- a/crates/swiftcart-core/tests/refusal_history.rs
+++ b/crates/swiftcart-core/tests/refusal_history.rs
@@ -53,3 +53,22 @@
     let matched = (0..10_000).filter(|n| history.first_attempt(at(2), HeadHash(*n)).is_some());
     assert_eq!(matched.count(), 4096);
 }
+
+#[rstest]
+#[case::in_time(Some(at(400)), 400, true)]
+#[case::too_early(Some(at(400)), 399, false)]
+#[case::without_a_time(None, 400, false)]
+fn caller_has_waited_if_it_comes_back(
+    #[case] retry_at: Option<Instant>,
+    #[case] ms: u64,
+    #[case] expected: bool,
+) {
+    let mut history = RefusalHistory::new();
+    let refusal = PriorRefusal {
+        first: at(0),
+        retry_at,
+    };
+    history.record(at(1), HeadHash(7), refusal);
+    let prior = history.take(at(ms), HeadHash(7));
+    assert_eq!(prior.map(|prior| prior.has_waited(at(ms))), Some(expected));
+}
--- a/crates/swiftcart-core/tests/support/mesh_load.rs
+++ b/crates/swiftcart-core/tests/support/mesh_load.rs
@@ -1,6 +1,7 @@
 //! Simulation of a service under load in virtual time.
 //!
 //! Ingresses choose a guard, guards admit requests, and backend servers run them.
+#![allow(dead_code, reason = "each test target uses a subset")]
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -22,7 +23,7 @@
 pub const WARMUP: Duration = Duration::from_secs(4);
 
 /// Service and load of a simulation.
-#[derive(Debug, Clone)]
+#[derive(Debug, Default, Clone)]
 pub struct Workload {
     /// Number of nodes that take requests. The first `servers` nodes each have a backend server.
     pub nodes: usize,
@@ -35,9 +36,28 @@
     pub request_rate: f64,
     /// Rates named by the first backend servers, starting with the fastest one.
     pub named_rates: Vec<f64>,
+    /// Number of guards, starting with the fastest one, that refuse every request as if full.
+    pub broken_guards: usize,
+    /// Time from which every backend server has this number of slots.
+    pub slot_change: Option<(Duration, u32)>,
+    /// Settings with which the ingresses throttle their asks, if they do.
+    pub ask_throttle: Option<AskThrottleSettings>,
     pub duration: Duration,
 }
 
+impl Workload {
+    /// Returns the requests per second that the backend servers can complete.
+    pub fn capacity(&self) -> f64 {
+        let time = |n| self.service_time.mul_f64(self.slowdown(n)).as_secs_f64();
+        let rates = (0..self.servers).map(|n| f64::from(self.slots) / time(n));
+        rates.sum()
+    }
+
+    fn slowdown(&self, server: usize) -> f64 {
+        1.0 + 2.0 * server as f64 / (self.servers.max(2) - 1) as f64
+    }
+}
+
 /// Result of a simulation.
 #[derive(Debug, Default, Clone)]
 pub struct Outcome {
@@ -61,6 +81,12 @@
         self.attempts as f64 / self.requests.max(1) as f64
     }
 
+    /// Returns the number of requests that the backend servers started between two times.
+    pub fn started(&self, from: Duration, until: Duration) -> usize {
+        let is_counted = |at: &&Instant| (from..until).contains(&at.elapsed());
+        self.starts.iter().flatten().filter(is_counted).count()
+    }
+
     /// Returns the maximum number of requests that a backend server received in any `window`.
     pub fn max_in_window(&self, server: usize, window: Duration) -> usize {
         let starts = &self.starts[server];
@@ -88,6 +114,7 @@
     Wake(NodeId),
     Answer(usize, NodeId, Sample),
     Refused(usize, NodeId, Reason, Sample),
+    ChangeSlots(u32),
 }
 
 #[derive(Debug)]
@@ -97,6 +124,8 @@
     slot_search: SlotSearch,
     tries: PolicyRetryState,
     sent: Instant,
+    /// Latest guard that was asked.
+    pick: Option<Pick>,
 }
 
 #[derive(Debug)]
@@ -116,6 +145,7 @@
     pending: HashMap<u64, Event>,
     views: Vec<View>,
     balancers: Vec<Balancer>,
+    throttles: Vec<AskThrottle>,
     guards: HashMap<NodeId, Guard>,
     calls: Vec<Call>,
     outcome: Outcome,
@@ -125,6 +155,9 @@
 pub fn simulate(load: &Workload, seed: u64) -> Outcome {
     let mut simulation = Simulation::new(load, seed);
     simulation.schedule(Duration::ZERO, Event::Arrive);
+    if let Some((at, slots)) = load.slot_change {
+        simulation.schedule(at, Event::ChangeSlots(slots));
+    }
     while let Some(Reverse((at, number))) = simulation.events.pop() {
         if at.elapsed() >= load.duration + DEADLINE {
             break;
@@ -171,10 +204,9 @@
                     Admission::new(start, AdmissionSettings::default()).with_slots(load.slots);
                 let rate = load.named_rates.get(n).copied().and_then(ServerRate::new);
                 admission.set_rate(start, rate);
-                let slowdown = 1.0 + 2.0 * n as f64 / (load.servers.max(2) - 1) as f64;
                 let guard = Guard {
                     admission,
-                    service_time: load.service_time.mul_f64(slowdown),
+                    service_time: load.service_time.mul_f64(load.slowdown(n)),
                     waiting: HashMap::new(),
                     server: n,
                 };
@@ -187,6 +219,7 @@
             events: BinaryHeap::new(),
             pending: HashMap::new(),
             balancers: balancers.collect(),
+            throttles: vec![AskThrottle::new(load.ask_throttle.unwrap_or_default()); load.nodes],
             guards: guards.collect(),
             views,
             calls: Vec::new(),
@@ -214,6 +247,7 @@
             Event::Refused(call, guard, reason, sample) => {
                 self.refused(call, guard, reason, sample);
             }
+            Event::ChangeSlots(slots) => self.change_slots(slots),
         }
     }
 
@@ -233,10 +267,43 @@
             slot_search: SlotSearch::new(self.load.servers, Payload::Light),
             tries: PolicyRetryState::default(),
             sent: self.now,
+            pick: None,
         });
         let call = self.calls.len() - 1;
         self.outcome.requests += usize::from(self.is_counted(call));
-        self.send(call);
+        match self.is_admitted(call) {
+            true => self.send(call),
+            false => self.outcome.refused += usize::from(self.is_counted(call)),
+        }
+    }
+
+    fn is_admitted(&mut self, call: usize) -> bool {
+        let throttle = &mut self.throttles[self.calls[call].ingress];
+        self.load.ask_throttle.is_none()
+            || throttle.admit(self.now, AskRequest::default(), &mut self.rng)
+    }
+
+    fn next_ask(&mut self, call: usize, pick: &Pick) -> NextAsk {
+        let call = &self.calls[call];
+        let throttle = &mut self.throttles[call.ingress];
+        let request = AskRequest::default();
+        match self.load.ask_throttle {
+            Some(_) => throttle.next_ask(self.now, request, &call.slot_search, pick),
+            None => NextAsk::Ask,
+        }
+    }
+
+    fn pick(&mut self, call: usize) -> Option<Pick> {
+        let ingress = self.calls[call].ingress;
+        let entry = self.views[ingress].service("sensor").expect("the service");
+        let stays_near = self.load.ask_throttle.is_some()
+            && self.throttles[ingress].stays_near(self.now, AskClass::default());
+        let payload = match stays_near {
+            true => Payload::Heavy,
+            false => Payload::Light,
+        };
+        let excluded = self.calls[call].slot_search.excluded();
+        self.balancers[ingress].pick_for(&payload.into(), self.now, entry, excluded, &mut self.rng)
     }
 
     fn due(&self, call: usize) -> Deadline {
@@ -245,13 +312,18 @@
 
     fn send(&mut self, call: usize) {
         let ingress = self.calls[call].ingress;
-        let entry = self.views[ingress].service("sensor").expect("the service");
-        let slot_search = &mut self.calls[call].slot_search;
         let pick = loop {
-            let excluded = slot_search.excluded().to_vec();
-            let pick = self.balancers[ingress].pick(self.now, entry, &excluded, &mut self.rng);
-            if !slot_search.switch_to_queueing(pick.as_ref()) {
-                break pick;
+            let pick = self.pick(call);
+            if self.calls[call]
+                .slot_search
+                .switch_to_queueing(pick.as_ref())
+            {
+                continue;
+            }
+            match pick.map_or(NextAsk::Ask, |pick| self.next_ask(call, &pick)) {
+                NextAsk::Ask => break pick,
+                NextAsk::Queue => self.calls[call].slot_search.queue_now(),
+                NextAsk::Refuse => break None,
             }
         };
         let Some(pick) = pick else {
@@ -260,7 +332,9 @@
         };
         self.outcome.attempts += usize::from(self.is_counted(call));
         self.balancers[ingress].started(pick.id);
+        self.throttles[ingress].asked(self.now, AskRequest::default(), &pick);
         self.calls[call].sent = self.now;
+        self.calls[call].pick = Some(pick);
         self.schedule(HOP_LATENCY, Event::Offer(call, pick.id));
     }
 
@@ -270,6 +344,9 @@
             .with_queue_wait(self.calls[call].slot_search.queue_wait());
         let now = self.now;
         let guard = self.guards.get_mut(&id).expect("a guard");
+        if guard.server < self.load.broken_guards {
+            return self.reply_refused(id, call, Reason::QueueFull.into());
+        }
         let started = guard.admission.resume(now);
         let admit = guard.admission.offer(now, request, &mut self.rng);
         let displaced = guard.admission.displaced();
@@ -351,6 +428,17 @@
         self.schedule_wake(id);
     }
 
+    fn change_slots(&mut self, slots: u32) {
+        let ids: Vec<NodeId> = self.guards.keys().copied().collect();
+        for id in ids {
+            let guard = self.guards.get_mut(&id).expect("a guard");
+            let started = guard
+                .admission
+                .set_slots(self.now, slots, Limits::default());
+            self.start_all(id, started);
+        }
+    }
+
     fn schedule_wake(&mut self, id: NodeId) {
         if let Some(at) = self.guards[&id].admission.next_start_at(self.now) {
             let after = at.since(self.now).max(Duration::from_millis(1));
@@ -370,6 +458,10 @@
         self.balancers[ingress].finished(id, self.now, &sample);
         let due = self.due(call);
         let call_state = &mut self.calls[call];
+        if let Some(pick) = call_state.pick {
+            let throttle = &mut self.throttles[ingress];
+            throttle.failed(self.now, AskRequest::default(), &pick, reason);
+        }
         call_state.slot_search.failed(id, reason);
         let terms = RetryPolicy {
             idempotent: true,
