Throttle the asks of callers at services without room

Cause: the ingress asked up to seven full guards for each request of an overloaded service. Change: where overload.when enables it, the ingress asks AskThrottle at the door and before each ask, and answers no-room with a Retry-After from the accepted rate. Nested calls and routes without a policy are not throttled. Counters of requests and asks, a gauge of the accepted share, a log line with the counts and their age; the operations page and a design note. Measured: tests/overload.rs sends 40 callers to three full guards: the ingress answers no-room with the trigger always, and neither the answer nor the metrics exist without a trigger that holds. It first hung: a lock was held in the scrutinee of a match whose arm took it again.

--- a/crates/swiftcart-core/examples/call_cost/cost.rs
+++ b/crates/swiftcart-core/examples/call_cost/cost.rs
@@ -34,6 +34,7 @@
         print_balance(backends, &view);
     }
     print_admission();
+    print_ask_throttle();
 }
 
 fn print_balance(backends: usize, view: &View) {
@@ -88,6 +89,32 @@
     });
 }
 
+/// Prints the cost of one ask at a service without room, with four classes of requests.
+fn print_ask_throttle() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut throttle = AskThrottle::new(AskThrottleSettings::default());
+    let slot_search = SlotSearch::queueing();
+    let (mut now, mut n) = (Instant::from_millis(1), 0_usize);
+    print_decision("ask", 1, || {
+        n += 1;
+        now = now + Duration::from_micros(100);
+        let id = node(n % 3);
+        let pick = Pick {
+            id,
+            peer: id.0,
+            rule: PickRule::Near,
+            free: true,
+        };
+        let mut request = AskRequest::default();
+        request.class.priority = Priority((n % 4) as u8);
+        if throttle.admit(now, request, &mut rng) {
+            black_box(throttle.next_ask(now, request, &slot_search, &pick));
+            throttle.asked(now, request, &pick);
+            throttle.failed(now, request, &pick, Reason::QueueFull);
+        }
+    });
+}
+
 fn print_decision(name: &str, backends: usize, operation: impl FnMut()) {
     print_time(name, backends, OPERATIONS, operation);
 }
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -1,6 +1,7 @@
 //! The ingress: routes callers' requests to a guard and retries them where that is safe.
 
 mod account;
+mod asks;
 mod failed;
 mod forward;
 mod log;
@@ -16,10 +17,11 @@
 use hyper::body::{Body, Incoming};
 use slog::error;
 use swiftcart_core::{
-    BalanceSettings, Balancer, CallResult, Candidate, Instant, MeshRetryBudget, NodeId,
-    NoticeCache, Outcome, Pick, PickRequirements, PickRule, PolicyRetryState, Reason, Refusal,
-    RefusalHistory, RequestOrigin, ResolvedAccount, RetryBudget, RetrySettings, RetryState,
-    RetryTarget, RouteProfiles, ServiceEntry, SlotSearch, Version, startup_retry_after,
+    AskRequest, BalanceSettings, Balancer, CallResult, Candidate, Instant, MeshRetryBudget,
+    NextAsk, NodeId, NoticeCache, Outcome, Pick, PickRequirements, PickRule, PolicyRetryState,
+    PriorRefusal, Reason, Refusal, RefusalHistory, RequestOrigin, ResolvedAccount, RetryBudget,
+    RetrySettings, RetryState, RetryTarget, RouteProfiles, ServiceEntry, SlotSearch, Version,
+    startup_retry_after,
 };
 
 use tokio::task::JoinError;
@@ -35,6 +37,7 @@
 use crate::counters::Stage;
 use crate::logging::Event;
 use crate::shared::{Phase, Shared};
+use asks::AskThrottles;
 use failed::{FailedAttempt, call_result, is_retryable_failure};
 use forward::take_load_report;
 use log::PendingCall;
@@ -51,6 +54,7 @@
     mesh_budget: Option<Mutex<MeshRetryBudget>>,
     profiles: Mutex<RouteProfiles>,
     refusal_history: Mutex<RefusalHistory>,
+    ask_throttles: Mutex<AskThrottles>,
     /// Latest process notice of each backend server, as reported by its guard.
     notices: Mutex<NoticeCache>,
 }
@@ -62,6 +66,8 @@
     retry_state: RetryState,
     policy_retries: PolicyRetryState,
     slot_search: SlotSearch,
+    /// The request, if its asks are throttled.
+    ask_request: Option<AskRequest>,
     /// Number of failed attempts.
     failures: u32,
 }
@@ -84,6 +90,7 @@
                 .map(|retries| Mutex::new(MeshRetryBudget::new(retries.budget()))),
             profiles: Mutex::default(),
             refusal_history: Mutex::default(),
+            ask_throttles: Mutex::default(),
             notices: Mutex::default(),
         }
     }
@@ -102,9 +109,10 @@
         }
     }
 
-    /// Closes idle connections to peers.
+    /// Closes idle connections to peers, and removes state that is no longer used.
     pub fn sweep(&self) {
         self.peers.sweep();
+        self.sweep_asks();
     }
 
     /// Answers one request from a caller.
@@ -191,8 +199,9 @@
         );
         self.set_caller_header(&mut head);
         call.compute_print(&head, &settings.headers);
-        let first_attempt = lock(&self.refusal_history).first_attempt(now, call.print.head);
-        let first = first_attempt.unwrap_or(now);
+        let prior = lock(&self.refusal_history).take(now, call.print.head);
+        let first = prior.map_or(now, |prior| prior.first);
+        call.returning = prior.is_some_and(|prior| prior.has_waited(now));
         call.raise_age(now.since(first));
         let limits = &settings.limits;
         let original = OriginalRequest::new(head, body, limits.replay_bytes, limits.body_timeout());
@@ -206,7 +215,9 @@
             }
             Err(failed) if failed.refusal.reason.outcome() == Outcome::NotRun => {
                 let now = self.shared.clock.now();
-                lock(&self.refusal_history).refused(now, call.print.head, first);
+                let retry_at = failed.refusal.retry_after.map(|after| now + after);
+                let refusal = PriorRefusal { first, retry_at };
+                lock(&self.refusal_history).record(now, call.print.head, refusal);
             }
             _ => {}
         }
@@ -248,6 +259,7 @@
         entry: &ServiceEntry,
         original: &OriginalRequest,
     ) -> Result<Response<Answer>, FailedAttempt> {
+        let ask_request = self.admit_asks(call, entry)?;
         let mut state = CallState {
             start: self.shared.clock.now(),
             retry_state: RetryState::new(call.attempt),
@@ -256,6 +268,7 @@
                 Some(_) => SlotSearch::new(entry.candidates().len(), call.payload),
                 None => SlotSearch::queueing(),
             },
+            ask_request,
             failures: 0,
         };
         let mut last: Option<FailedAttempt> = None;
@@ -278,6 +291,14 @@
                     .unwrap_or_else(|| unavailable_reason.into())
                     .into_result();
             };
+            match self.next_ask(entry, &state, &pick) {
+                NextAsk::Ask => {}
+                NextAsk::Queue => {
+                    state.slot_search.queue_now();
+                    continue;
+                }
+                NextAsk::Refuse => return self.refuse_further_ask(call, entry, &state, last),
+            }
             let mut failed = match self.attempt(call, &pick, entry, original, &state).await {
                 Ok(response) => {
                     self.log_answer(call, entry, &state, &pick, response.status());
@@ -287,6 +308,7 @@
             };
             state.failures += 1;
             state.slot_search.failed(pick.id, failed.refusal.reason);
+            self.record_failed_ask(entry, &state, &pick, failed.refusal.reason);
             failed.retried |= state.retry_state.retried();
             let decision = self.decide_retry(call, entry, original, &mut state, &pick, &failed);
             self.log_failed_attempt(call, entry, &state, &pick, &failed, decision);
@@ -312,13 +334,13 @@
         next: RetryTarget,
     ) -> Option<Pick> {
         match next {
-            RetryTarget::Other => self.pick(call, entry, state.slot_search.excluded()),
+            RetryTarget::Other => self.pick(call, entry, state, state.slot_search.excluded()),
             RetryTarget::Same => {
                 let reached = state.policy_retries.reached();
                 let was_reached = |c: &&Candidate| reached.contains(&c.id);
                 let all = entry.candidates().iter().chain(entry.tried());
                 let others: Vec<NodeId> = all.filter(|c| !was_reached(c)).map(|c| c.id).collect();
-                self.pick(call, entry, &others)
+                self.pick(call, entry, state, &others)
             }
         }
     }
@@ -335,8 +357,15 @@
 
     /// Chooses a guard. For a request with an idempotency key, guards that follow the key's claims
     /// are preferred.
-    fn pick(&self, call: &Call, entry: &ServiceEntry, tried: &[NodeId]) -> Option<Pick> {
+    fn pick(
+        &self,
+        call: &Call,
+        entry: &ServiceEntry,
+        state: &CallState,
+        tried: &[NodeId],
+    ) -> Option<Pick> {
         let now = self.shared.clock.now();
+        let payload = self.pick_payload(call, entry, state);
         let balancer = self.balancer();
         let preferred = call.key.as_ref().and_then(|key| {
             let ids: Vec<NodeId> = entry.candidates().iter().map(|c| c.id).collect();
@@ -352,7 +381,7 @@
                 free: true,
             })
         });
-        let need = PickRequirements::from(call.payload).with_regions(call.regions.clone());
+        let need = PickRequirements::from(payload).with_regions(call.regions.clone());
         preferred.or_else(|| with_rng(|rng| balancer.pick_for(&need, now, entry, tried, rng)))
     }
 
--- a/crates/swiftcart-node/src/calls/ingress/retrying.rs
+++ b/crates/swiftcart-node/src/calls/ingress/retrying.rs
@@ -107,6 +107,7 @@
     ) -> bool {
         let tried = state.slot_search.excluded().iter().copied();
         let tried: Vec<NodeId> = tried.chain([pick.id]).collect();
-        self.pick(call, entry, &tried).is_some_and(|pick| pick.free)
+        self.pick(call, entry, state, &tried)
+            .is_some_and(|pick| pick.free)
     }
 }
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -50,6 +50,8 @@
     pub payload: Payload,
     /// Regions to which the request may be sent.
     pub regions: AllowedRegions,
+    /// `true` if this node refused the request before, and it comes back at the time it was told.
+    pub returning: bool,
     /// Hashes of the head and the calling service, the same for repeats of the request.
     pub print: CallPrint,
 }
@@ -319,6 +321,7 @@
             terms: None,
             payload: Payload::Light,
             regions: AllowedRegions::default(),
+            returning: false,
             print: CallPrint::default(),
         })
     }
--- a/crates/swiftcart-node/src/lib.rs
+++ b/crates/swiftcart-node/src/lib.rs
@@ -41,6 +41,7 @@
 pub use program::run_program;
 pub use settings::{
     Announcements, Answers, Cold, Gossip, Headers, Limits, LinkSettings, Listen, Log, LogLevel,
-    MeshKey, Name, Platform, Quotas, Retries, Rollouts, Settings, SettingsError, Stop,
+    MeshKey, Name, Overload, OverloadTrigger, Platform, Quotas, Retries, Rollouts, Settings,
+    SettingsError, Stop,
 };
 pub use shared::{Phase, Progress, Shared};
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -87,6 +87,8 @@
     Drain,
     /// A client account is limited since it exceeded its quota, or no longer is.
     Quota,
+    /// A request was refused by the ingress, since its service has no room.
+    NoRoom,
     /// A connection could not be accepted.
     Refused,
     /// A caller's request got its response.
@@ -134,6 +136,7 @@
             Self::Rollout => "rollout",
             Self::Drain => "drain",
             Self::Quota => "quota",
+            Self::NoRoom => "no-room",
             Self::Refused => "refused",
             Self::Answer => "answer",
             Self::Try => "try",
--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -94,6 +94,13 @@
     node
 }
 
+/// Starts a node that joins `other`, with settings changed by `change`, and waits until it is ready.
+pub async fn node_with(other: &Node, log: &Log, change: impl FnOnce(&mut Settings)) -> Node {
+    let mut settings = settings(log, &[other.shared().id.0]);
+    change(&mut settings);
+    start_with(settings).await
+}
+
 /// Starts a node with a link rate of `mbit_s` and waits until it is ready.
 pub async fn node_on_link(log: &Log, mbit_s: f64) -> Node {
     let mut settings = settings(log, &[]);
