--- a/crates/swiftcart-core/tests/spill.rs
+++ b/crates/swiftcart-core/tests/spill.rs
@@ -219,8 +219,8 @@
         slots: 9,
         service_time: Duration::from_millis(80),
         request_rate: 0.0,
-        named_rates: Vec::new(),
         duration: DURATION,
+        ..Workload::default()
     };
     load.request_rate = 0.75 * (0..3).map(|domain| capacity(&load, domain)).sum::<f64>();
     load
--- a/crates/swiftcart-core/tests/support/mesh_load.rs
+++ b/crates/swiftcart-core/tests/support/mesh_load.rs
@@ -23,7 +23,7 @@
 pub const WARMUP: Duration = Duration::from_secs(4);
 
 /// Service and load of a simulation.
-#[derive(Debug, Clone)]
+#[derive(Debug, Default, Clone)]
 pub struct Workload {
     /// Number of nodes that take requests. The first `servers` nodes each have a backend server.
     pub nodes: usize,
@@ -36,6 +36,12 @@
     pub request_rate: f64,
     /// Rates named by the first backend servers, starting with the fastest one.
     pub named_rates: Vec<f64>,
+    /// Number of guards, starting with the fastest one, that refuse every request as if full.
+    pub broken_guards: usize,
+    /// Time from which every backend server has this number of slots.
+    pub slot_change: Option<(Duration, u32)>,
+    /// Settings with which the ingresses throttle their asks, if they do.
+    pub ask_throttle: Option<AskThrottleSettings>,
     pub duration: Duration,
 }
 
@@ -88,6 +94,19 @@
     }
 }
 
+impl Workload {
+    /// Returns the requests per second that the backend servers can complete.
+    pub fn capacity(&self) -> f64 {
+        let time = |n| self.service_time.mul_f64(self.slowdown(n)).as_secs_f64();
+        let rates = (0..self.servers).map(|n| f64::from(self.slots) / time(n));
+        rates.sum()
+    }
+
+    fn slowdown(&self, server: usize) -> f64 {
+        1.0 + 2.0 * server as f64 / (self.servers.max(2) - 1) as f64
+    }
+}
+
 /// Result of a simulation.
 #[derive(Debug, Default, Clone)]
 pub struct Outcome {
@@ -121,6 +140,12 @@
         self.attempts as f64 / self.requests.max(1) as f64
     }
 
+    /// Returns the number of requests that the backend servers started between two times.
+    pub fn started(&self, from: Duration, until: Duration) -> usize {
+        let is_counted = |at: &&Instant| (from..until).contains(&at.elapsed());
+        self.starts.iter().flatten().filter(is_counted).count()
+    }
+
     /// Returns the maximum number of requests that a backend server received in any `window`.
     pub fn max_in_window(&self, server: usize, window: Duration) -> usize {
         let starts = &self.starts[server];
@@ -148,6 +173,7 @@
     Wake(NodeId),
     Answer(usize, NodeId, Sample),
     Refused(usize, NodeId, Reason, Sample),
+    ChangeSlots(u32),
 }
 
 #[derive(Debug)]
@@ -158,6 +184,8 @@
     slot_search: SlotSearch,
     tries: PolicyRetryState,
     sent: Instant,
+    /// Latest guard that was asked.
+    pick: Option<Pick>,
 }
 
 #[derive(Debug)]
@@ -182,6 +210,7 @@
     pending: HashMap<u64, Event>,
     views: Vec<View>,
     balancers: Vec<Balancer>,
+    throttles: Vec<AskThrottle>,
     guards: HashMap<NodeId, Guard>,
     calls: Vec<Call>,
     outcome: Outcome,
@@ -196,6 +225,9 @@
 pub fn simulate_scenario(load: &Workload, scenario: Scenario, seed: u64) -> Outcome {
     let mut simulation = Simulation::new(load, scenario, seed);
     simulation.schedule(Duration::ZERO, Event::Arrive);
+    if let Some((at, slots)) = load.slot_change {
+        simulation.schedule(at, Event::ChangeSlots(slots));
+    }
     while let Some(Reverse((at, number))) = simulation.events.pop() {
         if at.elapsed() >= load.duration + DEADLINE {
             break;
@@ -242,10 +274,9 @@
                     Admission::new(start, AdmissionSettings::default()).with_slots(load.slots);
                 let rate = load.named_rates.get(n).copied().and_then(ServerRate::new);
                 admission.set_rate(start, rate);
-                let slowdown = 1.0 + 2.0 * n as f64 / (load.servers.max(2) - 1) as f64;
                 let guard = Guard {
                     admission,
-                    service_time: load.service_time.mul_f64(slowdown),
+                    service_time: load.service_time.mul_f64(load.slowdown(n)),
                     waiting: HashMap::new(),
                     server: n,
                     reported: VecDeque::new(),
@@ -260,6 +291,7 @@
             events: BinaryHeap::new(),
             pending: HashMap::new(),
             balancers: balancers.collect(),
+            throttles: vec![AskThrottle::new(load.ask_throttle.unwrap_or_default()); load.nodes],
             guards: guards.collect(),
             views,
             calls: Vec::new(),
@@ -288,6 +320,7 @@
             Event::Refused(call, guard, reason, sample) => {
                 self.refused(call, guard, reason, sample);
             }
+            Event::ChangeSlots(slots) => self.change_slots(slots),
         }
     }
 
@@ -322,10 +355,14 @@
                 slot_search: SlotSearch::new(self.load.servers, Payload::Light),
                 tries: PolicyRetryState::default(),
                 sent: self.now,
+                pick: None,
             });
             let call = self.calls.len() - 1;
             self.outcome.requests += usize::from(self.is_counted(call));
-            self.send(call);
+            match self.is_admitted(call) {
+                true => self.send(call),
+                false => self.outcome.refused += usize::from(self.is_counted(call)),
+            }
         }
     }
 
@@ -391,6 +428,22 @@
         })
     }
 
+    fn is_admitted(&mut self, call: usize) -> bool {
+        let throttle = &mut self.throttles[self.calls[call].ingress];
+        self.load.ask_throttle.is_none()
+            || throttle.admit(self.now, AskRequest::default(), &mut self.rng)
+    }
+
+    fn next_ask(&mut self, call: usize, pick: &Pick) -> NextAsk {
+        let call = &self.calls[call];
+        let throttle = &mut self.throttles[call.ingress];
+        let request = AskRequest::default();
+        match self.load.ask_throttle {
+            Some(_) => throttle.next_ask(self.now, request, &call.slot_search, pick),
+            None => NextAsk::Ask,
+        }
+    }
+
     fn pick(&mut self, call: usize, excluded: &[NodeId]) -> Option<Pick> {
         let Call { ingress, draw, .. } = self.calls[call];
         let draw = match self.scenario.choice {
@@ -399,7 +452,13 @@
             Choice::Sampled => None,
         };
         let entry = self.views[ingress].service("sensor").expect("the service");
-        let requirements = PickRequirements::default().with_spill(draw);
+        let stays_near = self.load.ask_throttle.is_some()
+            && self.throttles[ingress].stays_near(self.now, AskClass::default());
+        let payload = match stays_near {
+            true => Payload::Heavy,
+            false => Payload::Light,
+        };
+        let requirements = PickRequirements::from(payload).with_spill(draw);
         let balancer = &self.balancers[ingress];
         balancer.pick_for(&requirements, self.now, entry, excluded, &mut self.rng)
     }
@@ -414,8 +473,13 @@
             let excluded = self.calls[call].slot_search.excluded().to_vec();
             let pick = self.pick(call, &excluded);
             let slot_search = &mut self.calls[call].slot_search;
-            if !slot_search.switch_to_queueing(pick.as_ref()) {
-                break pick;
+            if slot_search.switch_to_queueing(pick.as_ref()) {
+                continue;
+            }
+            match pick.map_or(NextAsk::Ask, |pick| self.next_ask(call, &pick)) {
+                NextAsk::Ask => break pick,
+                NextAsk::Queue => self.calls[call].slot_search.queue_now(),
+                NextAsk::Refuse => break None,
             }
         };
         let Some(pick) = pick else {
@@ -424,6 +488,7 @@
         };
         self.outcome.attempts += usize::from(self.is_counted(call));
         self.balancers[ingress].started(pick.id);
+        self.throttles[ingress].asked(self.now, AskRequest::default(), &pick);
         self.calls[call].sent = self.now;
         if let Some(cause) = pick.cause.filter(|_| self.is_counted(call)) {
             *self.outcome.causes.entry(cause).or_default() += 1;
@@ -433,6 +498,7 @@
             let refused = Event::Refused(call, pick.id, Reason::PeerUnreachable, sample);
             return self.schedule(HOP_LATENCY, refused);
         }
+        self.calls[call].pick = Some(pick);
         self.schedule(self.hop(call, pick.id), Event::Offer(call, pick.id));
     }
 
@@ -442,6 +508,9 @@
             .with_queue_wait(self.calls[call].slot_search.queue_wait());
         let now = self.now;
         let guard = self.guards.get_mut(&id).expect("a guard");
+        if guard.server < self.load.broken_guards {
+            return self.reply_refused(id, call, Reason::QueueFull.into());
+        }
         let started = guard.admission.resume(now);
         let admit = guard.admission.offer(now, request, &mut self.rng);
         let displaced = guard.admission.displaced();
@@ -532,6 +601,17 @@
         self.schedule_wake(id);
     }
 
+    fn change_slots(&mut self, slots: u32) {
+        let ids: Vec<NodeId> = self.guards.keys().copied().collect();
+        for id in ids {
+            let guard = self.guards.get_mut(&id).expect("a guard");
+            let started = guard
+                .admission
+                .set_slots(self.now, slots, Limits::default());
+            self.start_all(id, started);
+        }
+    }
+
     fn schedule_wake(&mut self, id: NodeId) {
         if let Some(at) = self.guards[&id].admission.next_start_at(self.now) {
             let after = at.since(self.now).max(Duration::from_millis(1));
@@ -563,6 +643,10 @@
         self.balancers[ingress].finished(id, self.now, &sample);
         let due = self.due(call);
         let call_state = &mut self.calls[call];
+        if let Some(pick) = call_state.pick {
+            let throttle = &mut self.throttles[ingress];
+            throttle.failed(self.now, AskRequest::default(), &pick, reason);
+        }
         call_state.slot_search.failed(id, reason);
         let terms = RetryPolicy {
             idempotent: true,
--- a/crates/swiftcart-node/src/calls/ingress/overload.rs
+++ b/crates/swiftcart-node/src/calls/ingress/overload.rs
@@ -27,7 +27,8 @@
     ///
     /// `due` is the deadline that the backend server sent, by which the running request is found.
     /// Callers may share the instance with the backend server, but they have client accounts, while
-    /// nested calls belong to none. Without accounts both look alike, and no call is ranked.
+    /// nested calls belong to none. Without accounts, some callers' requests match by chance: the
+    /// asks of all that match are not throttled, and none is ranked.
     pub(super) fn rank_nested(
         &self,
         call: &mut Call,
@@ -35,14 +36,17 @@
         entry: &ServiceEntry,
         due: Deadline,
     ) {
-        let has_accounts = !self.shared.view.load().accounts().is_empty();
-        if !(self.decides_overload(entry) && has_accounts && self.is_nested(head)) {
+        if !(self.decides_overload(entry) && self.is_nested(head)) {
             return;
         }
-        let now = self.shared.clock.now();
         let Some(parent) = self.shared.nested.parent(due) else {
             return;
         };
+        call.likely_nested = true;
+        if self.shared.view.load().accounts().is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
         let source = call.set_nested(parent, now);
         let counters = &self.shared.counters;
         counters.count("swiftcart_nested_calls_total", "rank", source.as_str());
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -52,6 +52,8 @@
     pub regions: AllowedRegions,
     /// `true` if this node refused the request before, and it comes back at the time it was told.
     pub returning: bool,
+    /// `true` if the local backend server may have sent the request for one that it runs.
+    pub likely_nested: bool,
     /// Draw that decides whether the request leaves its failure domain, if spill plans do.
     pub spill: Option<SpillDraw>,
     /// Hashes of the head and the calling service, the same for repeats of the request.
@@ -393,6 +395,7 @@
             payload: Payload::Light,
             regions: AllowedRegions::default(),
             returning: false,
+            likely_nested: false,
             spill: None,
             print: CallPrint::default(),
         })
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -91,6 +91,8 @@
     Share,
     /// A share of a service's requests begins or ceases to leave the failure domain.
     Spill,
+    /// A request was refused by the ingress, since its service has no room.
+    NoRoom,
     /// A connection could not be accepted.
     Refused,
     /// A caller's request got its response.
@@ -140,6 +142,7 @@
             Self::Quota => "quota",
             Self::Share => "share",
             Self::Spill => "spill",
+            Self::NoRoom => "no-room",
             Self::Refused => "refused",
             Self::Answer => "answer",
             Self::Try => "try",
