Take whoever asks while other guards are full

Cause: a slow guard turned away requests that may go elsewhere also when nobody had a free slot; its own slots stayed free and each refusal spent a try of the request. Change: a request that found no free slot elsewhere tells the guard so, which then takes whoever asks for 250 ms. Conclusion: a slow slot is better than none.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -55,6 +55,9 @@
 /// time is more than another hop costs.
 const AVOIDED_SLOWDOWN: f64 = 1.25;
 
+/// Time for which other guards count as full after a request that found no free slot at them.
+const CROWDED_PERIOD: Duration = Duration::from_millis(250);
+
 /// Admission control of one backend server.
 ///
 /// At most `min(announced slots, the table's concurrency, the adaptive limit)` requests run
@@ -108,6 +111,8 @@
     promises: RetryScheduler,
     /// Belief in the load that the backend server states.
     belief: LoadBelief,
+    /// Time of the last request that other guards had no free slot for.
+    crowded_at: Option<Instant>,
     /// Requests displaced from the queue by more urgent requests and not yet returned.
     displaced: Vec<Refused>,
 }
@@ -132,6 +137,7 @@
             targets: TargetEstimator::default(),
             promises: RetryScheduler::new(now),
             belief: LoadBelief::default(),
+            crowded_at: None,
             displaced: Vec::new(),
         }
     }
@@ -198,6 +204,9 @@
             true => Reason::Throttled,
             false => Reason::Overloaded,
         };
+        if request.queue_wait == QueueWait::Full {
+            self.crowded_at = Some(now);
+        }
         let due = request.due;
         match self.state {
             AdmissionState::Warming => self.refuse_elsewhere(Reason::Warming, rng),
@@ -210,8 +219,7 @@
                 Admit::Refuse(Refusal::new(Reason::DeadlinePassed))
             }
             AdmissionState::Open
-                if request.queue_wait == QueueWait::Short
-                    && self.belief.slowdown(now) >= AVOIDED_SLOWDOWN =>
+                if request.queue_wait == QueueWait::Short && self.is_avoided(now) =>
             {
                 Admit::Refuse(Refusal::new(Reason::Overloaded))
             }
@@ -462,6 +470,13 @@
         self.running() < self.places(now) && self.throttle.has_token(now)
     }
 
+    /// Returns `true` if the backend server is slow at this moment and other guards seem to have
+    /// free slots.
+    fn is_avoided(&self, now: Instant) -> bool {
+        let is_crowded = |at: Instant| now.since(at) < CROWDED_PERIOD;
+        self.belief.slowdown(now) >= AVOIDED_SLOWDOWN && !self.crowded_at.is_some_and(is_crowded)
+    }
+
     /// Returns the number of requests that may run while others use slots of the backend server,
     /// at least 1 if the limit is.
     fn places(&self, now: Instant) -> u32 {
