Ignore statements without a pace altogether

Cause: a statement of three figures left the belief as it was, but the guard then looked for queued requests to start, which it did not do before. Change: such a statement returns at once. Measured: three_figures_change_nothing has a queue now, and fails without this change.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -51,8 +51,8 @@
 /// Minimum retry delay of a refusal whose caller should use another backend server.
 const FAILOVER_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Slowdown from which the guard refuses requests that may go to another guard. A quarter of a call's
-/// time is more than another hop costs.
+/// Slowdown from which the guard refuses requests that may go to another guard. A quarter of a
+/// call's time is more than another hop costs.
 const AVOIDED_SLOWDOWN: f64 = 1.25;
 
 /// Time for which other guards count as full after a request that found no free slot at them.
@@ -165,8 +165,12 @@
     /// Applies the load that the backend server states in a response, and returns the requests to
     /// start.
     ///
-    /// Apply the statement before the end of the request that it answers is recorded.
+    /// A statement without a pace has no effect. Apply the statement before the end of the request
+    /// that it answers is recorded.
     pub fn set_stated_load(&mut self, now: Instant, stated: StatedLoad) -> Vec<Ticket> {
+        if stated.pace.is_none() {
+            return Vec::new();
+        }
         self.belief.observe(now, stated, self.running());
         self.start_queued(now)
     }
--- a/crates/swiftcart-core/tests/stated_load.rs
+++ b/crates/swiftcart-core/tests/stated_load.rs
@@ -248,9 +248,18 @@
 #[rstest]
 fn three_figures_change_nothing() {
     let mut told = guard();
+    told.set_rate(at(0), "20".parse().ok());
+    assert!(matches!(
+        offer(&mut told, 0, QueueWait::Full),
+        Admit::Run(_)
+    ));
+    assert!(matches!(
+        offer(&mut told, 0, QueueWait::Full),
+        Admit::Queue(_)
+    ));
     let silent = told.clone();
     for ms in 0..100 {
-        told.set_stated_load(at(ms), stated(9, None));
+        assert_eq!(told.set_stated_load(at(ms), stated(9, None)), []);
     }
     assert_eq!(told, silent);
 }
