--- a/crates/swiftcart-core/src/account/ledger.rs
+++ b/crates/swiftcart-core/src/account/ledger.rs
@@ -255,12 +255,15 @@
         due
     }
 
-    /// Discards all counts if this process was suspended for so long that other nodes have replaced
-    /// the ledger. The reports that waited meanwhile would otherwise count as a burst.
+    /// Starts all averages again if this process was suspended for so long that other nodes may have
+    /// replaced the ledger. The reports that waited meanwhile would otherwise count as a burst.
+    ///
+    /// Debts and limits remain, since no other ledger may have taken over.
     fn restart_after_stall(&mut self, now: Instant) {
         let has_stalled = |last| now.since(last) >= STALL_TIME;
         if self.last_round.is_some_and(has_stalled) {
-            self.accounts.clear();
+            let states = self.accounts.values_mut();
+            states.for_each(|state| state.restart(now));
             (self.last_round, self.resumed) = (Some(now), Some(now));
         }
     }
@@ -290,6 +293,18 @@
         }
     }
 
+    /// Starts the averages again after a suspension of the process.
+    fn restart(&mut self, now: Instant) {
+        let mut state = Self::new(now, self.quota);
+        state.tokens = state.tokens.min(self.tokens);
+        state.ratio = self.ratio;
+        state.permille = self.permille;
+        state.nodes = std::mem::take(&mut self.nodes);
+        let reports = state.nodes.values_mut();
+        reports.for_each(|report| report.updated = now);
+        *self = state;
+    }
+
     fn advance(&mut self, now: Instant, reachable_share: f64) {
         let elapsed = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -240,8 +240,11 @@
                 return false;
             };
             let is_open = counts.is_open(now);
-            if is_open && counts.is_due(now) {
-                due.push(*account);
+            match is_open {
+                true if counts.is_due(now) => due.push(*account),
+                true => {}
+                // The next report says whether the ledger answers.
+                false => counts.stop_waiting(),
             }
             is_open
         });
@@ -309,6 +312,12 @@
         }
     }
 
+    /// Forgets that the ledger has not answered the last report.
+    fn stop_waiting(&mut self) {
+        self.pending_since = None;
+        self.fallback = None;
+    }
+
     /// Splits the fallback share again if the quota or the number of nodes has changed.
     fn set_split(&mut self, quota: Quota, nodes: usize) {
         if (self.quota, self.nodes) != (quota, nodes) {
--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -526,7 +526,8 @@
             RequestOrigin::Backend => self.settings.queue as usize,
             RequestOrigin::Caller => self.queue_capacity(),
         };
-        self.queue.ahead_of(urgency) < capacity
+        let has_place = self.queue.len() < self.settings.queue as usize;
+        self.queue.ahead_of(urgency) < capacity && (has_place || self.queue.can_displace(urgency))
     }
 
     /// Displaces the least urgent requests of callers until the queue has a free place or holds
--- a/crates/swiftcart-core/src/admission/queue.rs
+++ b/crates/swiftcart-core/src/admission/queue.rs
@@ -55,6 +55,13 @@
         self.waiting.insert(place, waiting);
     }
 
+    /// Returns `true` if the queue holds a request of a caller that is less urgent than `urgency`.
+    pub(super) fn can_displace(&self, urgency: Urgency) -> bool {
+        self.waiting
+            .iter()
+            .any(|w| w.urgency.origin == RequestOrigin::Caller && w.urgency > urgency)
+    }
+
     /// Removes and returns the least urgent request of a caller if it is less urgent than
     /// `urgency`.
     pub(super) fn displace(&mut self, urgency: Urgency) -> Option<Waiting> {
--- a/crates/swiftcart-core/src/ask_throttle.rs
+++ b/crates/swiftcart-core/src/ask_throttle.rs
@@ -8,7 +8,8 @@
 use rand::Rng;
 
 use crate::{
-    Instant, Outcome, Pick, PickRule, Priority, Reason, Refusal, RequestTiming, SlotSearch,
+    Instant, Outcome, Pick, PickRule, Priority, Reason, Refusal, RequestTiming, ShareStanding,
+    SlotSearch,
 };
 use class_counts::ClassCounts;
 
@@ -49,6 +50,8 @@
     pub priority: Priority,
     /// Prospect of an answer within the latency target.
     pub timing: RequestTiming,
+    /// Standing of the client account relative to its share of the service.
+    pub standing: ShareStanding,
 }
 
 /// Request of a caller, as far as an [`AskThrottle`] distinguishes requests.
--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -305,7 +305,7 @@
     pub fn started(&mut self, id: NodeId) {
         if let Some(peer) = self.peers.get_mut(&id) {
             peer.running = peer.running.saturating_add(1);
-            if let Some(service) = self.plans.get_mut(peer.service) {
+            if let Some(service) = planned(&mut self.plans, peer) {
                 service.plan.started(peer.domain);
             }
         }
@@ -317,7 +317,7 @@
             return false;
         };
         let failed = peer.finish(now, sample, &self.settings);
-        if let Some(service) = self.plans.get_mut(peer.service) {
+        if let Some(service) = planned(&mut self.plans, peer) {
             service.plan.finished(peer.domain);
             if let Some(load) = sample.load {
                 service.plan.record(now, peer.domain, id, load.usage());
@@ -338,8 +338,10 @@
             }
             (None, _) | (_, CallResult::Failure | CallResult::Cancelled) => {}
         }
-        if let (Some(at), Some(_)) = (self.slowdowns_at.get_mut(peer.service), sample.slowdown) {
-            *at = Some(now);
+        let slowdown_at = self.slowdowns_at.get_mut(peer.service);
+        match (slowdown_at, sample.slowdown) {
+            (Some(at), Some(_)) if !peer.departed => *at = Some(now),
+            _ => {}
         }
         if let Some(pace) = sample.usual_pace().map(Pace::ratio) {
             let mean_pace = self.mean_pace.get_or_insert(pace);
@@ -410,7 +412,8 @@
     /// Returns the slots of a service in each failure domain of the node's region.
     fn domain_slots(&self, entry: &ServiceEntry) -> Vec<DomainSlots> {
         let mut domains: Vec<DomainSlots> = Vec::new();
-        for candidate in entry.near().iter().chain(entry.far()) {
+        let canaries = entry.tried().iter();
+        for candidate in entry.near().iter().chain(entry.far()).chain(canaries) {
             let domain = Some(candidate.domain).filter(|_| !candidate.in_same_domain());
             let running = self.peers.get(&candidate.id).map_or(0, |p| p.running);
             match domains.iter_mut().find(|known| known.domain == domain) {
@@ -483,3 +486,13 @@
         group.filter(|id| !self.ejected(**id, now)).count()
     }
 }
+
+/// Returns the plan of the service that `peer` belongs to.
+///
+/// The service of a departed backend server may have another place in the view by now.
+fn planned<'a>(plans: &'a mut [ServicePlan], peer: &Peer) -> Option<&'a mut ServicePlan> {
+    match peer.departed {
+        true => None,
+        false => plans.get_mut(peer.service),
+    }
+}
--- a/crates/swiftcart-core/src/budget.rs
+++ b/crates/swiftcart-core/src/budget.rs
@@ -146,14 +146,14 @@
     ///
     /// ```
     /// use swiftcart_core::{
-    ///     AskClass, Instant, MeshRetryBudget, MeshRetryBudgetSettings, Priority, RequestTiming,
+    ///     AskClass, Instant, MeshRetryBudget, MeshRetryBudgetSettings, Priority,
     ///     RetryCause, ServiceName,
     /// };
     ///
     /// let settings = MeshRetryBudgetSettings { share: 0.2, floor: 20.0, window_s: 10 };
     /// let mut budget = MeshRetryBudget::new(settings);
     /// let (now, booking) = (Instant::from_millis(0), ServiceName::new("booking"));
-    /// let class = |n| AskClass { priority: Priority(n), timing: RequestTiming::InTime };
+    /// let class = |n| AskClass { priority: Priority(n), ..AskClass::default() };
     /// let mut take = |n| budget.take_for(now, &booking, 1, RetryCause::Refused, class(n));
     /// assert!(take(1), "no more urgent request needs a retry");
     /// assert!(take(0));
--- a/crates/swiftcart-core/src/stated_load/level.rs
+++ b/crates/swiftcart-core/src/stated_load/level.rs
@@ -26,7 +26,8 @@
         let secs = elapsed.as_secs_f64().min(MAX_STEP_SECS);
         let rise = 1.0 - (-secs / RISE_SECS).exp();
         let level = self.level.map_or(figure, |level| {
-            (level + (self.figure - level) * rise).min(figure)
+            let risen = level + (self.figure - level) * rise;
+            risen.min(0.5 * (risen + figure))
         });
         *self = Self {
             level: Some(level),
--- a/crates/swiftcart-core/tests/ask_throttle.rs
+++ b/crates/swiftcart-core/tests/ask_throttle.rs
@@ -129,6 +129,7 @@
     let class = AskClass {
         priority: Priority(priority),
         timing: RequestTiming::InTime,
+        ..AskClass::default()
     };
     AskRequest {
         class,
@@ -241,3 +242,19 @@
     assert!(first >= Some(Duration::from_secs(min_s)), "{first:?}");
     assert!(last > first || min_s > 0, "{first:?} {last:?}");
 }
+
+#[test]
+fn requests_beyond_a_share_do_not_close_the_door_for_those_within() {
+    let mut throttle = AskThrottle::new(AskThrottleSettings::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut beyond = class(1);
+    beyond.class.standing = ShareStanding::Beyond;
+    let now = fail(&mut throttle, beyond, 4, Reason::QueueFull);
+    let mut admitted = |request| {
+        (0..100)
+            .filter(|_| throttle.admit(now, request, &mut rng))
+            .count()
+    };
+    assert!(admitted(beyond) < 20);
+    assert_eq!(admitted(class(1)), 100);
+}
--- a/crates/swiftcart-core/tests/nested_calls.rs
+++ b/crates/swiftcart-core/tests/nested_calls.rs
@@ -389,3 +389,15 @@
     ended.into_iter().for_each(|id| running.end(id));
     assert_eq!(running.parent(at(due_ms)), expected.map(rank));
 }
+
+#[test]
+fn nested_calls_never_exceed_the_queue() {
+    let (mut guard, mut rng) = busy_guard();
+    let queue = AdmissionSettings::default().queue;
+    for n in 0..2 * u64::from(queue) {
+        let due = Deadline::new(START, ms(2_000 - n));
+        let request = AdmissionRequest::new(due).with_origin(RequestOrigin::Backend);
+        guard.offer(START, request.with_target(ms(500)), &mut rng);
+    }
+    assert!(guard.queued() <= queue, "{}", guard.queued());
+}
--- a/crates/swiftcart-core/tests/policy_retries.rs
+++ b/crates/swiftcart-core/tests/policy_retries.rs
@@ -190,6 +190,7 @@
         let class = AskClass {
             priority: Priority(priority),
             timing: RequestTiming::InTime,
+            ..AskClass::default()
         };
         budget.first(now, &service, 0.0);
         let mut retry = || match by_class {
@@ -227,6 +228,7 @@
     let class = AskClass {
         priority: Priority(7),
         timing: RequestTiming::Late,
+        ..AskClass::default()
     };
     let mut take = || budget.take_for(START, &service, 1, RetryCause::Refused, class);
     assert_eq!((0..1000).take_while(|_| take()).count(), 14);
--- a/crates/swiftcart-core/tests/quota.rs
+++ b/crates/swiftcart-core/tests/quota.rs
@@ -12,8 +12,8 @@
 use rand::rngs::SmallRng;
 use rstest::rstest;
 use swiftcart_core::{
-    AccountTag, AdmissionRatio, Instant, NodeId, Priority, Quota, QuotaMeter, QuotaRequest, Reason,
-    RequestTiming,
+    AccountTag, AdmissionRatio, Instant, NodeId, Priority, Quota, QuotaBounds, QuotaLedger,
+    QuotaMeter, QuotaRequest, Reason, RequestTiming, Usage,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -216,3 +216,34 @@
         assert!((share - expected).abs() < 0.1, "{share} of {expected}");
     }
 }
+
+#[test]
+fn ledger_keeps_debts_and_limits_over_a_stall() {
+    let bounds = QuotaBounds {
+        window: Duration::from_secs(5),
+        overage: 0.1,
+        slack: 20.0,
+    };
+    let mut ledger = QuotaLedger::new(bounds);
+    let (node, account) = (
+        NodeId(SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1)),
+        AccountTag(7),
+    );
+    let quota = Quota {
+        rate: 40,
+        burst: 40,
+    };
+    let usage = |sent: u64, counted_ms| Usage {
+        account,
+        arrived: sent,
+        admitted: sent,
+        counted_ms,
+        epoch: 1,
+    };
+    let limited = ledger.receive(Instant::from_millis(0), node, &usage(400, 0), quota);
+    assert!(limited.permille < AdmissionRatio::ALL, "{limited:?}");
+    ledger.limit_updates(Instant::from_millis(100));
+    let resumed = Instant::from_millis(1_400);
+    let ratio = ledger.receive(resumed, node, &usage(410, 1_400), quota);
+    assert!(ratio.permille < AdmissionRatio::ALL, "{ratio:?}");
+}
--- a/crates/swiftcart-core/tests/stated_load.rs
+++ b/crates/swiftcart-core/tests/stated_load.rs
@@ -364,3 +364,16 @@
     assert_eq!(guard.next_start_at(at(2_250)), Some(at(2_300)));
     assert_eq!(guard.resume(at(2_300)), [ticket]);
 }
+
+#[test]
+fn one_low_statement_does_not_make_the_usual_pace_slow() {
+    let mut belief = LoadBelief::default();
+    (0..40).for_each(|n| belief.observe(at(20 * n), stated(1, Some(100)), 1));
+    belief.observe(at(800), stated(1, Some(10)), 1);
+    belief.observe(at(820), stated(1, Some(100)), 1);
+    assert!(
+        belief.slowdown(at(820)) < 2.0,
+        "{}",
+        belief.slowdown(at(820))
+    );
+}
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -41,7 +41,7 @@
     /// Returns the value of the load header: running, queued and limit, then the pace and the
     /// slowdown if they are known.
     ///
-    /// An unknown pace in front of a known slowdown is 0.
+    /// The slowdown is sent with a pace only: earlier releases would take a placeholder for a pace.
     fn header_value(&self) -> Option<HeaderValue> {
         let Load {
             running,
@@ -50,10 +50,10 @@
         } = self.load;
         let pace = self.pace.map_or(0, |Pace(pace)| pace);
         let text = match (self.slowdown, pace) {
+            (_, 0) => format!("{running} {queued} {limit}"),
             (Some(Slowdown(slowdown)), _) => {
                 format!("{running} {queued} {limit} {pace} {slowdown}")
             }
-            (None, 0) => format!("{running} {queued} {limit}"),
             (None, _) => format!("{running} {queued} {limit} {pace}"),
         };
         HeaderValue::try_from(text).ok()
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -124,6 +124,7 @@
         self.peers.sweep();
         self.report_spill();
         self.sweep_asks();
+        lock(&self.shares).retain(&self.shared.view.load());
     }
 
     /// Answers one request from a caller.
@@ -202,7 +203,7 @@
         let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.apply_route(&routed, lock(&self.profiles).of(routed.route), now);
         if account.is_none() {
-            self.rank_nested(&mut call, &head, routed.entry, given_due);
+            self.rank_nested(&mut call, &head, &routed, given_due);
         }
         let decides_overload = self.decides_overload(routed.entry);
         call.spill = decides_overload.then(|| with_rng(SpillDraw::random));
--- a/crates/swiftcart-node/src/calls/ingress/asks.rs
+++ b/crates/swiftcart-node/src/calls/ingress/asks.rs
@@ -72,8 +72,8 @@
     /// Counts a caller's request at the throttle of its service, and returns it in the form in which
     /// the throttle decides about its asks.
     ///
-    /// Returns `None` for requests whose asks are not throttled: nested calls, and requests of
-    /// routes without a policy.
+    /// Returns `None` for requests whose asks are not throttled: nested calls, requests with long
+    /// bodies, whose room depends on links, and requests of routes without a policy.
     ///
     /// # Errors
     ///
@@ -178,6 +178,9 @@
         let now = self.shared.clock.now();
         let mut throttles = lock(&self.ask_throttles);
         throttles.retain(&self.shared.view.load());
+        if throttles.services.is_empty() {
+            return;
+        }
         let gauge = self.shared.counters.gauge("swiftcart_ask_acceptance");
         gauge.set(throttles.acceptance(now));
     }
--- a/crates/swiftcart-node/src/calls/ingress/fair_share.rs
+++ b/crates/swiftcart-node/src/calls/ingress/fair_share.rs
@@ -4,7 +4,7 @@
 
 use slog::info;
 use swiftcart_core::{
-    FairShares, Priority, Reason, ResolvedAccount, ServiceEntry, ServiceName, ShareDecision,
+    FairShares, Priority, Reason, ResolvedAccount, ServiceEntry, ServiceName, ShareDecision, View,
 };
 
 use super::{FailedAttempt, Ingress, lock};
@@ -21,6 +21,14 @@
     classes: HashMap<ShareClass, FairShares>,
 }
 
+impl AccountShares {
+    /// Forgets the services that have left the configuration.
+    pub(super) fn retain(&mut self, view: &View) {
+        self.classes
+            .retain(|(service, _), _| view.service(service.as_str()).is_some());
+    }
+}
+
 impl Ingress {
     /// Sets the standing of an account's request.
     ///
@@ -89,6 +97,6 @@
 const fn is_for_want_of_room(reason: Reason) -> bool {
     matches!(
         reason,
-        Reason::QueueFull | Reason::Overloaded | Reason::Throttled | Reason::Shed
+        Reason::NoRoom | Reason::QueueFull | Reason::Overloaded | Reason::Throttled | Reason::Shed
     )
 }
--- a/crates/swiftcart-node/src/calls/ingress/overload.rs
+++ b/crates/swiftcart-node/src/calls/ingress/overload.rs
@@ -1,7 +1,7 @@
 //! Decisions of the ingress about services that have less room than their callers ask for.
 
 use http::request::Parts;
-use swiftcart_core::{Deadline, RequestOrigin, ServiceEntry};
+use swiftcart_core::{Access, Deadline, RequestOrigin, RouteMatch, ServiceEntry};
 
 use super::Ingress;
 use crate::calls::origin::CallerAddr;
@@ -33,19 +33,19 @@
         &self,
         call: &mut Call,
         head: &Parts,
-        entry: &ServiceEntry,
+        routed: &RouteMatch<'_>,
         due: Deadline,
     ) {
-        if !(self.decides_overload(entry) && self.is_nested(head)) {
+        if !(self.decides_overload(routed.entry) && self.is_nested(head)) {
             return;
         }
-        let Some(parent) = self.shared.nested.parent(due) else {
+        let has_accounts = !self.shared.view.load().accounts().is_empty();
+        let parent = self.shared.nested.parent(due);
+        let needs_account = has_accounts && routed.access == Access::Accounts;
+        call.likely_nested = needs_account || parent.is_some();
+        let Some(parent) = parent.filter(|_| has_accounts) else {
             return;
         };
-        call.likely_nested = true;
-        if self.shared.view.load().accounts().is_empty() {
-            return;
-        }
         let now = self.shared.clock.now();
         let source = call.set_nested(parent, now);
         let counters = &self.shared.counters;
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -329,6 +329,9 @@
         AskClass {
             priority: self.terms.map_or(Priority(0), |terms| terms.priority),
             timing: self.timing(typical),
+            standing: self
+                .terms
+                .map_or(ShareStanding::Within, |terms| terms.standing),
         }
     }
 
