Name the node's overload parts by what they hold

Cause: a reader met a type NestedCalls that holds running requests, is_nested for a check of an address alone, labels of nested admissions as bare strings, an index by a cast into an array of 3, and doc comments whose pronouns had no noun. Change: SharedRunningRequests and RunningRequest, StatedLoadReader, is_from_instance, NestedAdmission, Ignored::COUNT; Ingress::route gives the check of the phase and the record of a refusal to functions of their own; doc comments say what is counted, returned and skipped. Names of metrics, logs and settings are as they were.

--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -38,10 +38,10 @@
 }
 
 impl Report {
-    /// Returns the value of the load header: running, queued and limit, then the pace and the
-    /// slowdown if they are known.
+    /// Returns the value of the load header: running, queued and limit, followed by the pace and
+    /// the slowdown if they are known.
     ///
-    /// An unknown pace in front of a known slowdown is 0.
+    /// If only the slowdown is known, the pace is written as 0.
     fn header_value(&self) -> Option<HeaderValue> {
         let Load {
             running,
@@ -88,11 +88,11 @@
     }
 }
 
-/// Request at the guard that has no result yet. Dropping it before completion logs why the request
-/// ended.
+/// Request at the guard that has no result yet. If it is dropped before
+/// [`complete`](Self::complete), the reason why the request ended is logged.
 ///
-/// The ingress closes the connection when its caller disconnects or at the deadline, which may be
-/// before the guard's own timeout.
+/// The guard drops the request when the ingress closes the connection. The ingress does so when its
+/// caller disconnects, and at the deadline, which may precede the guard's own timeout.
 struct PendingRun<'a> {
     guard: &'a Guard,
     call: &'a Call,
@@ -129,6 +129,28 @@
     }
 }
 
+/// Result of the admission of a nested call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NestedAdmission {
+    /// The call got a free slot.
+    AtOnce,
+    /// The call got a slot after it had waited in the queue.
+    Waited,
+    /// The call was refused.
+    Refused,
+}
+
+impl NestedAdmission {
+    /// Returns the label of the result in metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::AtOnce => "at-once",
+            Self::Waited => "waited",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 impl Guard {
     /// Creates a guard without a backend server.
     #[must_use]
@@ -227,24 +249,24 @@
     }
 
     /// Returns the report for the ingress of this node, and stores the usual pace in the shared
-    /// state from which it is sent to all nodes.
+    /// state, from which it is announced to all nodes.
     #[must_use]
     pub fn report(&self) -> Option<Report> {
         let upstream = self.upstream.load();
         let upstream = upstream.as_ref()?;
         let report = upstream.report();
-        // A slowdown has passed before all nodes know of it.
+        // The announced pace excludes the slowdown, which ends before the announcement arrives.
         let factor = report.slowdown.map_or(1.0, Slowdown::factor);
         let usual = report
             .pace
             .map(|pace| Pace::from_ratio(pace.ratio() / factor));
-        let shown = usual.map_or(0, |Pace(pace)| pace);
-        self.shared.pace.store(shown, Ordering::Relaxed);
+        let announced = usual.map_or(0, |Pace(pace)| pace);
+        self.shared.pace.store(announced, Ordering::Relaxed);
         Some(report)
     }
 
-    /// Closes idle connections and updates the gauges of the load, and of the rate and the load
-    /// that the backend server stated.
+    /// Closes idle connections and updates the gauges of the load, of the rate that the backend
+    /// server announced, and of the load that it stated.
     pub fn sweep(&self) {
         let upstream = self.upstream.load();
         let (load, rate, stated) = upstream.as_ref().map_or_else(Default::default, |upstream| {
@@ -252,7 +274,7 @@
             let rate = upstream.process_notice().notice.rate;
             (upstream.load(), rate, upstream.stated_load())
         });
-        self.show_stated_load(stated);
+        self.update_stated_gauges(stated);
         let rate = rate.map_or(0.0, ServerRate::per_second);
         let counters = &self.shared.counters;
         counters.gauge("swiftcart_running").set(load.running);
@@ -261,9 +283,11 @@
         counters.gauge("swiftcart_server_rate").set(rate);
     }
 
-    /// Updates the gauges of the load that the backend server stated, which are 0 while it does not
-    /// state its pace.
-    fn show_stated_load(&self, stated: Option<StatedLoad>) {
+    /// Updates the gauges of the load that the backend server stated, and of the slowdown that the
+    /// guard believes.
+    ///
+    /// The gauges of the stated load are 0 while the backend server does not state its pace.
+    fn update_stated_gauges(&self, stated: Option<StatedLoad>) {
         let believed = self.report().and_then(|report| report.slowdown);
         let stated = stated.unwrap_or_default();
         let counters = &self.shared.counters;
@@ -298,17 +322,18 @@
             let counters = &self.shared.counters;
             let reason = refusal.reason.as_str();
             counters.count("swiftcart_guard_refusals_total", "reason", reason);
-            self.count_nested(call, "refused");
+            self.count_nested(call, NestedAdmission::Refused);
             self.log(call, service, *refusal);
         }
         result
     }
 
-    /// Counts a nested call of another request under the result of its admission.
-    fn count_nested(&self, call: &Call, result: &'static str) {
+    /// Counts the result of the admission of `call` if it is a nested call.
+    fn count_nested(&self, call: &Call, result: NestedAdmission) {
         if call.origin() == RequestOrigin::Backend {
             let counters = &self.shared.counters;
-            counters.count("swiftcart_nested_admissions_total", "result", result);
+            let name = "swiftcart_nested_admissions_total";
+            counters.count(name, "result", result.as_str());
         }
     }
 
@@ -352,14 +377,11 @@
         let slot = upstream.enter(call).await?;
         let counters = &self.shared.counters;
         counters.stage(Stage::Queue, slot.start().since(arrived));
-        self.count_nested(
-            call,
-            if slot.was_queued() {
-                "waited"
-            } else {
-                "at-once"
-            },
-        );
+        let admission = match slot.was_queued() {
+            true => NestedAdmission::Waited,
+            false => NestedAdmission::AtOnce,
+        };
+        self.count_nested(call, admission);
         if let Err(refusal) = self.record_start(call, &slot, &request) {
             slot.withdraw();
             return Err(refusal);
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -62,7 +62,8 @@
     ask_throttles: Mutex<AskThrottles>,
     /// Latest process notice of each backend server, as reported by its guard.
     notices: Mutex<NoticeCache>,
-    /// Services of which a share of the requests leaves the failure domain.
+    /// Services that were last logged as spilling: a share of their requests leaves the failure
+    /// domain.
     spilling: Mutex<HashSet<ServiceName>>,
 }
 
@@ -73,7 +74,7 @@
     retry_state: RetryState,
     policy_retries: PolicyRetryState,
     slot_search: SlotSearch,
-    /// The request, if its asks are throttled.
+    /// Attributes by which the asks of the request are throttled; `None` if they are not.
     ask_request: Option<AskRequest>,
     /// Number of failed attempts.
     failures: u32,
@@ -182,16 +183,9 @@
         let settings = &self.shared.settings;
         let now = self.shared.clock.now();
         let mut call = Call::from_caller(&mut head, settings, now)?;
-        let given_due = call.due;
-        let phase = *self.shared.phase.borrow();
-        match phase {
-            Phase::Ready | Phase::Leaving | Phase::Finishing => {}
-            Phase::Stopping => return Err(Reason::Stopping.into()),
-            Phase::NoConfig | Phase::BelowFloor | Phase::NoMembers => {
-                let wait = startup_retry_after(now.elapsed());
-                return Err(Refusal::new(Reason::NotReady).with_retry(wait).into());
-            }
-        }
+        // The timeout of the route shortens the deadline that the sender set.
+        let sent_due = call.due;
+        self.check_phase(now)?;
         let view = self.shared.view.load_full();
         if view.version() == Version::NONE {
             // A node that is stopped before it received a configuration cannot tell whether a
@@ -202,7 +196,7 @@
         let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.apply_route(&routed, lock(&self.profiles).of(routed.route), now);
         if account.is_none() {
-            self.rank_nested(&mut call, &head, routed.entry, given_due);
+            self.rank_nested(&mut call, &head, routed.entry, sent_due);
         }
         let decides_overload = self.decides_overload(routed.entry);
         call.spill = decides_overload.then(|| with_rng(SpillDraw::random));
@@ -228,17 +222,41 @@
                 lock(&self.profiles).of(routed.route).record_response(bytes);
             }
             Err(failed) if failed.refusal.reason.outcome() == Outcome::NotRun => {
-                let now = self.shared.clock.now();
-                let retry_at = failed.refusal.retry_after.map(|after| now + after);
-                let refusal = PriorRefusal { first, retry_at };
-                lock(&self.refusal_history).record(now, call.print.head, refusal);
-                self.count_nested_refusal(&call, failed.refusal.reason.as_str());
+                self.record_refusal(&call, first, failed.refusal);
             }
             _ => {}
         }
         result
     }
 
+    /// Checks that the node takes callers' requests in its current phase.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal while the node starts, and when it stops.
+    fn check_phase(&self, now: Instant) -> Result<(), Refusal> {
+        let phase = *self.shared.phase.borrow();
+        match phase {
+            Phase::Ready | Phase::Leaving | Phase::Finishing => Ok(()),
+            Phase::Stopping => Err(Reason::Stopping.into()),
+            Phase::NoConfig | Phase::BelowFloor | Phase::NoMembers => {
+                let wait = startup_retry_after(now.elapsed());
+                Err(Refusal::new(Reason::NotReady).with_retry(wait))
+            }
+        }
+    }
+
+    /// Records that a request was refused without being run, so that its repeat is recognized.
+    ///
+    /// `first` is the time of the caller's first attempt.
+    fn record_refusal(&self, call: &Call, first: Instant, refusal: Refusal) {
+        let now = self.shared.clock.now();
+        let retry_at = refusal.retry_after.map(|after| now + after);
+        let prior = PriorRefusal { first, retry_at };
+        lock(&self.refusal_history).record(now, call.print.head, prior);
+        self.count_nested_refusal(call, refusal.reason.as_str());
+    }
+
     /// Sends a request to a backend server, unless the request is quarantined or exceeds its
     /// account's quota.
     async fn serve(
@@ -299,15 +317,8 @@
                 continue;
             }
             let Some(pick) = pick else {
-                let unavailable_reason =
-                    entry
-                        .unavailable_reason()
-                        .unwrap_or(match call.regions.is_unrestricted() {
-                            true => Reason::NotReady,
-                            false => Reason::NoHome,
-                        });
                 return last
-                    .unwrap_or_else(|| unavailable_reason.into())
+                    .unwrap_or_else(|| unavailable_reason(call, entry).into())
                     .into_result();
             };
             match self.next_ask(entry, &state, &pick) {
@@ -525,6 +536,15 @@
         .or_else(|| named.and_then(|value| value.to_str().ok()))
 }
 
+/// Returns the reason for which no guard can be selected for `call`.
+fn unavailable_reason(call: &Call, entry: &ServiceEntry) -> Reason {
+    let fallback = match call.regions.is_unrestricted() {
+        true => Reason::NotReady,
+        false => Reason::NoHome,
+    };
+    entry.unavailable_reason().unwrap_or(fallback)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -65,7 +65,7 @@
         let account_by_key =
             given.and_then(|key| accounts.account_by_key(KeyHash::of(key)).cloned());
         let is_keyless = !head.headers.contains_key(AUTHORIZATION);
-        let is_local = self.is_nested(head);
+        let is_local = self.is_from_instance(head);
         head.headers.remove(AUTHORIZATION);
         match (account_by_key, access) {
             (Some(account), _) => {
@@ -115,8 +115,8 @@
 impl Ingress {
     /// Returns the attributes of a request for the quota of its account.
     ///
-    /// The route's priority orders the requests of one account, also if the account's own priority
-    /// overrides it among the requests of all.
+    /// Requests of one account are ordered by the priority of their routes, even if the account has
+    /// a priority of its own, which orders them among the requests of other accounts.
     fn quota_request(&self, call: &Call, entry: &ServiceEntry) -> QuotaRequest {
         let priority = match call.terms {
             Some(terms) if self.decides_overload(entry) => terms.priority,
--- a/crates/swiftcart-node/src/calls/ingress/asks.rs
+++ b/crates/swiftcart-node/src/calls/ingress/asks.rs
@@ -33,7 +33,7 @@
 }
 
 impl AskThrottles {
-    /// Calls `f` with the throttle of a service.
+    /// Calls `f` with the throttle of a service, which is created if there is none.
     fn with<T>(&mut self, service: &ServiceName, f: impl FnOnce(&mut AskThrottle) -> T) -> T {
         match self.services.get_mut(service) {
             Some(throttle) => f(throttle),
@@ -60,6 +60,7 @@
 }
 
 impl RefusedAt {
+    /// Returns the label of the point in metrics and logs.
     const fn as_str(self) -> &'static str {
         match self {
             Self::Door => "door",
@@ -69,11 +70,11 @@
 }
 
 impl Ingress {
-    /// Counts a caller's request at the throttle of its service, and returns it in the form in which
-    /// the throttle decides about its asks.
+    /// Counts a caller's request at the ask throttle of its service, and returns the attributes by
+    /// which the throttle decides about its asks.
     ///
-    /// Returns `None` for requests whose asks are not throttled: nested calls, and requests of
-    /// routes without a policy.
+    /// Returns `None` for requests whose asks are not throttled: nested calls, requests of routes
+    /// without a policy, and requests for services whose overload is not decided at the ingress.
     ///
     /// # Errors
     ///
@@ -91,7 +92,7 @@
         let admitted = lock(&self.ask_throttles).with(entry.name(), admit);
         match admitted {
             true => {
-                self.count_request("admitted");
+                self.count_ask_request("admitted");
                 Ok(Some(request))
             }
             false => Err(self.refuse_asks(call, entry, request, RefusedAt::Door, None)),
@@ -105,7 +106,8 @@
         };
         let now = self.shared.clock.now();
         let decide = |throttle: &mut AskThrottle| {
-            // A request that a backend server has received is decided by its retry policy alone.
+            // Once a backend server has received the request, only the retry policy decides about
+            // further attempts.
             let next = match state.policy_retries.is_retry() {
                 true => NextAsk::Ask,
                 false => throttle.next_ask(now, request, &state.slot_search, pick),
@@ -138,7 +140,7 @@
         }
     }
 
-    /// Refuses a request that is not worth a further ask after `last`.
+    /// Refuses a request instead of asking another guard after the failed attempts `last`.
     pub(super) fn refuse_further_ask(
         &self,
         call: &Call,
@@ -147,15 +149,16 @@
         last: Option<FailedAttempt>,
     ) -> Result<Response<Answer>, FailedAttempt> {
         let request = state.ask_request.unwrap_or_default();
-        let told = last.as_ref().and_then(|last| last.refusal.retry_after);
-        let refusal = self.refuse_asks(call, entry, request, RefusedAt::FurtherAsk, told);
+        let guard_retry_after = last.as_ref().and_then(|last| last.refusal.retry_after);
+        let at = RefusedAt::FurtherAsk;
+        let refusal = self.refuse_asks(call, entry, request, at, guard_retry_after);
         FailedAttempt::merge(last, refusal.into()).into_result()
     }
 
-    /// Returns the size class by which the next guard is selected.
+    /// Returns the size class with which the next guard is selected.
     ///
-    /// While guards of other failure domains rarely accept requests, a short request stays in its
-    /// domain like a long one.
+    /// Heavy requests stay in their failure domain. While guards of other failure domains rarely
+    /// accept requests, light ones are selected as heavy, so that they stay, too.
     pub(super) fn pick_payload(
         &self,
         call: &Call,
@@ -173,7 +176,8 @@
         }
     }
 
-    /// Updates the metric of the throttles and forgets services that have left.
+    /// Updates the gauge of accepted asks, and forgets the services that have left the
+    /// configuration.
     pub(super) fn sweep_asks(&self) {
         let now = self.shared.clock.now();
         let mut throttles = lock(&self.ask_throttles);
@@ -182,6 +186,8 @@
         gauge.set(throttles.acceptance(now));
     }
 
+    /// Returns the attributes by which a throttle decides about the asks of `call`, or `None` if they
+    /// are not throttled.
     fn ask_request(&self, call: &Call, entry: &ServiceEntry) -> Option<AskRequest> {
         let is_throttled =
             call.terms.is_some() && !call.likely_nested && self.decides_overload(entry);
@@ -191,41 +197,45 @@
         })
     }
 
+    /// Creates the refusal of a request for which the service has no room, counts it and logs it.
+    ///
+    /// `guard_retry_after` is the retry delay that a guard has named for the request.
     fn refuse_asks(
         &self,
         call: &Call,
         entry: &ServiceEntry,
         request: AskRequest,
         refused_at: RefusedAt,
-        told: Option<Duration>,
+        guard_retry_after: Option<Duration>,
     ) -> Refusal {
         let now = self.shared.clock.now();
         let class = request.class;
         let refuse = |throttle: &mut AskThrottle| {
-            let refusal = with_rng(|rng| throttle.refuse(now, class, told, rng));
+            let refusal = with_rng(|rng| throttle.refuse(now, class, guard_retry_after, rng));
             (refusal, throttle.counts(now, class))
         };
         let (refusal, counts) = lock(&self.ask_throttles).with(entry.name(), refuse);
-        self.count_request(refused_at.as_str());
+        self.count_ask_request(refused_at.as_str());
         if let Some(log) = self.shared.call_log.failed(now) {
             let tenths = |count: f64| (count * 10.0).round() / 10.0;
             info!(log, ""; "event" => Event::NoRoom, "id" => %call.id, "service" => %entry.name(),
                 "cause" => refused_at.as_str(), "priority" => class.priority.0,
                 "timing" => ?class.timing, "wanted" => tenths(counts.wanted),
                 "asked" => tenths(counts.asked), "accepted" => tenths(counts.accepted),
-                "refusal_age_ms" => counts.refusal_age.map(ms), "told_ms" => told.map(ms),
+                "refusal_age_ms" => counts.refusal_age.map(ms), "told_ms" => guard_retry_after.map(ms),
                 "retry_after_ms" => refusal.retry_after.map(ms), "left_ms" => ms(call.due.left(now)),
                 "age_ms" => ms(call.age()));
         }
         refusal
     }
 
-    fn count_request(&self, result: &'static str) {
+    fn count_ask_request(&self, result: &'static str) {
         let counters = &self.shared.counters;
         counters.count("swiftcart_ask_requests_total", "result", result);
     }
 }
 
+/// Returns the label in metrics of the failure domain in which `rule` selects a guard.
 const fn domain_label(rule: PickRule) -> &'static str {
     match rule {
         PickRule::Spill | PickRule::Remote => "other",
--- a/crates/swiftcart-node/src/calls/ingress/fair_share.rs
+++ b/crates/swiftcart-node/src/calls/ingress/fair_share.rs
@@ -22,9 +22,10 @@
 }
 
 impl Ingress {
-    /// Sets the standing of an account's request.
+    /// Sets the standing of an account's request, and counts the request in its class.
     ///
-    /// Returns the class in which the request is counted, or `None` if shares do not apply.
+    /// Returns the class, or `None` if the request belongs to no account, its route has no policy,
+    /// or overload of the service is not decided here.
     pub(super) fn set_share_standing(
         &self,
         call: &mut Call,
@@ -46,7 +47,7 @@
         let standing = decision.standing.as_str();
         let counters = &self.shared.counters;
         counters.count("swiftcart_share_requests_total", "standing", standing);
-        self.log_turn(call, account, &class, decision);
+        self.record_turn(call, account, &class, decision);
         Some(class)
     }
 
@@ -64,17 +65,18 @@
         }
     }
 
-    /// Logs an account that has begun or ceased to ask for more than its share.
-    fn log_turn(
+    /// Counts and logs that an account has begun or ceased to ask for more than its share.
+    fn record_turn(
         &self,
         call: &Call,
         account: &ResolvedAccount,
         (service, priority): &ShareClass,
         decision: ShareDecision,
     ) {
-        let (Some(turned), now) = (decision.turned, self.shared.clock.now()) else {
+        let Some(turned) = decision.turned else {
             return;
         };
+        let now = self.shared.clock.now();
         let counters = &self.shared.counters;
         counters.count("swiftcart_share_turns_total", "standing", turned.as_str());
         if let Some(log) = self.shared.call_log.irregular(now) {
@@ -85,7 +87,7 @@
     }
 }
 
-/// Returns `true` if a request was refused since backend servers had no room.
+/// Returns `true` if a request is refused for `reason` because backend servers have no room.
 const fn is_for_want_of_room(reason: Reason) -> bool {
     matches!(
         reason,
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -127,7 +127,8 @@
     }
 }
 
-/// Returns the cause for which a request leaves its failure domain, or a dash.
+/// Returns the label of the cause for which a request leaves its failure domain, or a dash if the
+/// request stays.
 fn cause_label(pick: &Pick) -> &'static str {
     pick.cause.map_or("-", SpillCause::as_str)
 }
--- a/crates/swiftcart-node/src/calls/ingress/overload.rs
+++ b/crates/swiftcart-node/src/calls/ingress/overload.rs
@@ -25,21 +25,21 @@
 
     /// Gives a nested call the rank of the running request that it serves.
     ///
-    /// `due` is the deadline that the backend server sent, by which the running request is found.
-    /// Callers may share the instance with the backend server, but they have client accounts, while
-    /// nested calls belong to none. Without accounts, some callers' requests match by chance: the
-    /// asks of all that match are not throttled, and none is ranked.
+    /// The running request is found by `sent_due`, the deadline that the backend server sent. The
+    /// deadline of a caller on the same instance may match by chance. If the configuration has
+    /// client accounts, callers can be told apart, since nested calls belong to no account. If it
+    /// has none, requests that match keep their own rank, and only their asks are not throttled.
     pub(super) fn rank_nested(
         &self,
         call: &mut Call,
         head: &Parts,
         entry: &ServiceEntry,
-        due: Deadline,
+        sent_due: Deadline,
     ) {
-        if !(self.decides_overload(entry) && self.is_nested(head)) {
+        if !(self.decides_overload(entry) && self.is_from_instance(head)) {
             return;
         }
-        let Some(parent) = self.shared.nested.parent(due) else {
+        let Some(parent) = self.shared.running_requests.parent(sent_due) else {
             return;
         };
         call.likely_nested = true;
@@ -52,7 +52,9 @@
         counters.count("swiftcart_nested_calls_total", "rank", source.as_str());
     }
 
-    /// Counts a nested call that was refused in the end, which fails the request that it serves.
+    /// Counts `call` if it is a nested call, which this node refused after its last attempt.
+    ///
+    /// The refusal fails the request that the call serves.
     pub(super) fn count_nested_refusal(&self, call: &Call, reason: &'static str) {
         if call.origin() == RequestOrigin::Backend {
             let counters = &self.shared.counters;
@@ -60,10 +62,11 @@
         }
     }
 
-    /// Returns `true` if the request is a nested call of the local backend server.
+    /// Returns `true` if the request comes from the address of this instance, as nested calls of the
+    /// local backend server do.
     ///
     /// The address of the connection decides, since a caller could forge any header.
-    pub(super) fn is_nested(&self, head: &Parts) -> bool {
+    pub(super) fn is_from_instance(&self, head: &Parts) -> bool {
         let origin = CallerAddr::from_extensions(&head.extensions);
         origin.is_some_and(|origin| origin.is_instance(self.shared.settings.listen.calls.ip()))
     }
--- a/crates/swiftcart-node/src/calls/ingress/spill.rs
+++ b/crates/swiftcart-node/src/calls/ingress/spill.rs
@@ -1,4 +1,4 @@
-//! Metrics and log lines about the requests that leave the node's failure domain.
+//! Metrics and log lines about requests that leave the failure domain of the node.
 
 use slog::info;
 use swiftcart_core::{ServiceName, SpillStatus};
@@ -7,14 +7,15 @@
 use super::{Ingress, lock};
 use crate::logging::Event;
 
-/// Share of a service's requests from which the service is logged as spilling.
+/// Share of requests leaving the failure domain at which a service is logged as spilling.
 const LOGGED_SHARE: f64 = 0.05;
 
 impl Ingress {
     /// Sets the gauges of each service's spill plan, and logs the services whose requests begin or
     /// cease to leave the failure domain.
     ///
-    /// Services whose overload is not decided at the ingress follow no plan.
+    /// Services whose overload is not decided at the ingress have no spill plan in force, and are
+    /// skipped.
     pub(super) fn report_spill(&self) {
         let now = self.shared.clock.now();
         let view = self.shared.view.load();
@@ -45,6 +46,7 @@
         spilling.retain(|name| plans.iter().any(|(known, _)| known == name));
     }
 
+    /// Sets the gauges of one service. An unknown usage is shown as `NaN`.
     fn set_gauges(&self, service: &ServiceName, status: &SpillStatus) {
         let gauge = |name, value: f64| {
             let gauge = self.shared.counters.service_gauge(name, service.as_str());
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -50,11 +50,13 @@
     pub payload: Payload,
     /// Regions to which the request may be sent.
     pub regions: AllowedRegions,
-    /// `true` if this node refused the request before, and it comes back at the time it was told.
+    /// `true` if this node refused the request before, and the caller has waited at least as long as
+    /// the refusal asked for.
     pub returning: bool,
     /// `true` if the local backend server may have sent the request for one that it runs.
     pub likely_nested: bool,
-    /// Draw that decides whether the request leaves its failure domain, if spill plans do.
+    /// Random draw by which a spill plan decides whether the request leaves its failure domain;
+    /// `None` if no spill plan applies.
     pub spill: Option<SpillDraw>,
     /// Hashes of the head and the calling service, the same for repeats of the request.
     pub print: CallPrint,
@@ -224,10 +226,10 @@
             .map_or(RequestOrigin::Caller, |terms| terms.origin)
     }
 
-    /// Marks the request as a nested call of a request with the rank `parent`.
+    /// Marks the request as a nested call of a request with the rank `parent`, and returns the source
+    /// of its own rank.
     ///
-    /// A nested call is at least as urgent as the request that it serves. Returns the source of
-    /// its rank.
+    /// A nested call is at least as urgent as the request that it serves.
     pub fn set_nested(&mut self, parent: ParentRank, now: Instant) -> RankSource {
         let Some(terms) = &mut self.terms else {
             return RankSource::Own;
--- a/crates/swiftcart-node/src/calls/stated_load.rs
+++ b/crates/swiftcart-node/src/calls/stated_load.rs
@@ -23,6 +23,10 @@
 }
 
 impl Ignored {
+    /// Number of reasons.
+    const COUNT: usize = Self::OutOfRange as usize + 1;
+
+    /// Returns the label of the reason in metrics and logs.
     const fn as_str(self) -> &'static str {
         match self {
             Self::OtherId => "other-id",
@@ -43,14 +47,14 @@
 
 /// Reader of the statements of one process of the backend server.
 #[derive(Debug)]
-pub struct StatedLoads {
+pub struct StatedLoadReader {
     shared: Arc<Shared>,
-    /// Set for each reason under which a statement has been logged.
-    logged: [AtomicBool; 3],
+    /// For each reason, in the order of [`Ignored`]: `true` if an ignored statement was logged.
+    logged: [AtomicBool; Ignored::COUNT],
 }
 
-impl StatedLoads {
-    /// Creates a reader that has read no statement.
+impl StatedLoadReader {
+    /// Creates a reader for a process that has stated nothing yet.
     #[must_use]
     pub fn new(shared: &Arc<Shared>) -> Arc<Self> {
         Arc::new(Self {
@@ -59,9 +63,10 @@
         })
     }
 
-    /// Returns the load that the response to `call` states, if it is usable.
+    /// Returns the load that the response to `call` states, or `None` if it states none that is
+    /// usable.
     ///
-    /// Statements are read only if the settings name their header.
+    /// A load is read only if the settings name its header.
     pub fn read(&self, call: &Call, headers: &HeaderMap) -> Option<StatedLoad> {
         let name = self.shared.headers.load.as_ref()?;
         match self.parse(call, headers, &name.0) {
@@ -73,6 +78,7 @@
         }
     }
 
+    /// Parses the statement in the header `name`; `None` if the response has no such header.
     fn parse(
         &self,
         call: &Call,
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -19,9 +19,9 @@
 use super::pool::{Pool, Pooled};
 use super::request::Call;
 use super::runs::{FingerprintSource, Run, RunTracker};
-use super::stated_load::StatedLoads;
+use super::stated_load::StatedLoadReader;
 use crate::clock::Clock;
-use crate::nested::NestedCalls;
+use crate::nested::SharedRunningRequests;
 use crate::registration::Identity;
 use crate::settings::Headers;
 use crate::shared::Shared;
@@ -38,8 +38,8 @@
     admissions: Arc<Admissions>,
     runs: Arc<RunTracker>,
     notices: Arc<Notices>,
-    nested: Arc<NestedCalls>,
-    stated_loads: Arc<StatedLoads>,
+    running_requests: Arc<SharedRunningRequests>,
+    stated_load_reader: Arc<StatedLoadReader>,
 }
 
 /// Head of a response, with the connection that its body arrives on.
@@ -93,9 +93,9 @@
             || Notices::new(shared, identity.as_ref()),
             |old| Arc::clone(&old.notices),
         );
-        let stated_loads = same.map_or_else(
-            || StatedLoads::new(shared),
-            |old| Arc::clone(&old.stated_loads),
+        let stated_load_reader = same.map_or_else(
+            || StatedLoadReader::new(shared),
+            |old| Arc::clone(&old.stated_load_reader),
         );
         let pool = same
             .filter(|old| old.backend.connections == backend.connections)
@@ -116,8 +116,8 @@
             admissions,
             runs,
             notices,
-            nested: Arc::clone(&shared.nested),
-            stated_loads,
+            running_requests: Arc::clone(&shared.running_requests),
+            stated_load_reader,
         }
     }
 
@@ -248,7 +248,8 @@
     ) -> Result<Sent, Reason> {
         self.set_headers(request.headers_mut(), until, call)?;
         let rank = call.parent_rank(self.clock.now());
-        let _running = rank.and_then(|rank| self.nested.start(Deadline::at_instant(until), rank));
+        let due = Deadline::at_instant(until);
+        let _running = rank.and_then(|rank| self.running_requests.start(due, rank));
         let until = self.clock.tokio(until);
         let source = FingerprintSource::new(call.print, request.body());
         let mut run = None;
@@ -266,7 +267,7 @@
                 notice
                     .into_iter()
                     .for_each(|notice| self.apply_notice(notice));
-                if let Some(stated) = self.stated_loads.read(call, response.headers()) {
+                if let Some(stated) = self.stated_load_reader.read(call, response.headers()) {
                     self.admissions.set_stated_load(stated);
                 }
                 Ok(Sent {
--- a/crates/swiftcart-node/src/nested.rs
+++ b/crates/swiftcart-node/src/nested.rs
@@ -1,4 +1,4 @@
-//! Running requests of the local backend server, by which its nested calls are ranked.
+//! Running requests of the local backend server, from which its nested calls get their rank.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -6,26 +6,26 @@
 
 /// Running requests of the local backend server, which the guard records and the ingress looks up.
 #[derive(Debug, Default)]
-pub struct NestedCalls {
-    running: Mutex<RunningRequests>,
+pub struct SharedRunningRequests {
+    requests: Mutex<RunningRequests>,
 }
 
-/// Recorded request, removed when it is dropped.
+/// Record of a running request, which is removed when this value is dropped.
 #[derive(Debug)]
-pub struct RunningParent {
-    calls: Arc<NestedCalls>,
+pub struct RunningRequest {
+    running: Arc<SharedRunningRequests>,
     id: ParentId,
 }
 
-impl NestedCalls {
+impl SharedRunningRequests {
     /// Records a request that is handed to the backend server with the deadline `due`.
     ///
-    /// Returns `None` if too many requests are running.
+    /// Returns `None` if the maximum number of requests is recorded already.
     #[must_use]
-    pub fn start(self: &Arc<Self>, due: Deadline, rank: ParentRank) -> Option<RunningParent> {
+    pub fn start(self: &Arc<Self>, due: Deadline, rank: ParentRank) -> Option<RunningRequest> {
         let id = self.lock().start(due, rank)?;
-        Some(RunningParent {
-            calls: Arc::clone(self),
+        Some(RunningRequest {
+            running: Arc::clone(self),
             id,
         })
     }
@@ -37,12 +37,12 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, RunningRequests> {
-        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl Drop for RunningParent {
+impl Drop for RunningRequest {
     fn drop(&mut self) {
-        self.calls.lock().end(self.id);
+        self.running.lock().end(self.id);
     }
 }
--- a/crates/swiftcart-node/src/settings.rs
+++ b/crates/swiftcart-node/src/settings.rs
@@ -88,7 +88,7 @@
     /// Tolerance by which client accounts may exceed their quotas.
     #[serde(default)]
     pub quotas: Quotas,
-    /// Services whose overload is decided at the ingress.
+    /// Conditions under which overload of a service is decided at the ingress.
     #[serde(default)]
     pub overload: Overload,
     /// Limits for the load of cold backend servers.
--- a/crates/swiftcart-node/src/settings/headers.rs
+++ b/crates/swiftcart-node/src/settings/headers.rs
@@ -36,8 +36,9 @@
     /// Headers in which a backend server reports the requests per second that it accepts from all
     /// nodes together, as a decimal number; default `swiftcart-rate`.
     pub rate: Vec<Name>,
-    /// Header in which a backend server states its running requests, queued requests and slots,
-    /// and the current service time in percent of the usual one; default none.
+    /// Header in which a backend server states its load as decimal numbers separated by commas:
+    /// running requests, queued requests, slots and, if it can, the current service time in percent
+    /// of the usual one; default none.
     pub load: Option<Name>,
     /// Headers in which a leaving backend server sends `1`; default `swiftcart-leaving`.
     pub leaving: Vec<Name>,
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -18,7 +18,7 @@
 use crate::egress::Egress;
 use crate::faults::Faults;
 use crate::logging::CallLog;
-use crate::nested::NestedCalls;
+use crate::nested::SharedRunningRequests;
 use crate::quotas::Quotas;
 use crate::registration::{Identity, Registration};
 use crate::settings::{Headers, Settings};
@@ -127,8 +127,8 @@
     pub suspects: SharedQuarantine,
     /// Quota meter of the client accounts that send requests through this node.
     pub quotas: Quotas,
-    /// Running requests of the backend server, by which its nested calls are ranked.
-    pub nested: Arc<NestedCalls>,
+    /// Running requests of the backend server, from which its nested calls get their rank.
+    pub running_requests: Arc<SharedRunningRequests>,
     /// Admission state of the backend server during a roll-out of its service.
     pub clearing: RolloutGate,
     /// Warm-up state of the backend server and its limits while it is cold.
@@ -192,7 +192,7 @@
             unreached: UnreachedNodes::default(),
             suspects: SharedQuarantine::default(),
             quotas: Quotas::default(),
-            nested: Arc::default(),
+            running_requests: Arc::default(),
             clearing: RolloutGate::default(),
             warmup,
             drained: watch::Sender::new(false),
