Say in the names of the overload tests what they show

Change: names of tests and cases, conditions as a list in place of a text that is split, one function start_changed. No assertion changed. Ran: the tests of swiftcart-node.

--- a/crates/swiftcart-node/tests/calls.rs
+++ b/crates/swiftcart-node/tests/calls.rs
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-/// Time in which the node reports its metrics at least once.
+/// Time in which a node updates its gauges at least once: two of its sweeps, a second apart.
 const TWO_SWEEPS: Duration = Duration::from_secs(2);
 
 #[tokio::test]
--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -96,34 +96,38 @@
 
 /// Starts a node that joins `other`, with settings changed by `change`, and waits until it is ready.
 pub async fn node_with(other: &Node, log: &Log, change: impl FnOnce(&mut Settings)) -> Node {
-    let mut settings = settings(log, &[other.shared().id.0]);
-    change(&mut settings);
-    start_with(settings).await
+    start_changed(log, &[other.shared().id.0], change).await
 }
 
 /// Starts a node with a link rate of `mbit_s` and waits until it is ready.
 pub async fn node_on_link(log: &Log, mbit_s: f64) -> Node {
-    let mut settings = settings(log, &[]);
-    settings.link.mbit_s = mbit_s;
-    start_with(settings).await
+    start_changed(log, &[], |settings| settings.link.mbit_s = mbit_s).await
 }
 
 /// Starts a node that reads the load of its backend server from the header `name`.
 pub async fn node_that_reads_load(log: &Log, name: &str) -> Node {
-    let mut settings = settings(log, &[]);
-    settings.headers.load = Some(name.to_owned().try_into().unwrap());
-    start_with(settings).await
+    let name = name.to_owned().try_into().unwrap();
+    start_changed(log, &[], |settings| settings.headers.load = Some(name)).await
 }
 
 /// Starts a node that decides about overload under the conditions `when`.
 pub async fn node_deciding(log: &Log, when: &[OverloadTrigger]) -> Node {
-    let mut settings = settings(log, &[]);
-    settings.overload.when = when.to_vec();
-    start_with(settings).await
+    start_changed(log, &[], |settings| settings.overload.when = when.to_vec()).await
 }
 
 async fn start(log: &Log, seeds: &[SocketAddr]) -> Node {
-    start_with(settings(log, seeds)).await
+    start_changed(log, seeds, |_| {}).await
+}
+
+/// Starts a node with settings changed by `change`, and waits until it is ready.
+async fn start_changed(
+    log: &Log,
+    seeds: &[SocketAddr],
+    change: impl FnOnce(&mut Settings),
+) -> Node {
+    let mut settings = settings(log, seeds);
+    change(&mut settings);
+    start_on(settings, PlatformAdapters::new()).await
 }
 
 fn settings(log: &Log, seeds: &[SocketAddr]) -> Settings {
@@ -131,10 +135,6 @@
     Settings::parse("test", text.as_bytes()).unwrap()
 }
 
-async fn start_with(settings: Settings) -> Node {
-    start_on(settings, PlatformAdapters::new()).await
-}
-
 /// Starts a node on the platform that `adapters` connect it to, and waits until it is ready.
 pub async fn start_on(settings: Settings, adapters: PlatformAdapters) -> Node {
     let node = Node::start_with(settings, adapters, silent_log());
--- a/crates/swiftcart-node/tests/nested.rs
+++ b/crates/swiftcart-node/tests/nested.rs
@@ -73,12 +73,11 @@
     Snapshot::new(Version(1), table).with_policies(policies)
 }
 
-/// Starts a node that decides about overload on the condition `when`, or never if it is empty.
-async fn node_with_overload(when: &str, has_account: bool) -> Node {
+/// Starts a node that decides about overload under the conditions `when`.
+async fn node_with_overload(when: &[&str], has_account: bool) -> Node {
     let text = settings_json(own_ip(), dead_addr(), &[]);
     let mut json: serde_json::Value = serde_json::from_str(&text).unwrap();
-    let conditions: Vec<&str> = when.split_whitespace().collect();
-    json["overload"] = serde_json::json!({"when": conditions});
+    json["overload"] = serde_json::json!({ "when": when });
     let settings = Settings::parse("test", json.to_string().as_bytes()).unwrap();
     let adapters = PlatformAdapters::new().with_snapshots(Arc::new(FixedSnapshot { has_account }));
     start_on(settings, adapters).await
@@ -101,8 +100,8 @@
     String::from_utf8_lossy(&buf[..len.unwrap().unwrap()]).into_owned()
 }
 
-/// Starts a backend server that answers all requests but the first, and returns the deadline that
-/// the first request states, in Unix milliseconds.
+/// Starts a backend server that answers all requests but the first, and returns the deadline of the
+/// first request in Unix milliseconds.
 async fn run_lookup(node: &Node) -> u128 {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     announce(node, listener.local_addr().unwrap()).await;
@@ -120,7 +119,7 @@
     });
     let deadline = head
         .lines()
-        .find_map(|l| l.strip_prefix("swiftcart-deadline: "));
+        .find_map(|line| line.strip_prefix("swiftcart-deadline: "));
     deadline.unwrap().parse().unwrap()
 }
 
@@ -134,12 +133,13 @@
 #[case::same_deadline(0)]
 #[case::earlier_deadline_of_its_own(5_000)]
 #[tokio::test]
-async fn nested_call_gets_the_rank_of_its_request(#[case] earlier_ms: u128) {
-    let node = node_with_overload("accounts", true).await;
+async fn nested_call_gets_the_rank_of_the_request_that_it_serves(#[case] earlier_ms: u128) {
+    let node = node_with_overload(&["accounts"], true).await;
     let deadline = run_lookup(&node).await;
     let calls = node.shared().settings.listen.calls;
     let ranked = "swiftcart_nested_calls_total{rank=\"parent\"}";
-    // On a busy machine the stated time left may be outdated when the node reads it.
+    // On a busy machine the request may arrive so late that its time left no longer matches the
+    // running request, so it is sent until one matches.
     until_async(async || {
         let left = left_ms(deadline) - earlier_ms;
         let headers = format!("swiftcart-deadline-ms: {left}\r\n");
@@ -153,37 +153,37 @@
 }
 
 #[rstest]
-#[case::caller_elsewhere("accounts", true, Some(CALLER), "", 0)]
+#[case::caller_elsewhere(&["accounts"], true, Some(CALLER), "", 0)]
 #[case::caller_elsewhere_with_forged_terms(
-    "accounts",
+    &["accounts"],
     true,
     Some(CALLER),
     "swiftcart-terms: i 1 0 120 0 1 0 0 0 b w 400\r\nswiftcart-service: booking\r\n",
     0
 )]
 #[case::caller_beside_the_backend_server(
-    "accounts",
+    &["accounts"],
     true,
     None,
     "authorization: Bearer 3f9c\r\nswiftcart-terms: i 1 0 120 0 1 0 0 0 b w 400\r\n",
     0
 )]
-#[case::later_deadline_than_any_running_request("accounts", true, None, "", 3_000)]
-#[case::overload_is_not_decided("", true, None, "", 0)]
-#[case::configuration_has_no_accounts("always", false, None, "", 0)]
+#[case::later_deadline_than_any_running_request(&["accounts"], true, None, "", 3_000)]
+#[case::overload_is_not_decided(&[], true, None, "", 0)]
+#[case::configuration_has_no_accounts(&["always"], false, None, "", 0)]
 #[tokio::test]
-async fn request_is_not_ranked(
-    #[case] overload: &str,
+async fn other_request_is_not_ranked_as_a_nested_call(
+    #[case] when: &[&str],
     #[case] has_account: bool,
     #[case] from: Option<IpAddr>,
-    #[case] more: &str,
+    #[case] extra_headers: &str,
     #[case] later_ms: u128,
 ) {
-    let node = node_with_overload(overload, has_account).await;
+    let node = node_with_overload(when, has_account).await;
     let deadline = run_lookup(&node).await;
     let calls = node.shared().settings.listen.calls;
     let left = left_ms(deadline) + later_ms;
-    let headers = format!("swiftcart-deadline-ms: {left}\r\n{more}");
+    let headers = format!("swiftcart-deadline-ms: {left}\r\n{extra_headers}");
     let from = from.unwrap_or(calls.ip());
     let answer = read(&mut send(from, calls, "/nested", &headers).await).await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
@@ -203,7 +203,7 @@
     #[case] terms: &str,
     #[case] nested: bool,
 ) {
-    let node = node_with_overload("", false).await;
+    let node = node_with_overload(&[], false).await;
     let _backend = backend_at(&node, BackendSettings::new(SERVICE)).await;
     let headers = format!(
         "swiftcart-request-id: r\r\nswiftcart-service: {SERVICE}\r\nswiftcart-terms: {terms}\r\n"
--- a/crates/swiftcart-node/tests/overload.rs
+++ b/crates/swiftcart-node/tests/overload.rs
@@ -17,10 +17,10 @@
 use swiftcart_standin::{BackendServer, BackendSettings, Log, ServiceTime};
 use tokio::task::JoinSet;
 
-/// Concurrent callers, far more than the slots and queues of the service.
+/// Number of concurrent callers, far more than the slots and queues of the service hold.
 const CALLERS: usize = 40;
 
-/// Requests that each caller sends one after the other.
+/// Number of requests that each caller sends, one after the other.
 const REQUESTS: usize = 5;
 
 /// Starts three nodes, each with a slow backend server of one slot.
@@ -67,6 +67,7 @@
     shared.views.send_replace(());
 }
 
+/// Sends the requests of one caller through `node`, and returns the replies.
 async fn call_repeatedly(node: Arc<Node>, caller: usize) -> Vec<Reply> {
     let mut replies = Vec::new();
     for n in 0..REQUESTS {
@@ -78,10 +79,10 @@
 
 #[rstest]
 #[case::enabled(vec![OverloadTrigger::Always], true)]
-#[case::without_accounts(vec![OverloadTrigger::Accounts], false)]
+#[case::no_accounts(vec![OverloadTrigger::Accounts], false)]
 #[case::disabled(vec![], false)]
 #[tokio::test]
-async fn full_service_is_refused_by_the_ingress_if(
+async fn ingress_refuses_requests_for_a_full_service_if_overload_is_decided(
     #[case] when: Vec<OverloadTrigger>,
     #[case] refuses: bool,
 ) {
--- a/crates/swiftcart-node/tests/stated_load.rs
+++ b/crates/swiftcart-node/tests/stated_load.rs
@@ -1,4 +1,4 @@
-//! Load that a backend server states in its responses, from its header to the peers of its guard.
+//! Load that a backend server states in its responses: what its guard reads and reports to peers.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod common;
@@ -52,7 +52,7 @@
 #[case::garbage("fast", 3, Some("malformed"))]
 #[case::absurd("1,0,4,1000000000", 3, Some("out-of-range"))]
 #[tokio::test]
-async fn slowdown_is_reported_to_peers(
+async fn usable_slowdown_is_reported_to_peers(
     #[case] load: &'static str,
     #[case] figures: usize,
     #[case] ignored: Option<&str>,
