--- a/crates/swiftcart-node/tests/stated_load.rs
+++ b/crates/swiftcart-node/tests/stated_load.rs
@@ -1,4 +1,4 @@
-//! Load that a backend server states in its responses, from its header to the peers of its guard.
+//! Load that a backend server states in its responses: what its guard reads and reports to peers.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod common;
@@ -39,6 +39,8 @@
         ("swiftcart-service", SERVICE),
         ("swiftcart-deadline-ms", "1000"),
         ("swiftcart-request-id", "a1"),
+        // With a latency target, the first call makes the pace known.
+        ("swiftcart-terms", "i 2 1 500 0 1 0 0 0"),
     ];
     let peer = node.shared().settings.listen.peer;
     call_at(peer, request("GET", "/", &headers)).await;
@@ -48,11 +50,11 @@
 
 #[rstest]
 #[case::four_figures("1,0,4,100", 5, None)]
-#[case::three_figures("1,0,4", 3, None)]
-#[case::garbage("fast", 3, Some("malformed"))]
-#[case::absurd("1,0,4,1000000000", 3, Some("out-of-range"))]
+#[case::three_figures("1,0,4", 4, None)]
+#[case::garbage("fast", 4, Some("malformed"))]
+#[case::absurd("1,0,4,1000000000", 4, Some("out-of-range"))]
 #[tokio::test]
-async fn slowdown_is_reported_to_peers(
+async fn usable_slowdown_is_reported_to_peers(
     #[case] load: &'static str,
     #[case] figures: usize,
     #[case] ignored: Option<&str>,
