Move a guard's capacity and refusals to submodules

Change: admission/capacity.rs holds the estimates, admission/refusals.rs the refusals. The decisions are the same. Conclusion: no behaviour has changed.

--- a/crates/swiftcart-core/src/admission.rs
+++ b/crates/swiftcart-core/src/admission.rs
@@ -4,10 +4,12 @@
 //! backend server and the rate of the instance's link bound what runs.
 
 mod admission_state;
+mod capacity;
 mod egress_limiter;
 mod limit;
 mod pace_estimator;
 mod queue;
+mod refusals;
 mod request;
 mod running;
 mod service_times;
@@ -23,8 +25,8 @@
 
 use crate::rate::RetryScheduler;
 use crate::{
-    CallResult, Instant, Limits, Load, LoadBelief, Pace, Reason, Refusal, RequestOrigin, Sample,
-    ServerRate, Slowdown, StatedLoad,
+    CallResult, Instant, Limits, Load, LoadBelief, Pace, Reason, Refusal, Sample, ServerRate,
+    Slowdown, StatedLoad,
 };
 pub use admission_state::AdmissionState;
 pub use egress_limiter::EgressLimiter;
@@ -33,6 +35,7 @@
 use pace_estimator::PaceEstimator;
 pub use queue::QueueOrder;
 use queue::{Queue, Waiting};
+use refusals::FAILOVER_RETRY_DELAY;
 use request::Urgency;
 pub use request::{AdmissionRequest, QueueWait, ResponseLength};
 use running::Running;
@@ -48,16 +51,6 @@
 /// Weight of one sample in the moving averages of service time and pace.
 const EWMA_WEIGHT: f64 = 1.0 / 32.0;
 
-/// Minimum retry delay of a refusal whose caller should use another backend server.
-const FAILOVER_RETRY_DELAY: Duration = Duration::from_millis(500);
-
-/// Slowdown from which the guard refuses requests that may go to another guard. A quarter of a
-/// call's time is more than another hop costs.
-const AVOIDED_SLOWDOWN: f64 = 1.25;
-
-/// Time for which other guards count as full after a request that found no free slot at them.
-const CROWDED_PERIOD: Duration = Duration::from_millis(250);
-
 /// Admission control of one backend server.
 ///
 /// At most `min(announced slots, the table's concurrency, the adaptive limit)` requests run
@@ -111,7 +104,7 @@
     promises: RetryScheduler,
     /// Belief in the load that the backend server states.
     belief: LoadBelief,
-    /// Time of the last request that other guards had no free slot for.
+    /// Time of the last request for which other guards had no free slot.
     crowded_at: Option<Instant>,
     /// Requests displaced from the queue by more urgent requests and not yet returned.
     displaced: Vec<Refused>,
@@ -204,10 +197,6 @@
         self.targets.record(request.target);
         let queue_wait = self.queue_wait(now, &request);
         let wait = self.expected_wait(now, self.queue.ahead_of(urgency));
-        let busy_reason = match self.running() < self.places(now) {
-            true => Reason::Throttled,
-            false => Reason::Overloaded,
-        };
         if request.queue_wait == QueueWait::Full {
             self.crowded_at = Some(now);
         }
@@ -228,9 +217,9 @@
                 Admit::Refuse(Refusal::new(Reason::Overloaded))
             }
             AdmissionState::Open if !self.egress_has_room(request.response_length) => {
-                match self.link_wait() <= queue_wait {
-                    true if self.has_room(urgency) => Admit::Queue(self.enqueue(now, request, rng)),
-                    true | false => Admit::Refuse(self.link_busy_refusal()),
+                match self.link_wait() <= queue_wait && self.has_room(urgency) {
+                    true => Admit::Queue(self.enqueue(now, request, rng)),
+                    false => Admit::Refuse(self.link_busy_refusal()),
                 }
             }
             // No queued request has to go first: each one that could start was started when
@@ -244,7 +233,8 @@
             AdmissionState::Open
                 if wait > queue_wait || due.misses(now, wait + self.min_service_time(now)) =>
             {
-                Admit::Refuse(self.refuse_busy(busy_reason, request.queue_wait, now, rng))
+                let reason = self.busy_reason(now);
+                Admit::Refuse(self.refuse_busy(reason, request.queue_wait, now, rng))
             }
             AdmissionState::Open => Admit::Queue(self.enqueue(now, request, rng)),
         }
@@ -310,10 +300,10 @@
     /// Removes and returns the queued requests whose wait has ended, with their refusals.
     pub fn expire<R: Rng + ?Sized>(&mut self, now: Instant, rng: &mut R) -> Vec<Refused> {
         let late = self.queue.expire(now);
-        let refuse = |w: Waiting| Refused {
-            ticket: w.ticket,
-            refusal: match w.reason {
-                Reason::DeadlinePassed => Refusal::new(w.reason),
+        let refuse = |waiting: Waiting| Refused {
+            ticket: waiting.ticket,
+            refusal: match waiting.reason {
+                Reason::DeadlinePassed => Refusal::new(Reason::DeadlinePassed),
                 reason => self.refuse_with_retry(reason, now, rng),
             },
         };
@@ -390,27 +380,12 @@
         stated.map(|_| Slowdown::from_factor(self.belief.slowdown(now)))
     }
 
-    /// Returns the concurrency that the backend server can sustain.
-    ///
-    /// With a named rate, the concurrency is the rate times the mean service time (Little's law),
-    /// bounded by the limit. Otherwise it is the limit.
-    fn effective_limit(&self) -> u32 {
-        let mean = self.service_times.mean();
-        let busy = self
-            .throttle
-            .rate()
-            .zip(mean)
-            .map(|(rate, mean)| rate * mean);
-        busy.map_or(self.limit(), |busy| {
-            (busy.ceil() as u32).clamp(1, self.limit().max(1))
-        })
-    }
-
     /// Returns the backend server's pace at this moment, or `None` before the first call with a
     /// latency target has ended.
     ///
-    /// It is the usual pace times the slowdown that the backend server states. The ages of the running calls count, too. They reveal that the backend server has become
-    /// slow before any of these calls ends.
+    /// The pace is the usual pace times the slowdown that the backend server states. The ages of the
+    /// running calls count as well, since they show that the backend server has become slow before
+    /// any of these calls ends.
     #[must_use]
     pub fn pace(&self, now: Instant) -> Option<Pace> {
         let ages = self.running.values();
@@ -420,6 +395,7 @@
         )
     }
 
+    /// Sets the slots to the announced number, bounded by the table's limits.
     fn resize(&mut self, slots: u32, limits: Limits) {
         let concurrency = match limits.concurrency {
             0 => u32::MAX,
@@ -434,12 +410,14 @@
         Ticket(self.next_ticket)
     }
 
+    /// Starts a new request without queueing it.
     fn start_now(&mut self, now: Instant, request: &AdmissionRequest) -> Ticket {
         let ticket = self.new_ticket();
         self.dispatch(now, ticket, request.target, request.response_length);
         ticket
     }
 
+    /// Records a request that starts now.
     fn dispatch(
         &mut self,
         now: Instant,
@@ -461,6 +439,7 @@
         self.running.insert(ticket, running);
     }
 
+    /// Removes a running request.
     fn remove(&mut self, ticket: Ticket) -> Option<Running> {
         let running = self.running.remove(&ticket)?;
         if running.response_length == ResponseLength::Long {
@@ -469,66 +448,6 @@
         Some(running)
     }
 
-    /// Returns `true` if a slot is free and the rate limit allows a request to start now.
-    fn can_start(&self, now: Instant) -> bool {
-        self.running() < self.places(now) && self.throttle.has_token(now)
-    }
-
-    /// Returns `true` if the backend server is slow at this moment and other guards seem to have
-    /// free slots.
-    fn is_avoided(&self, now: Instant) -> bool {
-        let is_crowded = |at: Instant| now.since(at) < CROWDED_PERIOD;
-        self.belief.slowdown(now) >= AVOIDED_SLOWDOWN && !self.crowded_at.is_some_and(is_crowded)
-    }
-
-    /// Returns the number of requests that may run while others use slots of the backend server,
-    /// at least 1 if the limit is.
-    fn places(&self, now: Instant) -> u32 {
-        let limit = self.limit();
-        limit
-            .saturating_sub(self.belief.others(now))
-            .max(limit.min(1))
-    }
-
-    /// Returns the minimum service time at this moment.
-    fn min_service_time(&self, now: Instant) -> Duration {
-        self.service_times
-            .min_service_time(self.belief.slowdown(now))
-    }
-
-    /// Returns `true` if the instance's link has capacity for a response of this length.
-    fn egress_has_room(&self, response_length: ResponseLength) -> bool {
-        match response_length {
-            ResponseLength::Short => true,
-            ResponseLength::Long => self.egress_limiter.has_room(self.link_delay),
-        }
-    }
-
-    /// Returns the expected time until the link has capacity for one more long response, behind the
-    /// queued long ones.
-    fn link_wait(&self) -> Duration {
-        let send_time = self.egress_limiter.send_time().unwrap_or(Duration::ZERO);
-        self.link_delay + send_time * (to_u32(self.queue.long_responses()) + 1)
-    }
-
-    /// Creates the refusal of a request with a long response, for which the link is too busy.
-    fn link_busy_refusal(&self) -> Refusal {
-        Refusal::new(Reason::LinkBusy).with_retry(self.link_wait())
-    }
-
-    /// Returns `true` if the queue has a place for a request of this urgency. The place of a less
-    /// urgent request counts as free.
-    ///
-    /// Their time bounds the wait of nested calls, so they may fill the queue beyond its usual
-    /// capacity.
-    fn has_room(&self, urgency: Urgency) -> bool {
-        let capacity = match urgency.origin {
-            RequestOrigin::Backend => self.settings.queue as usize,
-            RequestOrigin::Caller => self.queue_capacity(),
-        };
-        self.queue.ahead_of(urgency) < capacity
-    }
-
     /// Displaces the least urgent requests of callers until the queue has a free place or holds
     /// none that is less urgent than `urgency`.
     fn make_room<R: Rng + ?Sized>(&mut self, now: Instant, urgency: Urgency, rng: &mut R) {
@@ -542,15 +461,14 @@
         }
     }
 
+    /// Returns the sort key of a request in the queue.
     fn urgency(&self, now: Instant, request: &AdmissionRequest) -> Urgency {
         let default_wait = self.settings.wait;
-        request.urgency(
-            now,
-            default_wait,
-            self.targets.p90().unwrap_or(default_wait),
-        )
+        let p90_target = self.targets.p90().unwrap_or(default_wait);
+        request.urgency(now, default_wait, p90_target)
     }
 
+    /// Returns the maximum wait of a request in the queue.
     fn queue_wait(&self, now: Instant, request: &AdmissionRequest) -> Duration {
         let default_wait = self.settings.wait;
         let p90_target = self.targets.p90().unwrap_or(default_wait);
@@ -614,84 +532,6 @@
         self.pace_estimator.record(&usual);
         self.limit.record(usual.latency, running.in_flight);
     }
-
-    /// Returns the maximum number of queued requests.
-    fn queue_capacity(&self) -> usize {
-        let most = f64::from(self.limit()) * self.settings.depth;
-        (most.ceil() as usize).min(self.settings.queue as usize)
-    }
-
-    /// Returns the calls per second that the backend server finishes at this moment.
-    fn done_per_sec(&self, now: Instant) -> Option<f64> {
-        let done = self.service_times.throughput(self.places(now));
-        done.map(|done| done / self.belief.slowdown(now))
-    }
-
-    /// Returns the calls per second that the backend server finishes, bounded by the named rate.
-    fn throughput(&self, now: Instant) -> Option<f64> {
-        let done = self.done_per_sec(now);
-        match (done, self.throttle.rate()) {
-            (Some(done), Some(rate)) => Some(done.min(rate)),
-            (done, rate) => done.or(rate),
-        }
-    }
-
-    /// Returns the expected wait of a request that is queued behind `ahead` others.
-    ///
-    /// The request waits for the rate limit and, if all slots are in use, for a free slot. Slots
-    /// that others use are soon free.
-    fn expected_wait(&self, now: Instant, ahead: usize) -> Duration {
-        let effective_limit = f64::from(to_u32(ahead)) + 1.0;
-        let done = self.done_per_sec(now);
-        let secs = done.map_or(0.0, |done| effective_limit / done);
-        let slot = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
-        let others = self.belief.others_until().since(now);
-        let throttled = self.throttle.wait(now, ahead);
-        match self.running() {
-            running if running < self.places(now) => throttled,
-            running if running.saturating_add(to_u32(ahead)) < self.limit() => {
-                slot.min(others).max(throttled)
-            }
-            _ => slot.max(throttled),
-        }
-    }
-
-    fn refuse_elsewhere<R: Rng + ?Sized>(&self, reason: Reason, rng: &mut R) -> Admit {
-        let after = FAILOVER_RETRY_DELAY.mul_f64(1.0 + rng.random::<f64>());
-        Admit::Refuse(Refusal::new(reason).with_retry(after))
-    }
-
-    /// Creates the refusal of a request that neither a slot nor the queue can take.
-    ///
-    /// A request with a short queue wait goes on to another guard. It gets no retry delay, so that
-    /// it does not lengthen the retry delays of other requests. A throttled request always gets
-    /// one: its ingress sends this guard no requests until the named rate admits the next one.
-    fn refuse_busy<R: Rng + ?Sized>(
-        &mut self,
-        reason: Reason,
-        queue_wait: QueueWait,
-        now: Instant,
-        rng: &mut R,
-    ) -> Refusal {
-        match (queue_wait, reason) {
-            (QueueWait::Full, _) | (_, Reason::Throttled) => {
-                self.refuse_with_retry(reason, now, rng)
-            }
-            (QueueWait::Short, _) => Refusal::new(reason),
-        }
-    }
-
-    fn refuse_with_retry<R: Rng + ?Sized>(
-        &mut self,
-        reason: Reason,
-        now: Instant,
-        rng: &mut R,
-    ) -> Refusal {
-        let wait = self.expected_wait(now, self.queue.len());
-        let rate = self.throughput(now).unwrap_or(1.0);
-        let after = self.promises.next(now, wait, rate, rng);
-        Refusal::new(reason).with_retry(after)
-    }
 }
 
 fn to_u32(n: usize) -> u32 {
--- a/crates/swiftcart-core/src/admission/request.rs
+++ b/crates/swiftcart-core/src/admission/request.rs
@@ -7,9 +7,7 @@
 /// Share of the latency target that a request may wait for a slot.
 ///
 /// Under overload the queue is always full, so every served request has waited for the whole queue.
-/// A short queue serves as many requests as a long one. With a target of 200 ms and a wait of
-/// 80 ms, an overloaded service has a median latency of 150 ms, and a quarter of the responses are
-/// late. With a wait of 25 ms the median is 106 ms, and an eighth of the responses are late. A
+/// A short queue serves as many requests as a long one, and fewer of the responses are late. A
 /// request that is refused after its wait has also lost the chance to go to another guard.
 const QUEUE_WAIT_SHARE: f64 = 0.125;
 
@@ -17,14 +15,12 @@
 ///
 /// Running requests make nested calls with short targets. A refused nested call fails its parent
 /// request and wastes the work done for the parent. Nested calls precede requests with longer
-/// targets, so they may wait as long as these requests: an eighth of a long target, which is a
-/// quarter to a half of the nested call's own target on all known meshes.
+/// targets, so they may wait as long as these requests, up to this share of their own target.
 const OWN_TARGET_SHARE: f64 = 0.5;
 
 /// Share of the latency target that a request may wait while other guards may have capacity.
 ///
-/// A round trip to another failure domain takes about 3 ms, which is well below this wait on all
-/// routes.
+/// The wait should exceed the round trip to another failure domain, which takes about 3 ms.
 const SHORT_WAIT_SHARE: f64 = 0.025;
 
 /// Maximum age of a request that can still meet its latency target, as a share of the target.
@@ -95,13 +91,12 @@
 /// then by the end of the full queue wait.
 ///
 /// A refused nested call wastes the work done for the request that it serves, while a refused
-/// caller's request has cost nothing yet. A late request gives its account little, so that it does
-/// not displace a request that can still meet its target, whoever sent it.
+/// caller's request has cost nothing yet. A late request is of little use to its caller, so it never
+/// displaces a request of the same priority that can still meet its target, whatever their origins.
 ///
 /// Under overload the queue is always full, so the order decides which requests are served at all.
-/// With half of the slots that the load needs, an order by target time served all nested calls with
-/// short targets, but only 0.21 of the requests with the same priority and a longer target. The
-/// order by the end of the wait serves 0.36 of the nested calls and 0.63 of the other requests.
+/// An order by target time would serve hardly any request with a long target. The order by the end
+/// of the wait leaves a part of the slots to each of them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Urgency {
     priority: Priority,
@@ -266,8 +261,8 @@
         }
     }
 
-    /// Returns whether the request can meet its target. The target of the request that it serves
-    /// counts for a nested call.
+    /// Returns whether the request can meet its target. For a nested call, the target of the request
+    /// that it serves counts.
     fn timeliness(&self) -> Timeliness {
         match (self.origin, self.target) {
             (RequestOrigin::Backend, _) if self.parent_target == Some(Duration::ZERO) => {
