Move the parts of the balancer to submodules

Change: settings, payload, pick and service_plan are modules of their own, UnreachableDomains::record interprets the result, and crate::decay holds the formula. Conclusion: no behaviour has changed.

--- a/crates/swiftcart-core/src/balance.rs
+++ b/crates/swiftcart-core/src/balance.rs
@@ -1,149 +1,40 @@
 //! Load balancing: the selection of a backend server for a call.
 
 mod pace_announcer;
+mod payload;
 mod peer;
+mod pick;
 mod pick_requirements;
 mod sample;
 mod selection;
+mod service_plan;
+mod settings;
 mod unreachable_domains;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
 
-use crate::{
-    DomainSlots, Instant, NodeId, ServiceEntry, ServiceName, SpillCause, SpillPlan, SpillStatus,
-    View,
-};
+use crate::{Instant, NodeId, ServiceEntry, View};
 pub use pace_announcer::*;
+pub use payload::*;
 use peer::Peer;
+pub use pick::*;
 pub use pick_requirements::*;
 pub use sample::*;
 use selection::Selection;
+use service_plan::ServicePlan;
+pub use settings::*;
 use unreachable_domains::UnreachableDomains;
 
 /// Weight of one reported pace in the moving average over all backend servers.
 const PACE_WEIGHT: f64 = 0.05;
 
-/// Time for which a service counts as one whose backend servers state their pace, after the last
-/// response that reported it.
+/// Time after a response with a slowdown for which the backend servers of its service count as
+/// stating their pace.
 const STATED_PACE_PERIOD: Duration = Duration::from_secs(30);
 
-/// Settings for the selection among backend servers.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct BalanceSettings {
-    /// Time constant of the latency and failure averages: a value of this age counts 1/e.
-    pub decay_time: Duration,
-    /// Time constant of reported load: a load of this age counts 1/e.
-    pub load_decay: Duration,
-    /// Factor by which a usage of 1 raises the score.
-    pub load_weight: f64,
-    /// Slow-start period, after which a newly discovered backend server gets its full share.
-    pub slow_start: Duration,
-    /// Number of consecutive failures that eject a backend server.
-    pub failure_threshold: u32,
-    /// Duration of the first ejection. Each further ejection lasts twice as long.
-    pub base_ejection: Duration,
-    /// Maximum duration of an ejection. The ejection count is reset after this time without an
-    /// ejection.
-    pub max_ejection: Duration,
-    /// Maximum share of a service's candidates that may be ejected at once.
-    pub max_ejected: f64,
-}
-
-impl Default for BalanceSettings {
-    fn default() -> Self {
-        Self {
-            decay_time: Duration::from_secs(5),
-            load_decay: Duration::from_millis(500),
-            load_weight: 1.0,
-            slow_start: Duration::from_secs(10),
-            failure_threshold: 5,
-            base_ejection: Duration::from_secs(1),
-            max_ejection: Duration::from_secs(60),
-            max_ejected: 0.5,
-        }
-    }
-}
-
-/// Rule that selected a backend server, used for metrics.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum PickRule {
-    /// The node's own backend server, which had a free slot.
-    Own,
-    /// A backend server of the same failure domain.
-    Near,
-    /// A backend server of another failure domain, because the node's own domain has no candidates,
-    /// only ejected or full ones, or much slower ones.
-    Spill,
-    /// A backend server of another region, because the node's own region has no candidates or is
-    /// much slower.
-    Remote,
-    /// An ejected backend server, because every candidate is ejected.
-    Ejected,
-    /// A backend server that runs a canary release.
-    Trial,
-}
-
-/// Size class of a request and its response, which determines the cost of leaving the failure
-/// domain.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Payload {
-    /// A few kilobytes.
-    #[default]
-    Light,
-    /// A long body.
-    Heavy,
-}
-
-impl Payload {
-    /// Returns the time, in multiples of the target latency, that another failure domain has to
-    /// save.
-    ///
-    /// Traffic between failure domains costs about 0.015 of the value of a short response per
-    /// kilobyte, or 0.035 for a request with its response. For calls whose latencies have a spread
-    /// of 0.8 around a quarter to a half of the target, adding one target to the mean increases the
-    /// share of late responses by 0.2 to 0.35. A late response has lost 0.7 to 0.9 of its value, so
-    /// the other domain has to save a sixth to a quarter of the target. An upload of 60 kB costs
-    /// half of its value, which no gain in latency outweighs.
-    const fn penalty(self) -> f64 {
-        match self {
-            Self::Light => 0.2,
-            Self::Heavy => 1.25,
-        }
-    }
-
-    /// Returns the time, in multiples of the target latency, that another region has to save.
-    ///
-    /// The penalty is higher than between failure domains for three reasons. All traffic to a
-    /// region shares one link, a request that is refused there also loses the return trip, and
-    /// requests leaving a region that is short of slots compete with those leaving the other
-    /// region.
-    const fn remote_penalty(self) -> f64 {
-        match self {
-            Self::Light => 2.5,
-            Self::Heavy => 4.0,
-        }
-    }
-}
-
-/// Selected backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Pick {
-    /// ID of the node beside the backend server.
-    pub id: NodeId,
-    /// Address at which that node accepts requests for the backend server.
-    pub peer: SocketAddr,
-    /// Rule that selected the backend server.
-    pub rule: PickRule,
-    /// Cause for which the request leaves its failure domain.
-    pub cause: Option<SpillCause>,
-    /// `true` if the backend server is believed to have a free slot.
-    pub free: bool,
-}
-
 /// Load balancer that combines this node's own measurements with the load reported in responses.
 ///
 /// The node's own backend server is selected while it has a free slot. Otherwise four random
@@ -155,8 +46,8 @@
 /// their backend servers, the expected latency replaces the score. Another failure domain is then
 /// also used when its expected latency is lower by more than the cost of the detour.
 ///
-/// For a request with a [`SpillDraw`](crate::SpillDraw), the service's [`SpillPlan`] decides
-/// whether it leaves the failure domain.
+/// For a request with a [`SpillDraw`](crate::SpillDraw), the service's
+/// [`SpillPlan`](crate::SpillPlan) decides whether it leaves the failure domain.
 ///
 /// The state is one entry for each candidate of the view last passed to [`Balancer::adopt`], and
 /// for each departed candidate with calls in flight. Apart from `adopt`, the run time of a method
@@ -212,13 +103,6 @@
     mean_pace: Option<f64>,
 }
 
-/// Spill plan of one service.
-#[derive(Debug, Clone, PartialEq)]
-struct ServicePlan {
-    name: ServiceName,
-    plan: SpillPlan,
-}
-
 impl Balancer {
     /// Creates a balancer without any candidates.
     #[must_use]
@@ -262,9 +146,9 @@
                     peer.domain = Some(candidate.domain).filter(|_| !candidate.in_same_domain());
                 }
             }
-            let told = ids.iter().filter_map(|id| self.peers.get(id));
-            self.slowdowns_at
-                .push(told.filter_map(Peer::slowdown_at).max());
+            let known_peers = ids.iter().filter_map(|id| self.peers.get(id));
+            let slowdown_at = known_peers.filter_map(Peer::slowdown_at).max();
+            self.slowdowns_at.push(slowdown_at);
             self.groups.push(ids);
         }
         self.peers.retain(|_, p| !p.departed || p.running > 0);
@@ -323,20 +207,8 @@
                 service.plan.record(now, peer.domain, id, load.usage());
             }
         }
-        match (peer.domain, sample.result) {
-            (Some(domain), CallResult::Unreachable) => {
-                self.unreachable.record_failure(domain, id, now);
-            }
-            (
-                Some(domain),
-                CallResult::Success
-                | CallResult::Refused
-                | CallResult::LinkBusy
-                | CallResult::ErrorResponse,
-            ) => {
-                self.unreachable.record_success(domain);
-            }
-            (None, _) | (_, CallResult::Failure | CallResult::Cancelled) => {}
+        if let Some(domain) = peer.domain {
+            self.unreachable.record(domain, id, now, sample.result);
         }
         if let (Some(at), Some(_)) = (self.slowdowns_at.get_mut(peer.service), sample.slowdown) {
             *at = Some(now);
@@ -362,7 +234,7 @@
         self.mean_pace.unwrap_or(0.0)
     }
 
-    /// Returns `true` if the backend servers of `entry` have recently stated the pace of their hosts.
+    /// Returns `true` if a backend server of `entry` has recently stated its pace.
     #[must_use]
     pub fn states_pace(&self, now: Instant, entry: &ServiceEntry) -> bool {
         let mut all = entry.candidates().iter().chain(entry.tried());
@@ -371,12 +243,6 @@
         at.is_some_and(|at| now.since(at) < STATED_PACE_PERIOD)
     }
 
-    /// Returns the figures of the spill plan of each service.
-    pub fn spill_status(&self, now: Instant) -> impl Iterator<Item = (&ServiceName, SpillStatus)> {
-        let plans = self.plans.iter();
-        plans.map(move |service| (&service.name, service.plan.status(now)))
-    }
-
     /// Returns the number of tracked backend servers.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -395,39 +261,6 @@
         self.peers.get(&id).is_some_and(|p| p.ejected(now))
     }
 
-    /// Replaces the spill plans by those of a new view. Plans of services that remain are kept.
-    fn adopt_plans(&mut self, view: &View) {
-        let old = std::mem::take(&mut self.plans);
-        let mut old: HashMap<_, _> = old.into_iter().map(|s| (s.name, s.plan)).collect();
-        for entry in view.services() {
-            let mut plan = old.remove(entry.name()).unwrap_or_default();
-            plan.set_domains(&self.domain_slots(entry));
-            let name = entry.name().clone();
-            self.plans.push(ServicePlan { name, plan });
-        }
-    }
-
-    /// Returns the slots of a service in each failure domain of the node's region.
-    fn domain_slots(&self, entry: &ServiceEntry) -> Vec<DomainSlots> {
-        let mut domains: Vec<DomainSlots> = Vec::new();
-        for candidate in entry.near().iter().chain(entry.far()) {
-            let domain = Some(candidate.domain).filter(|_| !candidate.in_same_domain());
-            let running = self.peers.get(&candidate.id).map_or(0, |p| p.running);
-            match domains.iter_mut().find(|known| known.domain == domain) {
-                Some(known) => {
-                    known.slots += candidate.slots;
-                    known.running += running;
-                }
-                None => domains.push(DomainSlots {
-                    domain,
-                    slots: candidate.slots,
-                    running,
-                }),
-            }
-        }
-        domains
-    }
-
     /// Ejects an unreachable backend server, unless it is the last one in rotation.
     ///
     /// The limit on ejections does not apply here, because a failure domain that is cut off can
@@ -464,13 +297,6 @@
         }
     }
 
-    /// Returns the spill plan of a service.
-    fn plan(&self, entry: &ServiceEntry) -> Option<&SpillPlan> {
-        let peer = self.peers.get(&entry.candidates().first()?.id)?;
-        let service = self.plans.get(peer.service)?;
-        (service.name == *entry.name()).then_some(&service.plan)
-    }
-
     /// Returns the candidates of the service that `id` belongs to.
     fn group(&self, id: NodeId) -> &[NodeId] {
         let group = self.peers.get(&id).and_then(|p| self.groups.get(p.service));
--- a/crates/swiftcart-core/src/balance/peer.rs
+++ b/crates/swiftcart-core/src/balance/peer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{BalanceSettings, CallResult, Pace, Sample};
+use crate::decay::decay_factor;
 use crate::{DomainTag, Instant, Slowdown};
 
 /// Minimum share of its regular load that a backend server gets during slow start.
@@ -215,7 +216,7 @@
 
     /// Returns the last reported usage, decayed by its age.
     pub(super) fn usage(&self, now: Instant, age: Duration) -> f64 {
-        self.usage * decay(now.since(self.usage_at), age)
+        self.usage * decay_factor(now.since(self.usage_at), age)
     }
 
     /// Returns `true` if the link recently had no room for a long response.
@@ -231,7 +232,7 @@
 
     /// Returns the latency, decayed so that a slow backend server is tried again.
     pub(super) fn latency(&self, now: Instant, s: &BalanceSettings) -> Option<f64> {
-        let fresh = decay(now.since(self.latency_at), s.decay_time);
+        let fresh = decay_factor(now.since(self.latency_at), s.decay_time);
         self.latency.map(|latency| latency * fresh)
     }
 
@@ -275,7 +276,7 @@
 
     /// Returns the failure rate, decayed so that a failing backend server is tried again.
     fn failure_rate(&self, now: Instant, decay_time: Duration) -> f64 {
-        self.failure_rate * decay(now.since(self.result_at), decay_time)
+        self.failure_rate * decay_factor(now.since(self.result_at), decay_time)
     }
 
     fn record_result(&mut self, now: Instant, failed: f64, decay_time: Duration) {
@@ -287,7 +288,7 @@
     fn record_latency(&mut self, now: Instant, latency: Duration, decay_time: Duration) {
         let new = latency.as_secs_f64();
         let old = self.latency.unwrap_or(new);
-        let keep = decay(now.since(self.latency_at), decay_time).min(1.0 - SAMPLE_WEIGHT);
+        let keep = decay_factor(now.since(self.latency_at), decay_time).min(1.0 - SAMPLE_WEIGHT);
         self.latency = Some(old * keep + new * (1.0 - keep));
         self.latency_at = now;
     }
@@ -303,10 +304,3 @@
         }
     }
 }
-
-/// Returns the weight of a value of this `age` under exponential decay with time constant
-/// `constant`.
-fn decay(age: Duration, constant: Duration) -> f64 {
-    let constant = constant.as_secs_f64().max(f64::MIN_POSITIVE);
-    (-age.as_secs_f64() / constant).exp()
-}
--- a/crates/swiftcart-core/src/balance/unreachable_domains.rs
+++ b/crates/swiftcart-core/src/balance/unreachable_domains.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::CallResult;
 use crate::{DomainTag, Instant, NodeId};
 
 /// Minimum number of failed nodes at which a whole failure domain is considered unreachable.
@@ -31,8 +32,26 @@
 }
 
 impl UnreachableDomains {
+    /// Records the result of a call to `node`, which may tell whether `domain` can be reached.
+    pub(super) fn record(
+        &mut self,
+        domain: DomainTag,
+        node: NodeId,
+        now: Instant,
+        result: CallResult,
+    ) {
+        match result {
+            CallResult::Unreachable => self.record_failure(domain, node, now),
+            CallResult::Success
+            | CallResult::Refused
+            | CallResult::LinkBusy
+            | CallResult::ErrorResponse => self.record_success(domain),
+            CallResult::Failure | CallResult::Cancelled => {}
+        }
+    }
+
     /// Records a failed connection to `node`.
-    pub(super) fn record_failure(&mut self, domain: DomainTag, node: NodeId, now: Instant) {
+    fn record_failure(&mut self, domain: DomainTag, node: NodeId, now: Instant) {
         let failures = self.domains.entry(domain).or_default();
         failures
             .failed_nodes
@@ -44,7 +63,7 @@
     }
 
     /// Records a response from a node of `domain`.
-    pub(super) fn record_success(&mut self, domain: DomainTag) {
+    fn record_success(&mut self, domain: DomainTag) {
         self.domains.remove(&domain);
     }
 
--- a/crates/swiftcart-core/src/lib.rs
+++ b/crates/swiftcart-core/src/lib.rs
@@ -14,6 +14,7 @@
 mod config;
 mod crash;
 mod deadline;
+mod decay;
 mod drain;
 mod feed;
 mod homes;
