State the limits of throttle, spill and quotas in plain terms

Change: probe_advice holds a part of advise, in_range checks the numbers of a statement, SlotSearch::queueing uses new, and all use crate::decay. Conclusion: no behaviour has changed.

--- a/crates/swiftcart-core/src/account/fair_shares.rs
+++ b/crates/swiftcart-core/src/account/fair_shares.rs
@@ -7,6 +7,7 @@
 
 use super::{AccountTag, ShareStanding};
 use crate::Instant;
+use crate::decay::decay_factor;
 
 /// Time constant over which requests are counted.
 const COUNTING_TIME: Duration = Duration::from_secs(10);
@@ -20,11 +21,11 @@
 /// Maximum number of accounts that are counted apart, so that the memory stays bounded.
 const MAX_ACCOUNTS: usize = 1024;
 
-/// Number of requests below which the counts say too little about the accounts.
+/// Minimum number of counted requests from which shares are computed.
 const MIN_REQUESTS: f64 = 10.0;
 
-/// Part of the room that shares are made of. Requests within a share then find room also when a few
-/// more of them than usual arrive at once, and the rest goes to whoever waits.
+/// Part of the room that is divided into shares. The rest leaves room for a few more requests within
+/// a share than usual.
 const SHARED_PART: f64 = 0.9;
 
 /// Decayed count below which an account is forgotten.
@@ -36,10 +37,11 @@
 /// Shares of client accounts in the room that the callers of one node get, by weighted max-min
 /// fairness.
 ///
-/// An account that asks for less than its share gets all that it asks for. The rest is parted among
-/// the others by weight. The room is what was served lately, so that nodes need no messages. The
-/// requests of an account beyond its share are drawn by lot. They are only placed behind others:
-/// room that nobody within a share needs goes to them.
+/// An account that asks for less than its share gets all that it asks for. The rest is divided among
+/// the others by weight. The room is estimated as the requests served lately, so that nodes exchange
+/// no messages. For an account that asks for more than its share, each request counts as beyond the
+/// share with the matching probability. Such a request is not refused for it, but placed behind the
+/// requests within a share.
 ///
 /// One value covers the requests of one service and one priority, since shares hold among requests
 /// of the same priority only.
@@ -61,7 +63,7 @@
     accounts: HashMap<AccountTag, Demand>,
     served: f64,
     updated: Instant,
-    /// Requests that an account of weight one may send in the counting time.
+    /// Share of an account of weight one, as the number of its requests in the counting time.
     level: Level,
     /// Time of the last refusal for want of room.
     refused: Option<Instant>,
@@ -102,8 +104,9 @@
 
     /// Counts a request, and returns its standing.
     ///
-    /// `is_first` is `false` for a caller that returns after a refusal. Its request was counted
-    /// before. Without it, an account whose callers return at once would seem to ask for more.
+    /// `is_first` is `false` for a caller that returns after a refusal. Such a request was counted
+    /// before, and is not counted again: an account whose callers return at once would otherwise seem
+    /// to ask for more.
     pub fn ask<R: Rng + ?Sized>(
         &mut self,
         now: Instant,
@@ -152,6 +155,7 @@
         self.level.share.filter(|_| is_contended)
     }
 
+    /// Computes the share of an account of weight one again after [`LEVEL_INTERVAL`].
     fn refresh_level(&mut self, now: Instant) {
         let is_recent = |at| now.since(at) < LEVEL_INTERVAL;
         if self.level.computed.is_some_and(is_recent) {
@@ -186,9 +190,8 @@
     }
 
     fn decay(&mut self, now: Instant) {
-        let elapsed = now.since(self.updated).as_secs_f64();
+        let factor = decay_factor(now.since(self.updated), COUNTING_TIME);
         self.updated = self.updated.max(now);
-        let factor = (-elapsed / COUNTING_TIME.as_secs_f64()).exp();
         self.served *= factor;
         let demands = self.accounts.values_mut();
         demands.for_each(|demand| demand.asked *= factor);
@@ -196,6 +199,7 @@
 }
 
 impl ShareDecision {
+    /// Creates the decision about a request of an account without a limiting share.
     const fn within() -> Self {
         Self {
             standing: ShareStanding::Within,
--- a/crates/swiftcart-core/src/account/ledger.rs
+++ b/crates/swiftcart-core/src/account/ledger.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use super::{AccountTag, AdmissionRatio, Quota, Usage};
+use crate::decay::decay_factor;
 use crate::{Instant, NodeId};
 
 /// Time constant of the moving average of arrivals.
 const ARRIVAL_AVERAGING_TIME: Duration = Duration::from_millis(400);
 
-/// Time in which the nodes that have requests of an account report to a ledger that has started.
+/// Time after the start of a ledger within which all nodes with requests of an account report.
 const SETTLING_TIME: Duration = Duration::from_millis(500);
 
 /// Minimum age of an account's state that is used to average its arrivals.
@@ -45,14 +46,14 @@
 /// Lower bound of the cap on a rising admission ratio.
 const MIN_RATIO_CAP: f64 = 0.1;
 
-/// Time constant for which tokens that a full bucket discarded count for requests reported late. It
-/// is shorter than the window of a quota, so that the tokens of earlier windows are not used.
+/// Time constant with which discarded tokens decay. They cover requests that are reported late. The
+/// constant is shorter than the window of a quota, so that tokens of earlier windows are not used.
 const DISCARD_RETENTION: Duration = Duration::from_millis(2_500);
 
-/// Time without a round of the ledger after which nodes have replaced it.
+/// Time without a round of the ledger after which the other nodes have replaced it.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
-/// Time after a suspension in which waiting reports are read.
+/// Time after a suspension of the process in which the reports that waited are read.
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 
 /// Interval at which the ratio of a limited account is sent to all nodes again.
@@ -167,7 +168,7 @@
         }
     }
 
-    /// Returns the report with which the node's epoch began.
+    /// Returns the counts at the start of the report's epoch.
     const fn reset(self) -> Self {
         Self {
             arrived: 0,
@@ -200,7 +201,7 @@
 
     /// Applies the counts of a node, and returns the ratio that the node has to admit.
     ///
-    /// A ledger that has started lately lifts no limit, since it knows a part of the arrivals only.
+    /// A ledger that has just started knows only a part of the arrivals, so it lifts no limit.
     pub fn receive(
         &mut self,
         now: Instant,
@@ -291,14 +292,14 @@
     }
 
     fn advance(&mut self, now: Instant, reachable_share: f64) {
-        let elapsed = now.since(self.updated).as_secs_f64();
+        let elapsed = now.since(self.updated);
         self.updated = self.updated.max(now);
         let burst = f64::from(self.quota.burst) * reachable_share;
-        let tokens = self.tokens + elapsed * self.rate(reachable_share);
+        let tokens = self.tokens + elapsed.as_secs_f64() * self.rate(reachable_share);
         self.tokens = tokens.min(burst);
-        self.discarded *= (-elapsed / DISCARD_RETENTION.as_secs_f64()).exp();
+        self.discarded *= decay_factor(elapsed, DISCARD_RETENTION);
         self.discarded += tokens - self.tokens;
-        self.average_arrivals *= (-elapsed / ARRIVAL_AVERAGING_TIME.as_secs_f64()).exp();
+        self.average_arrivals *= decay_factor(elapsed, ARRIVAL_AVERAGING_TIME);
     }
 
     /// Counts the requests of a node since its last report.
@@ -331,8 +332,8 @@
 
     /// Takes the tokens of requests that were admitted over `accrual_time`.
     ///
-    /// Requests that are reported late used the tokens of their own time, also those that a full
-    /// bucket has discarded since.
+    /// Requests that are reported late have used the tokens of their own time. Tokens that a full
+    /// bucket has discarded since then cover them first.
     fn charge(&mut self, admitted: f64, accrual_time: Duration) {
         let covered = match accrual_time > FEEDBACK_DELAY {
             true => admitted.min(self.discarded),
--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -80,7 +80,7 @@
 /// equal share of the quota.
 ///
 /// The quota of a limited account goes to its most urgent requests first. A node that has counted
-/// few requests draws by lot.
+/// few requests admits each of them with the same probability.
 ///
 /// # Examples
 ///
@@ -202,7 +202,7 @@
 
     /// Removes an admitted request that did not run from the counts.
     ///
-    /// Its caller comes back and is counted then.
+    /// The request is counted when its caller sends it again.
     pub fn cancel_admission(&mut self, now: Instant, account: AccountTag) {
         if let Some(counts) = self.accounts.get_mut(&account) {
             counts.arrived = counts.arrived.saturating_sub(1);
@@ -239,11 +239,11 @@
             let Some(counts) = accounts.get_mut(account) else {
                 return false;
             };
-            let is_open = counts.is_open(now);
-            if is_open && counts.is_due(now) {
+            let needs_report = counts.needs_report(now);
+            if needs_report && counts.is_due(now) {
                 due.push(*account);
             }
-            is_open
+            needs_report
         });
         due
     }
@@ -251,7 +251,8 @@
     /// Returns the report about an account to the node that runs its ledger, if the account has
     /// counts.
     ///
-    /// A node that takes the ledger over from another one is told only what the other one was not.
+    /// A node that takes over the ledger gets only the counts that were not reported to the previous
+    /// node.
     pub fn report(&mut self, now: Instant, account: AccountTag, ledger: NodeId) -> Option<Usage> {
         let counts = self.accounts.get_mut(&account)?;
         Some(counts.report(now, account, ledger))
@@ -323,19 +324,20 @@
         priority: Priority,
         rng: &mut R,
     ) -> bool {
-        match () {
-            // The ledger gives the part of a node that reports nothing to the others.
-            () if self.is_report_late(now) && self.ratio < 1.0 => false,
-            () if self.is_ledger_unreachable(now) => self.take_fallback(now, rng),
-            () if self.is_limited(now) => {
-                rng.random::<f64>() < self.ranks.admitted_share(priority, self.ratio)
-            }
-            () => true,
+        // The ledger gives the share of a node that reports nothing to the other nodes.
+        if self.is_report_late(now) && self.ratio < 1.0 {
+            false
+        } else if self.is_ledger_unreachable(now) {
+            self.take_fallback(now, rng)
+        } else if self.is_limited(now) {
+            rng.random::<f64>() < self.ranks.admitted_share(priority, self.ratio)
+        } else {
+            true
         }
     }
 
-    /// Returns the requests per second that this node admits of a limited account: its equal share
-    /// of the quota, or what the ratio has left it lately.
+    /// Returns the requests per second of the account that this node admits: its equal share of the
+    /// quota, or the admitted part of its recent requests if that is more.
     fn admitted_rate(&self, now: Instant) -> f64 {
         let share = f64::from(self.quota.rate) / self.nodes as f64;
         match self.is_limited(now) {
@@ -366,6 +368,7 @@
         self.pending_since.is_some_and(is_overdue) || self.is_report_late(now)
     }
 
+    /// Returns `true` if this node could not send a report in time.
     fn is_report_late(&self, now: Instant) -> bool {
         let is_late = |since| now.since(since) >= LEDGER_TIMEOUT + limited_interval(self.nodes);
         self.unreported_since.is_some_and(is_late)
@@ -375,11 +378,11 @@
         self.ratio < 1.0 && now.since(self.received) < LIMIT_TTL
     }
 
-    /// Returns `true` if the ledger has to be told the counts, for the first time or again.
+    /// Returns `true` if the counts have to be reported at some time, for the first time or again.
     ///
-    /// The report of an account that has become idle is not repeated for ever: the account may no
-    /// longer have a quota, and then no ledger answers.
-    fn is_open(&self, now: Instant) -> bool {
+    /// The report of an idle account is not repeated without end. The account may no longer have a
+    /// quota, and then no ledger answers.
+    fn needs_report(&self, now: Instant) -> bool {
         let is_repeated = self.pending_since.is_some() && now.since(self.requested) < LIMIT_TTL;
         self.unreported_since.is_some() || is_repeated
     }
--- a/crates/swiftcart-core/src/account/rank_counts.rs
+++ b/crates/swiftcart-core/src/account/rank_counts.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::decay::decay_factor;
 use crate::{Instant, Priority};
 
 /// Time constant over which requests are counted.
 const COUNTING_TIME: Duration = Duration::from_secs(5);
 
-/// Number of requests below which the counts say too little about the mix of priorities.
+/// Minimum number of counted requests from which the priorities are told apart.
 const MIN_REQUESTS: f64 = 10.0;
 
 /// Maximum number of priorities that are counted apart.
@@ -16,8 +17,8 @@
 
 /// Decayed counts of an account's requests at one node, by priority.
 ///
-/// They answer an account that sends more than its quota: the quota goes to its most urgent
-/// requests, and the share that is admitted in total stays the same.
+/// If an account sends more than its quota, the quota goes to the account's most urgent requests.
+/// The share of its requests that is admitted in total stays the same.
 #[derive(Debug, Clone)]
 pub(super) struct RankCounts {
     counts: BTreeMap<Priority, f64>,
@@ -75,9 +76,8 @@
     }
 
     fn decay(&mut self, now: Instant) {
-        let elapsed = now.since(self.updated).as_secs_f64();
+        let factor = decay_factor(now.since(self.updated), COUNTING_TIME);
         self.updated = self.updated.max(now);
-        let factor = (-elapsed / COUNTING_TIME.as_secs_f64()).exp();
         self.counts.values_mut().for_each(|count| *count *= factor);
     }
 }
--- a/crates/swiftcart-core/src/account/usage.rs
+++ b/crates/swiftcart-core/src/account/usage.rs
@@ -55,7 +55,7 @@
     pub const ALL: u16 = 1000;
 
     /// Value of `permille` with which a ledger that has started lately confirms a report without a
-    /// decision. Earlier releases admit all requests.
+    /// decision. Nodes of releases without this value admit all requests instead.
     pub const UNCHANGED: u16 = u16::MAX;
 
     /// Returns the ratio as a number from 0 to 1.
--- a/crates/swiftcart-core/src/ask_throttle.rs
+++ b/crates/swiftcart-core/src/ask_throttle.rs
@@ -12,13 +12,14 @@
 };
 use class_counts::ClassCounts;
 
-/// Number of recent requests below which a class tells too little to be judged.
+/// Minimum number of recent requests by which a class is judged.
 const MIN_REQUESTS: f64 = 4.0;
 
-/// Maximum number of classes that are counted. The class that was idle longest makes place.
+/// Maximum number of classes that are counted. A further class replaces the one with the fewest
+/// recent requests.
 const MAX_CLASSES: usize = 16;
 
-/// Maximum number of guards at which a returning request queues in vain.
+/// Number of guards that a returning request may queue at without success before it is refused.
 const MAX_RETURNING_WAITS: u8 = 3;
 
 /// Settings of an [`AskThrottle`].
@@ -26,7 +27,8 @@
 pub struct AskThrottleSettings {
     /// Number of times that guards are asked for each request that they accept.
     pub asks_per_accept: f64,
-    /// The same for guards of other failure domains, each of which costs a longer trip.
+    /// Number of times that guards of other failure domains, which are a longer trip away, are asked
+    /// for each request that they accept.
     pub far_asks_per_accept: f64,
     /// Time constant of the counts of asked and accepted requests.
     pub decay_time: Duration,
@@ -56,7 +58,7 @@
 pub struct AskRequest {
     /// Class of the request.
     pub class: AskClass,
-    /// `true` if the request was refused before and comes back at the time that it was told.
+    /// `true` if the request was refused before and comes back after its retry delay.
     pub returning: bool,
 }
 
@@ -153,7 +155,7 @@
 
     /// Counts a request that wants a place, and returns `true` if it may ask a guard.
     ///
-    /// A returning request always may: it has waited for the time that it was told.
+    /// A returning request may always ask one, since it has waited for its retry delay.
     pub fn admit<R: Rng + ?Sized>(
         &mut self,
         now: Instant,
@@ -218,8 +220,8 @@
     /// Creates the refusal of a request for which the service has no room.
     ///
     /// The retry delay follows from the rate at which requests of the class are accepted here, and
-    /// from the callers that were told a time before. It is at least `told`, the time that a guard
-    /// has told.
+    /// from the callers that were given a retry delay before. It is at least `told`, the retry delay
+    /// that a guard has given.
     pub fn refuse<R: Rng + ?Sized>(
         &mut self,
         now: Instant,
@@ -252,6 +254,8 @@
         }
     }
 
+    /// Returns `true` if guards of the own failure domain refuse requests of the class too often to
+    /// be asked for a free slot.
     fn is_scarce(&mut self, now: Instant, class: AskClass) -> bool {
         !self.is_open(now, class, Distance::Near)
     }
@@ -271,17 +275,19 @@
     /// class with enough requests.
     fn evidence(&mut self, now: Instant, class: AskClass) -> Option<&ClassCounts> {
         self.decay(now);
-        let judges = |counts: &&ClassCounts| counts.class <= class && counts.wanted >= MIN_REQUESTS;
-        let judges = self.classes.iter().filter(judges);
-        judges.max_by_key(|counts| counts.class)
+        let counts_for_class =
+            |counts: &&ClassCounts| counts.class <= class && counts.wanted >= MIN_REQUESTS;
+        let candidates = self.classes.iter().filter(counts_for_class);
+        candidates.max_by_key(|counts| counts.class)
     }
 
+    /// Returns the counts of a class, which are created if the class has none.
     fn counts_mut(&mut self, now: Instant, class: AskClass) -> &mut ClassCounts {
         self.decay(now);
         let known = self.classes.iter().position(|counts| counts.class == class);
         let place = known.unwrap_or_else(|| {
             if self.classes.len() >= MAX_CLASSES {
-                self.remove_idlest();
+                self.remove_rarest();
             }
             self.classes.push(ClassCounts::new(now, class));
             self.classes.len() - 1
@@ -289,13 +295,16 @@
         &mut self.classes[place]
     }
 
-    fn remove_idlest(&mut self) {
-        let places = 0..self.classes.len();
-        let idlest = places
-            .min_by(|a, b| f64::total_cmp(&self.classes[*a].wanted, &self.classes[*b].wanted));
-        idlest.map(|place| self.classes.swap_remove(place));
+    /// Removes the class with the fewest recent requests.
+    fn remove_rarest(&mut self) {
+        let classes = self.classes.iter().enumerate();
+        let rarest = classes.min_by(|(_, a), (_, b)| a.wanted.total_cmp(&b.wanted));
+        if let Some((place, _)) = rarest {
+            self.classes.swap_remove(place);
+        }
     }
 
+    /// Decays the counts of all classes to the present.
     fn decay(&mut self, now: Instant) {
         let decay_time = self.settings.decay_time;
         let decay = |counts: &mut ClassCounts| counts.decay(now, decay_time);
@@ -304,6 +313,7 @@
 }
 
 impl Distance {
+    /// Returns the distance of the guard of `pick`.
     const fn of(pick: &Pick) -> Self {
         match pick.rule {
             PickRule::Own | PickRule::Near | PickRule::Ejected | PickRule::Trial => Self::Near,
--- a/crates/swiftcart-core/src/ask_throttle/class_counts.rs
+++ b/crates/swiftcart-core/src/ask_throttle/class_counts.rs
@@ -6,6 +6,7 @@
 
 use super::refusing_guards::RefusingGuards;
 use super::{AskClass, AskCounts, Distance};
+use crate::decay::decay_factor;
 use crate::rate::RetryScheduler;
 use crate::{Instant, NodeId};
 
@@ -18,7 +19,7 @@
 /// slots are taken unevenly.
 const MOSTLY_ACCEPTED: f64 = 0.8;
 
-/// Number of asks below which the guards at one distance tell too little to be judged.
+/// Minimum number of asks by which the guards at one distance are judged.
 const MIN_ASKS: f64 = 4.0;
 
 /// Counts of one class, decayed to the time of the last update.
@@ -60,7 +61,7 @@
         if elapsed.is_zero() {
             return;
         }
-        let factor = (-elapsed.as_secs_f64() / decay_time.as_secs_f64()).exp();
+        let factor = decay_factor(elapsed, decay_time);
         self.updated = now;
         self.wanted *= factor;
         self.near.decay(factor);
--- a/crates/swiftcart-core/src/ask_throttle/refusing_guards.rs
+++ b/crates/swiftcart-core/src/ask_throttle/refusing_guards.rs
@@ -4,12 +4,12 @@
 
 use crate::{Instant, NodeId};
 
-/// Number of different guards that have to refuse before their refusals count. One or two of them
-/// may be broken.
+/// Number of different guards that have to refuse before their refusals count. One or two guards
+/// that refuse may be broken.
 const MIN_GUARDS: usize = 3;
 
-/// Time for which a refusal counts, in multiples of the counts' time constant.
-const MEMORY: u32 = 2;
+/// Time for which a refusal counts, in multiples of the time constant of the counts.
+const RETENTION_FACTOR: u32 = 2;
 
 /// Latest refusals of different guards.
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
@@ -32,7 +32,8 @@
 
     /// Forgets old refusals.
     pub(super) fn expire(&mut self, now: Instant, decay_time: Duration) {
-        let is_recent = |(at, _): &(Instant, NodeId)| now.since(*at) < MEMORY * decay_time;
+        let is_recent =
+            |(at, _): &(Instant, NodeId)| now.since(*at) < RETENTION_FACTOR * decay_time;
         for refusal in &mut self.refusals {
             *refusal = refusal.filter(is_recent);
         }
--- a/crates/swiftcart-core/src/budget.rs
+++ b/crates/swiftcart-core/src/budget.rs
@@ -11,8 +11,7 @@
 /// Fraction of the mesh's budget available to retries of refused requests.
 ///
 /// The rest is reserved for retries that the nodes count late: calls made by backend servers while
-/// executing a retry also count, but only after the retry was allowed. With a fraction of 0.85 a
-/// mesh of 71 instances used 1.06 times its budget in a day.
+/// executing a retry also count, but only after the retry was allowed.
 const REFUSED_SHARE: f64 = 0.5;
 
 /// Fraction of the mesh's budget available to retries of refused non-idempotent requests.
@@ -38,6 +37,7 @@
 }
 
 impl RetryCause {
+    /// Returns the fraction of the mesh's budget available to retries for this cause.
     const fn share(self) -> f64 {
         match self {
             Self::Refused => REFUSED_SHARE,
@@ -138,9 +138,10 @@
     /// Takes one retry like [`take`](Self::take), but leaves the retries that requests of more
     /// urgent classes are expected to need.
     ///
-    /// A service that turns work away although it has room uses up the budget within seconds. In
-    /// the order of arrival, urgent requests would find it empty. What more urgent classes asked
-    /// for in the last second is projected over the window, less what they have taken already.
+    /// A service that refuses requests although it has room uses up the budget within seconds. If
+    /// retries were taken in the order of arrival, urgent requests would find the budget empty. The
+    /// retries that more urgent classes asked for in the last second are projected over the window,
+    /// less those that they have taken already.
     ///
     /// # Examples
     ///
@@ -189,6 +190,7 @@
 }
 
 impl Window {
+    /// Advances to the second of `now`, and drops counts older than `length` seconds.
     fn advance(&mut self, now: Duration, length: u64) {
         let second = now.as_secs();
         for _ in 0..second.saturating_sub(self.second).min(length) {
@@ -228,6 +230,7 @@
         (expected - f64::from(taken)).max(0.0)
     }
 
+    /// Returns the counts of each second of the window.
     fn seconds(&self) -> impl Iterator<Item = &Counts> {
         self.past.iter().chain([&self.current])
     }
--- a/crates/swiftcart-core/src/budget/demand.rs
+++ b/crates/swiftcart-core/src/budget/demand.rs
@@ -36,6 +36,7 @@
         f64::from(current.max(previous))
     }
 
+    /// Advances to the second of `now`.
     fn advance(&mut self, now: Duration) {
         let second = now.as_secs();
         match second.saturating_sub(self.second) {
--- a/crates/swiftcart-core/src/nested.rs
+++ b/crates/swiftcart-core/src/nested.rs
@@ -10,12 +10,12 @@
 /// server has far fewer slots.
 const MAX_REQUESTS: usize = 4096;
 
-/// Time by which the deadline of a nested call may be earlier than that of its request. Both are
-/// rounded down to whole milliseconds on the way.
+/// Time by which the deadline of a nested call may be earlier than that of its request. The remaining
+/// times of both are rounded down to whole milliseconds when they are sent.
 const EARLY_TOLERANCE: Duration = Duration::from_millis(3);
 
-/// Time by which the deadline of a nested call may be later than that of its request. The time left
-/// is sent twice, and each time it ages until the receiver reads it.
+/// Time by which the deadline of a nested call may be later than that of its request. The remaining
+/// time is sent twice, and the time that passes on the way is not deducted from it.
 const LATE_TOLERANCE: Duration = Duration::from_millis(10);
 
 /// Id of a recorded request.
@@ -34,8 +34,8 @@
 /// Bounded table of the requests that a backend server runs.
 ///
 /// A nested call expires no later than the request that it serves, and at the same time unless the
-/// backend server sets a limit of its own. The deadline thereby tells which running requests it may
-/// serve, without trust in anything else that is sent.
+/// backend server sets a limit of its own. The deadline thus shows which running requests the nested
+/// call may serve, and nothing else that the backend server sends has to be trusted.
 ///
 /// # Examples
 ///
@@ -47,9 +47,9 @@
 /// let due = Deadline::new(now, Duration::from_secs(1));
 /// let rank = ParentRank { priority: Priority(1), target: None };
 /// let mut running = RunningRequests::default();
-/// let id = running.start(due, rank);
+/// let id = running.start(due, rank).expect("the table is not full");
 /// assert_eq!(running.parent(due), Some(rank));
-/// id.into_iter().for_each(|id| running.end(id));
+/// running.end(id);
 /// assert_eq!(running.parent(due), None);
 /// ```
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -118,7 +118,7 @@
             .or_else(|| later.reduce(ParentRank::common))
     }
 
-    /// Returns the ranks of the requests whose deadline fulfills `is_due`.
+    /// Returns the ranks of the requests whose deadline satisfies `is_due`.
     fn ranks(&self, is_due: impl Fn(Deadline) -> bool) -> impl Iterator<Item = ParentRank> {
         let requests = self.requests.values();
         requests.filter_map(move |(due, rank)| is_due(*due).then_some(*rank))
--- a/crates/swiftcart-core/src/slot_search.rs
+++ b/crates/swiftcart-core/src/slot_search.rs
@@ -78,14 +78,7 @@
     /// Creates a search that queues at the first guard, for requests of routes without a policy.
     #[must_use]
     pub const fn queueing() -> Self {
-        Self {
-            stage: Stage::Queue,
-            payload: Payload::Light,
-            excluded: Vec::new(),
-            full: Vec::new(),
-            refused_by: None,
-            full_refusals: 0,
-        }
+        Self::new(1, Payload::Light)
     }
 
     /// Returns how long the request may queue at the next guard.
@@ -107,15 +100,14 @@
     ///
     /// The guard then has to be selected again, because the full guards are no longer excluded.
     pub fn switch_to_queueing(&mut self, next: Option<&Pick>) -> bool {
-        let heavy = self.payload == Payload::Heavy;
+        let has_asked = !self.full.is_empty();
         let exhausted = match next {
-            None => !self.full.is_empty(),
+            None => has_asked,
             Some(pick) if !pick.free || self.full.len() >= MAX_ASKED_GUARDS => true,
-            Some(pick) => {
-                let stays_local =
-                    heavy && pick.rule == PickRule::Spill || pick.rule == PickRule::Remote;
-                stays_local && !self.full.is_empty()
-            }
+            Some(pick) => match (pick.rule, self.payload) {
+                (PickRule::Remote, _) | (PickRule::Spill, Payload::Heavy) => has_asked,
+                _ => false,
+            },
         };
         let switches = self.stage == Stage::Ask && exhausted;
         if switches {
@@ -149,7 +141,8 @@
         self.full_refusals
     }
 
-    /// Queues from now on, for a request that may only be sent to the same guards again.
+    /// Switches to queueing while full guards stay excluded, for a request that may only be sent to
+    /// the same guards again.
     pub const fn settle(&mut self) {
         self.stage = Stage::Queue;
     }
--- a/crates/swiftcart-core/src/spill.rs
+++ b/crates/swiftcart-core/src/spill.rs
@@ -37,20 +37,21 @@
 const MAX_REFUSALS: usize = 1;
 
 /// Number of refusals after which a request may leave a crowded failure domain while the usage of
-/// the others is unknown.
+/// all other domains is unknown.
 const MAX_REFUSALS_UNKNOWN: usize = 2;
 
-/// Share of those requests that leaves. Their answers tell the node the usage of the others.
+/// Share of the requests that may leave after [`MAX_REFUSALS_UNKNOWN`] refusals. The responses to
+/// them report the usage of the other failure domains.
 const REFUSED_PROBE_SHARE: f64 = 0.2;
 
-/// Share of the requests that tries an unknown failure domain while the own one has no room.
+/// Share of the requests that leaves a crowded failure domain for one whose usage is unknown.
 const PROBE_SHARE: f64 = 0.005;
 
 /// Share of one service's requests that leaves the node's failure domain for lack of room.
 ///
 /// The share follows the usage of whole failure domains, as reported in responses, rather than that
-/// of a few guards. It rises while the own domain is used beyond a target and another domain clearly
-/// less, and falls otherwise. All nodes of a domain receive samples of the same usage, so they
+/// of a few guards. The share rises while the own domain is used beyond a target and another domain
+/// is used clearly less. Otherwise it falls. All nodes of a domain receive samples of the same usage, so they
 /// converge to about the same share without exchanging messages.
 ///
 /// # Examples
@@ -133,19 +134,14 @@
     pub fn set_domains(&mut self, domains: &[DomainSlots]) {
         let mut old = std::mem::take(&mut self.far);
         self.near.set_slots(0, 0);
-        for &DomainSlots {
-            domain,
-            slots,
-            running,
-        } in domains
-        {
-            let Some(domain) = domain else {
-                self.near.set_slots(slots, running);
+        for slots in domains {
+            let Some(domain) = slots.domain else {
+                self.near.set_slots(slots.slots, slots.running);
                 continue;
             };
             let known = old.iter().position(|(tag, _)| *tag == domain);
             let mut load = known.map_or_else(DomainLoad::default, |at| old.swap_remove(at).1);
-            load.set_slots(slots, running);
+            load.set_slots(slots.slots, slots.running);
             self.far.push((domain, load));
         }
     }
@@ -200,8 +196,8 @@
         let is_crowded = near >= CROWDED_USAGE;
         let ceiling = near - USAGE_MARGIN;
         let reachable = self.far.iter().filter(|(tag, _)| is_reachable(*tag));
-        let rooms = reachable.clone();
-        let rooms = rooms.map(|(tag, load)| (*tag, load.room(now, ceiling)));
+        let with_room = reachable.clone();
+        let rooms = with_room.map(|(tag, load)| (*tag, load.room(now, ceiling)));
         let target = SpillTarget::in_proportion(rooms, self.position(fraction));
         if let SpillTarget::Domain(_) = target {
             return Some(SpillAdvice {
@@ -210,27 +206,38 @@
                 target,
             });
         }
-        let is_known = |load: &DomainLoad| load.usage(now).is_some();
-        let probed = reachable.clone().find(|(_, load)| !is_known(load));
-        let stays = SpillAdvice {
-            leaves: None,
-            max_refusals: None,
-            target,
-        };
-        Some(match probed {
+        let usages = reachable.map(|(tag, load)| (*tag, load.usage(now)));
+        Some(Self::probe_advice(usages, is_crowded, fraction))
+    }
+
+    /// Returns the advice for a request when no domain of `usages` is known to have room.
+    ///
+    /// A few requests leave a crowded failure domain for one whose usage is unknown.
+    fn probe_advice(
+        mut usages: impl Iterator<Item = (DomainTag, Option<f64>)> + Clone,
+        is_crowded: bool,
+        fraction: f64,
+    ) -> SpillAdvice {
+        let is_any_known = usages.clone().any(|(_, usage)| usage.is_some());
+        let unknown = usages.find(|(_, usage)| usage.is_none());
+        match unknown {
             Some((tag, _)) if is_crowded && fraction < PROBE_SHARE => SpillAdvice {
                 leaves: Some(SpillCause::Probe),
-                target: SpillTarget::Domain(*tag),
-                ..stays
+                max_refusals: None,
+                target: SpillTarget::Domain(tag),
+            },
+            _ if is_any_known => SpillAdvice {
+                leaves: None,
+                max_refusals: None,
+                target: SpillTarget::Nowhere,
             },
-            _ if reachable.clone().any(|(_, load)| is_known(load)) => stays,
             _ => SpillAdvice {
+                leaves: None,
                 max_refusals: (is_crowded && fraction < REFUSED_PROBE_SHARE)
                     .then_some(MAX_REFUSALS_UNKNOWN),
                 target: SpillTarget::Any,
-                ..stays
             },
-        })
+        }
     }
 
     /// Returns the position of a draw among those that leave, or among those that stay.
@@ -258,11 +265,13 @@
         }
     }
 
+    /// Returns the lowest known usage of another failure domain.
     fn lowest_far_usage(&self, now: Instant) -> Option<f64> {
         let usages = self.far.iter().filter_map(|(_, load)| load.usage(now));
         usages.min_by(f64::total_cmp)
     }
 
+    /// Returns the load of `domain`, or `None` if the service has no candidates there.
     fn load_mut(&mut self, domain: Option<DomainTag>) -> Option<&mut DomainLoad> {
         match domain {
             None => Some(&mut self.near),
--- a/crates/swiftcart-core/src/spill/domain_load.rs
+++ b/crates/swiftcart-core/src/spill/domain_load.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::decay::decay_factor;
 use crate::{Instant, NodeId};
 
 /// Time constant of the mean usage: a report of this age counts 1/e.
@@ -22,7 +23,7 @@
     weighted_usage: f64,
     updated: Instant,
     latest: Option<Report>,
-    /// Latest report of another guard than that of `latest`.
+    /// Latest report of any other guard than the sender of `latest`.
     second: Option<Report>,
 }
 
@@ -47,9 +48,9 @@
         self.running = self.running.saturating_sub(1);
     }
 
+    /// Records the usage that `guard` reports.
     pub(super) fn record(&mut self, now: Instant, guard: NodeId, usage: f64) {
-        let age = now.since(self.updated).as_secs_f64();
-        let keep = (-age / DECAY_TIME.as_secs_f64()).exp();
+        let keep = decay_factor(now.since(self.updated), DECAY_TIME);
         self.weight = self.weight * keep + 1.0;
         self.weighted_usage = self.weighted_usage * keep + usage;
         self.updated = now;
--- a/crates/swiftcart-core/src/stated_load.rs
+++ b/crates/swiftcart-core/src/stated_load.rs
@@ -5,6 +5,7 @@
 mod slowdown;
 mod trust;
 
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 use quick_error::quick_error;
@@ -15,10 +16,10 @@
 use trust::Trust;
 
 /// Minimum and maximum stated pace that is believed, in percent of the usual service time.
-const PACE_RANGE: std::ops::RangeInclusive<u32> = 10..=10_000;
+const PACE_RANGE: RangeInclusive<u32> = 10..=10_000;
 
-/// Maximum stated number of slots, running or queued requests that is believed.
-const MAX_COUNT: u32 = 1 << 16;
+/// Minimum and maximum stated number of slots, running or queued requests that is believed.
+const COUNT_RANGE: RangeInclusive<u32> = 0..=1 << 16;
 
 quick_error! {
     /// Error of a statement that cannot be used.
@@ -73,29 +74,35 @@
 
     /// Parses `running,queued,slots` or `running,queued,slots,pace`.
     fn from_str(text: &str) -> Result<Self, StatedLoadError> {
-        let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
-        let mut next = || numbers.next().transpose();
-        let read = |number: Result<Option<u32>, _>| number.map_err(|_| StatedLoadError::Malformed);
-        let mut count = || match read(next())? {
-            Some(number) if number <= MAX_COUNT => Ok(number),
-            Some(number) => Err(StatedLoadError::OutOfRange(number)),
+        let mut numbers = text.split(',').map(|part| {
+            let number = part.trim().parse::<u32>();
+            number.map_err(|_| StatedLoadError::Malformed)
+        });
+        let mut count = || match numbers.next() {
+            Some(number) => in_range(number?, COUNT_RANGE),
             None => Err(StatedLoadError::Malformed),
         };
         let (running, queued, slots) = (count()?, count()?, count()?);
-        let pace = match read(next())? {
-            Some(percent) if !PACE_RANGE.contains(&percent) => {
-                return Err(StatedLoadError::OutOfRange(percent));
-            }
-            pace => pace,
+        let pace = match numbers.next() {
+            Some(percent) => Some(in_range(percent?, PACE_RANGE)?),
+            None => None,
         };
-        match next() {
-            Ok(None) => Ok(Self {
+        match numbers.next() {
+            None => Ok(Self {
                 running,
                 queued,
                 slots,
                 pace,
             }),
-            Ok(Some(_)) | Err(_) => Err(StatedLoadError::Malformed),
+            Some(_) => Err(StatedLoadError::Malformed),
         }
     }
 }
+
+/// Returns `number` if it lies within `range`.
+fn in_range(number: u32, range: RangeInclusive<u32>) -> Result<u32, StatedLoadError> {
+    match range.contains(&number) {
+        true => Ok(number),
+        false => Err(StatedLoadError::OutOfRange(number)),
+    }
+}
--- a/crates/swiftcart-core/src/stated_load/belief.rs
+++ b/crates/swiftcart-core/src/stated_load/belief.rs
@@ -6,12 +6,12 @@
 use super::{Level, StatedLoad, Trust};
 use crate::Instant;
 
-/// Maximum slowdown that is believed. A host that is even slower for a moment serves nobody in
-/// time, and a server that states an absurd figure keeps a share of its requests.
+/// Maximum slowdown that is believed. An even slower host serves nobody in time. With this bound, a
+/// backend server that states an absurd figure keeps a share of its requests.
 const MAX_FACTOR: f64 = 4.0;
 
-/// Slowdown from which a call says whether slow moments are stated truly. Calls of one service
-/// differ more than this in length.
+/// Stated excess of the service time from which the time of a call confirms or refutes the
+/// statement. A smaller excess cannot be told from the usual differences between calls.
 const MIN_EVIDENCE_EXCESS: f64 = 0.25;
 
 /// Excess of the service time that confirms that the slots were in use by others: the request had
@@ -26,11 +26,11 @@
 
 /// Belief of a guard in the load that its backend server states.
 ///
-/// Backend servers share their hosts, so their speed changes within moments, and a moving average
-/// of finished calls learns of a slow moment when it has passed. A statement is about this moment:
-/// it counts relative to what the backend server usually states, and less with its age. A figure
-/// that is repeated without end therefore loses its effect. The time that calls take confirms or
-/// refutes the statements.
+/// Backend servers share their hosts, so their speed changes within moments. A moving average of
+/// finished calls shows a slow moment only after it has passed, while a statement is about the
+/// present. A statement counts relative to what the backend server usually states, so a figure that
+/// is repeated without end loses its effect. It counts less with its age. The time that calls take
+/// confirms or refutes the statements.
 ///
 /// Statements without a pace are ignored.
 ///
@@ -58,7 +58,7 @@
     excess: f64,
     /// Work that the server has done up to the last statement, in seconds of usual service time.
     work_secs: f64,
-    /// Slots that others use, according to the last statement.
+    /// Slots that others use beyond the usual number, according to the last statement.
     others: u32,
     usual_pace: Level,
     usual_others: Level,
