--- a/crates/swiftcart-core/tests/ask_throttle.rs
+++ b/crates/swiftcart-core/tests/ask_throttle.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use swiftcart_core::*;
 
-/// Seeds of the runs whose sum is compared.
+/// Seeds of the simulations whose results are added up.
 const SEEDS: [u64; 3] = [1, 2, 3];
 
 /// Creates a service of 12 backend servers whose callers want `load` times its capacity.
@@ -163,7 +163,7 @@
 #[case::guards_are_out_of_reach(3, Reason::PeerUnreachable, 0, true)]
 #[case::handed_over_without_a_response(3, Reason::Timeout, 0, true)]
 #[case::nothing_was_heard_for_two_seconds(3, Reason::QueueFull, 2_000, true)]
-fn door_is_open_if(
+fn class_is_throttled_only_while_three_guards_lack_room(
     #[case] guards: u16,
     #[case] reason: Reason,
     #[case] later_ms: u64,
@@ -180,7 +180,7 @@
 #[case::more_urgent(0, true)]
 #[case::same(1, false)]
 #[case::less_urgent(2, false)]
-fn door_after_refusals_of_priority_1_is_open_for(#[case] priority: u8, #[case] open: bool) {
+fn refusals_throttle_the_same_and_less_urgent_priorities(#[case] priority: u8, #[case] open: bool) {
     let mut throttle = AskThrottle::new(AskThrottleSettings::default());
     let now = fail(&mut throttle, class(1), 3, Reason::Overloaded);
     assert_eq!(admitted(&throttle, now, class(priority)) == 100, open);
@@ -225,7 +225,7 @@
 #[rstest]
 #[case::later_than_the_guard_says(None, 0)]
 #[case::as_late_as_the_guard_says(Some(20), 20)]
-fn refused_callers_are_told_increasing_times(#[case] told_s: Option<u64>, #[case] min_s: u64) {
+fn refused_callers_get_increasing_retry_delays(#[case] told_s: Option<u64>, #[case] min_s: u64) {
     let mut throttle = AskThrottle::new(AskThrottleSettings::default());
     let mut rng = SmallRng::seed_from_u64(1);
     let now = fail(&mut throttle, class(1), 3, Reason::Overloaded);
--- a/crates/swiftcart-core/tests/fair_shares.rs
+++ b/crates/swiftcart-core/tests/fair_shares.rs
@@ -1,4 +1,4 @@
-//! Fair shares of client accounts, played in virtual time: nodes mark requests, and one service
+//! Fair shares of client accounts, simulated in virtual time: nodes mark requests, and one service
 //! with room for half of them serves those within a share first.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
@@ -7,9 +7,16 @@
 use rstest::rstest;
 use swiftcart_core::{AccountTag, FairShares, Instant, ShareStanding};
 
+/// Number of nodes that mark requests.
 const NODES: usize = 12;
+
+/// Step of the virtual time.
 const STEP_MS: u64 = 10;
+
+/// Simulated time.
 const TIME_MS: u64 = 400_000;
+
+/// Time after which requests are counted.
 const WARM_UP_MS: u64 = 15_000;
 
 /// Number of requests that may wait at the service.
@@ -32,9 +39,9 @@
     demands
 }
 
-/// Plays the demands against a room in requests per second. Returns the requests per second that
+/// Simulates the demands at a service with room for `room` requests per second. Returns the requests per second that
 /// were sent and served for each account.
-fn play(demands: &[f64], room: f64, shares_apply: bool, seed: u64) -> (Demands, Vec<f64>) {
+fn simulate(demands: &[f64], room: f64, shares_apply: bool, seed: u64) -> (Demands, Vec<f64>) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut nodes = vec![FairShares::new(); NODES];
     let (mut sent, mut served) = (vec![0_u32; demands.len()], vec![0_u32; demands.len()]);
@@ -97,7 +104,7 @@
     let (usual, greedy) = (demands(1.0), demands(6.0));
     let room = greedy.iter().sum::<f64>() / 2.0;
     let before = max_min(&usual, room);
-    let (sent, served) = play(&greedy, room, true, seed);
+    let (sent, served) = simulate(&greedy, room, true, seed);
     let owed = max_min(&sent, room);
     let kept = served.iter().zip(before.iter().zip(&owed));
     let kept = kept.map(|(got, (before, owed))| got / before.min(*owed));
@@ -108,10 +115,8 @@
         .zip(&owed)
         .map(|(got, owed)| got / owed)
         .collect();
-    let (sum, squares) = (
-        ratios.iter().sum::<f64>(),
-        ratios.iter().map(|x| x * x).sum::<f64>(),
-    );
+    let sum: f64 = ratios.iter().sum();
+    let squares: f64 = ratios.iter().map(|ratio| ratio * ratio).sum();
     let index = sum * sum / (ratios.len() as f64 * squares);
     assert!(index >= 0.95, "Jain's index {index:.3}");
     let used = served.iter().sum::<f64>() / room;
--- a/crates/swiftcart-core/tests/nested_calls.rs
+++ b/crates/swiftcart-core/tests/nested_calls.rs
@@ -1,5 +1,5 @@
-//! Tests that calls of running requests get the rank and the patience of the requests that they
-//! serve.
+//! Tests that calls of running requests get the rank and the maximum wait of the requests
+//! that they serve.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -10,13 +10,14 @@
 
 const START: Instant = Instant::from_millis(0);
 
-/// Guards of each of the two services in the play.
+/// Number of guards of each of the two services.
 const GUARDS: usize = 8;
 
-/// Slots of each guard.
+/// Number of slots of each guard.
 const SLOTS: u32 = 6;
 
-const PLAY_MS: u64 = 20_000;
+/// Simulated time.
+const SIMULATED_MS: u64 = 20_000;
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -48,7 +49,7 @@
         }
     }
 
-    /// Returns the terms of the route.
+    /// Returns a request with the target, deadline and priority of the route.
     fn request(self, now: Instant) -> AdmissionRequest {
         let (target, time, priority) = match self {
             Self::Lookup => (400, 1000, 1),
@@ -69,8 +70,9 @@
     waits_for: u32,
 }
 
-/// Play of two services, the second of which gets one and a half times the load that it can serve.
-struct Play {
+/// Simulation of two services, the second of which gets one and a half times the load that it can
+/// serve.
+struct Simulation {
     as_nested: bool,
     rng: SmallRng,
     guards: Vec<Admission>,
@@ -87,7 +89,7 @@
     used: u64,
 }
 
-impl Play {
+impl Simulation {
     fn run(seed: u64, as_nested: bool) -> Self {
         let settings = AdmissionSettings {
             limit: LimitSettings {
@@ -97,7 +99,7 @@
             ..AdmissionSettings::default()
         };
         let guard = || Admission::new(START, settings).with_slots(SLOTS);
-        let mut play = Self {
+        let mut simulation = Self {
             as_nested,
             rng: SmallRng::seed_from_u64(seed),
             guards: (0..2 * GUARDS).map(|_| guard()).collect(),
@@ -109,24 +111,26 @@
             lookups: [0; 2],
             used: 0,
         };
-        for at in 0..PLAY_MS {
+        for at in 0..SIMULATED_MS {
             let now = Instant::from_millis(at);
-            let ended = play.ends.remove(&at).unwrap_or_default();
-            ended.into_iter().for_each(|job| play.work_ended(now, job));
-            for guard in 0..play.guards.len() {
-                let refused = play.guards[guard].expire(now, &mut play.rng);
-                play.refuse(now, guard, refused);
+            let ended = simulation.ends.remove(&at).unwrap_or_default();
+            ended
+                .into_iter()
+                .for_each(|job| simulation.work_ended(now, job));
+            for guard in 0..simulation.guards.len() {
+                let refused = simulation.guards[guard].expire(now, &mut simulation.rng);
+                simulation.refuse(now, guard, refused);
             }
             for (kind, rate) in [(Kind::Lookup, 0.25), (Kind::Paid, 0.05), (Kind::Long, 0.33)] {
-                if play.rng.random_bool(rate) {
-                    play.paid[0] += u32::from(kind == Kind::Paid);
-                    play.offer(now, kind, kind.request(now));
+                if simulation.rng.random_bool(rate) {
+                    simulation.paid[0] += u32::from(kind == Kind::Paid);
+                    simulation.offer(now, kind, kind.request(now));
                 }
             }
-            let second = play.guards[GUARDS..].iter();
-            play.used += second.map(|guard| u64::from(guard.running())).sum::<u64>();
+            let second = simulation.guards[GUARDS..].iter();
+            simulation.used += second.map(|guard| u64::from(guard.running())).sum::<u64>();
         }
-        play
+        simulation
     }
 
     /// Offers a request to three guards of its service that may let it wait briefly, and then to
@@ -260,14 +264,20 @@
     }
 
     fn used_share(&self) -> f64 {
-        self.used as f64 / (PLAY_MS * GUARDS as u64 * u64::from(SLOTS)) as f64
+        self.used as f64 / (SIMULATED_MS * GUARDS as u64 * u64::from(SLOTS)) as f64
     }
 }
 
 #[rstest]
 fn look_ups_do_not_fail_for_a_refused_call(#[values(1, 2, 3)] seed: u64) {
-    let (without, with) = (Play::run(seed, false), Play::run(seed, true));
-    let shares = |play: &Play| [play.failed_share(), play.paid_share(), play.used_share()];
+    let (without, with) = (Simulation::run(seed, false), Simulation::run(seed, true));
+    let shares = |simulation: &Simulation| {
+        [
+            simulation.failed_share(),
+            simulation.paid_share(),
+            simulation.used_share(),
+        ]
+    };
     let ([failed, paid, used], now) = (shares(&without), shares(&with));
     assert!(failed > 0.2, "the load must fail look-ups: {failed}");
     assert!(now[0] <= failed / 20.0, "failed {} after {failed}", now[0]);
--- a/crates/swiftcart-core/tests/spill.rs
+++ b/crates/swiftcart-core/tests/spill.rs
@@ -70,7 +70,7 @@
 #[case::one_unknown_domain_is_probed(&[(NEAR, 1.1), (SUR, 1.1)], 2, 0.001, Some((PROBE, to("este"))))]
 #[case::a_single_guard_is_not_enough(&[(NEAR, 1.1), (SUR, 0.5)], 1, 0.001, None)]
 #[case::own_domain_unknown(&[(SUR, 0.5)], 2, 0.001, None)]
-fn plan_advises(
+fn plan_advises_by_usage_and_draw(
     #[case] usages: &[(Option<&str>, f64)],
     #[case] guards: u16,
     #[case] draw: f64,
@@ -86,7 +86,7 @@
 #[case::fresh(2_000, &["sur", "este"], Some(to("sur")))]
 #[case::reports_are_old(4_500, &["sur", "este"], None)]
 #[case::domain_is_cut_off(2_000, &["este"], Some(SpillTarget::Nowhere))]
-fn plan_avoids_domains(
+fn plan_avoids_domains_with_old_reports_or_without_a_connection(
     #[case] at_ms: u64,
     #[case] reachable: &[&str],
     #[case] expected: Option<SpillTarget>,
@@ -136,8 +136,8 @@
     );
 }
 
-/// Nodes 1, 3, 5, 7, 9 and 11 are in the own domain, all but 11 have refused, 2 and 4 are in the
-/// other domain.
+/// Nodes 1, 3, 5, 7, 9 and 11 are in the own domain, and all of them but node 11 have refused. Nodes
+/// 2 and 4 are in the other domain.
 #[rstest]
 #[case::off(None, Payload::Light, &[], PickRule::Spill)]
 #[case::on(Some(SpillDraw::new(0.5)), Payload::Light, &[], PickRule::Near)]
@@ -177,18 +177,17 @@
 /// Without a draw, the reports that a plan uses do not change the selection.
 #[test]
 fn selection_without_a_draw_ignores_the_plan() {
-    let members: Vec<_> = (1..9)
-        .map(|n| member(n, "a", if n % 2 == 1 { "norte" } else { "sur" }))
-        .collect();
-    let view = view(&Table::new().with_service("a", Limits::default()), &members);
+    let view_of = |service: &str| {
+        let domain = |n| if n % 2 == 1 { "norte" } else { "sur" };
+        let members: Vec<_> = (1..9).map(|n| member(n, service, domain(n))).collect();
+        let table = Table::new().with_service(service, Limits::default());
+        view(&table, &members)
+    };
+    let view = view_of("a");
     let entry = view.service("a").unwrap();
     let picks = |service: &str| {
-        let table = Table::new().with_service(service, Limits::default());
-        let renamed: Vec<_> = (1..9)
-            .map(|n| member(n, service, if n % 2 == 1 { "norte" } else { "sur" }))
-            .collect();
         let mut balancer = Balancer::new(node(1), BalanceSettings::default());
-        balancer.adopt(Instant::default(), &support::view(&table, &renamed));
+        balancer.adopt(Instant::default(), &view_of(service));
         let mut rng = SmallRng::seed_from_u64(1);
         let mut picks = Vec::new();
         for step in 0..400 {
@@ -298,8 +297,8 @@
     let load = workload(nodes);
     let run = |choice| sum((1..=4).map(|seed| simulate_scenario(&load, swinging(choice), seed)));
     let [sampled, planned, oracle] = [Choice::Sampled, Choice::Planned, Choice::Oracle].map(run);
-    println!(
-        "{nodes} nodes: in time {:.4} {:.4} {:.4}, crossed {:.4} {:.4} {:.4}, least {:.4}",
+    let figures = format!(
+        "in time {:.4} {:.4} {:.4}, crossed {:.4} {:.4} {:.4}, least {:.4}",
         sampled.in_time(),
         planned.in_time(),
         oracle.in_time(),
@@ -308,10 +307,13 @@
         oracle.crossed(),
         least_crossed(&load, &swinging(Choice::Planned)),
     );
-    assert!(planned.in_time() >= sampled.in_time() - 0.005);
-    assert!(planned.in_time() >= oracle.in_time() - 0.02);
-    assert!(planned.crossed() <= max_ratio * sampled.crossed());
-    assert!(counterflow(&planned) <= 0.1);
+    assert!(planned.in_time() >= sampled.in_time() - 0.005, "{figures}");
+    assert!(planned.in_time() >= oracle.in_time() - 0.02, "{figures}");
+    assert!(
+        planned.crossed() <= max_ratio * sampled.crossed(),
+        "{figures}"
+    );
+    assert!(counterflow(&planned) <= 0.1, "{figures}");
 }
 
 const CUT: Outage = Outage {
@@ -344,12 +346,8 @@
         sum((1..=4).map(|seed| simulate_scenario(&workload(nodes), scenario, seed)))
     };
     let [sampled, planned] = [Choice::Sampled, Choice::Planned].map(run);
-    let (in_time, crossed) = (planned.in_time(), planned.crossed());
-    println!(
-        "{nodes} nodes: in time {:.4} {in_time:.4}, crossed {:.4} {crossed:.4}",
-        sampled.in_time(),
-        sampled.crossed(),
-    );
-    assert!(planned.in_time() >= sampled.in_time() - 0.005);
-    assert!(planned.crossed() <= sampled.crossed());
+    let in_time = [planned.in_time(), sampled.in_time()];
+    let crossed = [planned.crossed(), sampled.crossed()];
+    assert!(in_time[0] >= in_time[1] - 0.005, "{in_time:?}");
+    assert!(crossed[0] <= crossed[1], "{crossed:?}");
 }
--- a/crates/swiftcart-core/tests/stated_load.rs
+++ b/crates/swiftcart-core/tests/stated_load.rs
@@ -11,7 +11,10 @@
 use support::{member, node, view};
 use swiftcart_core::*;
 
+/// Latency target of all requests.
 const TARGET: Duration = Duration::from_millis(600);
+
+/// Slots of each backend server.
 const SLOTS: u32 = 9;
 
 fn at(ms: u64) -> Instant {
@@ -66,8 +69,8 @@
     search: SlotSearch,
 }
 
-/// Play of a service whose requests one ingress distributes.
-struct Play {
+/// Simulation of a service whose requests one ingress distributes.
+struct Simulation {
     servers: Vec<Server>,
     calls: Vec<Call>,
     balancer: Balancer,
@@ -77,10 +80,19 @@
     latencies: Vec<u64>,
 }
 
+/// Number of backend servers.
 const SERVERS: u16 = 14;
+
+/// Mean length of a slow moment. The moments between them last six times as long.
 const SLOW_MS: u64 = 600;
+
+/// Factor by which a call takes longer on a slow host.
 const SLOW_FACTOR: f64 = 2.5;
-const PLAY_MS: u64 = 60_000;
+
+/// Simulated time.
+const SIMULATED_MS: u64 = 60_000;
+
+/// Time that each caller allows for its request.
 const DEADLINE: Duration = Duration::from_secs(4);
 
 impl Server {
@@ -95,7 +107,7 @@
     }
 }
 
-impl Play {
+impl Simulation {
     fn new(seed: u64, pace: fn(bool) -> Option<u32>) -> Self {
         let members: Vec<_> = (2..2 + SERVERS).map(|n| member(n, "a", "norte")).collect();
         let table = Table::new().with_service("a", Limits::default());
@@ -128,12 +140,12 @@
         }
     }
 
-    /// Plays requests that need the share `usage` of all slots, and returns the share of requests
+    /// Simulates requests that need the share `usage` of all slots, and returns the share of requests
     /// served and the 99th percentile of their latencies in milliseconds.
     fn run(mut self, usage: f64) -> (f64, u64) {
         let slots = f64::from(SLOTS) * f64::from(SERVERS);
         let mean_ms = 180.0 * (1.0 + (SLOW_FACTOR - 1.0) / 7.0);
-        for now in 0..PLAY_MS {
+        for now in 0..SIMULATED_MS {
             for i in 0..self.servers.len() {
                 self.step(now, i);
             }
@@ -222,7 +234,7 @@
     }
 }
 
-/// Tells the balancer the end of a call, with what the guard reports in its response.
+/// Records the end of a call in the balancer, with the figures that the guard reports.
 fn report(balancer: &mut Balancer, i: usize, server: &Server, now: u64, sample: &Sample) {
     let mut sample = sample.with_load(server.guard.load());
     sample.pace = server.guard.pace(at(now));
@@ -239,14 +251,21 @@
     #[case] max_share: f64,
     #[values(1, 2, 3)] seed: u64,
 ) {
-    let (served, p99) = Play::new(seed, |_| None).run(usage);
-    let told = Play::new(seed, |slow| Some(if slow { 250 } else { 100 })).run(usage);
-    assert!(told.1 as f64 <= max_share * p99 as f64, "{told:?} of {p99}");
-    assert!(told.0 >= served - 0.01, "{told:?} of {served}");
+    let (silent_served, silent_p99) = Simulation::new(seed, |_| None).run(usage);
+    let pace = |slow| Some(if slow { 250 } else { 100 });
+    let (served, p99) = Simulation::new(seed, pace).run(usage);
+    assert!(
+        p99 as f64 <= max_share * silent_p99 as f64,
+        "{p99} ms of {silent_p99} ms"
+    );
+    assert!(
+        served >= silent_served - 0.01,
+        "{served} of {silent_served}"
+    );
 }
 
 #[rstest]
-fn three_figures_change_nothing() {
+fn statement_without_a_pace_changes_nothing() {
     let mut told = guard();
     told.set_rate(at(0), "20".parse().ok());
     assert!(matches!(
@@ -273,7 +292,7 @@
     guard
 }
 
-/// Plays one call of 100 ms that starts at `ms` and is answered with a statement.
+/// Simulates one call of 100 ms that starts at `ms` and is answered with a statement.
 fn call(guard: &mut Admission, ms: u64, stated: StatedLoad) {
     let Admit::Run(ticket) = offer(guard, ms, QueueWait::Full) else {
         panic!("the guard is closed at {ms} ms")
@@ -308,7 +327,7 @@
 #[case::others_use_slots(stated(4, Some(100)), 0, (5, 5), 166)]
 #[case::others_use_all_slots(stated(9, Some(100)), 0, (1, 1), 166)]
 #[case::others_used_slots(stated(4, Some(100)), 300, (9, 9), 166)]
-fn statement_decides(
+fn statement_decides_which_requests_start_and_the_pace(
     #[case] stated: StatedLoad,
     #[case] age_ms: u64,
     #[case] expected: (usize, usize),
