--- a/crates/swiftcart-node/tests/stated_load.rs
+++ b/crates/swiftcart-node/tests/stated_load.rs
@@ -83,5 +83,5 @@
     announce(&node, backend_that_states("1,0,4,250").await).await;
     until(|| node.shared().view.load().has_candidate(node.shared().id)).await;
     let reported = reported_load(&node).await;
-    assert_eq!(reported.split(' ').count(), 3, "{reported}");
+    assert_eq!(reported.split(' ').count(), 4, "{reported}");
 }
