Document the time of a prior refusal and of a received ratio

Cause: "was told one" and one comment for two fields had to be read twice. Change: comments, and a struct literal on one line. Run: cargo test -p swiftcart-core, clippy and doc of the workspace. Conclusion: no behaviour has changed.

--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -64,7 +64,7 @@
     epoch: u32,
     nodes: usize,
     accounts: HashMap<AccountTag, AccountCounts>,
-    /// Accounts with counts that were not reported yet, or whose report was not answered.
+    /// Accounts with counts that were not reported yet or whose report the ledger has not answered.
     unreported: BTreeSet<AccountTag>,
 }
 
@@ -84,8 +84,9 @@
     unreported_since: Option<Instant>,
     /// Time of the earliest request that was reported and not answered by the ledger.
     pending_since: Option<Instant>,
-    /// Admission ratio from the ledger; `received` is the time at which it arrived.
+    /// Admission ratio from the ledger.
     ratio: f64,
+    /// Time at which the ratio arrived.
     received: Instant,
     /// Equal share of the quota, used while the ledger is unreachable.
     fallback: Option<TokenBucket>,
--- a/crates/swiftcart-core/src/refusal_history.rs
+++ b/crates/swiftcart-core/src/refusal_history.rs
@@ -16,7 +16,7 @@
 pub struct PriorRefusal {
     /// Time of the first attempt.
     pub first: Instant,
-    /// Time from which the caller was told to come back, if it was told one.
+    /// Time from which the caller was asked to retry, or `None` if the refusal had no retry delay.
     pub retry_at: Option<Instant>,
 }
 
@@ -47,7 +47,7 @@
 }
 
 impl PriorRefusal {
-    /// Returns `true` if the caller was told a time and has waited for it.
+    /// Returns `true` if the refusal had a retry delay and the caller has waited for it.
     #[must_use]
     pub fn has_waited(&self, now: Instant) -> bool {
         self.retry_at.is_some_and(|at| now >= at)
@@ -63,17 +63,11 @@
 
     /// Records the refusal of a request whose first attempt was at `first`.
     pub fn refused(&mut self, now: Instant, head: HeadHash, first: Instant) {
-        self.record(
-            now,
-            head,
-            PriorRefusal {
-                first,
-                retry_at: None,
-            },
-        );
+        let retry_at = None;
+        self.record(now, head, PriorRefusal { first, retry_at });
     }
 
-    /// Records a refusal like [`RefusalHistory::refused`], with the time that the caller was told.
+    /// Records a refusal like [`RefusalHistory::refused`], with the time of the retry.
     pub fn record(&mut self, now: Instant, head: HeadHash, refusal: PriorRefusal) {
         self.evict_expired(now);
         if self.order.len() >= MAX_REFUSALS {
