Never take a statement for faster than usual

Cause: since one low statement lowers the usual level by half a step only, a statement below the level counted as a negative excess: stated_load.rs, statement_decides..., case fast, gave a pace of 0.095 in place of 0.166. Change: the excess is never below zero. Measured: the whole suite of swiftcart-core passes, with --no-fail-fast.

--- a/crates/swiftcart-core/src/stated_load/belief.rs
+++ b/crates/swiftcart-core/src/stated_load/belief.rs
@@ -86,7 +86,7 @@
         self.work_secs = self.work_secs(now);
         let elapsed = now.since(self.at);
         let usual_pace = self.usual_pace.update(elapsed, pace);
-        self.excess = (pace / usual_pace).min(MAX_FACTOR) - 1.0;
+        self.excess = (pace / usual_pace).clamp(1.0, MAX_FACTOR) - 1.0;
         let others = stated.running.saturating_sub(own).min(stated.slots);
         let others = f64::from(others);
         let usual_others = self.usual_others.update(elapsed, others);
