Do not throttle the asks of uploads

Cause: whether a guard takes an upload depends on its link, not on its slots. Change: requests with a heavy payload are not throttled. Before and after: overload.rs, case uploads_depend_on_links, fails without the check (uploads refused as no-room) and passes with it.

--- a/crates/swiftcart-node/src/calls/ingress/asks.rs
+++ b/crates/swiftcart-node/src/calls/ingress/asks.rs
@@ -193,8 +193,10 @@
     /// Returns the attributes by which a throttle decides about the asks of `call`, or `None` if they
     /// are not throttled.
     fn ask_request(&self, call: &Call, entry: &ServiceEntry) -> Option<AskRequest> {
-        let is_throttled =
-            call.terms.is_some() && !call.likely_nested && self.decides_overload(entry);
+        let is_throttled = call.terms.is_some()
+            && call.payload == Payload::Light
+            && !call.likely_nested
+            && self.decides_overload(entry);
         is_throttled.then(|| AskRequest {
             class: call.class(self.balancer().mean_pace()),
             returning: call.returning,
--- a/crates/swiftcart-node/tests/overload.rs
+++ b/crates/swiftcart-node/tests/overload.rs
@@ -42,9 +42,9 @@
 }
 
 /// Activates a route with a policy, which only snapshots contain.
-fn adopt_policy(node: &Node) {
+fn adopt_policy(node: &Node, class: RequestClass) {
     let policy = Policy {
-        class: RequestClass::Idempotent,
+        class,
         attempts: 2,
         timeout_ms: 2_000,
         target_ms: 400,
@@ -78,12 +78,14 @@
 }
 
 #[rstest]
-#[case::enabled(vec![OverloadTrigger::Always], true)]
-#[case::no_accounts(vec![OverloadTrigger::Accounts], false)]
-#[case::disabled(vec![], false)]
+#[case::enabled(vec![OverloadTrigger::Always], RequestClass::Idempotent, true)]
+#[case::uploads_depend_on_links(vec![OverloadTrigger::Always], RequestClass::Upload, false)]
+#[case::no_accounts(vec![OverloadTrigger::Accounts], RequestClass::Idempotent, false)]
+#[case::disabled(vec![], RequestClass::Idempotent, false)]
 #[tokio::test]
 async fn ingress_refuses_requests_for_a_full_service_if_overload_is_decided(
     #[case] when: Vec<OverloadTrigger>,
+    #[case] class: RequestClass,
     #[case] refuses: bool,
 ) {
     let log = log_with(Limits::default()).await;
@@ -95,7 +97,7 @@
     for (node, _) in &service {
         wait_until_routed(&entry, node.shared().id).await;
     }
-    adopt_policy(&entry);
+    adopt_policy(&entry, class);
     let entry = Arc::new(entry);
     let mut callers: JoinSet<_> = (0..CALLERS)
         .map(|caller| call_repeatedly(Arc::clone(&entry), caller))
