Decide about overload once a request, and say once what lacks room

Ruled out: one list for all refusals, since a busy link and a service that sheds are other matters to each user of the list. No behaviour changes but the fixed answer. Conclusion: less to read and fewer locks; the cost of a request was not measured.

--- a/crates/swiftcart-core/examples/call_cost/run.rs
+++ b/crates/swiftcart-core/examples/call_cost/run.rs
@@ -20,7 +20,7 @@
 
 /// Number of nodes in the three failure domains.
 const NODES: usize = 3 * NODES_PER_DOMAIN;
-/// End of the warm-up. Calls that arrive earlier are not measured.
+/// End of the warm-up. The report leaves out calls that arrive earlier.
 const WARM_UP_END: Instant = Instant::from_millis(5_000);
 /// End of the simulation.
 const END: Instant = Instant::from_millis(25_000);
--- a/crates/swiftcart-core/src/ask_throttle.rs
+++ b/crates/swiftcart-core/src/ask_throttle.rs
@@ -8,8 +8,7 @@
 use rand::Rng;
 
 use crate::{
-    Instant, Outcome, Pick, PickRule, Priority, Reason, Refusal, RequestTiming, ShareStanding,
-    SlotSearch,
+    Instant, Outcome, Pick, Priority, Reason, Refusal, RequestTiming, ShareStanding, SlotSearch,
 };
 use class_counts::ClassCounts;
 
@@ -91,7 +90,7 @@
 
 /// Failure domain of a guard, seen from the ingress.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Distance {
+enum Proximity {
     Near,
     Far,
 }
@@ -189,7 +188,7 @@
             (None, _) => NextAsk::Ask,
             (Some(_), true) if may_wait => NextAsk::Ask,
             (Some(_), true) => NextAsk::Refuse,
-            (Some(_), false) if self.is_open(now, class, Distance::of(pick)) => NextAsk::Ask,
+            (Some(_), false) if self.is_open(now, class, Proximity::of(pick)) => NextAsk::Ask,
             (Some(_), false) if slot_search.is_asking() => NextAsk::Queue,
             (Some(_), false) => NextAsk::Refuse,
         }
@@ -197,13 +196,13 @@
 
     /// Returns `true` if the asks at guards of other failure domains are not worth their trip.
     pub fn stays_near(&mut self, now: Instant, class: AskClass) -> bool {
-        !self.is_open(now, class, Distance::Far)
+        !self.is_open(now, class, Proximity::Far)
     }
 
     /// Counts an ask, which counts as accepted until [`AskThrottle::failed`] reports otherwise.
     pub fn asked(&mut self, now: Instant, request: AskRequest, pick: &Pick) {
         let counts = self.counts_mut(now, request.class);
-        counts.record_ask(Distance::of(pick));
+        counts.record_ask(Proximity::of(pick));
     }
 
     /// Records that an ask failed for `reason`.
@@ -212,10 +211,10 @@
     /// had a place, and an attempt that failed otherwise tells nothing about room.
     pub fn failed(&mut self, now: Instant, request: AskRequest, pick: &Pick, reason: Reason) {
         let counts = self.counts_mut(now, request.class);
-        let distance = Distance::of(pick);
+        let proximity = Proximity::of(pick);
         match reason {
-            _ if lacks_room(reason) => counts.record_refusal(now, pick.id, distance),
-            _ if reason.outcome() == Outcome::NotRun => counts.withdraw(distance),
+            _ if reason.lacks_room() => counts.record_refusal(now, pick.id, proximity),
+            _ if reason.outcome() == Outcome::NotRun => counts.withdraw(proximity),
             _ => {}
         }
     }
@@ -260,18 +259,18 @@
     /// Returns `true` if guards of the own failure domain refuse requests of the class too often to
     /// be asked for a free slot.
     fn is_scarce(&mut self, now: Instant, class: AskClass) -> bool {
-        !self.is_open(now, class, Distance::Near)
+        !self.is_open(now, class, Proximity::Near)
     }
 
-    /// Returns `true` if guards at this distance accept requests of the class often enough to be
+    /// Returns `true` if guards at this proximity accept requests of the class often enough to be
     /// asked again.
-    fn is_open(&mut self, now: Instant, class: AskClass, distance: Distance) -> bool {
-        let asks_per_accept = match distance {
-            Distance::Near => self.settings.asks_per_accept,
-            Distance::Far => self.settings.far_asks_per_accept,
+    fn is_open(&mut self, now: Instant, class: AskClass, proximity: Proximity) -> bool {
+        let asks_per_accept = match proximity {
+            Proximity::Near => self.settings.asks_per_accept,
+            Proximity::Far => self.settings.far_asks_per_accept,
         };
         let evidence = self.evidence(now, class);
-        evidence.is_none_or(|counts| counts.is_open(distance, asks_per_accept))
+        evidence.is_none_or(|counts| counts.is_open(proximity, asks_per_accept))
     }
 
     /// Returns the counts that a class is judged by: its own, or else those of the next more urgent
@@ -315,22 +314,12 @@
     }
 }
 
-impl Distance {
-    /// Returns the distance of the guard of `pick`.
+impl Proximity {
+    /// Returns the proximity of the guard of `pick`.
     const fn of(pick: &Pick) -> Self {
-        match pick.rule {
-            PickRule::Own | PickRule::Near | PickRule::Ejected | PickRule::Trial => Self::Near,
-            PickRule::Spill | PickRule::Remote => Self::Far,
+        match pick.rule.leaves_domain() {
+            true => Self::Far,
+            false => Self::Near,
         }
     }
 }
-
-/// Returns `true` if a guard that refuses for `reason` has no place for requests of the class.
-///
-/// A busy link depends on the length of the response, which a class does not tell.
-const fn lacks_room(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::QueueFull | Reason::Overloaded | Reason::Throttled
-    )
-}
--- a/crates/swiftcart-core/src/ask_throttle/class_counts.rs
+++ b/crates/swiftcart-core/src/ask_throttle/class_counts.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::refusing_guards::RefusingGuards;
-use super::{AskClass, AskCounts, Distance};
+use super::{AskClass, AskCounts, Proximity};
 use crate::decay::decay_factor;
 use crate::rate::RetryScheduler;
 use crate::{Instant, NodeId};
@@ -19,7 +19,7 @@
 /// slots are taken unevenly.
 const MOSTLY_ACCEPTED: f64 = 0.8;
 
-/// Minimum number of asks by which the guards at one distance are judged.
+/// Minimum number of asks by which the guards at one proximity are judged.
 const MIN_ASKS: f64 = 4.0;
 
 /// Counts of one class, decayed to the time of the last update.
@@ -70,22 +70,22 @@
     }
 
     /// Counts an ask, which counts as accepted until it fails.
-    pub(super) fn record_ask(&mut self, distance: Distance) {
-        let asks = self.asks_mut(distance);
+    pub(super) fn record_ask(&mut self, proximity: Proximity) {
+        let asks = self.asks_mut(proximity);
         asks.asked += 1.0;
         asks.accepted += 1.0;
     }
 
     /// Records that `guard` refused an ask for want of room.
-    pub(super) fn record_refusal(&mut self, now: Instant, guard: NodeId, distance: Distance) {
-        let asks = self.asks_mut(distance);
+    pub(super) fn record_refusal(&mut self, now: Instant, guard: NodeId, proximity: Proximity) {
+        let asks = self.asks_mut(proximity);
         asks.accepted = (asks.accepted - 1.0).max(0.0);
         self.refusing.record(now, guard);
     }
 
     /// Removes an ask on which no guard has decided.
-    pub(super) fn withdraw(&mut self, distance: Distance) {
-        let asks = self.asks_mut(distance);
+    pub(super) fn withdraw(&mut self, proximity: Proximity) {
+        let asks = self.asks_mut(proximity);
         asks.asked = (asks.asked - 1.0).max(0.0);
         asks.accepted = (asks.accepted - 1.0).max(0.0);
     }
@@ -99,14 +99,14 @@
         }
     }
 
-    /// Returns `true` if guards at this distance may be asked again.
+    /// Returns `true` if guards at this proximity may be asked again.
     ///
     /// They may if enough of their asks are accepted, if most requests find a place in the end, or
     /// if too little is known.
-    pub(super) fn is_open(&self, distance: Distance, asks_per_accept: f64) -> bool {
-        let asks = match distance {
-            Distance::Near => self.near,
-            Distance::Far => self.far,
+    pub(super) fn is_open(&self, proximity: Proximity, asks_per_accept: f64) -> bool {
+        let asks = match proximity {
+            Proximity::Near => self.near,
+            Proximity::Far => self.far,
         };
         !self.refusing.are_enough()
             || asks.asked < MIN_ASKS
@@ -141,10 +141,10 @@
         self.near.accepted + self.far.accepted
     }
 
-    const fn asks_mut(&mut self, distance: Distance) -> &mut Asks {
-        match distance {
-            Distance::Near => &mut self.near,
-            Distance::Far => &mut self.far,
+    const fn asks_mut(&mut self, proximity: Proximity) -> &mut Asks {
+        match proximity {
+            Proximity::Near => &mut self.near,
+            Proximity::Far => &mut self.far,
         }
     }
 }
--- a/crates/swiftcart-core/src/balance/pick.rs
+++ b/crates/swiftcart-core/src/balance/pick.rs
@@ -23,6 +23,26 @@
     Trial,
 }
 
+impl PickRule {
+    /// Returns `true` if the rule selects backend servers of other failure domains only.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use swiftcart_core::PickRule;
+    ///
+    /// assert!(PickRule::Spill.leaves_domain());
+    /// assert!(!PickRule::Near.leaves_domain());
+    /// ```
+    #[must_use]
+    pub const fn leaves_domain(self) -> bool {
+        match self {
+            Self::Spill | Self::Remote => true,
+            Self::Own | Self::Near | Self::Ejected | Self::Trial => false,
+        }
+    }
+}
+
 /// Selected backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Pick {
--- a/crates/swiftcart-core/src/outcome.rs
+++ b/crates/swiftcart-core/src/outcome.rs
@@ -202,6 +202,25 @@
     NoRoom, "no-room", 503, NotRun;
 }
 
+impl Reason {
+    /// Returns `true` if a guard refuses for this reason because its slots and its queue are taken.
+    ///
+    /// A busy link is another matter: it depends on the length of the response.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use swiftcart_core::Reason;
+    ///
+    /// assert!(Reason::QueueFull.lacks_room());
+    /// assert!(!Reason::LinkBusy.lacks_room());
+    /// ```
+    #[must_use]
+    pub const fn lacks_room(self) -> bool {
+        matches!(self, Self::QueueFull | Self::Overloaded | Self::Throttled)
+    }
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
--- a/crates/swiftcart-core/src/slot_search.rs
+++ b/crates/swiftcart-core/src/slot_search.rs
@@ -150,10 +150,7 @@
     /// Records that the attempt at `guard` failed for `reason`.
     pub fn failed(&mut self, guard: NodeId, reason: Reason) {
         self.excluded.push(guard);
-        let full = matches!(
-            reason,
-            Reason::QueueFull | Reason::LinkBusy | Reason::Overloaded | Reason::Throttled
-        );
+        let full = reason.lacks_room() || reason == Reason::LinkBusy;
         let queued = self.queue_wait() == QueueWait::Full;
         if full {
             self.refused_by = Some(guard);
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -196,11 +196,11 @@
         let routed = with_rng(|rng| view.find(host(&head), head.uri.path(), rng))?;
         let account = self.identify(&mut head, view.accounts(), routed.access)?;
         call.apply_route(&routed, lock(&self.profiles).of(routed.route), now);
+        call.overload_decided = self.decides_overload(routed.entry);
         if account.is_none() {
             self.rank_nested(&mut call, &head, &routed, sent_due);
         }
-        let decides_overload = self.decides_overload(routed.entry);
-        call.spill = decides_overload.then(|| with_rng(SpillDraw::random));
+        call.spill = call.overload_decided.then(|| with_rng(SpillDraw::random));
         let account_regions = account.as_ref().map(|account| &account.regions);
         call.regions = account_regions.map_or_else(
             || routed.regions.clone(),
@@ -268,7 +268,7 @@
         original: &OriginalRequest,
     ) -> Result<Response<Answer>, FailedAttempt> {
         self.check_quarantine(&call, original).await?;
-        let charge = self.charge_quota(&mut call, account.clone(), entry)?;
+        let charge = self.charge_quota(&mut call, account.clone())?;
         let class = self.set_share_standing(&mut call, account.as_deref(), entry);
         let result = self.run_attempts(&call, entry, original).await;
         if let Some(class) = class {
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -8,7 +8,7 @@
 use slog::info;
 use swiftcart_core::{
     Access, Accounts, KeyHash, Outcome, Priority, QuotaMeter, QuotaRequest, Reason, Refusal,
-    ResolvedAccount, ServiceEntry,
+    ResolvedAccount,
 };
 
 use super::log::ms;
@@ -93,12 +93,11 @@
         &self,
         call: &mut Call,
         account: Option<Arc<ResolvedAccount>>,
-        entry: &ServiceEntry,
     ) -> Result<Option<QuotaCharge<'_>>, Refusal> {
         let Some(account) = account else {
             return Ok(None);
         };
-        let request = self.quota_request(call, entry);
+        let request = self.quota_request(call);
         if let Some(priority) = account.priority {
             call.set_priority(priority);
         }
@@ -117,9 +116,9 @@
     ///
     /// Requests of one account are ordered by the priority of their routes, even if the account has
     /// a priority of its own, which orders them among the requests of other accounts.
-    fn quota_request(&self, call: &Call, entry: &ServiceEntry) -> QuotaRequest {
+    fn quota_request(&self, call: &Call) -> QuotaRequest {
         let priority = match call.terms {
-            Some(terms) if self.decides_overload(entry) => terms.priority,
+            Some(terms) if call.overload_decided => terms.priority,
             _ => Priority::default(),
         };
         QuotaRequest::new(priority).with_timing(call.timing(self.balancer().mean_pace()))
--- a/crates/swiftcart-node/src/calls/ingress/asks.rs
+++ b/crates/swiftcart-node/src/calls/ingress/asks.rs
@@ -6,8 +6,8 @@
 use http::Response;
 use slog::info;
 use swiftcart_core::{
-    AskRequest, AskThrottle, AskThrottleSettings, Instant, NextAsk, Payload, Pick, PickRule,
-    Reason, Refusal, ServiceEntry, ServiceName, View,
+    AskRequest, AskThrottle, AskThrottleSettings, Instant, NextAsk, Payload, Pick, Reason, Refusal,
+    ServiceEntry, ServiceName, View,
 };
 
 use super::log::ms;
@@ -85,7 +85,7 @@
         call: &Call,
         entry: &ServiceEntry,
     ) -> Result<Option<AskRequest>, Refusal> {
-        let Some(request) = self.ask_request(call, entry) else {
+        let Some(request) = self.ask_request(call) else {
             return Ok(None);
         };
         let now = self.shared.clock.now();
@@ -120,8 +120,12 @@
         };
         let next = lock(&self.ask_throttles).with(entry.name(), decide);
         if next == NextAsk::Ask {
+            let domain = match pick.rule.leaves_domain() {
+                true => "other",
+                false => "own",
+            };
             let counters = &self.shared.counters;
-            counters.count("swiftcart_asks_total", "domain", domain_label(pick.rule));
+            counters.count("swiftcart_asks_total", "domain", domain);
         }
         next
     }
@@ -192,11 +196,11 @@
 
     /// Returns the attributes by which a throttle decides about the asks of `call`, or `None` if they
     /// are not throttled.
-    fn ask_request(&self, call: &Call, entry: &ServiceEntry) -> Option<AskRequest> {
+    fn ask_request(&self, call: &Call) -> Option<AskRequest> {
         let is_throttled = call.terms.is_some()
             && call.payload == Payload::Light
             && !call.likely_nested
-            && self.decides_overload(entry);
+            && call.overload_decided;
         is_throttled.then(|| AskRequest {
             class: call.class(self.balancer().mean_pace()),
             returning: call.returning,
@@ -240,11 +244,3 @@
         counters.count("swiftcart_ask_requests_total", "result", result);
     }
 }
-
-/// Returns the label in metrics of the failure domain in which `rule` selects a guard.
-const fn domain_label(rule: PickRule) -> &'static str {
-    match rule {
-        PickRule::Spill | PickRule::Remote => "other",
-        PickRule::Own | PickRule::Near | PickRule::Ejected | PickRule::Trial => "own",
-    }
-}
--- a/crates/swiftcart-node/src/calls/ingress/fair_share.rs
+++ b/crates/swiftcart-node/src/calls/ingress/fair_share.rs
@@ -41,7 +41,7 @@
         entry: &ServiceEntry,
     ) -> Option<ShareClass> {
         let (account, terms) = (account?, call.terms?);
-        if !self.decides_overload(entry) {
+        if !call.overload_decided {
             return None;
         }
         let now = self.shared.clock.now();
@@ -97,8 +97,5 @@
 
 /// Returns `true` if a request is refused for `reason` because backend servers have no room.
 const fn is_for_want_of_room(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::NoRoom | Reason::QueueFull | Reason::Overloaded | Reason::Throttled | Reason::Shed
-    )
+    reason.lacks_room() || matches!(reason, Reason::NoRoom | Reason::Shed)
 }
--- a/crates/swiftcart-node/src/calls/ingress/overload.rs
+++ b/crates/swiftcart-node/src/calls/ingress/overload.rs
@@ -11,6 +11,8 @@
 impl Ingress {
     /// Returns `true` if the settings, the configuration in force and the backend servers of
     /// `entry` enable the decisions about overload.
+    ///
+    /// A request keeps the answer of its arrival, so that its rules do not change midway.
     pub(super) fn decides_overload(&self, entry: &ServiceEntry) -> bool {
         let overload = &self.shared.settings.overload;
         let states_pace = || {
@@ -36,7 +38,7 @@
         routed: &RouteMatch<'_>,
         sent_due: Deadline,
     ) {
-        if !(self.decides_overload(routed.entry) && self.is_from_instance(head)) {
+        if !(call.overload_decided && self.is_from_instance(head)) {
             return;
         }
         let has_accounts = !self.shared.view.load().accounts().is_empty();
--- a/crates/swiftcart-node/src/calls/ingress/retrying.rs
+++ b/crates/swiftcart-node/src/calls/ingress/retrying.rs
@@ -90,7 +90,7 @@
         };
         let nodes = self.shared.members.load().len();
         let budget = || match &self.mesh_budget {
-            Some(mesh_budget) if self.decides_overload(entry) => {
+            Some(mesh_budget) if call.overload_decided => {
                 let class = call.class(self.balancer().mean_pace());
                 lock(mesh_budget).take_for(now, entry.name(), nodes, cause, class)
             }
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -53,6 +53,8 @@
     /// `true` if this node refused the request before, and the caller has waited at least as long as
     /// the refusal asked for.
     pub returning: bool,
+    /// `true` if the ingress decides about overload of the service.
+    pub overload_decided: bool,
     /// `true` if the local backend server may have sent the request for one that it runs.
     pub likely_nested: bool,
     /// Random draw by which a spill plan decides whether the request leaves its failure domain;
@@ -400,6 +402,7 @@
             payload: Payload::Light,
             regions: AllowedRegions::default(),
             returning: false,
+            overload_decided: false,
             likely_nested: false,
             spill: None,
             print: CallPrint::default(),
