Move attempts, the guard's report and its log into modules of their own

Ruled out: splitting run_attempts, whose steps read in order. Change: ingress/attempt.rs, guard/report.rs, guard/pending_run.rs; nothing but the place, visibility and imports. Conclusion: one job a module.

--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -1,16 +1,18 @@
 //! Guard of a node: admits requests to the local backend server and reports their results.
 
+mod pending_run;
+mod report;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Body;
-use slog::{error, info};
+use slog::error;
 use swiftcart_core::{
-    Backend, CallResult, ColdStartLimit, HOP_ALLOWANCE, Limits, Load, NodeId, Notice, Pace,
-    ProcessNotice, Readiness, Reason, Refusal, RequestOrigin, ServerRate, ServiceEntry, Slowdown,
-    StatedLoad, Version,
+    Backend, CallResult, ColdStartLimit, Limits, NodeId, Notice, Pace, ProcessNotice, Readiness,
+    Reason, Refusal, RequestOrigin, ServerRate, ServiceEntry, Slowdown, StatedLoad, Version,
 };
 
 use super::admissions::Slot;
@@ -25,40 +27,8 @@
 use crate::counters::Stage;
 use crate::logging::Event;
 use crate::shared::{Phase, Shared};
-
-/// State of the local backend server that a guard reports with each response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Report {
-    /// Numbers of running and queued requests, and the concurrency limit.
-    pub load: Load,
-    /// Pace of the backend server; `None` until it is known.
-    pub pace: Option<Pace>,
-    /// Slowdown that is part of the pace; `None` unless the backend server states it.
-    pub slowdown: Option<Slowdown>,
-}
-
-impl Report {
-    /// Returns the value of the load header: running, queued and limit, followed by the pace and
-    /// the slowdown if they are known.
-    ///
-    /// The slowdown is sent with a pace only: earlier releases would take a placeholder for a pace.
-    fn header_value(&self) -> Option<HeaderValue> {
-        let Load {
-            running,
-            queued,
-            limit,
-        } = self.load;
-        let pace = self.pace.map_or(0, |Pace(pace)| pace);
-        let text = match (self.slowdown, pace) {
-            (_, 0) => format!("{running} {queued} {limit}"),
-            (Some(Slowdown(slowdown)), _) => {
-                format!("{running} {queued} {limit} {pace} {slowdown}")
-            }
-            (None, _) => format!("{running} {queued} {limit} {pace}"),
-        };
-        HeaderValue::try_from(text).ok()
-    }
-}
+use pending_run::PendingRun;
+pub use report::Report;
 
 /// Guard of the backend server beside this node: the only process that sends requests to it.
 #[derive(Debug)]
@@ -88,47 +58,6 @@
     }
 }
 
-/// Request at the guard that has no result yet. If it is dropped before
-/// [`complete`](Self::complete), the reason why the request ended is logged.
-///
-/// The guard drops the request when the ingress closes the connection. The ingress does so when its
-/// caller disconnects, and at the deadline, which may precede the guard's own timeout.
-struct PendingRun<'a> {
-    guard: &'a Guard,
-    call: &'a Call,
-    service: &'a str,
-    open: bool,
-}
-
-impl<'a> PendingRun<'a> {
-    const fn new(guard: &'a Guard, call: &'a Call, service: &'a str) -> Self {
-        Self {
-            guard,
-            call,
-            service,
-            open: true,
-        }
-    }
-
-    /// Marks the request as finished.
-    fn complete(mut self) {
-        self.open = false;
-    }
-}
-
-impl Drop for PendingRun<'_> {
-    fn drop(&mut self) {
-        if self.open {
-            let now = self.guard.shared.clock.now();
-            let reason = match self.call.due.misses(now, HOP_ALLOWANCE) {
-                true => Reason::Timeout,
-                false => Reason::CallerGone,
-            };
-            self.guard.log(self.call, self.service, reason.into());
-        }
-    }
-}
-
 /// Result of the admission of a nested call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NestedAdmission {
@@ -337,27 +266,6 @@
         }
     }
 
-    /// Logs a request that was not forwarded to the backend server or received no response.
-    fn log(&self, call: &Call, service: &str, refusal: Refusal) {
-        let now = self.shared.clock.now();
-        let Some(log) = self.shared.call_log.failed(now) else {
-            return;
-        };
-        let report = self.report();
-        let load = report.map(|report| report.load).unwrap_or_default();
-        let slowdown = report.and_then(|report| report.slowdown);
-        let instance = self.shared.registration().id().map(str::to_owned);
-        info!(log, ""; "event" => Event::Guard, "id" => %call.id, "service" => service,
-            "instance" => instance.as_deref().unwrap_or("-"),
-            "origin" => call.origin().as_str(), "reason" => refusal.reason.as_str(),
-            "running" => load.running,
-            "queued" => load.queued, "limit" => load.limit,
-            "slowdown" => slowdown.map(Slowdown::factor),
-            "left_ms" => u64::try_from(call.due.left(now).as_millis()).unwrap_or(u64::MAX),
-            "age_ms" => u64::try_from(call.age().as_millis()).unwrap_or(u64::MAX),
-            "print" => %call.print);
-    }
-
     async fn admit(
         self: &Arc<Self>,
         call: &Call,
