Say that a request stays near, in place of calling it heavy

Cause: while other failure domains rarely accept requests, short requests were selected as if they had long bodies. That kept them near, and made them avoid guards whose links are busy with long bodies, which has nothing to do with them. Ruled out: leaving it, since a busy link lasts 200 ms and the guards avoided may be the ones with room. Change: PickRequirements::with_stays_near; the size class of the request stays what it is. Before and after: balance.rs, busy_link_accepts_only_light_payloads, has the new case, which the old code could not express; balance, spill, ask_throttle and regions pass. Conclusion: the decision is said where it is made.

--- a/crates/swiftcart-core/src/balance/pick_requirements.rs
+++ b/crates/swiftcart-core/src/balance/pick_requirements.rs
@@ -22,6 +22,8 @@
     /// Draw that decides with the service's spill plan whether the request leaves its failure
     /// domain, or `None` to compare a few candidates instead.
     pub spill: Option<SpillDraw>,
+    /// `true` if the request should leave its failure domain as reluctantly as one with a long body.
+    pub stays_near: bool,
 }
 
 impl PickRequirements {
@@ -38,6 +40,22 @@
         self.spill = draw;
         self
     }
+
+    /// Sets whether the request should leave its failure domain as reluctantly as one with a long
+    /// body, for example because the other domains rarely accept requests.
+    #[must_use]
+    pub const fn with_stays_near(mut self, stays_near: bool) -> Self {
+        self.stays_near = stays_near;
+        self
+    }
+
+    /// Returns the size class whose cost of leaving the failure domain applies.
+    pub(super) const fn crossing(&self) -> Payload {
+        match self.stays_near {
+            true => Payload::Heavy,
+            false => self.payload,
+        }
+    }
 }
 
 impl From<Payload> for PickRequirements {
--- a/crates/swiftcart-core/src/balance/selection.rs
+++ b/crates/swiftcart-core/src/balance/selection.rs
@@ -163,13 +163,13 @@
         rng: &mut R,
     ) -> Option<Choice<'a>> {
         let far = self.best(entry.far(), rng);
-        let saving = self.requirements.payload.penalty();
+        let saving = self.requirements.crossing().penalty();
         match (here, near, far) {
             (Some(here), _, Some(far)) if self.outweighs_detour(far, here.state, saving) => {
                 Some(Choice::spill(far, SpillCause::Faster))
             }
             (Some(here), _, _) => Some(here),
-            (None, Some(near), _) if self.requirements.payload == Payload::Heavy => {
+            (None, Some(near), _) if self.requirements.crossing() == Payload::Heavy => {
                 Some(Choice::near(near, PickRule::Near))
             }
             (None, Some(_), Some(far)) if !self.is_full(far) => {
@@ -196,7 +196,7 @@
         }
         let near = all.iter().filter(|c| c.in_same_domain()).count();
         // A long body stays in its failure domain.
-        let all = match (near, self.requirements.payload) {
+        let all = match (near, self.requirements.crossing()) {
             (0, Payload::Heavy) => return None,
             (0, Payload::Light) => all,
             (near, _) => &all[..near],
@@ -236,7 +236,8 @@
     ) -> bool {
         match (self.expected(remote), self.expected(here)) {
             (Some(there), Some(here)) => {
-                !self.is_full(remote) && there + self.requirements.payload.remote_penalty() < here
+                !self.is_full(remote)
+                    && there + self.requirements.crossing().remote_penalty() < here
             }
             _ => false,
         }
--- a/crates/swiftcart-core/src/balance/selection/planned.rs
+++ b/crates/swiftcart-core/src/balance/selection/planned.rs
@@ -56,7 +56,7 @@
         let is_tried = |id| self.exclude.contains(&id);
         let refusals = || entry.near().iter().filter(|c| is_tried(c.id)).count();
         match here.map(|here| here.rule) {
-            _ if self.requirements.payload == Payload::Heavy => None,
+            _ if self.requirements.crossing() == Payload::Heavy => None,
             Some(PickRule::Own) => None,
             None => Some(SpillCause::GuardsFull),
             Some(_) if advice.leaves.is_some() => advice.leaves,
@@ -92,7 +92,7 @@
         entry: &'a ServiceEntry,
         rng: &mut R,
     ) -> Option<CandidateState<'a>> {
-        let saving = self.requirements.payload.penalty().max(MIN_SAVING);
+        let saving = self.requirements.crossing().penalty().max(MIN_SAVING);
         self.expected(here).filter(|here| *here > saving)?;
         let far = self.best(entry.far(), rng)?;
         self.outweighs_detour(far, here, saving).then_some(far)
--- a/crates/swiftcart-core/tests/balance.rs
+++ b/crates/swiftcart-core/tests/balance.rs
@@ -352,17 +352,22 @@
         .service("a")
         .expect("service in the table")
         .clone();
-    let mut free = |payload: Payload, ms| {
+    let mut free = |requirements: PickRequirements, ms| {
         let now = Instant::from_millis(ms);
         let pick =
             fixture
                 .balancer
-                .pick_for(&payload.into(), now, &entry, &[node(4)], &mut fixture.rng);
+                .pick_for(&requirements, now, &entry, &[node(4)], &mut fixture.rng);
         pick.expect("one candidate is left").free
     };
-    assert!(free(Payload::Light, 10));
-    assert!(!free(Payload::Heavy, 10));
-    assert!(free(Payload::Heavy, 250), "the link is available again");
+    let (light, heavy) = (PickRequirements::default(), Payload::Heavy.into());
+    assert!(free(light.clone(), 10));
+    assert!(free(light.with_stays_near(true), 10));
+    assert!(!free(heavy, 10));
+    assert!(
+        free(Payload::Heavy.into(), 250),
+        "the link is available again"
+    );
 }
 
 /// Adopts a view in which node `n` has announced `pace`.
--- a/crates/swiftcart-core/tests/support/mesh_load.rs
+++ b/crates/swiftcart-core/tests/support/mesh_load.rs
@@ -454,11 +454,9 @@
         let entry = self.views[ingress].service("sensor").expect("the service");
         let stays_near = self.load.ask_throttle.is_some()
             && self.throttles[ingress].stays_near(self.now, AskClass::default());
-        let payload = match stays_near {
-            true => Payload::Heavy,
-            false => Payload::Light,
-        };
-        let requirements = PickRequirements::from(payload).with_spill(draw);
+        let requirements = PickRequirements::default()
+            .with_stays_near(stays_near)
+            .with_spill(draw);
         let balancer = &self.balancers[ingress];
         balancer.pick_for(&requirements, self.now, entry, excluded, &mut self.rng)
     }
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -393,7 +393,7 @@
         tried: &[NodeId],
     ) -> Option<Pick> {
         let now = self.shared.clock.now();
-        let payload = self.pick_payload(call, entry, state);
+        let stays_near = self.stays_near(entry, state);
         let balancer = self.balancer();
         let preferred = call.key.as_ref().and_then(|key| {
             let ids: Vec<NodeId> = entry.candidates().iter().map(|c| c.id).collect();
@@ -410,7 +410,8 @@
                 free: true,
             })
         });
-        let need = PickRequirements::from(payload)
+        let need = PickRequirements::from(call.payload)
+            .with_stays_near(stays_near)
             .with_regions(call.regions.clone())
             .with_spill(call.spill);
         preferred.or_else(|| with_rng(|rng| balancer.pick_for(&need, now, entry, tried, rng)))
--- a/crates/swiftcart-node/src/calls/ingress/asks.rs
+++ b/crates/swiftcart-node/src/calls/ingress/asks.rs
@@ -160,25 +160,15 @@
         FailedAttempt::merge(last, refusal.into()).into_result()
     }
 
-    /// Returns the size class with which the next guard is selected.
-    ///
-    /// Heavy requests stay in their failure domain. While guards of other failure domains rarely
-    /// accept requests, light ones are selected as heavy, so that they stay, too.
-    pub(super) fn pick_payload(
-        &self,
-        call: &Call,
-        entry: &ServiceEntry,
-        state: &CallState,
-    ) -> Payload {
+    /// Returns `true` if the request should stay in its failure domain, because guards of other ones
+    /// rarely accept requests.
+    pub(super) fn stays_near(&self, entry: &ServiceEntry, state: &CallState) -> bool {
         let stays_near = |request: AskRequest| {
             let now = self.shared.clock.now();
             let decide = |throttle: &mut AskThrottle| throttle.stays_near(now, request.class);
             lock(&self.ask_throttles).with(entry.name(), decide)
         };
-        match state.ask_request.is_some_and(stays_near) {
-            true => Payload::Heavy,
-            false => call.payload,
-        }
+        state.ask_request.is_some_and(stays_near)
     }
 
     /// Updates the gauge of accepted asks, and forgets the services that have left the
