Mend what the review had left open on quotas and told times

Cause: a refusal without a retry time gets a default one in its response, but was recorded as if none had been told; a limit whose lifting was lost bound an account again whenever the control loop stalled; priorities that an account no longer sends kept the four places that are counted; a quota covers all services, but its order held only at those whose overload is decided; fair shares decayed up to 1,024 accounts at each request, and had a private type named like another. Ruled out: other lists of told times: the header is written in one place, which now says the time to both. Change: told_retry_after; was_limited; priorities below a count are forgotten; Overload::is_enabled; each count of fair shares decays when it is read. The told time and the order have no test of their own.

--- a/crates/swiftcart-core/src/account/fair_shares.rs
+++ b/crates/swiftcart-core/src/account/fair_shares.rs
@@ -61,10 +61,12 @@
 #[derive(Debug, Default, Clone)]
 pub struct FairShares {
     accounts: HashMap<AccountTag, Demand>,
-    served: f64,
-    updated: Instant,
-    /// Share of an account of weight one, as the number of its requests in the counting time.
-    level: Level,
+    served: DecayedCount,
+    /// Share of an account of weight one, as the number of its requests in the counting time, or
+    /// `None` without a limit.
+    level: Option<f64>,
+    /// Time at which the level was computed.
+    computed: Option<Instant>,
     /// Time of the last refusal for want of room.
     refused: Option<Instant>,
 }
@@ -80,19 +82,31 @@
     pub part: f64,
 }
 
-/// Decayed count of an account's requests.
-#[derive(Debug, Clone, Copy)]
+/// Requests of an account.
+#[derive(Debug, Default, Clone, Copy)]
 struct Demand {
     weight: f64,
-    asked: f64,
+    asked: DecayedCount,
     standing: ShareStanding,
 }
 
-/// Share of an account of weight one, and the time at which it was computed.
+/// Count of requests over the counting time, decayed until `updated`.
 #[derive(Debug, Default, Clone, Copy)]
-struct Level {
-    share: Option<f64>,
-    computed: Option<Instant>,
+struct DecayedCount {
+    count: f64,
+    updated: Instant,
+}
+
+impl DecayedCount {
+    /// Returns the count decayed to the present.
+    fn at(self, now: Instant) -> f64 {
+        self.count * decay_factor(now.since(self.updated), COUNTING_TIME)
+    }
+
+    fn add(&mut self, now: Instant, requests: f64) {
+        self.count = self.at(now) + requests;
+        self.updated = self.updated.max(now);
+    }
 }
 
 impl FairShares {
@@ -115,18 +129,17 @@
         is_first: bool,
         rng: &mut R,
     ) -> ShareDecision {
-        self.decay(now);
         self.refresh_level(now);
         let share = self.share(now);
         let is_full = self.accounts.len() >= MAX_ACCOUNTS;
         let demand = match self.accounts.get_mut(&account) {
             Some(demand) => demand,
             None if is_full => return ShareDecision::within(),
-            None => self.accounts.entry(account).or_insert(Demand::new(weight)),
+            None => self.accounts.entry(account).or_default(),
         };
         demand.weight = weight;
-        demand.asked += if is_first { 1.0 } else { 0.0 };
-        let part = share.map_or(1.0, |share| demand.part_within(share));
+        demand.asked.add(now, if is_first { 1.0 } else { 0.0 });
+        let part = share.map_or(1.0, |share| demand.part_within(now, share));
         ShareDecision {
             standing: match rng.random::<f64>() < part {
                 true => ShareStanding::Within,
@@ -139,8 +152,7 @@
 
     /// Counts a request that was served.
     pub fn served(&mut self, now: Instant) {
-        self.decay(now);
-        self.served += 1.0;
+        self.served.add(now, 1.0);
     }
 
     /// Records a refusal for want of room.
@@ -152,50 +164,45 @@
     fn share(&self, now: Instant) -> Option<f64> {
         let is_recent = |at| now.since(at) < CONTENTION_TIME;
         let is_contended = self.refused.is_some_and(is_recent);
-        self.level.share.filter(|_| is_contended)
+        self.level.filter(|_| is_contended)
     }
 
     /// Computes the share of an account of weight one again after [`LEVEL_INTERVAL`].
     fn refresh_level(&mut self, now: Instant) {
         let is_recent = |at| now.since(at) < LEVEL_INTERVAL;
-        if self.level.computed.is_some_and(is_recent) {
+        if self.computed.is_some_and(is_recent) {
             return;
         }
-        self.accounts.retain(|_, demand| demand.asked > MIN_ASKED);
-        self.level = Level {
-            share: self.fill(),
-            computed: Some(now),
-        };
+        self.accounts
+            .retain(|_, demand| demand.asked.at(now) > MIN_ASKED);
+        self.level = self.fill(now);
+        self.computed = Some(now);
     }
 
     /// Returns the level at which the accounts use up what was served, or `None` if they asked for
     /// no more, or for too little to tell.
-    fn fill(&self) -> Option<f64> {
-        let asked: f64 = self.accounts.values().map(|demand| demand.asked).sum();
-        if asked < MIN_REQUESTS {
+    fn fill(&self, now: Instant) -> Option<f64> {
+        let demands = self.accounts.values();
+        let mut demands: Vec<(f64, f64)> = demands
+            .map(|demand| (demand.asked.at(now), demand.weight))
+            .collect();
+        if demands.iter().map(|(asked, _)| asked).sum::<f64>() < MIN_REQUESTS {
             return None;
         }
-        let mut demands: Vec<Demand> = self.accounts.values().copied().collect();
-        demands.sort_by(|a, b| a.level().total_cmp(&b.level()));
-        let mut room = SHARED_PART * self.served;
-        let mut weights: f64 = demands.iter().map(|demand| demand.weight).sum();
+        // The level at which an account's share equals what the account asks for.
+        let level = |(asked, weight): &(f64, f64)| asked / weight;
+        demands.sort_by(|a, b| level(a).total_cmp(&level(b)));
+        let mut room = SHARED_PART * self.served.at(now);
+        let mut weights: f64 = demands.iter().map(|(_, weight)| weight).sum();
         for demand in &demands {
-            if demand.level() * weights > room {
+            if level(demand) * weights > room {
                 return Some(room / weights);
             }
-            room -= demand.asked;
-            weights -= demand.weight;
+            room -= demand.0;
+            weights -= demand.1;
         }
         None
     }
-
-    fn decay(&mut self, now: Instant) {
-        let factor = decay_factor(now.since(self.updated), COUNTING_TIME);
-        self.updated = self.updated.max(now);
-        self.served *= factor;
-        let demands = self.accounts.values_mut();
-        demands.for_each(|demand| demand.asked *= factor);
-    }
 }
 
 impl ShareDecision {
@@ -210,26 +217,14 @@
 }
 
 impl Demand {
-    const fn new(weight: f64) -> Self {
-        Self {
-            weight,
-            asked: 0.0,
-            standing: ShareStanding::Within,
-        }
-    }
-
-    /// Returns the level at which the account's share equals what it asks for.
-    fn level(&self) -> f64 {
-        self.asked / self.weight
-    }
-
     /// Returns the part of the requests that lies within the share at `level`.
     ///
     /// Counts of a few requests vary by chance. An account may exceed its share by one standard
     /// deviation, so that small accounts are not placed behind others for one request too many.
-    fn part_within(&self, level: f64) -> f64 {
+    fn part_within(&self, now: Instant, level: f64) -> f64 {
         let share = self.weight * level;
-        ((share + share.sqrt()) / self.asked.max(f64::MIN_POSITIVE)).min(1.0)
+        let asked = self.asked.at(now).max(f64::MIN_POSITIVE);
+        ((share + share.sqrt()) / asked).min(1.0)
     }
 
     /// Updates the account's standing, and returns it if it has changed.
--- a/crates/swiftcart-core/src/account/meter.rs
+++ b/crates/swiftcart-core/src/account/meter.rs
@@ -298,7 +298,7 @@
         rng: &mut R,
     ) -> bool {
         // The ledger gives the share of a node that reports nothing to the other nodes.
-        if self.is_report_late(now) && self.ratio < 1.0 {
+        if self.is_report_late(now) && self.was_limited() {
             false
         } else if self.is_ledger_unreachable(now) {
             self.take_fallback(now, rng)
@@ -347,6 +347,12 @@
         self.unreported_since.is_some_and(is_late)
     }
 
+    /// Returns `true` if the account was limited when the requests began that are not reported yet.
+    fn was_limited(&self) -> bool {
+        self.unreported_since
+            .is_some_and(|since| self.is_limited(since))
+    }
+
     fn is_limited(&self, now: Instant) -> bool {
         self.ratio < 1.0 && now.since(self.received) < LIMIT_TTL
     }
--- a/crates/swiftcart-core/src/account/rank_counts.rs
+++ b/crates/swiftcart-core/src/account/rank_counts.rs
@@ -15,6 +15,9 @@
 /// Maximum number of priorities that are counted apart.
 const MAX_RANKS: usize = 4;
 
+/// Decayed count below which a priority is forgotten, so that it leaves its place to another one.
+const MIN_COUNT: f64 = 0.05;
+
 /// Decayed counts of an account's requests at one node, by priority.
 ///
 /// If an account sends more than its quota, the quota goes to the account's most urgent requests.
@@ -39,6 +42,7 @@
     /// urgent priority, or under the most urgent one.
     pub(super) fn record(&mut self, now: Instant, priority: Priority) {
         self.decay(now);
+        self.counts.retain(|_, count| *count > MIN_COUNT);
         let rank = match self.counts.len() < MAX_RANKS {
             true => priority,
             false => self.rank_of(priority),
--- a/crates/swiftcart-core/src/ask_throttle.rs
+++ b/crates/swiftcart-core/src/ask_throttle.rs
@@ -222,20 +222,21 @@
     /// Creates the refusal of a request for which the service has no room.
     ///
     /// The retry delay follows from the rate at which requests of the class are accepted here, and
-    /// from the callers that were given a retry delay before. It is at least `told`, the retry delay
-    /// that a guard has given.
+    /// from the callers that were given a retry delay before. It is at least
+    /// `guard_delay`, the retry delay that a guard has given.
     pub fn refuse<R: Rng + ?Sized>(
         &mut self,
         now: Instant,
         class: AskClass,
-        told: Option<Duration>,
+        guard_delay: Option<Duration>,
         rng: &mut R,
     ) -> Refusal {
         let decay_time = self.settings.decay_time;
         let retry_after = self
             .counts_mut(now, class)
             .retry_delay(now, decay_time, rng);
-        Refusal::new(Reason::NoRoom).with_retry(told.map_or(retry_after, |t| t.max(retry_after)))
+        let after = guard_delay.map_or(retry_after, |delay| delay.max(retry_after));
+        Refusal::new(Reason::NoRoom).with_retry(after)
     }
 
     /// Returns the current counts of a class.
--- a/crates/swiftcart-core/tests/quota.rs
+++ b/crates/swiftcart-core/tests/quota.rs
@@ -247,3 +247,62 @@
     let ratio = ledger.receive(resumed, node, &usage(410, 1_400), quota);
     assert!(ratio.permille < AdmissionRatio::ALL, "{ratio:?}");
 }
+
+#[test]
+fn priorities_that_are_no_longer_sent_leave_their_places() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let (account, quota) = (
+        AccountTag(7),
+        Quota {
+            rate: 10,
+            burst: 10,
+        },
+    );
+    let mut meter = QuotaMeter::new(1);
+    let ledger = NodeId(SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1));
+    let mut admitted = |now, priority, permille| {
+        meter.report(now, account, ledger);
+        meter.receive(now, AdmissionRatio { account, permille });
+        let request = QuotaRequest::new(Priority(priority));
+        meter.admit(now, account, quota, request, &mut rng).is_ok()
+    };
+    for n in 0..80 {
+        admitted(Instant::from_millis(n), (n % 4) as u8, AdmissionRatio::ALL);
+    }
+    let later = |n: u64| Instant::from_millis(60_000 + n);
+    for n in 0..100 {
+        admitted(later(n), 5 + (n % 2) as u8, 500);
+    }
+    let urgent = (0..20).filter(|_| admitted(later(100), 5, 500)).count();
+    let others = (0..20).filter(|_| admitted(later(100), 6, 500)).count();
+    assert!(urgent >= 17 && others <= 8, "{urgent} and {others} of 20");
+}
+
+#[test]
+fn limit_that_expired_before_the_control_loop_stalled_does_not_bind() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let (account, quota) = (
+        AccountTag(7),
+        Quota {
+            rate: 100,
+            burst: 100,
+        },
+    );
+    let mut meter = QuotaMeter::new(1);
+    let limited = AdmissionRatio {
+        account,
+        permille: 100,
+    };
+    meter.receive(Instant::from_millis(0), limited);
+    let mut admit = |ms| {
+        meter.admit(
+            Instant::from_millis(ms),
+            account,
+            quota,
+            QuotaRequest::default(),
+            &mut rng,
+        )
+    };
+    assert!(admit(20_000).is_ok(), "the limit has expired");
+    assert!(admit(22_000).is_ok(), "an equal share of the quota remains");
+}
--- a/crates/swiftcart-node/src/calls/answer.rs
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -365,22 +365,31 @@
     if retried {
         headers.insert(RETRIED, HeaderValue::from_static("1"));
     }
-    if let Some(after) = retry_after(refusal, answers) {
+    if let Some(after) = retry_after_value(refusal, answers) {
         headers.insert(RETRY_AFTER, after);
     }
     response
 }
 
-/// Returns the value of the `retry-after` header in seconds.
-fn retry_after(refusal: Refusal, answers: Answers) -> Option<HeaderValue> {
-    let text = match (answers, refusal.retry_after) {
-        // Whole seconds are rounded up, because an early retry would be refused again.
-        (Answers::ByReason, Some(after)) => after.as_millis().div_ceil(1000).max(1).to_string(),
-        (Answers::Promise, Some(after)) => format!("{:.3}", after.as_secs_f64()),
+/// Returns the retry delay that the caller of a refused request is told, if any.
+#[must_use]
+pub const fn told_retry_after(refusal: Refusal, answers: Answers) -> Option<Duration> {
+    match (answers, refusal.retry_after) {
+        (_, Some(after)) => Some(after),
         (Answers::Promise, None) if is_retryable(refusal.reason) => {
-            format!("{:.3}", default_retry_after(refusal.reason).as_secs_f64())
+            Some(default_retry_after(refusal.reason))
         }
-        (_, None) => return None,
+        (_, None) => None,
+    }
+}
+
+/// Returns the value of the `retry-after` header in seconds.
+fn retry_after_value(refusal: Refusal, answers: Answers) -> Option<HeaderValue> {
+    let after = told_retry_after(refusal, answers)?;
+    let text = match answers {
+        // Whole seconds are rounded up, because an early retry would be refused again.
+        Answers::ByReason => after.as_millis().div_ceil(1000).max(1).to_string(),
+        Answers::Promise => format!("{:.3}", after.as_secs_f64()),
     };
     HeaderValue::try_from(text).ok()
 }
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -29,7 +29,7 @@
 
 use tokio::task::JoinError;
 
-use super::answer::{Answer, refuse};
+use super::answer::{Answer, refuse, told_retry_after};
 use super::guard::Guard;
 use super::keyed::claim_guard_order;
 use super::peers::Peers;
@@ -249,7 +249,8 @@
     /// `first` is the time of the caller's first attempt.
     fn record_refusal(&self, call: &Call, first: Instant, refusal: Refusal) {
         let now = self.shared.clock.now();
-        let retry_at = refusal.retry_after.map(|after| now + after);
+        let told = told_retry_after(refusal, self.shared.settings.answers);
+        let retry_at = told.map(|after| now + after);
         let prior = PriorRefusal { first, retry_at };
         lock(&self.refusal_history).record(now, call.print.head, prior);
         self.count_nested_refusal(call, refusal.reason.as_str());
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -115,10 +115,11 @@
     /// Returns the attributes of a request for the quota of its account.
     ///
     /// Requests of one account are ordered by the priority of their routes, even if the account has
-    /// a priority of its own, which orders them among the requests of other accounts.
+    /// a priority of its own, which orders them among the requests of other accounts. A quota covers
+    /// all services, so the order applies to all as soon as overload is decided for any.
     fn quota_request(&self, call: &Call) -> QuotaRequest {
         let priority = match call.terms {
-            Some(terms) if call.overload_decided => terms.priority,
+            Some(terms) if self.shared.settings.overload.is_enabled() => terms.priority,
             _ => Priority::default(),
         };
         QuotaRequest::new(priority).with_timing(call.timing(self.balancer().mean_pace()))
--- a/crates/swiftcart-node/src/settings/overload.rs
+++ b/crates/swiftcart-node/src/settings/overload.rs
@@ -13,6 +13,12 @@
 }
 
 impl Overload {
+    /// Returns `true` if the decisions are enabled for some services or for all.
+    #[must_use]
+    pub fn is_enabled(&self) -> bool {
+        !self.when.is_empty()
+    }
+
     /// Returns `true` if `trigger` enables the decisions.
     #[must_use]
     pub fn has(&self, trigger: OverloadTrigger) -> bool {
