Let a guard contradict a notice only once its backend server has answered

Cause: what ingresses know of a rate or a departure outlives the guard's own memory, which an expired announcement voids. A guard that had just found its backend server again told 'no notice', and the ingress then dropped what it knew: requests went out without the named rate until the first answer came. This needs an announcement between the refusal of a request and the look at the guard, which a busy machine allows. Change: NoticeTracker::known is None until the process has answered or a notice was relayed; the guard then says nothing. Before and after: calls.rs, guard_contradicts_a_notice..., first case, fails without the change and passes with it; notice and notices pass.

--- a/crates/swiftcart-core/src/notice/tracker.rs
+++ b/crates/swiftcart-core/src/notice/tracker.rs
@@ -59,6 +59,17 @@
         self.current != old
     }
 
+    /// Returns the current notice, or `None` if the process has answered no request and no node has
+    /// relayed a notice.
+    ///
+    /// A guard that has just found its backend server again knows less than the nodes that were
+    /// served before.
+    #[must_use]
+    pub fn known(&self) -> Option<Notice> {
+        let is_known = self.confirmed.is_some() || self.current != Notice::default();
+        is_known.then_some(self.current)
+    }
+
     /// Returns the current notice.
     #[must_use]
     pub const fn now(&self) -> Notice {
--- a/crates/swiftcart-core/tests/notice.rs
+++ b/crates/swiftcart-core/tests/notice.rs
@@ -35,6 +35,16 @@
     assert_eq!(parsed.map(ServerRate::per_second), expected);
 }
 
+#[test]
+fn a_process_that_has_not_answered_has_no_known_notice() {
+    let mut tracker = NoticeTracker::default();
+    assert_eq!(tracker.known(), None);
+    tracker.relay(rate(5.0));
+    assert_eq!(tracker.known(), Some(rate(5.0)));
+    tracker.observe(at(100), at(0), NO_NOTICE);
+    assert_eq!(tracker.known(), Some(NO_NOTICE));
+}
+
 /// Each answer has the time of its arrival, the time of the hand-over of its request, and a notice.
 #[rstest]
 #[case::the_first_answer_sets_the_rate(&[(100, 0, rate(20.0))], rate(20.0))]
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -152,10 +152,11 @@
         }
     }
 
-    /// Returns the current notice of the backend server's process.
+    /// Returns the current notice of the backend server's process, or `None` if nothing is known of it
+    /// yet. What other nodes know then stays in force.
     #[must_use]
     pub fn told(&self) -> Option<ProcessNotice> {
-        Some(self.upstream.load().as_ref()?.process_notice())
+        self.upstream.load().as_ref()?.process_notice()
     }
 
     /// Returns the value of the notice header for a response to another node.
@@ -200,7 +201,8 @@
         let upstream = self.upstream.load();
         let (load, rate, stated) = upstream.as_ref().map_or_else(Default::default, |upstream| {
             upstream.sweep();
-            let rate = upstream.process_notice().notice.rate;
+            let rate = upstream.process_notice();
+            let rate = rate.and_then(|known| known.notice.rate);
             (upstream.load(), rate, upstream.stated_load())
         });
         self.update_stated_gauges(stated);
--- a/crates/swiftcart-node/src/calls/notices.rs
+++ b/crates/swiftcart-node/src/calls/notices.rs
@@ -101,13 +101,15 @@
         self.shared.leaves(identity);
     }
 
-    /// Returns the current notice with the tag of its process, for other nodes.
+    /// Returns the current notice with the tag of its process, for other nodes, or `None` if nothing
+    /// is known of the process yet.
     #[must_use]
-    pub fn process_notice(&self) -> ProcessNotice {
-        ProcessNotice {
+    pub fn process_notice(&self) -> Option<ProcessNotice> {
+        let notice = self.lock().known()?;
+        Some(ProcessNotice {
             process: self.process,
-            notice: self.current(),
-        }
+            notice,
+        })
     }
 
     fn record_unreadable(&self, now: Instant, call: &Call, err: RateError) {
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -187,9 +187,10 @@
         self.admissions.stated_load()
     }
 
-    /// Returns the current notice from the responses of the backend server.
+    /// Returns the current notice of the backend server, or `None` if nothing is known of its process
+    /// yet.
     #[must_use]
-    pub fn process_notice(&self) -> ProcessNotice {
+    pub fn process_notice(&self) -> Option<ProcessNotice> {
         self.notices.process_notice()
     }
 
--- a/crates/swiftcart-node/tests/calls.rs
+++ b/crates/swiftcart-node/tests/calls.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use common::{
-    SERVICE, announce, backend_at, call, dead_addr, head, log_with, node, node_beside,
+    SERVICE, announce, backend_at, call, call_at, dead_addr, head, log_with, node, node_beside,
     node_deciding, request, until, wait_until_routed,
 };
 use http_body_util::{BodyExt, Full};
@@ -399,3 +399,30 @@
     let counted = format!("swiftcart_refusals_total{{reason=\"{reason}\"}} 1");
     until(|| node.shared().counters.render().contains(&counted)).await;
 }
+
+#[rstest]
+#[case::before_the_first_answer("other", 1, 0)]
+#[case::after_an_answer(SERVICE, 2, 1)]
+#[tokio::test]
+async fn guard_contradicts_a_notice_only_once_its_backend_server_has_answered(
+    #[case] service: &str,
+    #[case] requests: usize,
+    #[case] notices: usize,
+) {
+    let log = log_with(Limits::default()).await;
+    let node = node(&log).await;
+    let _backend = backend_at(&node, BackendSettings::new(SERVICE)).await;
+    let headers = [
+        ("swiftcart-service", service),
+        ("swiftcart-deadline-ms", "1000"),
+        ("swiftcart-request-id", "a1"),
+        ("swiftcart-notice", "000000000000000f 5"),
+    ];
+    let peer = node.shared().settings.listen.peer;
+    let mut reply = call_at(peer, request("GET", "/", &headers)).await;
+    for _ in 1..requests {
+        reply = call_at(peer, request("GET", "/", &headers)).await;
+    }
+    let sent = reply.headers.get_all("swiftcart-notice").iter().count();
+    assert_eq!(sent, notices, "{:?}", reply.headers);
+}
