Log which version routed a request, how a node received it and who acknowledged it

A served request's line had no version, a refused one's had the version of the moment of logging, and nothing said whether a version had been read, pushed or pulled, by whom, or which witness had acknowledged it. A failed read was logged once for each outage.

The answer and try lines now carry the version that routed the request. New events: received, acknowledged, witnessed, read. No decision changes. Test: explain.rs, the_logs_tell_which_version_routed_a_request.

--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -131,15 +131,16 @@
         let id = head.headers.get(&self.shared.headers.request_id.0).cloned();
         let target = format!("{}{}", host(&head).unwrap_or("-"), head.uri.path());
         let pending = PendingCall::new(self, id.as_ref(), &target, start);
-        let result = self.route(head, body).await;
-        pending.complete();
+        let result = self.route(head, body, &pending).await;
+        let version = pending.complete();
         let counters = &self.shared.counters;
         let now = self.shared.clock.now();
         counters.stage(Stage::Ingress, now.since(start));
         match result {
             Ok(response) => response,
             Err(failed) => {
-                self.log_refusal(id.as_ref(), &target, failed.refusal, now.since(start));
+                let elapsed = now.since(start);
+                self.log_refusal(id.as_ref(), &target, failed.refusal, elapsed, version);
                 let reason = failed.refusal.reason;
                 counters.refuse(reason.as_str());
                 counters.call(reason.outcome());
@@ -177,6 +178,7 @@
         &self,
         mut head: Parts,
         body: Option<Incoming>,
+        pending: &PendingCall<'_>,
     ) -> Result<Response<Answer>, FailedAttempt> {
         let settings = &self.shared.settings;
         let now = self.shared.clock.now();
@@ -185,7 +187,9 @@
         let sent_due = call.due;
         self.check_phase(now)?;
         let view = self.shared.view.load_full();
-        if view.version() == Version::NONE {
+        call.version = view.version();
+        pending.set_version(call.version);
+        if call.version == Version::NONE {
             // A node that is stopped before it received a configuration cannot tell whether a
             // route exists.
             return Err(Reason::NotReady.into());
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -1,10 +1,13 @@
 //! Log events of the ingress about single calls.
 
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use http::{HeaderValue, StatusCode};
 use slog::info;
-use swiftcart_core::{Instant, Pick, Reason, Refusal, RetryTarget, ServiceEntry, SpillCause};
+use swiftcart_core::{
+    Instant, Pick, Reason, Refusal, RetryTarget, ServiceEntry, SpillCause, Version,
+};
 
 use super::{CallState, FailedAttempt, Ingress};
 use crate::calls::request::Call;
@@ -17,6 +20,8 @@
     id: Option<&'a HeaderValue>,
     target: &'a str,
     start: Instant,
+    /// Version that routed the request, once it is routed.
+    version: OnceLock<Version>,
     open: bool,
 }
 
@@ -33,13 +38,25 @@
             id,
             target,
             start,
+            version: OnceLock::new(),
             open: true,
         }
     }
 
-    /// Marks the request as answered.
-    pub(super) fn complete(mut self) {
+    /// Records the version of the configuration that routes the request. Only the first call has an
+    /// effect.
+    pub(super) fn set_version(&self, version: Version) {
+        self.version.get_or_init(|| version);
+    }
+
+    /// Marks the request as answered and returns the version that routed it.
+    pub(super) fn complete(mut self) -> Version {
         self.open = false;
+        self.version()
+    }
+
+    fn version(&self) -> Version {
+        self.version.get().copied().unwrap_or(Version::NONE)
     }
 }
 
@@ -50,7 +67,7 @@
             let gone = Reason::CallerGone.into();
             let elapsed = now.since(self.start);
             self.ingress
-                .log_refusal(self.id, self.target, gone, elapsed);
+                .log_refusal(self.id, self.target, gone, elapsed, self.version());
         }
     }
 }
@@ -78,7 +95,7 @@
                 "status" => status.as_u16(), "tries" => state.failures + 1, "guard" => %pick.id,
                 "rule" => ?pick.rule, "ms" => ms(now.since(state.start)),
                 "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
-                "print" => %call.print, "cause" => cause_label(pick));
+                "print" => %call.print, "cause" => cause_label(pick), "version" => call.version.0);
         }
     }
 
@@ -103,7 +120,7 @@
             "reason" => failed.refusal.reason.as_str(), "load" => load.as_deref().unwrap_or("-"),
             "next" => next.map_or_else(|why| why, target_label), "ms" => ms(now.since(state.start)),
             "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
-            "print" => %call.print, "cause" => cause_label(pick));
+            "print" => %call.print, "cause" => cause_label(pick), "version" => call.version.0);
     }
 
     /// Logs a refusal with which this node itself answers the caller.
@@ -113,17 +130,17 @@
         target: &str,
         refusal: Refusal,
         elapsed: Duration,
+        version: Version,
     ) {
         let now = self.shared.clock.now();
         let Some(log) = self.shared.call_log.failed(now) else {
             return;
         };
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
-        let view = self.shared.view.load();
         info!(log, ""; "event" => Event::Answer, "id" => id, "target" => target, "status" => "own",
             "outcome" => refusal.reason.outcome().as_str(), "reason" => refusal.reason.as_str(),
             "retry_after_ms" => refusal.retry_after.map(ms), "ms" => ms(elapsed),
-            "version" => view.version().0);
+            "version" => version.0);
     }
 }
 
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -5,12 +5,12 @@
 
 use http::header::{AUTHORIZATION, COOKIE, HOST};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Version};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Version as HttpVersion};
 use swiftcart_core::{
     AdmissionRequest, AllowedRegions, AskClass, Attempt, BodyHash, CallerHash, Deadline,
     Fingerprint, HeadFields, HeadHash, Instant, ParentRank, Payload, Priority, QueueWait, Reason,
     RequestClass, RequestDigest, RequestOrigin, RequestTiming, ResponseLength, RouteMatch,
-    RouteProfile, RouteTag, ShareStanding, SpillDraw,
+    RouteProfile, RouteTag, ShareStanding, SpillDraw, Version,
 };
 
 use super::headers::{
@@ -36,6 +36,8 @@
 pub struct Call {
     /// Request id in logs.
     pub id: RequestId,
+    /// Version of the configuration by which this node routes the request.
+    pub version: Version,
     /// Deadline of the response.
     pub due: Deadline,
     /// Number of earlier attempts, across all levels that retry.
@@ -394,6 +396,7 @@
         strip_hop_by_hop(headers);
         Ok(Self {
             id,
+            version: Version::NONE,
             due: Deadline::new(now, due),
             attempt: Attempt(attempt),
             idempotent,
@@ -416,7 +419,7 @@
 fn validate(head: &Parts) -> Result<(), Reason> {
     match (&head.method, head.version) {
         (&Method::CONNECT, _) => Err(Reason::BadRequest),
-        (_, Version::HTTP_11) if head.uri.path_and_query().is_some() => Ok(()),
+        (_, HttpVersion::HTTP_11) if head.uri.path_and_query().is_some() => Ok(()),
         _ => Err(Reason::BadRequest),
     }
 }
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -27,6 +27,7 @@
 mod sync_client;
 mod sync_server;
 mod trials;
+mod version_log;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -229,6 +229,7 @@
             Datagram::Report { version } if self.stream.witness.on_report(from, *version) => {
                 let version = *version;
                 self.net.send(from, &Datagram::ReportAck { version });
+                self.log_witnessed(from, version);
             }
             Datagram::ReportAck { version } => {
                 let witnesses = &self.roster.witnesses;
--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -15,6 +15,7 @@
 use super::pulls::PullOutcome;
 use super::reader::{Read, ReadRole, STREAM};
 use super::stream::StreamEffects;
+use super::version_log::VersionSource;
 use super::{Input, report_skipped};
 use crate::edge::SnapshotSource;
 use crate::logging::Event;
@@ -37,9 +38,13 @@
 
 impl Control {
     pub(super) fn on_push(&mut self, now: Instant, from: NodeId, origin: NodeId, entries: &[u8]) {
+        let before = self.stream.source.version();
         let witnesses = &self.roster.witnesses;
         match self.stream.on_push(now, from, origin, entries, witnesses) {
-            Ok(effects) => self.apply_effects(effects),
+            Ok(effects) => {
+                self.log_received(before, VersionSource::Push { from, origin });
+                self.apply_effects(effects);
+            }
             Err(_) => {
                 let counters = &self.shared.counters;
                 counters.count("swiftcart_datagrams_dropped_total", "reason", "malformed");
@@ -65,13 +70,16 @@
                     let len = page.entries.iter().map(|e| e.body.len()).sum();
                     count(&self.shared, Traffic::PlatformRead, len);
                 }
+                let before = self.stream.source.version();
                 let effects = self.stream.on_read(now, read, &self.roster.witnesses);
+                self.log_received(before, VersionSource::Platform);
                 self.apply_effects(effects);
                 let read_role = self.read_role(now);
                 self.reader.tick(now, read_role, self.stream.from());
             }
             Err(PlatformError::TooLarge) => {}
             Err(e) => {
+                self.log_failed_read(&e);
                 self.stream.readiness.on_outage();
                 self.record_platform_state(Some(&e));
             }
@@ -98,6 +106,7 @@
     pub(super) fn on_pulled(&mut self, pulled: PullOutcome) {
         let now = self.now();
         let peer = pulled.peer;
+        let before = self.stream.source.version();
         self.pulls.end(peer);
         match pulled.result {
             Ok(SyncReply::Feed(answer)) => {
@@ -120,6 +129,7 @@
                 self.count_pull(e.as_str());
             }
         }
+        self.log_received(before, VersionSource::Pull(peer));
     }
 
     pub(super) fn count_pull(&self, reason: &'static str) {
@@ -137,7 +147,10 @@
     }
 
     pub(super) fn apply_effects(&mut self, effects: StreamEffects) {
-        self.stale |= effects.enforced;
+        if let Some(enforced) = effects.enforced {
+            self.stale = true;
+            self.log_enforced(enforced);
+        }
         for (version, to) in effects.reports {
             for witness in to {
                 self.net.send(witness, &Datagram::Report { version });
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -185,6 +185,11 @@
         self.readers
     }
 
+    /// Returns the time before which no read starts.
+    pub(super) const fn next_read(&self) -> Instant {
+        self.next_read
+    }
+
     /// Returns the source of snapshots, if the platform has one.
     pub(super) fn snapshots(&self) -> Option<&dyn SnapshotSource> {
         self.snapshots.as_deref()
--- a/crates/swiftcart-node/src/control/stream.rs
+++ b/crates/swiftcart-node/src/control/stream.rs
@@ -36,8 +36,26 @@
     pub(super) feed: Vec<FeedAction>,
     /// Versions to report, with the witnesses that receive each report.
     pub(super) reports: Vec<(Version, Vec<NodeId>)>,
-    /// Set if another version may now be put in force.
-    pub(super) enforced: bool,
+    /// Version that is now enforced, if it changed.
+    pub(super) enforced: Option<EnforcedVersion>,
+}
+
+/// Version that passed the enforcement gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct EnforcedVersion {
+    pub(super) version: Version,
+    pub(super) cause: EnforcementCause,
+}
+
+/// Reason why a version passed the enforcement gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum EnforcementCause {
+    /// This witness acknowledged the version.
+    Acknowledged(NodeId),
+    /// No witness acknowledged the version in time.
+    Timeout,
+    /// The node knows no witness.
+    NoWitness,
 }
 
 impl Stream {
@@ -145,13 +163,13 @@
         witnesses: &[NodeId],
     ) -> StreamEffects {
         let actions = self.enforcement.on_ack(now, peer, version, witnesses);
-        self.enforce(actions)
+        self.enforce(actions, EnforcementCause::Acknowledged(peer))
     }
 
     /// Enforces versions whose witnesses did not acknowledge them in time.
     pub(super) fn on_tick(&mut self, now: Instant, witnesses: &[NodeId]) -> StreamEffects {
         let actions = self.enforcement.on_tick(now, witnesses);
-        self.enforce(actions)
+        self.enforce(actions, EnforcementCause::Timeout)
     }
 
     /// Returns the checkpoint to append if one is due for a reader of this rank.
@@ -195,10 +213,14 @@
         let version = self.source.version();
         self.unacknowledged.insert(version, self.source.config());
         let actions = self.enforcement.on_version(now, version, witnesses);
-        self.enforce(actions)
+        self.enforce(actions, EnforcementCause::NoWitness)
     }
 
-    fn enforce(&mut self, actions: Vec<EnforcementAction>) -> StreamEffects {
+    fn enforce(
+        &mut self,
+        actions: Vec<EnforcementAction>,
+        cause: EnforcementCause,
+    ) -> StreamEffects {
         let mut effects = StreamEffects::default();
         for action in actions {
             match action {
@@ -208,7 +230,7 @@
                     let ready = std::mem::replace(&mut self.unacknowledged, later);
                     if let Some((_, latest)) = ready.into_iter().next_back() {
                         self.enforced = latest;
-                        effects.enforced = true;
+                        effects.enforced = Some(EnforcedVersion { version, cause });
                     }
                 }
             }
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -42,6 +42,14 @@
     Phase,
     /// Another configuration became active.
     Applied,
+    /// A newer configuration arrived from the platform or from another node.
+    Received,
+    /// A witness acknowledged a reported version, or none did in time.
+    Acknowledged,
+    /// This node acknowledged a version that another node reported.
+    Witnessed,
+    /// A read of the platform failed or was aborted.
+    Read,
     /// The log of the platform cannot be read.
     PlatformDown,
     /// The log of the platform can be read again.
@@ -118,6 +126,10 @@
             Self::Failed => "failed",
             Self::Phase => "phase",
             Self::Applied => "applied",
+            Self::Received => "received",
+            Self::Acknowledged => "acknowledged",
+            Self::Witnessed => "witnessed",
+            Self::Read => "read",
             Self::PlatformDown => "platform-down",
             Self::PlatformUp => "platform-up",
             Self::Stalled => "stalled",
