Let each node know how old its knowledge is, and read the platform when nobody else confirms it

What callers saw: a route that had been changed 2.5 s before was still handled as before, or a new one refused with 404, while most nodes lost the store, while open connections were silent, and after restarts meanwhile.

Cause: silence was taken for 'nothing new'. Which nodes read followed from their rank among live nodes, whether or not they reached the store. A long poll of 25 s that is not answered looks like one that waits, so nobody saw an outage; the next in rank looked every 5 to 40 s and kept that pause when they became readers; between failure domains only random probes carried versions.

Change: a node knows when its version was last confirmed by a read that ended (Freshness, swiftcart-core). One node of the mesh reads in steps of 0.4 s and tells all; when it stops, the others take over in order, twice as many in each step of 80 ms, and whoever succeeds goes on. A confirming read replaces a long poll that is open. New versions are pushed to the other failure domains too. The standbys' rare reads are gone. A history that was forgotten is read anew within the same call, so that its end does not count as 'nothing new'.

--- a/crates/swiftcart-core/src/feed.rs
+++ b/crates/swiftcart-core/src/feed.rs
@@ -3,6 +3,7 @@
 mod action;
 mod enforcement_gate;
 mod follow;
+mod freshness;
 mod log_scan;
 mod readiness_gate;
 mod replay_start;
@@ -15,6 +16,7 @@
 pub use action::*;
 pub use enforcement_gate::*;
 pub use follow::*;
+pub use freshness::{Freshness, takeover_delay};
 pub use readiness_gate::*;
 pub use replay_start::ReplayStart;
 pub use settings::*;
--- a/crates/swiftcart-core/src/feed/tree.rs
+++ b/crates/swiftcart-core/src/feed/tree.rs
@@ -27,6 +27,46 @@
     tree.into_iter().skip(first).take(fanout).collect()
 }
 
+/// Returns the members to which a node outside of them sends a message of round `round`.
+///
+/// [`relay_children`] forwards it to the others.
+#[must_use]
+pub fn relay_roots(members: &[NodeId], round: u64, fanout: usize) -> Vec<NodeId> {
+    rotated(members, round).take(fanout).collect()
+}
+
+/// Returns the members to which `me` forwards a message of round `round`.
+///
+/// The members form `fanout` trees in sorted order, rotated by the round: a node that forwards
+/// nothing affects other members in each round.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{NodeId, relay_children, relay_roots};
+///
+/// let nodes: Vec<_> = (1..=5).map(|port| NodeId(([10, 0, 0, 1], port).into())).collect();
+/// assert_eq!(relay_roots(&nodes, 3, 2), [nodes[3], nodes[4]]);
+/// assert_eq!(relay_children(&nodes, 3, nodes[3], 2), [nodes[0], nodes[1]]);
+/// assert_eq!(relay_children(&nodes, 3, nodes[4], 2), [nodes[2]]);
+/// ```
+#[must_use]
+pub fn relay_children(members: &[NodeId], round: u64, me: NodeId, fanout: usize) -> Vec<NodeId> {
+    let index = rotated(members, round).position(|id| id == me);
+    let first = index.map_or(members.len(), |i| {
+        i.saturating_add(1).saturating_mul(fanout)
+    });
+    let children = rotated(members, round).skip(first).take(fanout);
+    children.collect()
+}
+
+fn rotated(members: &[NodeId], round: u64) -> impl Iterator<Item = NodeId> + '_ {
+    let len = u64::try_from(members.len()).unwrap_or(u64::MAX).max(1);
+    let start = usize::try_from(round % len).unwrap_or(0);
+    let (before, after) = members.split_at(start.min(members.len()));
+    after.iter().chain(before).copied()
+}
+
 /// Returns `members` in the order of their rendezvous hash with `salt`.
 ///
 /// A member that joins or leaves does not change the order of the other members.
--- a/crates/swiftcart-core/src/member/membership.rs
+++ b/crates/swiftcart-core/src/member/membership.rs
@@ -204,7 +204,8 @@
             | Datagram::Findings(_)
             | Datagram::Rollouts(_)
             | Datagram::Quotas(_)
-            | Datagram::Drains(_) => {}
+            | Datagram::Drains(_)
+            | Datagram::Confirmation(_) => {}
         }
         self.record_contact(now, from);
         std::mem::take(&mut self.actions)
--- a/crates/swiftcart-core/src/wire/datagram.rs
+++ b/crates/swiftcart-core/src/wire/datagram.rs
@@ -154,6 +154,23 @@
     /// Reports which failure domains are drained. The previous release does not know this variant
     /// and drops it.
     Drains(DrainMessage),
+    /// Confirms that a position of the configuration stream was the newest one. The previous
+    /// release does not know this variant and drops it.
+    Confirmation(Confirmation),
+}
+
+/// Result of a read of the platform, for all nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Random number that identifies the read. It selects the tree in which the message is
+    /// forwarded, see [`relay_children`](crate::relay_children).
+    pub round: u64,
+    /// Newest position at the platform.
+    pub head: Head,
+    /// Time since the platform was read, in milliseconds.
+    pub age_ms: u32,
+    /// Position after the version in the platform's history; `None` if the sender does not know it.
+    pub place: Option<u64>,
 }
 
 impl Datagram {
--- a/crates/swiftcart-node/src/control.rs
+++ b/crates/swiftcart-node/src/control.rs
@@ -5,6 +5,7 @@
 //! does the I/O.
 
 mod board;
+mod confirmations;
 mod control_loop;
 mod drains;
 mod error;
@@ -40,7 +41,7 @@
 use self::board::RecordedRollout;
 use self::control_loop::Control;
 use self::pulls::PullOutcome;
-use self::reader::Read;
+use self::reader::ReadOutcome;
 use crate::edge::{DirectoryListing, PlatformAdapters};
 use crate::logging::Event;
 use crate::shared::Shared;
@@ -49,7 +50,7 @@
 #[derive(Debug)]
 enum Input {
     PullOutcome(Box<PullOutcome>),
-    Read(Box<Result<Read, PlatformError>>),
+    Read(Box<ReadOutcome>),
     /// Contents of the directory.
     Discovered(DirectoryListing),
     CheckpointAppended(Result<(), PlatformError>),
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -7,8 +7,8 @@
 use rand::{Rng, SeedableRng};
 use slog::{info, warn};
 use swiftcart_core::{
-    Backend, Datagram, Incarnation, Instant, Liveness, Member, Membership, MeshKey, NodeId,
-    PaceAnnouncer, SyncReply, SyncRequest,
+    Backend, Datagram, Freshness, Incarnation, Instant, Liveness, Member, Membership, MeshKey,
+    NodeId, PaceAnnouncer, SyncReply, SyncRequest,
 };
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
@@ -54,6 +54,10 @@
     pub(super) roster: Roster,
     pub(super) pulls: Pulls,
     pub(super) reader: Reader,
+    /// Age of the confirmation that this node has the newest version.
+    pub(super) freshness: Freshness,
+    /// Round of the last confirmation that was forwarded.
+    pub(super) forwarded_round: Option<u64>,
     pub(super) snapshot_cache: SnapshotCache,
     /// Set if this node, while it has no version, pulls positioned snapshots from other nodes.
     pub(super) pulls_snapshots: bool,
@@ -121,6 +125,7 @@
         let stream = Stream::new(shared.id, settings, edges.snapshots.is_some());
         let pulls = Pulls::new(Arc::clone(&shared), key, sender.clone());
         let reader = Reader::new(Arc::clone(&shared), edges.snapshots, sender.clone(), rng);
+        let freshness = Freshness::new(shared.clock.now());
         let snapshot_cache = SnapshotCache::new(settings.link);
         let quarantine_store = edges
             .directory
@@ -157,6 +162,8 @@
             stream,
             pulls,
             reader,
+            freshness,
+            forwarded_round: None,
             snapshot_cache,
             pulls_snapshots: true,
             listed_nodes: 0,
@@ -195,6 +202,13 @@
 
     fn on_tick(&mut self) {
         let now = self.now();
+        self.freshness.on_tick(now);
+        let age = self.freshness.age(now).as_secs_f64();
+        let gauge = self
+            .shared
+            .counters
+            .gauge("swiftcart_confirmed_age_seconds");
+        gauge.set(age);
         self.membership.set_head(self.stream.source.head());
         self.apply_unreached();
         let actions = self.membership.tick(now);
@@ -245,6 +259,7 @@
             Datagram::Rollouts(message) => self.on_rollouts(now, from, message),
             Datagram::Quotas(message) => self.on_quotas(now, from, message),
             Datagram::Drains(message) => self.on_drains(now, from, message),
+            Datagram::Confirmation(confirmation) => self.on_confirmation(now, from, *confirmation),
             Datagram::FloorReply { version } => self.stream.readiness.on_peer_floor(from, *version),
             _ => {}
         }
@@ -259,7 +274,7 @@
     fn on_input(&mut self, input: Input) {
         match input {
             Input::PullOutcome(pulled) => self.on_pulled(*pulled),
-            Input::Read(result) => self.on_read(*result),
+            Input::Read(outcome) => self.on_read(*outcome),
             Input::Discovered(discovered) => self.on_discovered(&discovered),
             Input::RecordedRollout(recorded) => self.on_recorded(&recorded),
             Input::CheckpointAppended(Ok(())) => {
@@ -305,6 +320,7 @@
     /// the matching view is thus already in force.
     fn publish(&mut self) {
         let now = self.now();
+        self.freshness.on_position(self.stream.source.position().0);
         let phase = publish::phase(self, now);
         let old = *self.shared.phase.borrow();
         let entering = old != phase && !old.is_stop();
--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -13,7 +13,7 @@
 use super::control_loop::Control;
 use super::net::{Traffic, count};
 use super::pulls::PullOutcome;
-use super::reader::{Read, ReadRole, STREAM};
+use super::reader::{Read, ReadOutcome, ReadRole, STREAM};
 use super::stream::StreamEffects;
 use super::version_log::VersionSource;
 use super::{Input, report_skipped};
@@ -52,10 +52,10 @@
         }
     }
 
-    pub(super) fn on_read(&mut self, result: Result<Read, PlatformError>) {
+    pub(super) fn on_read(&mut self, outcome: ReadOutcome) {
         let now = self.now();
         let read_role = self.read_role(now);
-        let unreadable = self.reader.finish(now, read_role, &result);
+        let unreadable = self.reader.finish(now, read_role, &outcome);
         if unreadable > 0 {
             report_skipped(&self.shared, "config", unreadable);
         }
@@ -63,7 +63,7 @@
         self.apply_orders(now, &orders.unwrap_or_default());
         let drains = self.reader.snapshots().map(SnapshotSource::drains);
         self.apply_drains(now, &drains.unwrap_or_default());
-        match result {
+        match outcome.result {
             Ok(read) => {
                 self.record_platform_state(None);
                 if let Read::Page(page) = &read {
@@ -71,15 +71,25 @@
                     count(&self.shared, Traffic::PlatformRead, len);
                 }
                 let before = self.stream.source.version();
+                let end = read.end();
                 let effects = self.stream.on_read(now, read, &self.roster.witnesses);
                 self.log_received(before, VersionSource::Platform);
+                self.push_elsewhere(&effects.feed);
                 self.apply_effects(effects);
+                if let Some(end) = end
+                    && self.stream.source.position() >= end
+                {
+                    self.confirm(now, outcome.read);
+                }
                 let read_role = self.read_role(now);
                 self.reader.tick(now, read_role, self.stream.from());
             }
             Err(PlatformError::TooLarge) => {}
             Err(e) => {
-                self.log_failed_read(&e);
+                self.log_failed_read(outcome.read.kind, &e);
+                if outcome.read.kind.confirms() {
+                    self.freshness.on_failed();
+                }
                 self.stream.readiness.on_outage();
                 self.record_platform_state(Some(&e));
             }
@@ -208,18 +218,32 @@
     /// Forwards records or a delta to this node's children in the push tree of `origin`.
     fn push<T: Serialize + ?Sized>(&self, origin: NodeId, entries: &T) {
         let head = self.stream.source.head();
-        let offer = Datagram::Offer { origin, head };
-        let datagram = match postcard::to_stdvec(entries) {
-            Ok(entries) if entries.len() <= MAX_PUSH_BYTES => Datagram::Push { origin, entries },
-            Ok(_) | Err(_) => offer,
-        };
+        let datagram = push_datagram(origin, entries).unwrap_or(Datagram::Offer { origin, head });
         self.send_to_children(origin, &datagram);
     }
 
+    /// Pushes what this node has read to the other failure domains, if it fits into a datagram.
+    ///
+    /// Longer records and deltas are pulled by the nodes that learn of them from a confirmation.
+    fn push_elsewhere(&self, actions: &[FeedAction]) {
+        for action in actions {
+            let datagram = match action {
+                FeedAction::Push { origin, entries } => push_datagram(*origin, entries),
+                FeedAction::PushDelta {
+                    origin,
+                    delta: Some(delta),
+                } => push_datagram(*origin, &**delta),
+                _ => None,
+            };
+            if let Some(datagram) = datagram {
+                self.send_elsewhere(&datagram);
+            }
+        }
+    }
+
     /// Sends a datagram to this node's children in the push tree of `origin`.
     fn send_to_children(&self, origin: NodeId, datagram: &Datagram) {
-        let fanout = usize::try_from(self.shared.settings.gossip.fanout).unwrap_or(1);
-        for child in push_children(&self.roster.near, origin, self.shared.id, fanout) {
+        for child in push_children(&self.roster.near, origin, self.shared.id, self.fanout()) {
             self.net.send(child, datagram);
         }
     }
@@ -265,6 +289,16 @@
             },
             rank_known,
             deferred: !self.may_read(now) || first && !reads && now.elapsed() < FIRST_START_WAIT,
+            confirm: self
+                .freshness
+                .due(now, self.roster.takeover)
+                .filter(|_| rank_known),
         }
     }
 }
+
+/// Returns the message with records or a delta, or `None` if they do not fit into a datagram.
+fn push_datagram<T: Serialize + ?Sized>(origin: NodeId, entries: &T) -> Option<Datagram> {
+    let entries = postcard::to_stdvec(entries).ok()?;
+    (entries.len() <= MAX_PUSH_BYTES).then_some(Datagram::Push { origin, entries })
+}
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -21,14 +21,14 @@
 const PAGE_RECORDS: u32 = 256;
 /// Time for which the platform holds a read without new records.
 const LONG_POLL: Duration = Duration::from_secs(10);
-/// Read interval of the first standby. It doubles for each further standby.
-const STANDBY_INTERVAL: Duration = Duration::from_secs(5);
-/// Number of nodes ranked after the readers that read occasionally, in case the readers fail.
-const STANDBY_COUNT: usize = 4;
 /// Pause after a snapshot was read, so that versions in quick succession are read together. Each
-/// read has a cost. A version has two seconds to be in force, of which distribution from a reader
-/// to all nodes takes 0.1 s.
+/// read has a cost. The node that confirms the version for all reads sooner.
 const BATCH_DELAY: Duration = Duration::from_millis(900);
+/// The same pause of the node that confirms. With the wait of its read, it is shorter than the time
+/// after which other nodes take over.
+const CONFIRM_BATCH_DELAY: Duration = Duration::from_millis(250);
+/// Pause of a node that is no reader after it found that no version is published yet.
+const UNPUBLISHED_DELAY: Duration = Duration::from_secs(5);
 
 /// Time for which the platform holds a read of snapshots without a newer one. It is below the
 /// platform's maximum of 30 s. Keep-alive probes of the connection detect an unreachable platform.
@@ -47,6 +47,69 @@
     UnknownPosition,
 }
 
+impl Read {
+    /// Returns the newest position that the read found, or `None` if it cannot tell.
+    pub(super) fn end(&self) -> Option<Offset> {
+        match self {
+            Self::Page(page) => Some(page.next),
+            Self::Newest(snapshot) => {
+                let version = snapshot.as_ref().map_or(Version::NONE, |s| s.version);
+                Some(Offset(version.0))
+            }
+            Self::Confirmed(version) => Some(Offset(version.0)),
+            Self::UnknownPosition => None,
+        }
+    }
+}
+
+/// Purpose of a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReadKind {
+    /// A starting node reads the newest version once.
+    Join,
+    /// A reader waits for a newer version.
+    LongPoll,
+    /// The node checks for all nodes whether the version is still the newest one.
+    Confirm {
+        /// Time to wait for a newer version.
+        wait: Duration,
+    },
+}
+
+impl ReadKind {
+    /// Returns the name of the kind in logs and metrics.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Join => "once",
+            Self::LongPoll => "long-poll",
+            Self::Confirm { .. } => "confirm",
+        }
+    }
+
+    /// Returns `true` if the result is told to all nodes.
+    pub(super) const fn confirms(self) -> bool {
+        matches!(self, Self::Confirm { .. })
+    }
+}
+
+/// Purpose and times of a read that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct FinishedRead {
+    pub(super) kind: ReadKind,
+    pub(super) began: Instant,
+    /// Time at which the platform had nothing newer than the result.
+    pub(super) as_of: Instant,
+}
+
+/// Read that has ended, and its result.
+#[derive(Debug)]
+pub(super) struct ReadOutcome {
+    pub(super) read: FinishedRead,
+    pub(super) result: Result<Read, PlatformError>,
+    /// Number of the read.
+    number: u64,
+}
+
 /// Reader of the platform's log, with one read at a time.
 #[derive(Debug)]
 pub(super) struct Reader {
@@ -57,18 +120,37 @@
     rng: SmallRng,
     readers: usize,
     page_limit: PageLimit,
-    task: Option<JoinHandle<()>>,
-    long_poll: bool,
+    open: Option<OpenRead>,
+    /// Number of reads that were started.
+    started: u64,
     /// Set if the last read found no published version, or no newer one.
     empty: bool,
     /// Number of skipped records that could not be read, as of the last read.
     unreadable: u64,
-    next_read: Instant,
+    /// Time before which no read starts, after a failure.
+    retry_at: Instant,
+    /// Time before which no read starts that waits for a newer version.
+    next_poll: Instant,
+    /// Time before which no confirming read starts.
+    next_confirm: Instant,
     /// Randomized time of the first read, drawn when the number of other nodes is known.
     first_read: Option<Instant>,
     backoff: Backoff,
 }
 
+#[derive(Debug)]
+struct OpenRead {
+    kind: ReadKind,
+    number: u64,
+    task: JoinHandle<()>,
+}
+
+impl Drop for OpenRead {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 /// Inputs that determine whether and when the node reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ReadRole {
@@ -82,6 +164,8 @@
     pub(super) rank_known: bool,
     /// Set while the node waits for other nodes to read the platform.
     pub(super) deferred: bool,
+    /// Time for which a confirming read waits, if one is due.
+    pub(super) confirm: Option<Duration>,
 }
 
 impl Reader {
@@ -103,71 +187,82 @@
             rng,
             readers,
             page_limit: PageLimit::new(PAGE_RECORDS),
-            task: None,
-            long_poll: false,
+            open: None,
+            started: 0,
             empty: false,
             unreadable: 0,
-            next_read: Instant::default(),
+            retry_at: Instant::default(),
+            next_poll: Instant::default(),
+            next_confirm: Instant::default(),
             first_read: None,
             backoff: Backoff::new(),
         }
     }
 
-    /// Starts a read if the node's role requires one, and aborts a long poll of a node that is no
-    /// longer a reader.
+    /// Starts the read that the node's role requires, and aborts a long poll that is no longer
+    /// useful: of a node that is no longer a reader, or one that is open while the version has to be
+    /// confirmed.
     pub(super) fn tick(&mut self, now: Instant, read_role: ReadRole, from: Offset) {
+        let due = self.due(now, read_role);
         let is_reader = read_role.rank < self.readers;
-        match self.task.take_if(|_| self.long_poll && !is_reader) {
-            Some(task) => {
-                task.abort();
-                self.next_read = now + self.standby_delay(read_role.rank);
-            }
-            None if self.task.is_some() || now < self.next_read => {}
-            None if !self.is_due(now, read_role) => {}
+        match (self.open.as_ref().map(|open| open.kind), due) {
+            (Some(ReadKind::LongPoll), Some(kind)) if kind.confirms() => self.start(from, kind),
+            (Some(ReadKind::LongPoll), _) if !is_reader => self.open = None,
+            (None, Some(kind)) => self.start(from, kind),
+            (Some(_) | None, _) => {}
+        }
+    }
+
+    /// Returns the read that has to be open now, if any.
+    fn due(&mut self, now: Instant, read_role: ReadRole) -> Option<ReadKind> {
+        let is_reader = read_role.rank < self.readers;
+        match read_role.confirm {
+            _ if now < self.retry_at => None,
+            _ if read_role.joining && !self.joins(now, read_role) => None,
             // Before the members are known, each node ranks itself as a reader.
-            None if read_role.joining && !self.empty => self.start(from, false),
-            None if is_reader && !read_role.rank_known => {}
-            None => self.start(from, is_reader),
+            _ if read_role.joining && !self.empty => Some(ReadKind::Join),
+            Some(wait) if !read_role.joining && now >= self.next_confirm => {
+                Some(ReadKind::Confirm { wait })
+            }
+            _ if now < self.next_poll => None,
+            _ if is_reader && read_role.rank_known => Some(ReadKind::LongPoll),
+            _ if read_role.joining && !is_reader => Some(ReadKind::Join),
+            _ => None,
         }
     }
 
-    /// Records the end of a read. The next read is delayed after a failure, after a snapshot, or on
-    /// a standby.
+    /// Records the end of a read. The next read is delayed after a failure and after a snapshot.
     ///
     /// Returns the number of records that the read skipped because they could not be read.
     pub(super) fn finish(
         &mut self,
         now: Instant,
         read_role: ReadRole,
-        result: &Result<Read, PlatformError>,
+        outcome: &ReadOutcome,
     ) -> u64 {
-        self.task = None;
+        self.open.take_if(|open| open.number == outcome.number);
         let unreadable = self.take_unreadable();
-        let wait = match result {
+        match &outcome.result {
             Ok(read) => {
                 self.backoff.succeeded();
                 self.page_limit.grow();
                 self.empty = matches!(read, Read::Newest(None));
-                let is_reader = read_role.rank < self.readers;
-                match read {
-                    Read::Newest(Some(_)) if is_reader => BATCH_DELAY,
-                    // Unreadable records must not increase the rate of reads.
-                    Read::Newest(None) if unreadable > 0 => BATCH_DELAY,
-                    // No newer version exists: the readers poll again, and other nodes wait for the
-                    // readers.
-                    Read::Newest(None) if is_reader => Duration::ZERO,
-                    Read::Page(_) if is_reader || read_role.joining => Duration::ZERO,
-                    Read::Confirmed(_) if is_reader => Duration::ZERO,
-                    Read::UnknownPosition => Duration::ZERO,
-                    Read::Newest(_) | Read::Page(_) | Read::Confirmed(_) => {
-                        self.standby_delay(read_role.rank)
-                    }
+                // Unreadable records must not increase the rate of reads.
+                let batches = matches!(read, Read::Newest(Some(_))) || unreadable > 0;
+                if batches {
+                    self.next_confirm = now + CONFIRM_BATCH_DELAY;
                 }
+                self.next_poll = match outcome.read.kind {
+                    _ if batches => now + BATCH_DELAY,
+                    ReadKind::Join if self.empty && read_role.rank >= self.readers => {
+                        now + UNPUBLISHED_DELAY
+                    }
+                    _ => now,
+                };
             }
-            Err(e) if self.page_limit.shrink(e) => Duration::ZERO,
-            Err(e) => self.backoff.failed(e, &mut self.rng),
-        };
-        self.next_read = now + wait;
+            Err(e) if self.page_limit.shrink(e) => {}
+            Err(e) => self.retry_at = now + self.backoff.failed(e, &mut self.rng),
+        }
         unreadable
     }
 
@@ -185,9 +280,9 @@
         self.readers
     }
 
-    /// Returns the time before which no read starts.
-    pub(super) const fn next_read(&self) -> Instant {
-        self.next_read
+    /// Returns the time before which no read starts after a failure.
+    pub(super) const fn retry_at(&self) -> Instant {
+        self.retry_at
     }
 
     /// Returns the source of snapshots, if the platform has one.
@@ -200,12 +295,9 @@
         &self.platform
     }
 
-    fn is_due(&mut self, now: Instant, read_role: ReadRole) -> bool {
-        match read_role.joining {
-            true if read_role.deferred => false,
-            true => now >= self.first_read(now, read_role.spread),
-            false => read_role.rank < self.readers + STANDBY_COUNT,
-        }
+    /// Returns `true` if a starting node may read now.
+    fn joins(&mut self, now: Instant, read_role: ReadRole) -> bool {
+        !read_role.deferred && now >= self.first_read(now, read_role.spread)
     }
 
     /// Returns the randomized time of this joiner's first read, which avoids a thundering herd.
@@ -216,38 +308,37 @@
             .get_or_insert_with(|| now + spread.mul_f64(share))
     }
 
-    fn start(&mut self, from: Offset, long_poll: bool) {
-        let wait = match (long_poll, &self.snapshots) {
-            (true, None) => LONG_POLL,
-            (true, Some(_)) => SNAPSHOT_LONG_POLL,
-            (false, _) => Duration::ZERO,
+    fn start(&mut self, from: Offset, kind: ReadKind) {
+        let wait = match (kind, &self.snapshots) {
+            (ReadKind::LongPoll, None) => LONG_POLL,
+            (ReadKind::LongPoll, Some(_)) => SNAPSHOT_LONG_POLL,
+            (ReadKind::Confirm { wait }, _) => wait,
+            (ReadKind::Join, _) => Duration::ZERO,
         };
-        let (platform, inputs) = (self.platform.clone(), self.inputs.clone());
+        let platform = self.platform.clone();
         let (shared, page_limit) = (Arc::clone(&self.shared), self.page_limit.records());
-        let name = "swiftcart_platform_reads_total";
-        let kind = if long_poll { "long-poll" } else { "once" };
-        self.shared.counters.count(name, "kind", kind);
-        self.long_poll = long_poll;
         let snapshots = self.snapshots.clone();
-        self.task = Some(tokio::spawn(async move {
-            let read = match snapshots {
-                Some(snapshots) => {
-                    let newest = snapshots.newest(Version(from.0), wait).await;
+        self.spawn(kind, wait, async move {
+            let read = match (snapshots, kind) {
+                (Some(snapshots), ReadKind::Join) => {
+                    let newest = snapshots.newest().await;
                     newest.map(Read::Newest)
                 }
-                None => {
+                (Some(snapshots), _) => {
+                    let newer = snapshots.newer(Version(from.0), wait).await;
+                    newer.map(Read::Newest)
+                }
+                (None, _) => {
                     let page = platform.read(STREAM, from, page_limit, wait).await;
                     page.map(Read::Page)
                 }
             };
             // The response is also lost if the partition began while the platform held the read.
-            let read = match reachable(&shared, platform.addr()) {
+            match reachable(&shared, platform.addr()) {
                 true => read,
                 false => simulate_outage(&shared).await,
-            };
-            // Sending fails only after the control loop has stopped.
-            drop(inputs.send(Input::Read(Box::new(read))).await);
-        }));
+            }
+        });
     }
 
     /// Checks for versions newer than one that another node sent, in place of a read.
@@ -255,36 +346,42 @@
         let Some(snapshots) = self.snapshots.clone() else {
             return;
         };
-        if let Some(task) = self.task.take() {
-            task.abort();
-        }
-        let name = "swiftcart_platform_reads_total";
-        self.shared.counters.count(name, "kind", "behind");
-        self.long_poll = false;
-        let inputs = self.inputs.clone();
-        self.task = Some(tokio::spawn(async move {
-            let read = snapshots.behind(place).await.map(|behind| match behind {
+        self.spawn(ReadKind::Join, Duration::ZERO, async move {
+            let behind = snapshots.behind(place).await;
+            behind.map(|behind| match behind {
                 NextVersion::Nothing => Read::Confirmed(version),
                 NextVersion::Newer(snapshot) => Read::Newest(Some(snapshot)),
                 NextVersion::Unknown => Read::UnknownPosition,
-            });
-            // Sending fails only after the control loop has stopped.
-            drop(inputs.send(Input::Read(Box::new(read))).await);
-        }));
+            })
+        });
     }
 
-    fn standby_delay(&mut self, rank: usize) -> Duration {
-        let behind = u32::try_from(rank.saturating_sub(self.readers)).unwrap_or(u32::MAX);
-        let wait = STANDBY_INTERVAL.saturating_mul(1 << behind.min(8));
-        wait.mul_f64(self.rng.random_range(0.8..1.2))
-    }
-}
-
-impl Drop for Reader {
-    fn drop(&mut self) {
-        if let Some(task) = &self.task {
-            task.abort();
-        }
+    /// Runs a read in the background. Replaces the read that is open.
+    fn spawn(
+        &mut self,
+        kind: ReadKind,
+        wait: Duration,
+        read: impl Future<Output = Result<Read, PlatformError>> + Send + 'static,
+    ) {
+        let counters = &self.shared.counters;
+        counters.count("swiftcart_platform_reads_total", "kind", kind.as_str());
+        let (clock, inputs) = (self.shared.clock, self.inputs.clone());
+        self.started += 1;
+        let number = self.started;
+        let task = tokio::spawn(async move {
+            let began = clock.now();
+            let result = read.await;
+            let waited = clock.now().since(began) >= wait;
+            let as_of = if waited { began + wait } else { began };
+            let outcome = ReadOutcome {
+                read: FinishedRead { kind, began, as_of },
+                result,
+                number,
+            };
+            // Sending fails only after the control loop has stopped.
+            drop(inputs.send(Input::Read(Box::new(outcome))).await);
+        });
+        self.open = Some(OpenRead { kind, number, task });
     }
 }
 
--- a/crates/swiftcart-node/src/control/version_log.rs
+++ b/crates/swiftcart-node/src/control/version_log.rs
@@ -1,10 +1,13 @@
 //! Log events that show how a version reached this node, and which nodes acknowledged it.
 
+use std::time::Duration;
+
 use slog::info;
 use swiftcart_core::{NodeId, Version};
 use swiftcart_platform::PlatformError;
 
 use super::control_loop::Control;
+use super::reader::ReadKind;
 use super::stream::{EnforcedVersion, EnforcementCause};
 use crate::logging::Event;
 
@@ -73,14 +76,20 @@
     }
 
     /// Logs a failed read of the platform and the delay until the next read.
-    pub(super) fn log_failed_read(&self, error: &PlatformError) {
+    pub(super) fn log_failed_read(&self, kind: ReadKind, error: &PlatformError) {
         let now = self.now();
-        let retry_ms = self.reader.next_read().since(now).as_millis();
-        info!(self.shared.logger, ""; "event" => Event::Read, "error" => %error,
-            "retry_ms" => u64::try_from(retry_ms).unwrap_or(u64::MAX));
+        let retry = self.reader.retry_at().since(now);
+        info!(self.shared.logger, ""; "event" => Event::Read, "kind" => kind.as_str(),
+            "error" => %error, "age_ms" => ms(self.freshness.age(now)),
+            "retry_ms" => ms(retry));
     }
 }
 
+/// Returns whole milliseconds.
+pub(super) fn ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn label(node: Option<NodeId>) -> String {
     node.map_or_else(|| "-".into(), |node| node.to_string())
 }
--- a/crates/swiftcart-node/src/edge.rs
+++ b/crates/swiftcart-node/src/edge.rs
@@ -31,14 +31,25 @@
 
 /// Platform that validates configurations itself and stores the newest accepted one.
 pub trait SnapshotSource: fmt::Debug + Send + Sync {
+    /// Returns the newest version, or `None` if no version is published.
+    ///
+    /// # Errors
+    ///
+    /// Returns any [`PlatformError`]. The error does not show whether there is a version.
+    fn newest(&self) -> PlatformFuture<'_, Option<Snapshot>>;
+
     /// Returns the newest version if it is above `known`.
     ///
-    /// Waits up to `wait` for such a version, and returns `None` if there is none.
+    /// Waits up to `wait` for such a version, and returns `None` if there is none. The result holds
+    /// for the time of the call plus `wait`.
     ///
     /// # Errors
     ///
     /// Returns any [`PlatformError`]. The error does not show whether there is a newer version.
-    fn newest(&self, known: Version, wait: Duration) -> PlatformFuture<'_, Option<Snapshot>>;
+    fn newer(&self, known: Version, wait: Duration) -> PlatformFuture<'_, Option<Snapshot>>;
+
+    /// Continues reads after a position that another node has read.
+    fn resume(&self, _place: u64) {}
 
     /// Returns the position after `version` in the version history.
     ///
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -48,8 +48,10 @@
     Acknowledged,
     /// This node acknowledged a version that another node reported.
     Witnessed,
-    /// A read of the platform failed or was aborted.
+    /// A read of the platform failed.
     Read,
+    /// This node begins to confirm the version for all nodes.
+    Takeover,
     /// The log of the platform cannot be read.
     PlatformDown,
     /// The log of the platform can be read again.
@@ -130,6 +132,7 @@
             Self::Acknowledged => "acknowledged",
             Self::Witnessed => "witnessed",
             Self::Read => "read",
+            Self::Takeover => "takeover",
             Self::PlatformDown => "platform-down",
             Self::PlatformUp => "platform-up",
             Self::Stalled => "stalled",
--- a/crates/swiftcart-node/tests/nested.rs
+++ b/crates/swiftcart-node/tests/nested.rs
@@ -38,7 +38,11 @@
 }
 
 impl SnapshotSource for FixedSnapshot {
-    fn newest(&self, known: Version, wait: Duration) -> PlatformFuture<'_, Option<Snapshot>> {
+    fn newest(&self) -> PlatformFuture<'_, Option<Snapshot>> {
+        Box::pin(async { Ok(Some(snapshot(self.has_account))) })
+    }
+
+    fn newer(&self, known: Version, wait: Duration) -> PlatformFuture<'_, Option<Snapshot>> {
         Box::pin(async move {
             let snapshot = snapshot(self.has_account);
             if snapshot.version > known {
