Read the platform again within two seconds of a failure, whatever time it names

Cause: a failed read was followed by a pause of up to 4 s, and by any pause that the answer named, up to an hour. A version has two seconds to be in force.

Change: Backoff::with_limit; reads of the configuration wait for 2 s at most. Other calls keep the platform's time.

--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -27,6 +27,9 @@
 /// The same pause of the node that confirms. With the wait of its read, it is shorter than the time
 /// after which other nodes take over.
 const CONFIRM_BATCH_DELAY: Duration = Duration::from_millis(250);
+/// Longest pause after a failed read, also where the platform asks for a longer one. A version that
+/// is published during an outage has to be in force soon after it.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Pause of a node that is no reader after it found that no version is published yet.
 const UNPUBLISHED_DELAY: Duration = Duration::from_secs(5);
 
@@ -195,7 +198,7 @@
             next_poll: Instant::default(),
             next_confirm: Instant::default(),
             first_read: None,
-            backoff: Backoff::new(),
+            backoff: Backoff::new().with_limit(MAX_RETRY_DELAY),
         }
     }
 
--- a/crates/swiftcart-platform/tests/backoff.rs
+++ b/crates/swiftcart-platform/tests/backoff.rs
@@ -1,5 +1,7 @@
 //! Tests of the delays between failed reads.
 
+use std::time::Duration;
+
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rstest::rstest;
@@ -43,3 +45,23 @@
     backoff.succeeded();
     assert_eq!(backoff, Backoff::new());
 }
+
+#[rstest]
+#[case::a_short_request(100, 250..=500)]
+#[case::a_long_request(9_000, 2000..=2000)]
+fn a_limit_bounds_the_delay_that_the_platform_asks_for(
+    #[case] asked_ms: u64,
+    #[case] expected: std::ops::RangeInclusive<u128>,
+) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut backoff = Backoff::new().with_limit(Duration::from_secs(2));
+    let retry_after = Some(Duration::from_millis(asked_ms));
+    let first = backoff.failed(&PlatformError::Throttled { retry_after }, &mut rng);
+    assert!(expected.contains(&first.as_millis()), "{first:?}");
+    for _ in 0..9 {
+        assert!(backoff.failed(&PlatformError::Timeout, &mut rng) <= Duration::from_secs(2));
+    }
+    backoff.succeeded();
+    let again = backoff.failed(&PlatformError::Timeout, &mut rng);
+    assert!(again <= Duration::from_millis(500), "{again:?}");
+}
