Do not reuse a connection to the platform that was idle for a second

What callers saw: after open connections had gone silent for good, a version could be late, since a node that took over sent its read on a connection of its pool and waited 1.5 s for an answer.

Cause: idle connections were kept for 30 s, and an idle connection cannot tell that it is lost.

Change: they are kept for 1 s.

Test: store.rs, a_connection_that_went_silent_while_idle, red before (timeout), green now.

--- a/crates/swiftcart-platform/src/transport.rs
+++ b/crates/swiftcart-platform/src/transport.rs
@@ -17,7 +17,8 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_IDLE_CONNECTIONS: usize = 4;
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Idle time after which a connection is not used again. It may have been lost without a reset.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3600);
 
 /// Idle time of a connection before the first TCP keepalive probe.
