--- a/crates/swiftcart-core/src/feed/freshness.rs
+++ b/crates/swiftcart-core/src/feed/freshness.rs
@@ -111,7 +111,7 @@
         self.confirms
     }
 
-    /// Detects a pause of the process. Has to be called several times within [`PAUSE_THRESHOLD`].
+    /// Detects a pause of the process. Has to be called at least every 100 ms.
     pub fn on_tick(&mut self, now: Instant) {
         if now.since(self.ticked) >= PAUSE_THRESHOLD {
             self.ignored_until = now + PAUSE_GRACE;
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -1,15 +1,18 @@
 //! Schedules and runs this node's reads of the platform's log.
 
+mod read;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::rngs::SmallRng;
-use swiftcart_core::{Instant, Offset, Snapshot, Version};
-use swiftcart_platform::{Backoff, Page, PageLimit, Platform, PlatformError};
+use swiftcart_core::{Instant, Offset, Version};
+use swiftcart_platform::{Backoff, PageLimit, Platform, PlatformError};
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 
+use self::read::OpenRead;
+pub(super) use self::read::{FinishedRead, Read, ReadKind, ReadOutcome};
 use super::{Input, reachable};
 use crate::edge::{NextVersion, SnapshotSource};
 use crate::shared::Shared;
@@ -37,82 +40,6 @@
 /// platform's maximum of 30 s. Keep-alive probes of the connection detect an unreachable platform.
 const SNAPSHOT_LONG_POLL: Duration = Duration::from_secs(25);
 
-/// Successful result of a read.
-#[derive(Debug)]
-pub(super) enum Read {
-    /// Records of the log.
-    Page(Page),
-    /// Newest snapshot, or `None` if it is not newer than the known version.
-    Newest(Option<Snapshot>),
-    /// Version from another node that is confirmed to be the newest one.
-    Confirmed(Version),
-    /// The platform cannot tell whether a newer version exists.
-    UnknownPosition,
-}
-
-impl Read {
-    /// Returns the newest position that the read found, or `None` if it cannot tell.
-    pub(super) fn end(&self) -> Option<Offset> {
-        match self {
-            Self::Page(page) => Some(page.next),
-            Self::Newest(snapshot) => {
-                let version = snapshot.as_ref().map_or(Version::NONE, |s| s.version);
-                Some(Offset(version.0))
-            }
-            Self::Confirmed(version) => Some(Offset(version.0)),
-            Self::UnknownPosition => None,
-        }
-    }
-}
-
-/// Purpose of a read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum ReadKind {
-    /// A starting node reads the newest version once.
-    Join,
-    /// A reader waits for a newer version.
-    LongPoll,
-    /// The node checks for all nodes whether the version is still the newest one.
-    Confirm {
-        /// Time to wait for a newer version.
-        wait: Duration,
-    },
-}
-
-impl ReadKind {
-    /// Returns the name of the kind in logs and metrics.
-    pub(super) const fn as_str(self) -> &'static str {
-        match self {
-            Self::Join => "once",
-            Self::LongPoll => "long-poll",
-            Self::Confirm { .. } => "confirm",
-        }
-    }
-
-    /// Returns `true` if the result is told to all nodes.
-    pub(super) const fn confirms(self) -> bool {
-        matches!(self, Self::Confirm { .. })
-    }
-}
-
-/// Purpose and times of a read that has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct FinishedRead {
-    pub(super) kind: ReadKind,
-    pub(super) began: Instant,
-    /// Time at which the platform had nothing newer than the result.
-    pub(super) as_of: Instant,
-}
-
-/// Read that has ended, and its result.
-#[derive(Debug)]
-pub(super) struct ReadOutcome {
-    pub(super) read: FinishedRead,
-    pub(super) result: Result<Read, PlatformError>,
-    /// Number of the read.
-    number: u64,
-}
-
 /// Reader of the platform's log, with one read at a time.
 #[derive(Debug)]
 pub(super) struct Reader {
@@ -141,19 +68,6 @@
     backoff: Backoff,
 }
 
-#[derive(Debug)]
-struct OpenRead {
-    kind: ReadKind,
-    number: u64,
-    task: JoinHandle<()>,
-}
-
-impl Drop for OpenRead {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// Inputs that determine whether and when the node reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ReadRole {
