Read seldom after a record of a later release

What would have been seen: a mesh in which some nodes run the previous release reads the platform as fast as it answers (1,133 reads in 3 s by one node of the product's own log), since a node that cannot apply what it reads never confirms its position, and a confirming read is due at once. The readers before confirmations polled in the same way, by reading.

--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -71,15 +71,17 @@
                     count(&self.shared, Traffic::PlatformRead, len);
                 }
                 let before = self.stream.source.version();
-                let end = read.end();
+                let (end, from) = (read.end(), self.stream.from());
                 let effects = self.stream.on_read(now, read, &self.roster.witnesses);
                 self.log_received(before, VersionSource::Platform);
                 self.push_elsewhere(&effects.feed);
                 self.apply_effects(effects);
-                if let Some(end) = end
-                    && self.stream.source.position() >= end
-                {
-                    self.confirm(now, outcome.read);
+                match end {
+                    Some(end) if self.stream.source.position() >= end => {
+                        self.confirm(now, outcome.read);
+                    }
+                    Some(_) if self.stream.from() == from => self.reader.pause(now),
+                    Some(_) | None => {}
                 }
                 let read_role = self.read_role(now);
                 self.reader.tick(now, read_role, self.stream.from());
--- a/crates/swiftcart-node/src/control/reader.rs
+++ b/crates/swiftcart-node/src/control/reader.rs
@@ -183,6 +183,11 @@
         unreadable
     }
 
+    /// Delays the next read, since the last one returned records that this node cannot apply.
+    pub(super) fn pause(&mut self, now: Instant) {
+        self.retry_at = now + MAX_RETRY_DELAY;
+    }
+
     /// Returns the number of records that were skipped since the last call.
     fn take_unreadable(&mut self) -> u64 {
         let unreadable = self
