--- a/crates/swiftcart-core/src/feed/freshness.rs
+++ b/crates/swiftcart-core/src/feed/freshness.rs
@@ -23,8 +23,8 @@
 /// Returns the time without confirmation after which the node at this position in the order reads
 /// the platform.
 ///
-/// The number of nodes that have had their turn doubles in equal steps. Among many nodes, one that
-/// reaches the platform is therefore found in time, and few nodes read when one is enough.
+/// The number of nodes that may read doubles with each step. Among many nodes, one that reaches the
+/// platform is therefore found in time, and few nodes read if one of the first succeeds.
 ///
 /// # Examples
 ///
@@ -44,10 +44,10 @@
 
 /// Age of the confirmation that the version of a node is the newest one.
 ///
-/// A read that is still open does not show whether the platform answers, and a node that hears
-/// nothing cannot tell whether there is nothing new. A confirmation is therefore always the result
-/// of a read that has ended. The node that confirmed last goes on reading and tells all others. When
-/// its confirmations stop, the other nodes read in order until one of them succeeds.
+/// An open read does not show whether the platform responds, and a node that receives no message
+/// cannot distinguish an outage from a lack of changes. Only a completed read is therefore a
+/// confirmation. The node that confirmed last continues to read and notifies all others. When its
+/// confirmations stop, the other nodes read in order until one of them succeeds.
 ///
 /// # Examples
 ///
@@ -71,7 +71,7 @@
     /// Set if this node confirms the version for all others.
     confirms: bool,
     /// Time at which a later confirmation of another node arrived.
-    heard: Instant,
+    superseded: Instant,
     /// Confirmation of a position that this node has not reached yet.
     pending: Option<Pending>,
     ticked: Instant,
@@ -86,13 +86,13 @@
 }
 
 impl Freshness {
-    /// Creates the state of a node that takes its version for confirmed at `now`.
+    /// Creates the state of a node whose version counts as confirmed at `now`.
     #[must_use]
     pub const fn new(now: Instant) -> Self {
         Self {
             confirmed: now,
             confirms: false,
-            heard: now,
+            superseded: now,
             pending: None,
             ticked: now,
             ignored_until: now,
@@ -127,12 +127,12 @@
 
     /// Records the same result of a confirming read that began at `began`.
     ///
-    /// Returns `true` if the node tells all others and goes on confirming. It does not if another
+    /// Returns `true` if the node notifies all others and continues to confirm. It does not if another
     /// node confirmed the version during the read, so that one of several nodes remains.
     #[must_use]
     pub fn on_confirmed(&mut self, began: Instant, at: Instant) -> bool {
         self.on_read(at);
-        self.confirms = self.heard <= began;
+        self.confirms = self.superseded <= began;
         self.confirms
     }
 
@@ -153,7 +153,7 @@
         }
         let at = Instant::new(now.elapsed().saturating_sub(age));
         if at > self.confirmed {
-            self.heard = now;
+            self.superseded = now;
             self.confirms = false;
             self.pending = Some(Pending { position, at });
         }
--- a/crates/swiftcart-node/src/calls/ingress/account.rs
+++ b/crates/swiftcart-node/src/calls/ingress/account.rs
@@ -11,10 +11,9 @@
     ResolvedAccount,
 };
 
-use super::log::ms;
 use super::{FailedAttempt, Ingress};
 use crate::calls::request::Call;
-use crate::logging::Event;
+use crate::logging::{Event, ms};
 use crate::shared::Shared;
 
 /// Maximum length of the header value that carries an API key, in bytes.
--- a/crates/swiftcart-node/src/calls/ingress/asks.rs
+++ b/crates/swiftcart-node/src/calls/ingress/asks.rs
@@ -10,12 +10,11 @@
     ServiceEntry, ServiceName, View,
 };
 
-use super::log::ms;
 use super::{CallState, FailedAttempt, Ingress, lock};
 use crate::calls::answer::Answer;
 use crate::calls::request::Call;
 use crate::calls::rng::with_rng;
-use crate::logging::Event;
+use crate::logging::{Event, ms};
 
 /// Throttles of the asks at the services of the configuration.
 #[derive(Debug, Default)]
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -11,7 +11,7 @@
 
 use super::{CallState, FailedAttempt, Ingress};
 use crate::calls::request::Call;
-use crate::logging::Event;
+use crate::logging::{Event, ms};
 
 /// Request that has no response yet. Dropping it before completion logs that the caller
 /// disconnected.
@@ -156,7 +156,3 @@
         RetryTarget::Same => "again",
     }
 }
-
-pub(super) fn ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/swiftcart-node/src/calls/ingress/spill.rs
+++ b/crates/swiftcart-node/src/calls/ingress/spill.rs
@@ -3,9 +3,8 @@
 use slog::info;
 use swiftcart_core::{ServiceName, SpillStatus};
 
-use super::log::ms;
 use super::{Ingress, lock};
-use crate::logging::Event;
+use crate::logging::{Event, ms};
 
 /// Share of requests leaving the failure domain at which a service is logged as spilling.
 const LOGGED_SHARE: f64 = 0.05;
--- a/crates/swiftcart-node/src/control/confirmations.rs
+++ b/crates/swiftcart-node/src/control/confirmations.rs
@@ -3,18 +3,23 @@
 use std::time::Duration;
 
 use slog::info;
-use swiftcart_core::{
-    Confirmation, Datagram, Instant, NodeId, push_children, relay_children, relay_roots,
-};
+use swiftcart_core::{Confirmation, Datagram, Instant, NodeId, relay_children, relay_roots};
 
 use super::control_loop::Control;
 use super::reader::FinishedRead;
-use super::version_log::ms;
-use crate::logging::Event;
+use crate::logging::{Event, ms};
 
 impl Control {
-    /// Records that a read of this node found nothing newer than its version, and tells all nodes
-    /// if the read was meant for them.
+    /// Updates the age of the last confirmation.
+    pub(super) fn tick_freshness(&mut self, now: Instant) {
+        self.freshness.on_tick(now);
+        let counters = &self.shared.counters;
+        let gauge = counters.gauge("swiftcart_confirmed_age_seconds");
+        gauge.set(self.freshness.age(now).as_secs_f64());
+    }
+
+    /// Records that a read of this node found nothing newer than its version, and notifies all nodes
+    /// if it was a confirming read.
     pub(super) fn confirm(&mut self, now: Instant, read: FinishedRead) {
         let FinishedRead { kind, began, as_of } = read;
         if !kind.confirms() {
@@ -30,12 +35,16 @@
                 "version" => self.stream.source.version().0, "age_ms" => ms(age));
         }
         let version = self.stream.source.version();
-        let confirmation = Confirmation {
+        self.announce(Confirmation {
             round: rand::random(),
             head: self.stream.source.head(),
             age_ms: u32::try_from(now.since(as_of).as_millis()).unwrap_or(u32::MAX),
             place: self.reader.snapshots().and_then(|s| s.place(version)),
-        };
+        });
+    }
+
+    /// Sends a confirmation of this node to all failure domains.
+    fn announce(&mut self, confirmation: Confirmation) {
         self.forwarded_round = Some(confirmation.round);
         let fanout = self.fanout();
         let rotated = |ids: &Vec<NodeId>| relay_roots(ids, confirmation.round, fanout);
@@ -75,20 +84,6 @@
         }
     }
 
-    /// Sends a message about a new version to nodes of the other failure domains, which forward it.
-    pub(super) fn send_elsewhere(&self, datagram: &Datagram) {
-        let (me, fanout) = (self.shared.id, self.fanout());
-        for ids in &self.roster.elsewhere {
-            for id in push_children(ids, me, me, fanout) {
-                self.net.send(id, datagram);
-            }
-        }
-    }
-
-    pub(super) fn fanout(&self) -> usize {
-        usize::try_from(self.shared.settings.gossip.fanout).unwrap_or(1)
-    }
-
     fn relay(&self, confirmation: Confirmation) {
         let (near, me) = (&self.roster.near, self.shared.id);
         let children = relay_children(near, confirmation.round, me, self.fanout());
--- a/crates/swiftcart-node/src/control/control_loop.rs
+++ b/crates/swiftcart-node/src/control/control_loop.rs
@@ -202,13 +202,7 @@
 
     fn on_tick(&mut self) {
         let now = self.now();
-        self.freshness.on_tick(now);
-        let age = self.freshness.age(now).as_secs_f64();
-        let gauge = self
-            .shared
-            .counters
-            .gauge("swiftcart_confirmed_age_seconds");
-        gauge.set(age);
+        self.tick_freshness(now);
         self.membership.set_head(self.stream.source.head());
         self.apply_unreached();
         let actions = self.membership.tick(now);
--- a/crates/swiftcart-node/src/control/finder.rs
+++ b/crates/swiftcart-node/src/control/finder.rs
@@ -91,14 +91,14 @@
     logger: &Logger,
     request: impl Fn() -> PlatformFuture<'a, T>,
 ) -> T {
-    let mut backoff = Backoff::new();
+    let mut backoff = Backoff::new().with_limit(MAX_BACKOFF);
     let mut rng = SmallRng::from_os_rng();
     loop {
         match request().await {
             Ok(answer) => return answer,
             Err(err) => {
                 warn!(logger, ""; "event" => Event::Found, "error" => %err);
-                sleep(backoff.failed(&err, &mut rng).min(MAX_BACKOFF)).await;
+                sleep(backoff.failed(&err, &mut rng)).await;
             }
         }
     }
--- a/crates/swiftcart-node/src/control/following.rs
+++ b/crates/swiftcart-node/src/control/following.rs
@@ -243,6 +243,20 @@
         }
     }
 
+    /// Sends a datagram to nodes of the other failure domains, which forward it.
+    fn send_elsewhere(&self, datagram: &Datagram) {
+        let (me, fanout) = (self.shared.id, self.fanout());
+        for ids in &self.roster.elsewhere {
+            for id in push_children(ids, me, me, fanout) {
+                self.net.send(id, datagram);
+            }
+        }
+    }
+
+    pub(super) fn fanout(&self) -> usize {
+        usize::try_from(self.shared.settings.gossip.fanout).unwrap_or(1)
+    }
+
     /// Sends a datagram to this node's children in the push tree of `origin`.
     fn send_to_children(&self, origin: NodeId, datagram: &Datagram) {
         for child in push_children(&self.roster.near, origin, self.shared.id, self.fanout()) {
--- a/crates/swiftcart-node/src/control/reader/read.rs
+++ b/crates/swiftcart-node/src/control/reader/read.rs
@@ -8,7 +8,7 @@
 
 /// Successful result of a read.
 #[derive(Debug)]
-pub(in super::super) enum Read {
+pub(in crate::control) enum Read {
     /// Records of the log.
     Page(Page),
     /// Newest snapshot, or `None` if it is not newer than the known version.
@@ -21,7 +21,7 @@
 
 impl Read {
     /// Returns the newest position that the read found, or `None` if it cannot tell.
-    pub(in super::super) fn end(&self) -> Option<Offset> {
+    pub(in crate::control) fn end(&self) -> Option<Offset> {
         match self {
             Self::Page(page) => Some(page.next),
             Self::Newest(snapshot) => {
@@ -36,7 +36,7 @@
 
 /// Purpose of a read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(in super::super) enum ReadKind {
+pub(in crate::control) enum ReadKind {
     /// A starting node reads the newest version once.
     Join,
     /// A reader waits for a newer version.
@@ -50,7 +50,7 @@
 
 impl ReadKind {
     /// Returns the name of the kind in logs and metrics.
-    pub(in super::super) const fn as_str(self) -> &'static str {
+    pub(in crate::control) const fn as_str(self) -> &'static str {
         match self {
             Self::Join => "once",
             Self::LongPoll => "long-poll",
@@ -59,25 +59,25 @@
     }
 
     /// Returns `true` if the result is told to all nodes.
-    pub(in super::super) const fn confirms(self) -> bool {
+    pub(in crate::control) const fn confirms(self) -> bool {
         matches!(self, Self::Confirm { .. })
     }
 }
 
 /// Purpose and times of a read that has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(in super::super) struct FinishedRead {
-    pub(in super::super) kind: ReadKind,
-    pub(in super::super) began: Instant,
+pub(in crate::control) struct FinishedRead {
+    pub(in crate::control) kind: ReadKind,
+    pub(in crate::control) began: Instant,
     /// Time at which the platform had nothing newer than the result.
-    pub(in super::super) as_of: Instant,
+    pub(in crate::control) as_of: Instant,
 }
 
 /// Read that has ended, and its result.
 #[derive(Debug)]
-pub(in super::super) struct ReadOutcome {
-    pub(in super::super) read: FinishedRead,
-    pub(in super::super) result: Result<Read, PlatformError>,
+pub(in crate::control) struct ReadOutcome {
+    pub(in crate::control) read: FinishedRead,
+    pub(in crate::control) result: Result<Read, PlatformError>,
     /// Number of the read.
     pub(super) number: u64,
 }
--- a/crates/swiftcart-node/src/control/version_log.rs
+++ b/crates/swiftcart-node/src/control/version_log.rs
@@ -1,7 +1,5 @@
 //! Log events that show how a version reached this node, and which nodes acknowledged it.
 
-use std::time::Duration;
-
 use slog::info;
 use swiftcart_core::{NodeId, Version};
 use swiftcart_platform::PlatformError;
@@ -9,7 +7,7 @@
 use super::control_loop::Control;
 use super::reader::ReadKind;
 use super::stream::{EnforcedVersion, EnforcementCause};
-use crate::logging::Event;
+use crate::logging::{Event, ms};
 
 /// Sender of a version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -85,11 +83,6 @@
     }
 }
 
-/// Returns whole milliseconds.
-pub(super) fn ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn label(node: Option<NodeId>) -> String {
     node.map_or_else(|| "-".into(), |node| node.to_string())
 }
--- a/crates/swiftcart-node/src/edge.rs
+++ b/crates/swiftcart-node/src/edge.rs
@@ -40,15 +40,14 @@
 
     /// Returns the newest version if it is above `known`.
     ///
-    /// Waits up to `wait` for such a version, and returns `None` if there is none. The result holds
-    /// for the time of the call plus `wait`.
+    /// Waits up to `wait` for such a version, and returns `None` if there was none until then.
     ///
     /// # Errors
     ///
     /// Returns any [`PlatformError`]. The error does not show whether there is a newer version.
     fn newer(&self, known: Version, wait: Duration) -> PlatformFuture<'_, Option<Snapshot>>;
 
-    /// Continues reads after a position that another node has read.
+    /// Sets the position after which later reads continue, unless they already do so further on.
     fn resume(&self, _place: u64) {}
 
     /// Returns the position after `version` in the version history.
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -240,3 +240,8 @@
         u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
     })
 }
+
+/// Returns a duration in whole milliseconds, as it is logged.
+pub(crate) fn ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
