--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod smuggle;
 mod twice;
 
 use std::io;
@@ -13,6 +14,7 @@
     record.add(format!("case {case}, disruption: {trouble}"));
     let result = match case {
         "twice" => twice::run(&record, trouble),
+        "smuggle" => smuggle::run(&record, trouble),
         _ => Err(io::Error::other("no such case")),
     };
     match &result {
