--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod smuggle;
+mod stopping;
 mod twice;
 
 use std::io;
@@ -13,6 +14,7 @@
     let record = Record::new();
     record.add(format!("case {case}, disruption: {trouble}"));
     let result = match case {
+        "stopping" => stopping::run(&record, trouble),
         "twice" => twice::run(&record, trouble),
         "smuggle" => smuggle::run(&record, trouble),
         _ => Err(io::Error::other("no such case")),
