--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod late_beat;
 mod smuggle;
 mod stopping;
 mod twice;
@@ -14,6 +15,7 @@
     let record = Record::new();
     record.add(format!("case {case}, disruption: {trouble}"));
     let result = match case {
+        "late-beat" => late_beat::run(&record, trouble),
         "stopping" => stopping::run(&record, trouble),
         "twice" => twice::run(&record, trouble),
         "smuggle" => smuggle::run(&record, trouble),
