Log what came on which connection, and which requests a closed connection owed

The log named tries and reasons, but neither the connection of a send nor what came on it, and a request lost with its connection looked like one whose caller had left.

Added, without a change of what is decided: the number of a connection and the place of the exchange on it in try lines; exchange lines for what came on a connection to a backend server and is not passed on, or answers a repeat; closed lines for callers' connections that end with requests unanswered, with their ids, the cause and the phase; the caller's connection in the lines of a node's own answers.

--- a/crates/swiftcart-node/src/calls/conn.rs
+++ b/crates/swiftcart-node/src/calls/conn.rs
@@ -5,12 +5,13 @@
 //! side. Writes are tracked, which shows reliably whether any part of a request may have been
 //! sent.
 
+use std::fmt;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
@@ -69,9 +70,30 @@
     Sent(hyper::Error),
 }
 
+/// Number of the next connection that this process opens.
+static NEXT_CONN: AtomicU64 = AtomicU64::new(1);
+
+/// Identifies one exchange in the log: the connection, and the place of the exchange on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ExchangeId {
+    /// Number of the connection, unique in this process.
+    pub conn: u64,
+    /// Number of the exchange on its connection, starting at 1.
+    pub number: u64,
+}
+
+impl fmt::Display for ExchangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.conn, self.number)
+    }
+}
+
 /// Open connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Conn {
+    number: u64,
+    /// Number of exchanges begun on this connection.
+    exchanges: u64,
     sender: SendRequest<Outgoing>,
     conn: Option<Connection<WriteTracker, Outgoing>>,
     wrote: Arc<AtomicBool>,
@@ -103,6 +125,8 @@
         };
         let (sender, conn) = Builder::new().handshake(io).await?;
         Ok(Self {
+            number: NEXT_CONN.fetch_add(1, Ordering::Relaxed),
+            exchanges: 0,
             sender,
             conn: Some(conn),
             wrote,
@@ -128,6 +152,15 @@
         self.used = Instant::now();
     }
 
+    /// Returns the identifier of the next exchange.
+    #[must_use]
+    pub const fn next_exchange(&self) -> ExchangeId {
+        ExchangeId {
+            conn: self.number,
+            number: self.exchanges + 1,
+        }
+    }
+
     /// Returns `true` if any part of the last request was written.
     #[must_use]
     pub fn wrote(&self) -> bool {
@@ -154,6 +187,7 @@
         request: Request<Outgoing>,
     ) -> Result<Response<Incoming>, SendError> {
         self.wrote.store(false, Ordering::Relaxed);
+        self.exchanges += 1;
         let mut answer = pin!(self.sender.try_send_request(request));
         let conn = &mut self.conn;
         // The response makes progress only when the connection does, and the connection is polled
--- a/crates/swiftcart-node/src/calls/exchange.rs
+++ b/crates/swiftcart-node/src/calls/exchange.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::body::Outgoing;
-use super::conn::SendError;
+use super::conn::{ExchangeId, SendError};
 use super::pool::{Pool, Pooled};
 
 /// Maximum number of connections tried for one request before it fails.
@@ -18,7 +18,7 @@
 ///
 /// A reused connection that was closed before anything was written is replaced by another one. If
 /// the pool is shut down, no response can arrive any more and the exchange fails. `on_send` is
-/// called each time before the request is sent on a connection.
+/// called each time before the request is sent on a connection, with the identifier of the exchange.
 ///
 /// # Errors
 ///
@@ -29,7 +29,7 @@
     until: Instant,
     mut request: Request<Outgoing>,
     unreachable: Reason,
-    mut on_send: impl FnMut(),
+    mut on_send: impl FnMut(ExchangeId),
 ) -> Result<(Response<Incoming>, Pooled), Reason> {
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
         let mut pooled = match timeout_at(until, pool.take()).await {
@@ -37,7 +37,7 @@
             Ok(Err(_)) => return Err(unreachable),
             Err(_) => return Err(Reason::DeadlinePassed),
         };
-        on_send();
+        on_send(pooled.conn().next_exchange());
         let sent = tokio::select! {
             sent = timeout_at(until, pooled.conn().send(request)) => sent,
             () = pool.ended() => {
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -22,7 +22,7 @@
 use super::keyed::KeyedExecutor;
 use super::request::Call;
 use super::runs::FingerprintSource;
-use super::upstream::{Sent, Upstream};
+use super::upstream::{Sent, Unanswered, Upstream};
 use super::verdict::check_response;
 use crate::counters::Stage;
 use crate::logging::Event;
@@ -377,9 +377,11 @@
             response,
             pooled,
             run,
+            exchange,
         } = match sent {
             Ok(sent) => sent,
-            Err(reason) => {
+            Err(Unanswered { reason, exchange }) => {
+                self.log_exchange(call, exchange, Err(reason));
                 self.record_end(call, &slot, failure_result(reason) == CallResult::Failure);
                 slot.finish(failure_result(reason));
                 return Err(reason.into());
@@ -389,7 +391,11 @@
         let elapsed = self.shared.clock.now().since(slot.start());
         self.shared.counters.stage(Stage::Backend, elapsed);
         slot.head(response.body().size_hint().lower());
-        if let Err(reason) = check_response(&self.shared.settings, call, &method, &response) {
+        let checked = check_response(&self.shared.settings, call, &method, &response);
+        if checked.is_err() || repeat {
+            self.log_exchange(call, Some(exchange), Ok(&response));
+        }
+        if let Err(reason) = checked {
             slot.finish(failure_result(reason));
             run.rejected();
             if reason == Reason::Shed {
--- a/crates/swiftcart-node/src/calls/guard/pending_run.rs
+++ b/crates/swiftcart-node/src/calls/guard/pending_run.rs
@@ -1,9 +1,12 @@
 //! Log lines about requests that get no response of the backend server.
 
+use http::{HeaderMap, Response};
+use hyper::body::Incoming;
 use slog::info;
 use swiftcart_core::{HOP_ALLOWANCE, Reason, Refusal, Slowdown};
 
 use super::Guard;
+use crate::calls::conn::ExchangeId;
 use crate::calls::request::Call;
 use crate::logging::Event;
 
@@ -50,6 +53,37 @@
 }
 
 impl Guard {
+    /// Logs what came on the connection after a request was sent to the backend server: the head of
+    /// a response, or the reason why there is none.
+    pub(super) fn log_exchange(
+        &self,
+        call: &Call,
+        exchange: Option<ExchangeId>,
+        came: Result<&Response<Incoming>, Reason>,
+    ) {
+        let now = self.shared.clock.now();
+        let Some(log) = self.shared.call_log.failed(now) else {
+            return;
+        };
+        let names = &self.shared.settings.headers;
+        let text = |headers: &HeaderMap, name| {
+            let value = headers.get(name)?;
+            Some(value.to_str().unwrap_or("?").to_owned())
+        };
+        let head = came.ok().map(Response::headers);
+        let answer_id = head.and_then(|headers| text(headers, &names.request_id.0));
+        let not_run = names.not_run.as_ref();
+        let rejects = head
+            .zip(not_run)
+            .map(|(head, name)| head.contains_key(&name.0));
+        info!(log, ""; "event" => Event::Exchange, "id" => %call.id,
+            "conn" => exchange.map(|exchange| exchange.to_string()),
+            "repeat" => call.terms.is_some_and(|terms| terms.repeat),
+            "status" => came.ok().map(|response| response.status().as_u16()),
+            "answer_id" => answer_id, "not_run" => rejects,
+            "reason" => came.err().map(Reason::as_str));
+    }
+
     /// Logs a request that was not forwarded to the backend server or received no response.
     pub(super) fn log(&self, call: &Call, service: &str, refusal: Refusal) {
         let now = self.shared.clock.now();
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -32,6 +32,7 @@
 use super::answer::{Answer, refuse, told_retry_after};
 use super::guard::Guard;
 use super::keyed::claim_guard_order;
+use super::origin::CallerConn;
 use super::peers::Peers;
 use super::request::Call;
 use super::rng::with_rng;
@@ -130,17 +131,19 @@
         let start = self.shared.clock.now();
         let id = head.headers.get(&self.shared.headers.request_id.0).cloned();
         let target = format!("{}{}", host(&head).unwrap_or("-"), head.uri.path());
-        let pending = PendingCall::new(self, id.as_ref(), &target, start);
+        let conn = CallerConn::from_extensions(&head.extensions);
+        let pending = PendingCall::new(self, id.as_ref(), conn, &target, start);
         let result = self.route(head, body, &pending).await;
-        let version = pending.complete();
         let counters = &self.shared.counters;
         let now = self.shared.clock.now();
         counters.stage(Stage::Ingress, now.since(start));
         match result {
-            Ok(response) => response,
+            Ok(response) => {
+                pending.answered();
+                response
+            }
             Err(failed) => {
-                let elapsed = now.since(start);
-                self.log_refusal(id.as_ref(), &target, failed.refusal, elapsed, version);
+                pending.refused(failed.refusal);
                 let reason = failed.refusal.reason;
                 counters.refuse(reason.as_str());
                 counters.call(reason.outcome());
--- a/crates/swiftcart-node/src/calls/ingress/failed.rs
+++ b/crates/swiftcart-node/src/calls/ingress/failed.rs
@@ -6,6 +6,7 @@
 use swiftcart_core::{CallResult, Outcome, Reason, Refusal};
 
 use crate::calls::answer::Answer;
+use crate::calls::conn::ExchangeId;
 use crate::calls::guard::Report;
 use crate::calls::request::Call;
 
@@ -15,6 +16,8 @@
     pub(super) refusal: Refusal,
     pub(super) retried: bool,
     pub(super) load: Option<Report>,
+    /// Last exchange with the guard, if there was one.
+    pub(super) exchange: Option<ExchangeId>,
     /// Error response of the backend server, passed on if no other attempt succeeds.
     pub(super) answer: Option<Box<Response<Answer>>>,
 }
@@ -27,6 +30,13 @@
         }
     }
 
+    /// Sets the last exchange with the guard.
+    #[must_use]
+    pub(super) const fn with_exchange(mut self, exchange: Option<ExchangeId>) -> Self {
+        self.exchange = exchange;
+        self
+    }
+
     /// Combines two failed attempts into the failure that the caller sees.
     ///
     /// If the earlier attempt may have run, a later refusal does not turn the outcome into
@@ -76,6 +86,7 @@
             refusal,
             retried: false,
             load: None,
+            exchange: None,
             answer: None,
         }
     }
--- a/crates/swiftcart-node/src/calls/ingress/forward.rs
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -64,8 +64,11 @@
         let until = self.shared.clock.tokio(call.due.at());
         let method = request.method().clone();
         let pool = self.peers.pool(pick.peer);
-        let exchanged = exchange(&pool, until, request, Reason::PeerUnreachable, || {}).await;
-        let (mut response, pooled) = exchanged?;
+        let mut exchange_id = None;
+        let on_send = |id| exchange_id = Some(id);
+        let exchanged = exchange(&pool, until, request, Reason::PeerUnreachable, on_send).await;
+        let failed = |failed: FailedAttempt| failed.with_exchange(exchange_id);
+        let (mut response, pooled) = exchanged.map_err(|reason| failed(reason.into()))?;
         if let Some(notice) = process_notice(response.headers()) {
             lock(&self.notices).note(pick.id, notice);
             response.headers_mut().remove(NOTICE);
@@ -75,6 +78,7 @@
             true => split_refusal(response.map(|body| Answer::stream(body, pooled))),
             false => Err(Reason::AnswerBroken.into()),
         }
+        .map_err(failed)
     }
 }
 
@@ -97,6 +101,7 @@
         refusal,
         retried: response.headers().contains_key(RETRIED),
         load: take_load_report(&mut response),
+        exchange: None,
         answer: None,
     };
     response.into_body().discard();
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -1,7 +1,6 @@
 //! Log events of the ingress about single calls.
 
 use std::sync::OnceLock;
-use std::time::Duration;
 
 use http::{HeaderValue, StatusCode};
 use slog::info;
@@ -10,6 +9,7 @@
 };
 
 use super::{CallState, FailedAttempt, Ingress};
+use crate::calls::origin::CallerConn;
 use crate::calls::request::Call;
 use crate::logging::{Event, ms};
 
@@ -18,6 +18,7 @@
 pub(super) struct PendingCall<'a> {
     ingress: &'a Ingress,
     id: Option<&'a HeaderValue>,
+    conn: Option<CallerConn>,
     target: &'a str,
     start: Instant,
     /// Version that routed the request, once it is routed.
@@ -26,16 +27,18 @@
 }
 
 impl<'a> PendingCall<'a> {
-    /// Tracks the request that arrived at `start`.
+    /// Tracks the request that arrived at `start` on the connection `conn`.
     pub(super) const fn new(
         ingress: &'a Ingress,
         id: Option<&'a HeaderValue>,
+        conn: Option<CallerConn>,
         target: &'a str,
         start: Instant,
     ) -> Self {
         Self {
             ingress,
             id,
+            conn,
             target,
             start,
             version: OnceLock::new(),
@@ -49,25 +52,38 @@
         self.version.get_or_init(|| version);
     }
 
-    /// Marks the request as answered and returns the version that routed it.
-    pub(super) fn complete(mut self) -> Version {
+    /// Marks the request as answered by a backend server.
+    pub(super) fn answered(mut self) {
         self.open = false;
-        self.version()
     }
 
-    fn version(&self) -> Version {
-        self.version.get().copied().unwrap_or(Version::NONE)
+    /// Marks the request as answered by this node, and logs the refusal.
+    pub(super) fn refused(mut self, refusal: Refusal) {
+        self.open = false;
+        self.log(refusal);
+    }
+
+    /// Logs a refusal with which this node itself answers the caller.
+    fn log(&self, refusal: Refusal) {
+        let shared = &self.ingress.shared;
+        let now = shared.clock.now();
+        let Some(log) = shared.call_log.failed(now) else {
+            return;
+        };
+        let id = self.id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+        let version = self.version.get().copied().unwrap_or(Version::NONE);
+        info!(log, ""; "event" => Event::Answer, "id" => id, "target" => self.target,
+            "status" => "own", "outcome" => refusal.reason.outcome().as_str(),
+            "reason" => refusal.reason.as_str(), "retry_after_ms" => refusal.retry_after.map(ms),
+            "ms" => ms(now.since(self.start)), "version" => version.0,
+            "caller_conn" => self.conn.map(|conn| conn.0));
     }
 }
 
 impl Drop for PendingCall<'_> {
     fn drop(&mut self) {
         if self.open {
-            let now = self.ingress.shared.clock.now();
-            let gone = Reason::CallerGone.into();
-            let elapsed = now.since(self.start);
-            self.ingress
-                .log_refusal(self.id, self.target, gone, elapsed, self.version());
+            self.log(Reason::CallerGone.into());
         }
     }
 }
@@ -117,31 +133,12 @@
         let load = load.map(|load| format!("{}/{}/{}", load.running, load.queued, load.limit));
         info!(log, ""; "event" => Event::Try, "id" => %call.id, "service" => %entry.name(),
             "try" => state.failures, "guard" => %pick.id, "rule" => ?pick.rule,
+            "conn" => failed.exchange.map(|exchange| exchange.to_string()),
             "reason" => failed.refusal.reason.as_str(), "load" => load.as_deref().unwrap_or("-"),
             "next" => next.map_or_else(|why| why, target_label), "ms" => ms(now.since(state.start)),
             "left_ms" => ms(call.due.left(now)), "age_ms" => ms(call.age()),
             "print" => %call.print, "cause" => cause_label(pick), "version" => call.version.0);
     }
-
-    /// Logs a refusal with which this node itself answers the caller.
-    pub(super) fn log_refusal(
-        &self,
-        id: Option<&HeaderValue>,
-        target: &str,
-        refusal: Refusal,
-        elapsed: Duration,
-        version: Version,
-    ) {
-        let now = self.shared.clock.now();
-        let Some(log) = self.shared.call_log.failed(now) else {
-            return;
-        };
-        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
-        info!(log, ""; "event" => Event::Answer, "id" => id, "target" => target, "status" => "own",
-            "outcome" => refusal.reason.outcome().as_str(), "reason" => refusal.reason.as_str(),
-            "retry_after_ms" => refusal.retry_after.map(ms), "ms" => ms(elapsed),
-            "version" => version.0);
-    }
 }
 
 /// Returns the label of the cause for which a request leaves its failure domain, or a dash if the
--- a/crates/swiftcart-node/src/calls/pipelining.rs
+++ b/crates/swiftcart-node/src/calls/pipelining.rs
@@ -20,7 +20,6 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::answer::Answer;
-use super::origin::CallerAddr;
 
 /// Maximum length of a scanned head, in bytes. Longer heads are left to hyper, since pipelined
 /// requests are short.
@@ -46,12 +45,23 @@
 #[derive(Debug, Clone)]
 pub struct Pipeline {
     starter: Starter,
-    origin: Option<CallerAddr>,
+    origin: Extensions,
     state: Arc<Mutex<State>>,
     /// Notified when a request is taken or answered.
     changed: Arc<Notify>,
 }
 
+/// Numbers of requests on one connection.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct RequestCounts {
+    /// Requests whose head has arrived.
+    pub seen: u64,
+    /// Requests that hyper has passed to the service.
+    pub taken: u64,
+    /// Requests whose response the service has returned.
+    pub answered: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     position: ParsePosition,
@@ -112,7 +122,7 @@
 impl Pipeline {
     /// Creates the pipeline of one connection.
     #[must_use]
-    pub fn new(starter: &Starter, origin: Option<CallerAddr>) -> Self {
+    pub fn new(starter: &Starter, origin: Extensions) -> Self {
         Self {
             starter: starter.clone(),
             origin,
@@ -132,7 +142,7 @@
             rest = match state.position {
                 ParsePosition::Unsynchronized => return,
                 ParsePosition::Body(left) => state.skip(left, rest),
-                ParsePosition::Head => state.read_head(rest, &self.starter, self.origin),
+                ParsePosition::Head => state.read_head(rest, &self.starter, &self.origin),
             };
         }
     }
@@ -182,6 +192,29 @@
         state.seen > state.taken
     }
 
+    /// Returns how many requests arrived, how many of them hyper has taken, and how many have an
+    /// answer.
+    #[must_use]
+    pub fn counts(&self) -> RequestCounts {
+        let state = self.lock();
+        RequestCounts {
+            seen: state.seen,
+            taken: state.taken,
+            answered: state.answered,
+        }
+    }
+
+    /// Returns the heads of the requests that were started early and that hyper has not taken.
+    #[must_use]
+    pub fn untaken(&self) -> Vec<Parts> {
+        let state = self.lock();
+        state
+            .started
+            .iter()
+            .map(|ahead| ahead.head.clone())
+            .collect()
+    }
+
     /// Waits until the connection has been idle for `time` after a response.
     pub async fn wait_idle(&self, time: Duration) {
         loop {
@@ -225,7 +258,7 @@
         &mut self,
         bytes: &'a [u8],
         starter: &Starter,
-        origin: Option<CallerAddr>,
+        origin: &Extensions,
     ) -> &'a [u8] {
         let before = self.head.len();
         self.head.extend_from_slice(bytes);
@@ -243,9 +276,7 @@
                     left => ParsePosition::Body(left),
                 };
                 let parts = parts.map(|mut parts| {
-                    parts
-                        .extensions
-                        .extend(origin.map(origin_extensions).unwrap_or_default());
+                    parts.extensions.extend(origin.clone());
                     parts
                 });
                 self.start(parts, starter);
@@ -273,12 +304,6 @@
     }
 }
 
-fn origin_extensions(origin: CallerAddr) -> Extensions {
-    let mut extensions = Extensions::new();
-    extensions.insert(origin);
-    extensions
-}
-
 fn is_same_head(a: &Parts, b: &Parts) -> bool {
     a.method == b.method && a.uri == b.uri && a.headers == b.headers
 }
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -12,7 +12,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
-use slog::warn;
+use slog::{info, warn};
 use swiftcart_core::Reason;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -22,7 +22,7 @@
 use tower::{Service, ServiceExt};
 
 use super::answer::Answer;
-use super::origin::CallerAddr;
+use super::origin::{CallerConn, origin_extensions};
 use super::pipelining::{Pipeline, Starter};
 use super::socket::Socket;
 use crate::logging::Event;
@@ -50,6 +50,31 @@
 pub type ResponseFuture =
     Pin<Box<dyn Future<Output = Result<Response<Answer>, Infallible>> + Send>>;
 
+/// What ended a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CloseCause {
+    /// The caller disconnected, or the connection failed.
+    Gone,
+    /// The last response on the connection said that it closes, or an error ended it.
+    Completed,
+    /// The node is stopping.
+    Stopping,
+    /// The connection was idle for too long.
+    Idle,
+}
+
+impl CloseCause {
+    /// Returns the name used in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Gone => "gone",
+            Self::Completed => "completed",
+            Self::Stopping => "stopping",
+            Self::Idle => "idle",
+        }
+    }
+}
+
 /// Server that accepts connections for one service.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -146,17 +171,16 @@
             return;
         }
         let silence = self.shared.settings.limits.body_timeout();
-        let origin = CallerAddr::of(&stream);
+        let number = CallerConn::next();
+        let origin = origin_extensions(number, &stream);
         let pipeline = self.starter.as_ref();
-        let pipeline = pipeline.map(|starter| Pipeline::new(starter, origin));
+        let pipeline = pipeline.map(|starter| Pipeline::new(starter, origin.clone()));
         let socket = Socket::new(stream, silence, pipeline.clone());
         let extension = pipeline.clone();
         let service = service.map_request(move |mut request: Request<_>| {
             let extensions = request.extensions_mut();
             extensions.insert(extension.clone());
-            if let Some(origin) = origin {
-                extensions.insert(origin);
-            }
+            extensions.extend(origin.clone());
             request
         });
         let service = TowerToHyperService::new(service);
@@ -166,26 +190,55 @@
         let ended = async {
             // `disconnected` is polled first, since it reads the bytes that have arrived. With the
             // reverse order, hyper would not notice these bytes.
-            tokio::select! {
+            let cause = tokio::select! {
                 biased;
-                () = disconnected.as_mut() => return None,
-                result = conn.as_mut() => return Some(result),
-                () = self.closing.cancelled() => {}
-                () = self.idle(pipeline.as_ref()) => {}
-            }
+                () = disconnected.as_mut() => return (CloseCause::Gone, None),
+                result = conn.as_mut() => return (CloseCause::Completed, Some(result)),
+                () = self.closing.cancelled() => CloseCause::Stopping,
+                () = self.idle(pipeline.as_ref()) => CloseCause::Idle,
+            };
             conn.as_mut().graceful_shutdown();
             tokio::select! {
                 biased;
-                () = disconnected => None,
-                result = conn.as_mut() => Some(result),
+                () = disconnected => (CloseCause::Gone, None),
+                result = conn.as_mut() => (cause, Some(result)),
             }
         };
-        let Some(result) = ended.await else {
-            self.count_closed("gone");
+        let (cause, result) = ended.await;
+        self.log_unanswered(number, cause, pipeline.as_ref(), result.as_ref());
+        match result {
+            None => self.count_closed("gone"),
+            Some(Err(err)) => self.record_error(&err),
+            Some(Ok(())) => {}
+        }
+    }
+
+    /// Logs the end of a connection on which requests had no response.
+    fn log_unanswered(
+        &self,
+        conn: CallerConn,
+        cause: CloseCause,
+        pipeline: Option<&Pipeline>,
+        result: Option<&Result<(), hyper::Error>>,
+    ) {
+        let counts = pipeline.map(Pipeline::counts).unwrap_or_default();
+        if counts.seen <= counts.answered {
             return;
-        };
-        if let Err(err) = result {
-            self.record_error(&err);
+        }
+        let now = self.shared.clock.now();
+        if let Some(log) = self.shared.call_log.failed(now) {
+            let error = result.and_then(|result| result.as_ref().err());
+            let untaken = pipeline.map(Pipeline::untaken).unwrap_or_default();
+            let id = &self.shared.headers.request_id.0;
+            let ids = untaken
+                .iter()
+                .filter_map(|head| head.headers.get(id)?.to_str().ok());
+            let ids: Vec<&str> = ids.collect();
+            info!(log, ""; "event" => Event::Closed, "caller_conn" => conn.0,
+                "cause" => cause.as_str(), "error" => error.map(ToString::to_string),
+                "phase" => self.shared.phase.borrow().as_str(), "seen" => counts.seen,
+                "taken" => counts.taken, "answered" => counts.answered,
+                "at_work" => ids.join(","));
         }
     }
 
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -12,6 +12,7 @@
 
 use super::admissions::{Admissions, Slot};
 use super::body::Outgoing;
+use super::conn::ExchangeId;
 use super::exchange::exchange;
 use super::guard::Report;
 use super::headers::DEADLINE;
@@ -51,6 +52,32 @@
     pub pooled: Pooled,
     /// Tracked run of the request.
     pub run: Run,
+    /// Exchange that the response arrived in.
+    pub exchange: ExchangeId,
+}
+
+/// Request that got no response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unanswered {
+    /// Reason why there is no response.
+    pub reason: Reason,
+    /// Last exchange of the request, if it was sent on a connection.
+    pub exchange: Option<ExchangeId>,
+}
+
+impl From<Reason> for Unanswered {
+    fn from(reason: Reason) -> Self {
+        Self {
+            reason,
+            exchange: None,
+        }
+    }
+}
+
+impl From<Unanswered> for Reason {
+    fn from(unanswered: Unanswered) -> Self {
+        unanswered.reason
+    }
 }
 
 impl Upstream {
@@ -246,7 +273,7 @@
         call: &Call,
         until: Instant,
         mut request: Request<Outgoing>,
-    ) -> Result<Sent, Reason> {
+    ) -> Result<Sent, Unanswered> {
         self.set_headers(request.headers_mut(), until, call)?;
         let rank = call.parent_rank(self.clock.now());
         let due = Deadline::at_instant(until);
@@ -254,7 +281,9 @@
         let until = self.clock.tokio(until);
         let source = FingerprintSource::new(call.print, request.body());
         let mut run = None;
-        let on_send = || {
+        let mut exchange_id = None;
+        let on_send = |id| {
+            exchange_id = Some(id);
             let before = run.replace(self.runs.start(&self.pool, source.clone()));
             if let Some(before) = before {
                 before.unsent();
@@ -262,8 +291,12 @@
         };
         let start = self.clock.now();
         let sent = exchange(&self.pool, until, request, Reason::ConnectFailed, on_send).await;
-        match (sent, run) {
-            (Ok((response, pooled)), Some(run)) => {
+        let unanswered = |reason| Unanswered {
+            reason,
+            exchange: exchange_id,
+        };
+        match (sent, run.zip(exchange_id)) {
+            (Ok((response, pooled)), Some((run, exchange))) => {
                 let notice = self.notices.observe(call, start, response.headers());
                 notice
                     .into_iter()
@@ -275,15 +308,18 @@
                     run: run.with_status(response.status()),
                     response,
                     pooled,
+                    exchange,
                 })
             }
-            (Err(Reason::AnswerBroken), Some(run)) => Err(run.record_break().await),
-            (Err(reason), Some(run)) if reason.outcome() == Outcome::NotRun => {
+            (Err(Reason::AnswerBroken), Some((run, _))) => {
+                Err(unanswered(run.record_break().await))
+            }
+            (Err(reason), Some((run, _))) if reason.outcome() == Outcome::NotRun => {
                 run.unsent();
-                Err(reason)
+                Err(unanswered(reason))
             }
-            (Err(reason), _) => Err(reason),
-            (Ok(_), None) => Err(Reason::AnswerBroken),
+            (Err(reason), _) => Err(unanswered(reason)),
+            (Ok(_), None) => Err(Reason::AnswerBroken.into()),
         }
     }
 
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -111,6 +111,11 @@
     Try,
     /// The guard refused a request, or got no response to it.
     Guard,
+    /// An exchange with the backend server failed, was a repeat, or had a response that is not passed
+    /// on.
+    Exchange,
+    /// A caller's connection ended while requests on it had no response.
+    Closed,
     /// Lines about calls were suppressed in an earlier second.
     LeftOut,
 }
@@ -162,6 +167,8 @@
             Self::Answer => "answer",
             Self::Try => "try",
             Self::Guard => "guard",
+            Self::Exchange => "exchange",
+            Self::Closed => "closed",
             Self::LeftOut => "left-out",
         }
     }
