Count a response only if no earlier request on its connection can have caused it

Cause: a response was judged by its own head, not by what had gone over its connection. Both backend servers reject a booking, so that it is sent once more to one of them, under the same id, on the connection on which that one has just rejected it. A second copy of the rejection comes first there and counts as the answer to the new send, while the booking runs; it is sent again. A rejection without an id was believed on any connection, whatever it belonged to.

Change: ConnHistory in the core. A kept connection carries a request once, as long as it may be sent again; a response counts for the last send if it has its id, or has none and the connection carried nothing else. exchange.rs asks it on both hops; nodes repeat the request's id in their responses to each other. Nothing in a response that does not count is believed, its load and notices included.

--- a/crates/swiftcart-node/src/calls/conn.rs
+++ b/crates/swiftcart-node/src/calls/conn.rs
@@ -15,13 +15,14 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
+use swiftcart_core::{AnswerId, ConnHistory};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
@@ -92,8 +93,9 @@
 #[derive(Debug)]
 pub struct Conn {
     number: u64,
-    /// Number of exchanges begun on this connection.
-    exchanges: u64,
+    opened: Instant,
+    /// Requests that the connection carried, on a clock that starts at `opened`.
+    history: ConnHistory,
     sender: SendRequest<Outgoing>,
     conn: Option<Connection<WriteTracker, Outgoing>>,
     wrote: Arc<AtomicBool>,
@@ -126,7 +128,8 @@
         let (sender, conn) = Builder::new().handshake(io).await?;
         Ok(Self {
             number: NEXT_CONN.fetch_add(1, Ordering::Relaxed),
-            exchanges: 0,
+            opened: Instant::now(),
+            history: ConnHistory::default(),
             sender,
             conn: Some(conn),
             wrote,
@@ -152,15 +155,35 @@
         self.used = Instant::now();
     }
 
-    /// Returns the identifier of the next exchange.
+    /// Returns `true` if a response to the request with this id can be told from the responses to
+    /// all requests that the connection carried.
     #[must_use]
-    pub const fn next_exchange(&self) -> ExchangeId {
+    pub fn may_carry(&self, id: &HeaderValue) -> bool {
+        let now = self.time(Instant::now());
+        self.history.may_carry(now, id.as_bytes())
+    }
+
+    /// Records that the request with this id and the deadline `until` is sent next.
+    pub fn begin(&mut self, id: &HeaderValue, until: Instant) -> ExchangeId {
+        let (now, due) = (self.time(Instant::now()), self.time(until));
+        self.history.record(now, id.as_bytes(), due);
         ExchangeId {
             conn: self.number,
-            number: self.exchanges + 1,
+            number: self.history.exchanges(),
         }
     }
 
+    /// Returns `true` if a response with this id counts for the request that was sent last.
+    #[must_use]
+    pub const fn counts(&self, id: AnswerId) -> bool {
+        self.history.counts(id)
+    }
+
+    /// Converts an instant to the clock of the history.
+    fn time(&self, instant: Instant) -> swiftcart_core::Instant {
+        swiftcart_core::Instant::new(instant.saturating_duration_since(self.opened))
+    }
+
     /// Returns `true` if any part of the last request was written.
     #[must_use]
     pub fn wrote(&self) -> bool {
@@ -187,7 +210,6 @@
         request: Request<Outgoing>,
     ) -> Result<Response<Incoming>, SendError> {
         self.wrote.store(false, Ordering::Relaxed);
-        self.exchanges += 1;
         let mut answer = pin!(self.sender.try_send_request(request));
         let conn = &mut self.conn;
         // The response makes progress only when the connection does, and the connection is polled
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -18,11 +18,12 @@
 use super::admissions::Slot;
 use super::answer::Answer;
 use super::body::Outgoing;
+use super::exchange::Exchanged;
 use super::headers::{strip_hop_by_hop, strip_internal};
 use super::keyed::KeyedExecutor;
 use super::request::Call;
 use super::runs::FingerprintSource;
-use super::upstream::{Sent, Unanswered, Upstream};
+use super::upstream::{Sent, Upstream};
 use super::verdict::check_response;
 use crate::counters::Stage;
 use crate::logging::Event;
@@ -373,27 +374,28 @@
         let repeat = call.terms.is_some_and(|terms| terms.repeat);
         let _repeat = repeat.then(|| RunningRetry::new(&self.repeats));
         let sent = upstream.send(call, call.due.at(), request).await;
-        let Sent {
-            response,
-            pooled,
-            run,
-            exchange,
-        } = match sent {
+        let Sent { exchanged, run } = match sent {
             Ok(sent) => sent,
-            Err(Unanswered { reason, exchange }) => {
-                self.log_exchange(call, exchange, Err(reason));
+            Err(unanswered) => {
+                let reason = unanswered.reason;
+                self.log_unanswered(call, &unanswered);
                 self.record_end(call, &slot, failure_result(reason) == CallResult::Failure);
                 slot.finish(failure_result(reason));
                 return Err(reason.into());
             }
         };
+        let Exchanged {
+            response,
+            pooled,
+            exchange,
+        } = exchanged;
         self.record_end(call, &slot, response.status().is_server_error());
         let elapsed = self.shared.clock.now().since(slot.start());
         self.shared.counters.stage(Stage::Backend, elapsed);
         slot.head(response.body().size_hint().lower());
-        let checked = check_response(&self.shared.settings, call, &method, &response);
+        let checked = check_response(&self.shared.settings, &method, &response);
         if checked.is_err() || repeat {
-            self.log_exchange(call, Some(exchange), Ok(&response));
+            self.log_exchange(call, exchange, &response, checked.err());
         }
         if let Err(reason) = checked {
             slot.finish(failure_result(reason));
--- a/crates/swiftcart-node/src/calls/guard/pending_run.rs
+++ b/crates/swiftcart-node/src/calls/guard/pending_run.rs
@@ -1,12 +1,12 @@
 //! Log lines about requests that get no response of the backend server.
 
-use http::{HeaderMap, Response};
-use hyper::body::Incoming;
+use http::{HeaderMap, Response, StatusCode};
 use slog::info;
 use swiftcart_core::{HOP_ALLOWANCE, Reason, Refusal, Slowdown};
 
 use super::Guard;
 use crate::calls::conn::ExchangeId;
+use crate::calls::exchange::Unanswered;
 use crate::calls::request::Call;
 use crate::logging::Event;
 
@@ -53,35 +53,50 @@
 }
 
 impl Guard {
-    /// Logs what came on the connection after a request was sent to the backend server: the head of
-    /// a response, or the reason why there is none.
-    pub(super) fn log_exchange(
+    /// Logs the response that came to a request on a connection, and the reason why it is not passed
+    /// on, if any.
+    pub(super) fn log_exchange<B>(
+        &self,
+        call: &Call,
+        exchange: ExchangeId,
+        response: &Response<B>,
+        reason: Option<Reason>,
+    ) {
+        let came = Some((response.status(), response.headers()));
+        self.log_came(call, Some(exchange), came, reason);
+    }
+
+    /// Logs a request that got no response, or only one that does not count.
+    pub(super) fn log_unanswered(&self, call: &Call, unanswered: &Unanswered) {
+        let head = unanswered.head.as_ref();
+        let came = head.map(|head| (head.status, &head.headers));
+        self.log_came(call, unanswered.exchange, came, Some(unanswered.reason));
+    }
+
+    fn log_came(
         &self,
         call: &Call,
         exchange: Option<ExchangeId>,
-        came: Result<&Response<Incoming>, Reason>,
+        came: Option<(StatusCode, &HeaderMap)>,
+        reason: Option<Reason>,
     ) {
         let now = self.shared.clock.now();
         let Some(log) = self.shared.call_log.failed(now) else {
             return;
         };
         let names = &self.shared.settings.headers;
-        let text = |headers: &HeaderMap, name| {
-            let value = headers.get(name)?;
-            Some(value.to_str().unwrap_or("?").to_owned())
-        };
-        let head = came.ok().map(Response::headers);
-        let answer_id = head.and_then(|headers| text(headers, &names.request_id.0));
         let not_run = names.not_run.as_ref();
-        let rejects = head
-            .zip(not_run)
-            .map(|(head, name)| head.contains_key(&name.0));
+        let headers = came.map(|(_, headers)| headers);
+        let id = headers.and_then(|headers| headers.get(&names.request_id.0));
+        let id = id.map(|id| id.to_str().unwrap_or("?").to_owned());
+        let rejects = headers.zip(not_run);
+        let rejects = rejects.map(|(headers, name)| headers.contains_key(&name.0));
         info!(log, ""; "event" => Event::Exchange, "id" => %call.id,
             "conn" => exchange.map(|exchange| exchange.to_string()),
             "repeat" => call.terms.is_some_and(|terms| terms.repeat),
-            "status" => came.ok().map(|response| response.status().as_u16()),
-            "answer_id" => answer_id, "not_run" => rejects,
-            "reason" => came.err().map(Reason::as_str));
+            "status" => came.map(|(status, _)| status.as_u16()),
+            "answer_id" => id, "not_run" => rejects,
+            "reason" => reason.map(Reason::as_str));
     }
 
     /// Logs a request that was not forwarded to the backend server or received no response.
--- a/crates/swiftcart-node/src/calls/ingress/failed.rs
+++ b/crates/swiftcart-node/src/calls/ingress/failed.rs
@@ -7,6 +7,7 @@
 
 use crate::calls::answer::Answer;
 use crate::calls::conn::ExchangeId;
+use crate::calls::exchange::Unanswered;
 use crate::calls::guard::Report;
 use crate::calls::request::Call;
 
@@ -32,8 +33,8 @@
 
     /// Sets the last exchange with the guard.
     #[must_use]
-    pub(super) const fn with_exchange(mut self, exchange: Option<ExchangeId>) -> Self {
-        self.exchange = exchange;
+    pub(super) const fn with_exchange(mut self, exchange: ExchangeId) -> Self {
+        self.exchange = Some(exchange);
         self
     }
 
@@ -92,6 +93,15 @@
     }
 }
 
+impl From<Unanswered> for FailedAttempt {
+    fn from(unanswered: Unanswered) -> Self {
+        Self {
+            exchange: unanswered.exchange,
+            ..unanswered.reason.into()
+        }
+    }
+}
+
 /// Returns `true` if a response is a server error and another backend server may run the request.
 ///
 /// A `504 Gateway Timeout` is excluded: at the deadline no time is left for another attempt.
--- a/crates/swiftcart-node/src/calls/ingress/forward.rs
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -7,7 +7,7 @@
 use super::{FailedAttempt, Ingress, lock};
 use crate::calls::answer::{Answer, is_framed};
 use crate::calls::body::Gate;
-use crate::calls::exchange::exchange;
+use crate::calls::exchange::{Exchanged, IdHeader, exchange};
 use crate::calls::guard::Report;
 use crate::calls::headers::{
     ATTEMPT, LOAD, NOTICE, RETRIED, SERVICE, TERMS, process_notice, refusal_reason, retry_after,
@@ -64,11 +64,21 @@
         let until = self.shared.clock.tokio(call.due.at());
         let method = request.method().clone();
         let pool = self.peers.pool(pick.peer);
-        let mut exchange_id = None;
-        let on_send = |id| exchange_id = Some(id);
-        let exchanged = exchange(&pool, until, request, Reason::PeerUnreachable, on_send).await;
-        let failed = |failed: FailedAttempt| failed.with_exchange(exchange_id);
-        let (mut response, pooled) = exchanged.map_err(|reason| failed(reason.into()))?;
+        let names = &self.shared.settings.headers;
+        let ids = IdHeader {
+            name: &names.request_id.0,
+            echoed: true,
+        };
+        let unreachable = Reason::PeerUnreachable;
+        let exchanged = exchange(&pool, until, ids, request, unreachable, || {}).await;
+        let Exchanged {
+            mut response,
+            pooled,
+            exchange,
+        } = exchanged.map_err(FailedAttempt::from)?;
+        if !names.own_ids {
+            response.headers_mut().remove(&names.request_id.0);
+        }
         if let Some(notice) = process_notice(response.headers()) {
             lock(&self.notices).note(pick.id, notice);
             response.headers_mut().remove(NOTICE);
@@ -78,7 +88,7 @@
             true => split_refusal(response.map(|body| Answer::stream(body, pooled))),
             false => Err(Reason::AnswerBroken.into()),
         }
-        .map_err(failed)
+        .map_err(|failed| failed.with_exchange(exchange))
     }
 }
 
--- a/crates/swiftcart-node/src/calls/keyed/work.rs
+++ b/crates/swiftcart-node/src/calls/keyed/work.rs
@@ -115,14 +115,15 @@
     }
 
     async fn read(&self, sent: Sent) -> Result<(http::response::Parts, Bytes), Reason> {
-        let (mut head, body) = sent.response.into_parts();
+        let Sent { exchanged, run } = sent;
+        let (mut head, body) = exchanged.response.into_parts();
         if !is_framed(&self.head.method, head.status, &head.headers) {
             return Err(Reason::AnswerBroken);
         }
         strip_hop_by_hop(&mut head.headers);
         strip_internal(&mut head.headers);
         let bound = self.guard.shared().settings.limits.keyed_bytes as usize;
-        let body = Limited::new(Answer::stream(body, sent.pooled).with_run(sent.run), bound)
+        let body = Limited::new(Answer::stream(body, exchanged.pooled).with_run(run), bound)
             .collect()
             .await;
         match body {
--- a/crates/swiftcart-node/src/calls/pool.rs
+++ b/crates/swiftcart-node/src/calls/pool.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use http::HeaderValue;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -15,7 +16,7 @@
 /// Pool of connections to one peer or backend server.
 ///
 /// Each connection in use holds a permit. A new connection is opened only when no idle connection
-/// is left, so that the connections in use and the idle ones together never exceed the bound.
+/// can carry the request. The connections in use and the idle ones together never exceed the bound.
 #[derive(Debug)]
 pub struct Pool {
     addr: SocketAddr,
@@ -101,17 +102,20 @@
         self
     }
 
-    /// Takes an idle connection, or opens a connection when none is idle.
+    /// Takes an idle connection that can carry the request with this id, or opens a connection.
     ///
     /// # Errors
     ///
     /// Returns an error when no connection could be opened.
-    pub async fn take(self: &Arc<Self>) -> Result<Pooled, OpenError> {
+    pub async fn take(self: &Arc<Self>, id: &HeaderValue) -> Result<Pooled, OpenError> {
         let permit = Arc::clone(&self.permits).acquire_owned().await;
         let permit = permit.map_err(|_| OpenError::TimedOut)?;
-        let (conn, reused) = match self.reuse() {
+        let (conn, reused) = match self.reuse(id) {
             Some(conn) => (conn, true),
-            None => (Conn::open(self.addr, self.connect_time).await?, false),
+            None => {
+                self.make_room();
+                (Conn::open(self.addr, self.connect_time).await?, false)
+            }
         };
         Ok(Pooled {
             conn,
@@ -150,20 +154,26 @@
         idle.is_empty()
     }
 
-    fn reuse(&self) -> Option<Conn> {
+    fn reuse(&self, id: &HeaderValue) -> Option<Conn> {
         let now = Instant::now();
         loop {
-            let mut conn = self
-                .idle
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .pop()?;
+            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            let latest = idle.iter().rposition(|conn| conn.may_carry(id))?;
+            let mut conn = idle.remove(latest);
+            drop(idle);
             if !self.is_stale(&conn, now) && conn.check() {
                 return Some(conn);
             }
         }
     }
 
+    /// Closes the longest idle connections that have no permit left beside those in use.
+    fn make_room(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let excess = idle.len().saturating_sub(self.permits.available_permits());
+        idle.drain(..excess);
+    }
+
     fn put(&self, mut conn: Conn) {
         conn.touch();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -121,6 +121,8 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
+        let id_header = &self.shared.settings.headers.request_id.0;
+        let id = request.headers().get(id_header).cloned();
         let notice = process_notice(request.headers());
         notice.iter().for_each(|notice| self.guard.relay(*notice));
         let result = self.run(request).await;
@@ -132,6 +134,9 @@
         if let Some(notice) = self.guard.notice(notice.is_some()) {
             response.headers_mut().insert(NOTICE, notice);
         }
+        if let Some(id) = id {
+            response.headers_mut().insert(id_header.clone(), id);
+        }
         close_if_stopping(&self.shared, &mut response);
         response.map(|answer| answer.paced(&self.shared.link))
     }
--- a/crates/swiftcart-node/src/calls/upstream.rs
+++ b/crates/swiftcart-node/src/calls/upstream.rs
@@ -2,8 +2,7 @@
 
 use std::sync::Arc;
 
-use http::{HeaderMap, HeaderValue, Request, Response};
-use hyper::body::Incoming;
+use http::{HeaderMap, HeaderValue, Request};
 use swiftcart_core::{
     AdmissionSettings, AdmissionState, Backend, Deadline, Instant, LimitRule, LimitSettings,
     Limits, Load, Notice, Outcome, ProcessNotice, Readiness, Reason, Refusal, ServiceName,
@@ -12,12 +11,11 @@
 
 use super::admissions::{Admissions, Slot};
 use super::body::Outgoing;
-use super::conn::ExchangeId;
-use super::exchange::exchange;
+use super::exchange::{Exchanged, IdHeader, Unanswered, exchange};
 use super::guard::Report;
 use super::headers::DEADLINE;
 use super::notices::Notices;
-use super::pool::{Pool, Pooled};
+use super::pool::Pool;
 use super::request::Call;
 use super::runs::{FingerprintSource, Run, RunTracker};
 use super::stated_load::StatedLoadReader;
@@ -43,41 +41,13 @@
     stated_load_reader: Arc<StatedLoadReader>,
 }
 
-/// Head of a response, with the connection that its body arrives on.
+/// Response of the backend server to a tracked run.
 #[derive(Debug)]
 pub struct Sent {
     /// Response of the backend server.
-    pub response: Response<Incoming>,
-    /// Connection that the response arrives on.
-    pub pooled: Pooled,
+    pub exchanged: Exchanged,
     /// Tracked run of the request.
     pub run: Run,
-    /// Exchange that the response arrived in.
-    pub exchange: ExchangeId,
-}
-
-/// Request that got no response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Unanswered {
-    /// Reason why there is no response.
-    pub reason: Reason,
-    /// Last exchange of the request, if it was sent on a connection.
-    pub exchange: Option<ExchangeId>,
-}
-
-impl From<Reason> for Unanswered {
-    fn from(reason: Reason) -> Self {
-        Self {
-            reason,
-            exchange: None,
-        }
-    }
-}
-
-impl From<Unanswered> for Reason {
-    fn from(unanswered: Unanswered) -> Self {
-        unanswered.reason
-    }
 }
 
 impl Upstream {
@@ -281,44 +251,36 @@
         let until = self.clock.tokio(until);
         let source = FingerprintSource::new(call.print, request.body());
         let mut run = None;
-        let mut exchange_id = None;
-        let on_send = |id| {
-            exchange_id = Some(id);
+        let on_send = || {
             let before = run.replace(self.runs.start(&self.pool, source.clone()));
             if let Some(before) = before {
                 before.unsent();
             }
         };
         let start = self.clock.now();
-        let sent = exchange(&self.pool, until, request, Reason::ConnectFailed, on_send).await;
-        let unanswered = |reason| Unanswered {
-            reason,
-            exchange: exchange_id,
+        let ids = IdHeader {
+            name: &self.headers.request_id.0,
+            echoed: self.headers.own_ids,
         };
-        match (sent, run.zip(exchange_id)) {
-            (Ok((response, pooled)), Some((run, exchange))) => {
-                let notice = self.notices.observe(call, start, response.headers());
+        let unreachable = Reason::ConnectFailed;
+        let exchanged = exchange(&self.pool, until, ids, request, unreachable, on_send).await;
+        match (exchanged, run) {
+            (Ok(exchanged), Some(run)) => {
+                let headers = exchanged.response.headers();
+                let notice = self.notices.observe(call, start, headers);
                 notice
                     .into_iter()
                     .for_each(|notice| self.apply_notice(notice));
-                if let Some(stated) = self.stated_load_reader.read(call, response.headers()) {
+                if let Some(stated) = self.stated_load_reader.read(call, headers) {
                     self.admissions.set_stated_load(stated);
                 }
                 Ok(Sent {
-                    run: run.with_status(response.status()),
-                    response,
-                    pooled,
-                    exchange,
+                    run: run.with_status(exchanged.response.status()),
+                    exchanged,
                 })
             }
-            (Err(Reason::AnswerBroken), Some((run, _))) => {
-                Err(unanswered(run.record_break().await))
-            }
-            (Err(reason), Some((run, _))) if reason.outcome() == Outcome::NotRun => {
-                run.unsent();
-                Err(unanswered(reason))
-            }
-            (Err(reason), _) => Err(unanswered(reason)),
+            (Err(unanswered), Some(run)) => Err(record_unanswered(unanswered, run).await),
+            (Err(unanswered), None) => Err(unanswered),
             (Ok(_), None) => Err(Reason::AnswerBroken.into()),
         }
     }
@@ -359,6 +321,18 @@
     }
 }
 
+/// Records the result of a run that got no response, and returns the reason for it.
+async fn record_unanswered(mut unanswered: Unanswered, run: Run) -> Unanswered {
+    match unanswered.reason {
+        // The backend server is alive, whatever request it answered.
+        Reason::AnswerBroken if unanswered.head.is_some() => run.rejected(),
+        Reason::AnswerBroken => unanswered.reason = run.record_break().await,
+        reason if reason.outcome() == Outcome::NotRun => run.unsent(),
+        _ => {}
+    }
+    unanswered
+}
+
 const fn admission_state(readiness: Readiness, stopping: bool) -> AdmissionState {
     match readiness {
         _ if stopping => AdmissionState::Stopping,
