End a caller's connection only once nothing on it is owed a response

Cause: each place that ends a connection judged for itself. A stopping node put Connection: close into the next answer whatever stood behind it; the end of the listener shut the connection down; the idle timer counted from the head of an answer and did not see requests that had arrived; nothing kept requests from being started behind an end that was decided.

Change: ConnRequests in the core decides, for callers and for nodes; Lifetime and ConnService of the node ask it, and the services of ingress and guard set Connection no longer. A stop answers what has arrived and nothing later; the idle time begins with the end of the last response; requests behind a body or behind an end that is decided are not started.

--- a/crates/swiftcart-node/src/calls/pipelining.rs
+++ b/crates/swiftcart-node/src/calls/pipelining.rs
@@ -9,17 +9,16 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use bytes::BytesMut;
 use http::header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{Extensions, HeaderName, HeaderValue, Request, Response, Uri, Version};
-use tokio::sync::Notify;
-use tokio::time::{Instant, timeout_at};
+use swiftcart_core::HeadKind;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::answer::Answer;
+use super::serve::Lifetime;
 
 /// Maximum length of a scanned head, in bytes. Longer heads are left to hyper, since pipelined
 /// requests are short.
@@ -43,38 +42,26 @@
 
 /// Scanner of the heads on one connection, shared by the connection and its service.
 #[derive(Debug, Clone)]
-pub struct Pipeline {
+pub struct Pipeline(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
     starter: Starter,
+    /// Extensions of each started request.
     origin: Extensions,
-    state: Arc<Mutex<State>>,
-    /// Notified when a request is taken or answered.
-    changed: Arc<Notify>,
+    lifetime: Lifetime,
+    state: Mutex<State>,
 }
 
-/// Numbers of requests on one connection.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct RequestCounts {
-    /// Requests whose head has arrived.
-    pub seen: u64,
-    /// Requests that hyper has passed to the service.
-    pub taken: u64,
-    /// Requests whose response the service has returned.
-    pub answered: u64,
-}
+/// Number of a request on its connection, in the order of arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestNumber(pub u64);
 
 #[derive(Debug, Default)]
 struct State {
     position: ParsePosition,
     /// Bytes of an incomplete head.
     head: BytesMut,
-    /// Number of heads seen on this connection.
-    seen: u64,
-    /// Number of requests that hyper has passed to the service.
-    taken: u64,
-    /// Number of requests whose response the service has returned.
-    answered: u64,
-    /// Time at which the service returned the last response.
-    idle_since: Option<Instant>,
     /// Pipelined requests in progress, in the order of arrival.
     started: VecDeque<StartedRequest>,
 }
@@ -106,6 +93,7 @@
     Head {
         len: usize,
         body: u64,
+        kind: HeadKind,
         /// Parsed head, or `None` if the request has a body and cannot be started early.
         parts: Option<Box<Parts>>,
     },
@@ -122,19 +110,20 @@
 impl Pipeline {
     /// Creates the pipeline of one connection.
     #[must_use]
-    pub fn new(starter: &Starter, origin: Extensions) -> Self {
-        Self {
+    pub fn new(starter: &Starter, lifetime: &Lifetime, origin: Extensions) -> Self {
+        Self(Arc::new(Inner {
             starter: starter.clone(),
             origin,
-            state: Arc::default(),
-            changed: Arc::default(),
-        }
+            lifetime: lifetime.clone(),
+            state: Mutex::default(),
+        }))
     }
 
     /// Scans newly arrived bytes for heads and starts the requests that may run early.
     pub fn scan_bytes(&self, bytes: &[u8]) {
         let mut state = self.lock();
-        if state.position == ParsePosition::Unsynchronized && state.seen <= state.answered {
+        if state.position == ParsePosition::Unsynchronized && self.0.lifetime.requests().owed() == 0
+        {
             state.position = ParsePosition::Head;
         }
         let mut rest = bytes;
@@ -142,22 +131,18 @@
             rest = match state.position {
                 ParsePosition::Unsynchronized => return,
                 ParsePosition::Body(left) => state.skip(left, rest),
-                ParsePosition::Head => state.read_head(rest, &self.starter, &self.origin),
+                ParsePosition::Head => state.read_head(rest, &self.0),
             };
         }
     }
 
-    /// Returns the task of the next request from hyper, if that request was started early.
+    /// Returns the task of the request that hyper passes on, if that request was started early.
     ///
     /// The scanner and hyper may disagree after a body that the scanner cannot follow. The heads
     /// are therefore compared in full.
     #[must_use]
-    pub fn take(&self, head: &Parts) -> Option<ResponseTask> {
+    pub fn take(&self, RequestNumber(number): RequestNumber, head: &Parts) -> Option<ResponseTask> {
         let mut state = self.lock();
-        self.changed.notify_one();
-        let number = state.taken;
-        state.taken += 1;
-        state.seen = state.seen.max(state.taken);
         let due = state
             .started
             .front()
@@ -177,64 +162,19 @@
         }
     }
 
-    /// Marks the most recently taken request as answered.
-    pub fn answered(&self) {
-        let mut state = self.lock();
-        state.answered = state.taken;
-        state.idle_since = Some(Instant::now());
-        self.changed.notify_one();
-    }
-
-    /// Returns `true` if the caller has sent requests that hyper has not taken yet.
-    #[must_use]
-    pub fn has_more(&self) -> bool {
-        let state = self.lock();
-        state.seen > state.taken
-    }
-
-    /// Returns how many requests arrived, how many of them hyper has taken, and how many have an
-    /// answer.
-    #[must_use]
-    pub fn counts(&self) -> RequestCounts {
-        let state = self.lock();
-        RequestCounts {
-            seen: state.seen,
-            taken: state.taken,
-            answered: state.answered,
-        }
-    }
-
-    /// Returns the heads of the requests that were started early and that hyper has not taken.
+    /// Returns the values of the header `name` in the requests that were started early and that
+    /// hyper has not passed on.
     #[must_use]
-    pub fn untaken(&self) -> Vec<Parts> {
+    pub fn started(&self, name: &HeaderName) -> Vec<HeaderValue> {
         let state = self.lock();
-        state
-            .started
-            .iter()
-            .map(|ahead| ahead.head.clone())
+        let heads = state.started.iter().map(|ahead| &ahead.head);
+        heads
+            .filter_map(|head| head.headers.get(name).cloned())
             .collect()
     }
 
-    /// Waits until the connection has been idle for `time` after a response.
-    pub async fn wait_idle(&self, time: Duration) {
-        loop {
-            let idle_since = {
-                let state = self.lock();
-                state.idle_since.filter(|_| state.answered == state.taken)
-            };
-            let changed = self.changed.notified();
-            let Some(since) = idle_since else {
-                changed.await;
-                continue;
-            };
-            if timeout_at(since + time, changed).await.is_err() {
-                return;
-            }
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -254,47 +194,46 @@
         &bytes[len..]
     }
 
-    fn read_head<'a>(
-        &mut self,
-        bytes: &'a [u8],
-        starter: &Starter,
-        origin: &Extensions,
-    ) -> &'a [u8] {
+    fn read_head<'a>(&mut self, bytes: &'a [u8], conn: &Inner) -> &'a [u8] {
         let before = self.head.len();
         self.head.extend_from_slice(bytes);
         match scan_head(&self.head) {
-            ScanResult::Partial if self.head.len() <= MAX_HEAD_BYTES => &[],
+            ScanResult::Partial if self.head.len() <= MAX_HEAD_BYTES => {
+                conn.lifetime.arrive_partly();
+                &[]
+            }
             ScanResult::Partial | ScanResult::Unsupported => {
                 self.position = ParsePosition::Unsynchronized;
                 self.head = BytesMut::new();
                 &[]
             }
-            ScanResult::Head { len, body, parts } => {
+            ScanResult::Head {
+                len,
+                body,
+                kind,
+                parts,
+            } => {
                 self.head = BytesMut::new();
                 self.position = match body {
                     0 => ParsePosition::Head,
                     left => ParsePosition::Body(left),
                 };
-                let parts = parts.map(|mut parts| {
-                    parts.extensions.extend(origin.clone());
-                    parts
-                });
-                self.start(parts, starter);
+                let arrived = conn.lifetime.arrive(kind).zip(parts);
+                if let Some((number, parts)) = arrived {
+                    self.start(number, *parts, conn);
+                }
                 &bytes[len - before..]
             }
         }
     }
 
     /// Starts a request early if earlier requests are still unanswered.
-    fn start(&mut self, head: Option<Box<Parts>>, starter: &Starter) {
-        let number = self.seen;
-        self.seen += 1;
-        if number <= self.answered || self.started.len() >= MAX_PIPELINED {
+    fn start(&mut self, number: u64, mut head: Parts, conn: &Inner) {
+        if !conn.lifetime.may_start(number) || self.started.len() >= MAX_PIPELINED {
             return;
         }
-        let Some(head) = head else { return };
-        if let Some(started) = (starter.0)(&head) {
-            let head = *head;
+        head.extensions.extend(conn.origin.clone());
+        if let Some(started) = (conn.starter.0)(&head) {
             self.started.push_back(StartedRequest {
                 number,
                 head,
@@ -317,6 +256,11 @@
             Some(body) => ScanResult::Head {
                 len,
                 body,
+                kind: match body {
+                    _ if is_last(&head) => HeadKind::Last,
+                    0 => HeadKind::Plain,
+                    _ => HeadKind::WithBody,
+                },
                 parts: (body == 0).then(|| to_parts(&head)).flatten().map(Box::new),
             },
             None => ScanResult::Unsupported,
@@ -326,6 +270,15 @@
     }
 }
 
+/// Returns `true` if the caller announces that it sends no further request on the connection.
+fn is_last(head: &httparse::Request<'_, '_>) -> bool {
+    let names = |field: &&httparse::Header<'_>| field.name.eq_ignore_ascii_case("connection");
+    let values = head.headers.iter().filter(names).map(|field| field.value);
+    values
+        .flat_map(|value| value.split(|byte| *byte == b','))
+        .any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
 /// Returns the length of the request's body, or `None` if the head does not determine it.
 fn body_length(head: &httparse::Request<'_, '_>) -> Option<u64> {
     let mut length = None;
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -1,5 +1,8 @@
 //! Listeners of the request path, with a connection limit and graceful shutdown.
 
+mod conn_service;
+mod lifetime;
+
 use std::convert::Infallible;
 use std::future::{Future, pending};
 use std::io::{self, Write};
@@ -19,7 +22,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use tower::{Service, ServiceExt};
+use tower::Service;
 
 use super::answer::Answer;
 use super::origin::{CallerConn, origin_extensions};
@@ -27,6 +30,8 @@
 use super::socket::Socket;
 use crate::logging::Event;
 use crate::shared::Shared;
+use conn_service::ConnService;
+pub use lifetime::Lifetime;
 
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -165,24 +170,27 @@
                 Response = Response<Answer>,
                 Error = Infallible,
                 Future = ResponseFuture,
-            > + Clone,
+            > + Clone
+            + Send
+            + 'static,
     {
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let silence = self.shared.settings.limits.body_timeout();
+        let limits = &self.shared.settings.limits;
         let number = CallerConn::next();
-        let origin = origin_extensions(number, &stream);
+        let mut extensions = origin_extensions(number, &stream);
+        let lifetime = Lifetime::new();
         let pipeline = self.starter.as_ref();
-        let pipeline = pipeline.map(|starter| Pipeline::new(starter, origin.clone()));
-        let socket = Socket::new(stream, silence, pipeline.clone());
-        let extension = pipeline.clone();
-        let service = service.map_request(move |mut request: Request<_>| {
-            let extensions = request.extensions_mut();
-            extensions.insert(extension.clone());
-            extensions.extend(origin.clone());
-            request
-        });
+        let pipeline =
+            pipeline.map(|starter| Pipeline::new(starter, &lifetime, extensions.clone()));
+        let keep_alive = pipeline.as_ref().and_then(|_| limits.keep_alive());
+        let socket = Socket::new(stream, limits.body_timeout(), pipeline.clone());
+        if let Some(pipeline) = &pipeline {
+            extensions.insert(pipeline.clone());
+        }
+        let service = ConnService::new(service, &self.shared, &lifetime, extensions)
+            .with_keep_alive(keep_alive);
         let service = TowerToHyperService::new(service);
         let disconnected = socket.clone();
         let mut conn = pin!(self.builder.serve_connection(socket, service));
@@ -195,8 +203,16 @@
                 () = disconnected.as_mut() => return (CloseCause::Gone, None),
                 result = conn.as_mut() => return (CloseCause::Completed, Some(result)),
                 () = self.closing.cancelled() => CloseCause::Stopping,
-                () = self.idle(pipeline.as_ref()) => CloseCause::Idle,
+                () = idle(&lifetime, keep_alive) => CloseCause::Idle,
             };
+            // hyper answers no request behind the current one after `graceful_shutdown`.
+            lifetime.stop();
+            tokio::select! {
+                biased;
+                () = disconnected.as_mut() => return (CloseCause::Gone, None),
+                result = conn.as_mut() => return (cause, Some(result)),
+                () = lifetime.none_waits() => {}
+            }
             conn.as_mut().graceful_shutdown();
             tokio::select! {
                 biased;
@@ -205,7 +221,9 @@
             }
         };
         let (cause, result) = ended.await;
-        self.log_unanswered(number, cause, pipeline.as_ref(), result.as_ref());
+        if lifetime.requests().owed() > 0 {
+            self.log_owed(number, cause, &lifetime, pipeline.as_ref(), result.as_ref());
+        }
         match result {
             None => self.count_closed("gone"),
             Some(Err(err)) => self.record_error(&err),
@@ -213,43 +231,34 @@
         }
     }
 
-    /// Logs the end of a connection on which requests had no response.
-    fn log_unanswered(
+    /// Logs the end of a connection on which requests are owed a response.
+    ///
+    /// If the caller has left, the requests that were not started early log that themselves.
+    fn log_owed(
         &self,
         conn: CallerConn,
         cause: CloseCause,
+        lifetime: &Lifetime,
         pipeline: Option<&Pipeline>,
         result: Option<&Result<(), hyper::Error>>,
     ) {
-        let counts = pipeline.map(Pipeline::counts).unwrap_or_default();
-        if counts.seen <= counts.answered {
+        let id = &self.shared.headers.request_id.0;
+        let ids = pipeline
+            .map(|pipeline| pipeline.started(id))
+            .unwrap_or_default();
+        if cause == CloseCause::Gone && ids.is_empty() {
             return;
         }
         let now = self.shared.clock.now();
-        if let Some(log) = self.shared.call_log.failed(now) {
-            let error = result.and_then(|result| result.as_ref().err());
-            let untaken = pipeline.map(Pipeline::untaken).unwrap_or_default();
-            let id = &self.shared.headers.request_id.0;
-            let ids = untaken
-                .iter()
-                .filter_map(|head| head.headers.get(id)?.to_str().ok());
-            let ids: Vec<&str> = ids.collect();
-            info!(log, ""; "event" => Event::Closed, "caller_conn" => conn.0,
-                "cause" => cause.as_str(), "error" => error.map(ToString::to_string),
-                "phase" => self.shared.phase.borrow().as_str(), "seen" => counts.seen,
-                "taken" => counts.taken, "answered" => counts.answered,
-                "at_work" => ids.join(","));
-        }
-    }
-
-    /// Waits until a caller's connection has been idle for longer than the announced keep-alive
-    /// time.
-    async fn idle(&self, pipeline: Option<&Pipeline>) {
-        let time = self.shared.settings.limits.keep_alive();
-        match (pipeline, time) {
-            (Some(pipeline), Some(time)) => pipeline.wait_idle(time + KEEP_ALIVE_GRACE).await,
-            _ => pending().await,
-        }
+        let Some(log) = self.shared.call_log.failed(now) else {
+            return;
+        };
+        let ids: Vec<&str> = ids.iter().filter_map(|id| id.to_str().ok()).collect();
+        let error = result.and_then(|result| result.as_ref().err());
+        info!(log, ""; "event" => Event::Closed, "caller_conn" => conn.0,
+            "cause" => cause.as_str(), "error" => error.map(ToString::to_string),
+            "phase" => self.shared.phase.borrow().as_str(),
+            "owed" => lifetime.requests().owed(), "at_work" => ids.join(","));
     }
 
     /// Counts a connection error. Refusals that hyper sent itself count as refusals.
@@ -290,3 +299,11 @@
         sleep(ACCEPT_BACKOFF).await;
     }
 }
+
+/// Waits until a caller's connection has been idle for longer than the announced keep-alive time.
+async fn idle(lifetime: &Lifetime, keep_alive: Option<Duration>) {
+    match keep_alive {
+        Some(time) => lifetime.idle(time + KEEP_ALIVE_GRACE).await,
+        None => pending().await,
+    }
+}
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -5,7 +5,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use http::header::{CONNECTION, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response};
 use hyper::body::{Body, Incoming};
@@ -18,13 +17,13 @@
 use super::answer::{Answer, refuse};
 use super::body::{BodySource, Outgoing};
 use super::guard::Guard;
-use super::headers::{KEEP_ALIVE, LOAD, NOTICE, OUTCOME, process_notice};
+use super::headers::{LOAD, NOTICE, process_notice};
 use super::ingress::Ingress;
-use super::pipelining::{Pipeline, Starter};
+use super::pipelining::{Pipeline, RequestNumber, Starter};
 use super::request::Call;
 use super::serve::ResponseFuture;
 use crate::settings::Settings;
-use crate::shared::{Phase, Shared};
+use crate::shared::Shared;
 
 /// Service that answers callers.
 #[derive(Debug, Clone)]
@@ -66,45 +65,19 @@
         })
     }
 
-    /// Sets the header that tells the caller how long its connection is kept open.
-    ///
-    /// After a refusal the connection is closed instead, so that a retry uses a new connection.
-    /// The connection stays open while pipelined requests are still unanswered.
-    fn set_keep_alive(&self, response: &mut Response<Answer>, has_more: bool) {
-        let Some(time) = self.shared.settings.limits.keep_alive() else {
-            return;
-        };
-        let (name, value) = match response.headers().contains_key(OUTCOME) && !has_more {
-            true => (CONNECTION, HeaderValue::from_static("close")),
-            false => {
-                let text = format!("timeout={}", time.as_secs());
-                // A word followed by digits is always a valid header value.
-                let value = HeaderValue::try_from(text);
-                (
-                    KEEP_ALIVE,
-                    value.unwrap_or_else(|_| HeaderValue::from_static("timeout=1")),
-                )
-            }
-        };
-        response.headers_mut().insert(name, value);
-    }
-
     async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
         let (mut head, body) = request.into_parts();
-        let pipeline = head.extensions.remove::<Option<Pipeline>>().flatten();
-        let started = pipeline.as_ref().and_then(|pipeline| pipeline.take(&head));
-        let mut response = match started {
+        let pipeline = head.extensions.remove::<Pipeline>();
+        let number = head.extensions.remove::<RequestNumber>();
+        let started = pipeline.zip(number);
+        let started = started.and_then(|(pipeline, number)| pipeline.take(number, &head));
+        match started {
             Some(started) => match started.await {
                 Ok(response) => response,
                 Err(err) => self.ingress.answer_failed_task(&err),
             },
             None => self.ingress.answer(head, Some(body)).await,
-        };
-        if let Some(pipeline) = pipeline {
-            pipeline.answered();
-            self.set_keep_alive(&mut response, pipeline.has_more());
         }
-        response
     }
 }
 
@@ -137,7 +110,6 @@
         if let Some(id) = id {
             response.headers_mut().insert(id_header.clone(), id);
         }
-        close_if_stopping(&self.shared, &mut response);
         response.map(|answer| answer.paced(&self.shared.link))
     }
 
@@ -218,14 +190,6 @@
     }
 }
 
-/// Sets `Connection: close` if the node is stopping.
-fn close_if_stopping(shared: &Shared, response: &mut Response<Answer>) {
-    if matches!(*shared.phase.borrow(), Phase::Finishing | Phase::Stopping) {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
-}
-
 impl Service<Request<Incoming>> for IngressService {
     type Response = Response<Answer>;
     type Error = Infallible;
@@ -238,8 +202,7 @@
     fn call(&mut self, request: Request<Incoming>) -> ResponseFuture {
         let service = self.clone();
         Box::pin(async move {
-            let mut response = service.answer(request).await;
-            close_if_stopping(&service.shared, &mut response);
+            let response = service.answer(request).await;
             Ok(response.map(|answer| answer.paced(&service.shared.link)))
         })
     }
--- a/crates/swiftcart-node/tests/common/mod.rs
+++ b/crates/swiftcart-node/tests/common/mod.rs
@@ -104,6 +104,11 @@
     start_changed(log, &[], |settings| settings.link.mbit_s = mbit_s).await
 }
 
+/// Starts a node without seeds, with settings changed by `change`, and waits until it is ready.
+pub async fn node_changed(log: &Log, change: impl FnOnce(&mut Settings)) -> Node {
+    start_changed(log, &[], change).await
+}
+
 /// Starts a node that reads the load of its backend server from the header `name`.
 pub async fn node_that_reads_load(log: &Log, name: &str) -> Node {
     let name = name.to_owned().try_into().unwrap();
