Probe seeds every second until a node has a list of members

Until a node is ready it refuses every request.

Cause: a node that is alone probes a seed every second, any other node every ten. A starting node that had heard of one node before the cut closed counted as not alone, though it had no list of members yet and could not reach that node.

Evidence: the node's log of a run of the untouched code that took 22 s: one member of the cut failure domain is known after 0.5 s, nobody else until a seed answers at 21.9 s. Ten runs of the untouched code: 1.6 to 27.9 s until it is ready.

Change: the short interval holds until the node has merged a list.

Test: member.rs, node_without_a_list_probes_its_seeds_every_second: 3 probes in 30 s before, 20 and more now.

--- a/crates/swiftcart-core/src/member/prober.rs
+++ b/crates/swiftcart-core/src/member/prober.rs
@@ -66,7 +66,7 @@
         }
         let recent_departure = self.list.departed(now, RESTART_WINDOW).next().is_some();
         let interval = match recent_departure {
-            _ if self.is_alone() => self.settings.probe_interval * 2,
+            _ if self.is_alone() || !self.synced => self.settings.probe_interval * 2,
             true => self.fast_rejoin_interval(),
             false => self.settings.rejoin_interval,
         };
--- a/crates/swiftcart-core/tests/member.rs
+++ b/crates/swiftcart-core/tests/member.rs
@@ -349,6 +349,26 @@
     assert_eq!((counts.suspected, counts.missed_probes), (0, 0));
 }
 
+/// Guards against a starting node that knows one node, which has no list for it, and looks for its
+/// seeds only at the interval of nodes that have joined.
+#[test]
+fn node_without_a_list_probes_its_seeds_every_second() {
+    let seeds = vec![id(1), id(2), id(3)];
+    let me = Member::new(id(0), domain(0), Incarnation(1));
+    let mut membership = Membership::new(me, Gossip::new(), seeds.clone(), 1);
+    let other = Member::new(id(4), domain(1), Incarnation(1));
+    let beat = Heartbeat {
+        news: vec![MemberUpdate::Entry(other)],
+        ..Heartbeat::default()
+    };
+    let probe = Datagram::Probe { seq: 1, beat };
+    membership.on_datagram(Instant::from_millis(50), id(4), probe);
+    assert!(!membership.is_alone());
+    let probes = tick(&mut membership, 30_000, |to| (to == id(4)).then(Vec::new));
+    let count: usize = seeds.iter().filter_map(|seed| probes.get(seed)).sum();
+    assert!(count >= 20, "{count} probes of seeds in 30 s");
+}
+
 #[test]
 fn node_probes_ring_successor_every_second_and_all_others_in_rounds() {
     let mut membership = membership(Gossip::new(), 30, 10);
