Keep what the nodes need when a request goes on to another node

Cause: the server for other nodes had the limits for callers, and the sender adds its own fields. The fields that Connection names were dropped, those included that routing and the next node need.

Change: room for 16 fields and 4 KiB on the connections between nodes; Host, Authorization, the framing and the id stay.

--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -61,7 +61,8 @@
         let limits = &shared.settings.limits;
         let guard = Arc::new(Guard::new(shared));
         let ingress = Arc::new(Ingress::new(shared, &guard));
-        let peer_server = Server::new(shared, limits.header_timeout().max(limits.peer_idle() * 2));
+        let peer_server = Server::new(shared, limits.header_timeout().max(limits.peer_idle() * 2))
+            .with_node_headers();
         let guard_service = GuardService::new(shared, &guard);
         let ingress_service = IngressService::new(shared, &ingress);
         let caller_server =
--- a/crates/swiftcart-node/src/calls/headers.rs
+++ b/crates/swiftcart-node/src/calls/headers.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use http::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName,
+    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use swiftcart_core::{ProcessNotice, Reason};
 
@@ -56,6 +56,9 @@
     SERVICE, DEADLINE, TERMS, OUTCOME, REASON, LOAD, NOTICE, RETRIED,
 ];
 
+/// Headers that are meant for all recipients, and stay although `Connection` names them.
+const END_TO_END: [HeaderName; 4] = [HOST, AUTHORIZATION, CONTENT_LENGTH, TRANSFER_ENCODING];
+
 /// Removes the hop-by-hop headers.
 ///
 /// The framing stays unambiguous: `Content-Length` is removed along with `Transfer-Encoding`.
@@ -66,7 +69,7 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| *name != CONTENT_LENGTH && *name != TRANSFER_ENCODING)
+        .filter(|name| !END_TO_END.contains(name))
         .collect();
     for name in named.iter().chain(&HOP_BY_HOP) {
         headers.remove(name);
--- a/crates/swiftcart-node/src/calls/request.rs
+++ b/crates/swiftcart-node/src/calls/request.rs
@@ -149,8 +149,6 @@
             false => None,
         };
         let id = id.unwrap_or_else(RequestId::generate);
-        head.headers
-            .insert(names.request_id.0.clone(), id.0.clone());
         Self::read(head, id, settings, now)
     }
 
@@ -394,6 +392,8 @@
             false => None,
         };
         strip_hop_by_hop(headers);
+        // The caller may have named this header as one of its connection.
+        headers.insert(settings.headers.request_id.0.clone(), id.0.clone());
         Ok(Self {
             id,
             version: Version::NONE,
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -45,6 +45,12 @@
 /// Maximum number of bytes read ahead on one connection.
 const READ_AHEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of headers that a node adds to a request for another node.
+const NODE_HEADERS: usize = 16;
+
+/// Maximum length of the headers that a node adds to a request for another node, in bytes.
+const NODE_HEADER_BYTES: usize = 4 << 10;
+
 /// Response to a connection beyond the connection limit.
 const CONNECTION_LIMIT_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\
@@ -113,6 +119,16 @@
         }
     }
 
+    /// Accepts heads that exceed the limits for callers by the headers that nodes add.
+    #[must_use]
+    pub fn with_node_headers(mut self) -> Self {
+        let limits = &self.shared.settings.limits;
+        self.builder
+            .max_headers(limits.headers as usize + NODE_HEADERS)
+            .max_header_size(limits.header_bytes as usize + NODE_HEADER_BYTES);
+        self
+    }
+
     /// Sets the starter for pipelined requests.
     #[must_use]
     pub fn with_starter(mut self, starter: Starter) -> Self {
