--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -10,6 +10,7 @@
 mod in_flight;
 mod ingress;
 mod keyed;
+mod lifetime;
 mod notices;
 mod origin;
 mod pacing;
--- a/crates/swiftcart-node/src/calls/serve/lifetime.rs
+++ b/crates/swiftcart-node/src/calls/lifetime.rs
@@ -11,6 +11,10 @@
 #[derive(Debug, Clone)]
 pub struct Lifetime(Arc<Inner>);
 
+/// Number of a request on its connection, in the order of arrival from 0.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestNumber(pub u64);
+
 #[derive(Debug)]
 struct Inner {
     /// Start of the clock of the requests.
@@ -48,10 +52,10 @@
     }
 
     /// Records that the next request is being answered, and returns its number.
-    pub fn take(&self) -> u64 {
+    pub fn take(&self) -> RequestNumber {
         let number = self.lock().take();
         self.0.changed.notify_waiters();
-        number
+        RequestNumber(number)
     }
 
     /// Decides whether the connection closes after the response to the request that was taken last.
--- a/crates/swiftcart-node/src/calls/pipelining.rs
+++ b/crates/swiftcart-node/src/calls/pipelining.rs
@@ -19,7 +19,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::answer::Answer;
-use super::serve::Lifetime;
+use super::lifetime::{Lifetime, RequestNumber};
 
 /// Maximum number of header fields of a request that starts early.
 const MAX_HEAD_FIELDS: usize = 64;
@@ -50,10 +50,6 @@
     state: Mutex<State>,
 }
 
-/// Number of a request on its connection, in the order of arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RequestNumber(pub u64);
-
 #[derive(Debug, Default)]
 struct State {
     framing: RequestFraming,
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -1,7 +1,6 @@
 //! Listeners of the request path, with a connection limit and graceful shutdown.
 
 mod conn_service;
-mod lifetime;
 
 use std::convert::Infallible;
 use std::future::{Future, pending};
@@ -25,13 +24,13 @@
 use tower::Service;
 
 use super::answer::Answer;
+use super::lifetime::Lifetime;
 use super::origin::{CallerConn, origin_extensions};
 use super::pipelining::{Pipeline, Starter};
 use super::socket::Socket;
 use crate::logging::Event;
 use crate::shared::Shared;
 use conn_service::ConnService;
-pub use lifetime::Lifetime;
 
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
--- a/crates/swiftcart-node/src/calls/serve/conn_service.rs
+++ b/crates/swiftcart-node/src/calls/serve/conn_service.rs
@@ -15,10 +15,9 @@
 use tower::Service;
 
 use super::ResponseFuture;
-use super::lifetime::{Lifetime, ResponseEnd};
 use crate::calls::answer::{Answer, AnswerError};
 use crate::calls::headers::{KEEP_ALIVE, OUTCOME};
-use crate::calls::pipelining::RequestNumber;
+use crate::calls::lifetime::{Lifetime, ResponseEnd};
 use crate::shared::{Phase, Shared};
 
 /// Service of one connection.
@@ -111,7 +110,7 @@
     fn call(&mut self, mut request: Request<Incoming>) -> Self::Future {
         let extensions = request.extensions_mut();
         extensions.extend(self.extensions.clone());
-        extensions.insert(RequestNumber(self.lifetime.take()));
+        extensions.insert(self.lifetime.take());
         let end = self.lifetime.response();
         let answering = self.service.call(request);
         let conn = self.clone();
