--- a/crates/swiftcart-node/src/calls/exchange.rs
+++ b/crates/swiftcart-node/src/calls/exchange.rs
@@ -65,11 +65,6 @@
 }
 
 impl Unanswered {
-    const fn with_exchange(mut self, exchange: ExchangeId) -> Self {
-        self.exchange = Some(exchange);
-        self
-    }
-
     fn with_head(mut self, response: Response<Incoming>) -> Self {
         self.head = Some(Box::new(response.into_parts().0));
         self
@@ -127,18 +122,8 @@
         let exchange = pooled.conn().begin(&id, until);
         last = Some(exchange);
         on_send();
-        let sent = tokio::select! {
-            sent = timeout_at(until, pooled.conn().send(request)) => sent,
-            () = pool.ended() => {
-                let reason = match pooled.conn().wrote() {
-                    true => Reason::AnswerBroken,
-                    false => unreachable,
-                };
-                return Err(failed(reason, last));
-            }
-        };
-        let reason = match sent {
-            Ok(Ok(response)) => {
+        match send(pool, &mut pooled, until, request, unreachable).await {
+            SendOutcome::Response(response) => {
                 let relation = ids.relation(response.headers(), &id);
                 return match pooled.conn().counts(relation) {
                     true => Ok(Exchanged {
@@ -146,23 +131,54 @@
                         pooled,
                         exchange,
                     }),
-                    false => Err(Unanswered::from(Reason::AnswerBroken)
-                        .with_exchange(exchange)
-                        .with_head(response)),
+                    false => Err(failed(Reason::AnswerBroken, last).with_head(response)),
                 };
             }
-            Ok(Err(SendError::Unsent(Some(back)))) if pooled.is_reused() => {
-                request = *back;
-                continue;
-            }
-            Ok(Err(SendError::Unsent(_))) => unreachable,
-            Ok(Err(SendError::Body)) => Reason::CallerGone,
-            Ok(Err(SendError::Sent(err))) if err.is_user() => Reason::CallerGone,
-            Ok(Err(SendError::Sent(_))) => Reason::AnswerBroken,
-            Err(_) if pooled.conn().wrote() => Reason::Timeout,
-            Err(_) => Reason::DeadlinePassed,
-        };
-        return Err(failed(reason, last));
+            SendOutcome::Unsent(back) => request = back,
+            SendOutcome::Failed(reason) => return Err(failed(reason, last)),
+        }
     }
     Err(failed(unreachable, last))
 }
+
+/// Outcome of one send on one connection.
+enum SendOutcome {
+    /// The head of a response arrived.
+    Response(Response<Incoming>),
+    /// The reused connection was closed before anything was written; another one may be used.
+    Unsent(Request<Outgoing>),
+    /// There is no response.
+    Failed(Reason),
+}
+
+/// Sends `request` on the connection of `pooled` and waits for the response's head.
+async fn send(
+    pool: &Pool,
+    pooled: &mut Pooled,
+    until: Instant,
+    request: Request<Outgoing>,
+    unreachable: Reason,
+) -> SendOutcome {
+    let sent = tokio::select! {
+        sent = timeout_at(until, pooled.conn().send(request)) => sent,
+        () = pool.ended() => {
+            return SendOutcome::Failed(match pooled.conn().wrote() {
+                true => Reason::AnswerBroken,
+                false => unreachable,
+            });
+        }
+    };
+    let reason = match sent {
+        Ok(Ok(response)) => return SendOutcome::Response(response),
+        Ok(Err(SendError::Unsent(Some(back)))) if pooled.is_reused() => {
+            return SendOutcome::Unsent(*back);
+        }
+        Ok(Err(SendError::Unsent(_))) => unreachable,
+        Ok(Err(SendError::Body)) => Reason::CallerGone,
+        Ok(Err(SendError::Sent(err))) if err.is_user() => Reason::CallerGone,
+        Ok(Err(SendError::Sent(_))) => Reason::AnswerBroken,
+        Err(_) if pooled.conn().wrote() => Reason::Timeout,
+        Err(_) => Reason::DeadlinePassed,
+    };
+    SendOutcome::Failed(reason)
+}
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -85,6 +85,31 @@
     }
 }
 
+/// Service that answers the requests of callers or of other nodes.
+pub trait CallService:
+    Service<
+        Request<Incoming>,
+        Response = Response<Answer>,
+        Error = Infallible,
+        Future = ResponseFuture,
+    > + Clone
+    + Send
+    + 'static
+{
+}
+
+impl<S> CallService for S where
+    S: Service<
+            Request<Incoming>,
+            Response = Response<Answer>,
+            Error = Infallible,
+            Future = ResponseFuture,
+        > + Clone
+        + Send
+        + 'static
+{
+}
+
 /// Server that accepts connections for one service.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -138,14 +163,7 @@
     /// Accepts connections until [`finish`](Self::finish).
     pub async fn run<S>(self, listener: TcpListener, service: S)
     where
-        S: Service<
-                Request<Incoming>,
-                Response = Response<Answer>,
-                Error = Infallible,
-                Future = ResponseFuture,
-            > + Clone
-            + Send
-            + 'static,
+        S: CallService,
     {
         let slots = Arc::new(Semaphore::new(
             self.shared.settings.limits.connections as usize,
@@ -180,14 +198,7 @@
 
     async fn serve<S>(&self, stream: TcpStream, service: S)
     where
-        S: Service<
-                Request<Incoming>,
-                Response = Response<Answer>,
-                Error = Infallible,
-                Future = ResponseFuture,
-            > + Clone
-            + Send
-            + 'static,
+        S: CallService,
     {
         if stream.set_nodelay(true).is_err() {
             return;
--- a/crates/swiftcart-node/src/calls/serve/conn_service.rs
+++ b/crates/swiftcart-node/src/calls/serve/conn_service.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use tower::Service;
 
-use super::ResponseFuture;
+use super::CallService;
 use crate::calls::answer::{Answer, AnswerError};
 use crate::calls::headers::{KEEP_ALIVE, OUTCOME};
 use crate::calls::lifetime::{Lifetime, ResponseEnd};
@@ -90,14 +90,7 @@
 
 impl<S> Service<Request<Incoming>> for ConnService<S>
 where
-    S: Service<
-            Request<Incoming>,
-            Response = Response<Answer>,
-            Error = Infallible,
-            Future = ResponseFuture,
-        > + Clone
-        + Send
-        + 'static,
+    S: CallService,
 {
     type Response = Response<SentBody>;
     type Error = Infallible;
