Log how an answer ended that was not passed on as a whole, and how a body was read

A streamed answer has no end in time behind its head and the first held bytes. Wrong if the answer is ended at the timeout and only the close does not reach the caller, or if its head came later than the timeout. 2. An end is set, and the node is too busy to look at it. Wrong if the node writes other lines meanwhile. 3. The end is set, and the close waits for the lingering read of one second. Wrong if the answer ends with the caller. Reading n pieces takes n * n / 2 steps. Wrong if the time of one upload grows with its bytes alone. 2. The body is waited for without an end in time. Wrong if a slow body is answered at the timeout. 3. The HTTP library is slow with small chunks. Wrong if the time for half of the chunks is a quarter.

The log could not tell them apart: an answer left one line with its head, and a body none.

Change: event=cut with the id, the end, and how late it was, and a counter; event=body with bytes, pieces and time.

--- a/crates/swiftcart-node/src/calls/answer.rs
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -58,6 +58,16 @@
 }
 
 impl AnswerEnd {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Broken => "broken",
+            Self::Gone => "gone",
+        }
+    }
+
     /// Returns the outcome of the call.
     #[must_use]
     pub const fn outcome(self) -> Outcome {
--- a/crates/swiftcart-node/src/calls/body.rs
+++ b/crates/swiftcart-node/src/calls/body.rs
@@ -133,6 +133,11 @@
         poll_fn(|cx| self.with(|inner| inner.poll_fill(cx, bytes))).await
     }
 
+    /// Returns the number of bytes that are kept, and the number of pieces in which they arrived.
+    pub fn kept(&self) -> (usize, usize) {
+        self.with(|inner| (inner.kept.iter().map(Bytes::len).sum(), inner.kept.len()))
+    }
+
     /// Returns the upper bound of the number of bytes still to be read, if it is known.
     pub fn len_hint(&self) -> Option<u64> {
         self.with(|inner| inner.body.size_hint().upper())
--- a/crates/swiftcart-node/src/calls/in_flight.rs
+++ b/crates/swiftcart-node/src/calls/in_flight.rs
@@ -3,10 +3,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use swiftcart_core::{Balancer, CallResult, Instant, NodeId, Outcome, Reason, Sample};
+use slog::info;
+use swiftcart_core::{Balancer, CallResult, Deadline, Instant, NodeId, Outcome, Reason, Sample};
 
 use super::answer::AnswerEnd;
 use super::guard::Report;
+use super::request::{Call, RequestId};
+use crate::logging::{Event, ms};
 use crate::shared::Shared;
 
 /// Attempt that runs at one node. Its result is reported to the balancer, also on drop.
@@ -15,6 +18,9 @@
     shared: Arc<Shared>,
     balancer: Arc<Mutex<Balancer>>,
     id: NodeId,
+    /// Request of the attempt, with its deadline.
+    request: RequestId,
+    due: Deadline,
     start: Instant,
     report: Option<Report>,
     /// Delay until the guard accepts the next request.
@@ -23,9 +29,14 @@
 }
 
 impl InFlight {
-    /// Registers an attempt that starts now at node `id`.
+    /// Registers an attempt of `call` that starts now at node `id`.
     #[must_use]
-    pub fn new(shared: &Arc<Shared>, balancer: &Arc<Mutex<Balancer>>, id: NodeId) -> Self {
+    pub fn new(
+        shared: &Arc<Shared>,
+        balancer: &Arc<Mutex<Balancer>>,
+        id: NodeId,
+        call: &Call,
+    ) -> Self {
         balancer
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -34,6 +45,8 @@
             shared: Arc::clone(shared),
             balancer: Arc::clone(balancer),
             id,
+            request: call.id.clone(),
+            due: call.due,
             start: shared.clock.now(),
             report: None,
             retry_after: None,
@@ -60,6 +73,9 @@
     /// Records the end of the response that the caller received.
     pub fn close(mut self, end: AnswerEnd) {
         self.shared.counters.call(end.outcome());
+        if end != AnswerEnd::Whole {
+            self.log_cut(end);
+        }
         self.record(end.result());
     }
 
@@ -68,6 +84,18 @@
         self.record(result);
     }
 
+    /// Counts and logs a response that ended before it was passed on as a whole.
+    fn log_cut(&self, end: AnswerEnd) {
+        let counters = &self.shared.counters;
+        counters.count("swiftcart_answers_cut_total", "end", end.as_str());
+        let now = self.shared.clock.now();
+        if let Some(log) = self.shared.call_log.failed(now) {
+            info!(log, ""; "event" => Event::Cut, "id" => %self.request, "guard" => %self.id,
+                "end" => end.as_str(), "ms" => ms(now.since(self.start)),
+                "left_ms" => ms(self.due.left(now)), "late_ms" => ms(now.since(self.due.at())));
+        }
+    }
+
     fn record(&mut self, result: CallResult) {
         self.open = false;
         let now = self.shared.clock.now();
--- a/crates/swiftcart-node/src/calls/ingress/attempt.rs
+++ b/crates/swiftcart-node/src/calls/ingress/attempt.rs
@@ -36,7 +36,7 @@
             let counters = &self.shared.counters;
             counters.count("swiftcart_spills_total", "cause", cause.as_str());
         }
-        let mut in_flight = InFlight::new(&self.shared, &self.balancer, pick.id);
+        let mut in_flight = InFlight::new(&self.shared, &self.balancer, pick.id, call);
         let service = entry.name().as_str();
         let result = match pick.id == self.shared.id {
             true => {
@@ -101,7 +101,9 @@
     ) -> Result<Response<Answer>, Refusal> {
         if call.is_upload() {
             let bytes = self.shared.settings.limits.replay_bytes as usize;
+            let start = self.shared.clock.now();
             let filled = original.fill(bytes).await;
+            self.log_body(call, original, start);
             filled.map_err(|_| Reason::CallerGone)?;
         }
         self.guard.run(call, service, original.request(None)).await
--- a/crates/swiftcart-node/src/calls/ingress/log.rs
+++ b/crates/swiftcart-node/src/calls/ingress/log.rs
@@ -8,6 +8,7 @@
     Instant, Pick, Reason, Refusal, RetryTarget, ServiceEntry, SpillCause, Version,
 };
 
+use super::original::OriginalRequest;
 use super::{CallState, FailedAttempt, Ingress};
 use crate::calls::origin::CallerConn;
 use crate::calls::request::Call;
@@ -115,6 +116,16 @@
         }
     }
 
+    /// Logs that the body of a request was read ahead, from `start` until now.
+    pub(super) fn log_body(&self, call: &Call, original: &OriginalRequest, start: Instant) {
+        let now = self.shared.clock.now();
+        if let Some(log) = self.shared.call_log.done(now) {
+            let (bytes, pieces) = original.kept();
+            info!(log, ""; "event" => Event::Body, "id" => %call.id, "bytes" => bytes,
+                "pieces" => pieces, "ms" => ms(now.since(start)), "left_ms" => ms(call.due.left(now)));
+        }
+    }
+
     /// Logs a failed attempt with the retry target, or with the reason why there is no retry.
     pub(super) fn log_failed_attempt(
         &self,
--- a/crates/swiftcart-node/src/calls/ingress/original.rs
+++ b/crates/swiftcart-node/src/calls/ingress/original.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Returns the number of bytes that are kept, and the number of pieces in which they arrived.
+    #[must_use]
+    pub fn kept(&self) -> (usize, usize) {
+        let kept = |source: &Arc<BodySource>| source.kept();
+        self.source.as_ref().map_or((0, 0), kept)
+    }
+
     /// Returns the request's fingerprint, or `None` while the body is incomplete.
     #[must_use]
     pub fn print(&self, call: CallPrint) -> Option<Fingerprint> {
--- a/crates/swiftcart-node/src/logging.rs
+++ b/crates/swiftcart-node/src/logging.rs
@@ -116,6 +116,10 @@
     Exchange,
     /// A caller's connection ended while requests on it had no response.
     Closed,
+    /// A response ended before it was passed on as a whole.
+    Cut,
+    /// The body of a caller's request was read ahead.
+    Body,
     /// Lines about calls were suppressed in an earlier second.
     LeftOut,
 }
@@ -169,6 +173,8 @@
             Self::Guard => "guard",
             Self::Exchange => "exchange",
             Self::Closed => "closed",
+            Self::Cut => "cut",
+            Self::Body => "body",
             Self::LeftOut => "left-out",
         }
     }
