Answer uploads in time, whatever the pieces in which they arrive

Cause, two in one wait: BodySource added up the lengths of all kept pieces for each piece that arrived, so n pieces took n * n / 2 steps on the node's only thread; and a body that is read ahead for the own backend server had a limit of idle time of its own, but no end by its request. The same wait stood before the look at quarantined requests and before requests with an idempotency key.

Change: a body ends by the deadline of its request, in BodySource, for whoever waits for it. HeldBytes keeps the length and joins short pieces; JoinedReader passes short pieces on together. An exchange that fails once its deadline has passed has timed out, whatever failed.

Ruled out: the HTTP library alone (1 us a chunk). A first form of the reader that waited for one more poll of the body did not join anything: the client side of the library polls a body twice in one turn.

--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -9,6 +9,7 @@
 mod headers;
 mod in_flight;
 mod ingress;
+mod joined;
 mod keyed;
 mod lifetime;
 mod notices;
--- a/crates/swiftcart-node/src/calls/body.rs
+++ b/crates/swiftcart-node/src/calls/body.rs
@@ -1,7 +1,8 @@
 //! Body of a request that is sent to a peer or backend server.
 //!
 //! A body streams through the node. Its first bytes are kept up to a bound, so that a request that
-//! a peer refused can be sent to another peer.
+//! a peer refused can be sent to another peer. Whoever waits for the body waits until the deadline of
+//! the request at most.
 
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
@@ -14,8 +15,13 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use quick_error::quick_error;
-use swiftcart_core::BodyHash;
-use tokio::time::{Instant, Sleep, sleep};
+use swiftcart_core::{BodyHash, HeldBytes, Reason};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
+
+use super::joined::{JoinedReader, PolledFrame};
+
+/// Time for which a short piece of a body waits for the next one.
+const JOIN_TIME: Duration = Duration::from_millis(1);
 
 quick_error! {
     /// Error that ends a request body early.
@@ -30,6 +36,10 @@
         Slow {
             display("request body timed out: no data from the caller")
         }
+        /// The body had not arrived by the deadline of the request.
+        Late {
+            display("request body timed out: it had not arrived by the deadline")
+        }
         /// The bytes that another attempt needs are no longer kept.
         Gone {
             display("request body cannot be sent again: its first bytes are no longer kept")
@@ -37,6 +47,17 @@
     }
 }
 
+impl BodyError {
+    /// Returns the reason for which a request ends whose body was read ahead.
+    #[must_use]
+    pub const fn reason(&self) -> Reason {
+        match self {
+            Self::Late => Reason::DeadlinePassed,
+            Self::Broken(_) | Self::Slow | Self::Gone => Reason::CallerGone,
+        }
+    }
+}
+
 /// Request body that is sent to a peer or backend server.
 #[derive(Debug)]
 pub enum Outgoing {
@@ -52,6 +73,7 @@
 #[derive(Debug)]
 pub struct Stream {
     source: Arc<BodySource>,
+    /// Position of the next byte.
     next: usize,
     gate: Option<Gate>,
 }
@@ -67,13 +89,30 @@
 #[derive(Debug)]
 struct Inner {
     body: Incoming,
-    kept: Vec<Bytes>,
+    reader: JoinedReader<BodyError>,
+    kept: HeldBytes,
+    /// Number of pieces in which the body has arrived so far.
+    arrived: usize,
     keep_bytes: usize,
     dropped: bool,
     ended: bool,
-    idle_timeout: Duration,
+    limits: BodyLimits,
     timer: Option<Pin<Box<Sleep>>>,
-    is_idle: bool,
+    /// Timer of the short pieces that wait for more.
+    join_timer: Option<Pin<Box<Sleep>>>,
+    /// Time by which the next data must arrive; `None` while data arrives.
+    idle_until: Option<Instant>,
+}
+
+/// Limits of a body that a caller or a peer sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// Maximum number of bytes that are kept for another attempt.
+    pub keep_bytes: usize,
+    /// Maximum time without data.
+    pub idle: Duration,
+    /// Deadline of the request.
+    pub due: Instant,
 }
 
 impl Gate {
@@ -96,20 +135,20 @@
 }
 
 impl BodySource {
-    /// Creates the source of `body`.
-    ///
-    /// The source keeps up to `keep_bytes` bytes for another attempt. It fails when the caller
-    /// sends no data for `idle_timeout`.
-    pub fn new(body: Incoming, keep_bytes: usize, idle_timeout: Duration) -> Arc<Self> {
+    /// Creates the source of `body`, which fails when it exceeds a limit of time.
+    pub fn new(body: Incoming, limits: BodyLimits) -> Arc<Self> {
         Arc::new(Self(Mutex::new(Inner {
             body,
-            kept: Vec::new(),
-            keep_bytes,
+            reader: JoinedReader::default(),
+            kept: HeldBytes::new(),
+            arrived: 0,
+            keep_bytes: limits.keep_bytes,
             dropped: false,
             ended: false,
-            idle_timeout,
+            limits,
             timer: None,
-            is_idle: false,
+            join_timer: None,
+            idle_until: None,
         })))
     }
 
@@ -128,14 +167,14 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the body ends early.
+    /// Returns an error when the body ends early, or has not arrived by the deadline.
     pub async fn fill(&self, bytes: usize) -> Result<(), BodyError> {
         poll_fn(|cx| self.with(|inner| inner.poll_fill(cx, bytes))).await
     }
 
-    /// Returns the number of bytes that are kept, and the number of pieces in which they arrived.
+    /// Returns the number of bytes that are kept, and the number of pieces that have arrived.
     pub fn kept(&self) -> (usize, usize) {
-        self.with(|inner| (inner.kept.iter().map(Bytes::len).sum(), inner.kept.len()))
+        self.with(|inner| (inner.kept.len(), inner.arrived))
     }
 
     /// Returns the upper bound of the number of bytes still to be read, if it is known.
@@ -147,8 +186,8 @@
     #[must_use]
     pub fn print(&self) -> Option<BodyHash> {
         self.with(|inner| {
-            let whole = !inner.dropped && (inner.ended || inner.body.is_end_stream());
-            whole.then(|| BodyHash::new(inner.kept.iter().map(|chunk| &chunk[..])))
+            let whole = !inner.dropped && (inner.ended || inner.is_read());
+            whole.then(|| BodyHash::new(inner.kept.pieces()))
         })
     }
 
@@ -164,45 +203,63 @@
 
 impl Inner {
     fn poll_fill(&mut self, cx: &mut Context<'_>, bytes: usize) -> Poll<Result<(), BodyError>> {
-        loop {
-            let held: usize = self.kept.iter().map(Bytes::len).sum();
-            if held >= bytes || self.dropped || self.ended {
-                return Poll::Ready(Ok(()));
-            }
-            match ready!(self.poll_body(cx)) {
+        while self.kept.len() < bytes && !self.dropped && !self.ended {
+            match ready!(self.poll_joined(cx)) {
                 Some(Ok(frame)) => self.keep_ahead(frame),
                 Some(Err(err)) => return Poll::Ready(Err(err)),
-                None => return Poll::Ready(Ok(())),
+                None => {}
             }
         }
+        Poll::Ready(Ok(()))
     }
 
-    fn poll(
-        &mut self,
-        cx: &mut Context<'_>,
-        next: &mut usize,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match self.kept.get(*next) {
-            Some(chunk) => {
-                *next += 1;
-                return Poll::Ready(Some(Ok(Frame::data(chunk.clone()))));
+    /// Returns the next frame of the reader whose next byte has the position `next`.
+    fn poll(&mut self, cx: &mut Context<'_>, next: &mut usize) -> PolledFrame<BodyError> {
+        match self.kept.at(*next) {
+            Some(piece) => {
+                *next += piece.len();
+                return Poll::Ready(Some(Ok(Frame::data(piece))));
             }
             None if self.dropped && *next == 0 => return Poll::Ready(Some(Err(BodyError::Gone))),
             None if self.ended => return Poll::Ready(None),
             None => {}
         }
-        let frame = ready!(self.poll_body(cx));
+        let frame = ready!(self.poll_joined(cx));
         if let Some(Ok(frame)) = &frame {
             self.keep(frame, next);
         }
         Poll::Ready(frame)
     }
 
+    /// Reads the next frame from the caller, in which short pieces are joined.
+    fn poll_joined(&mut self, cx: &mut Context<'_>) -> PolledFrame<BodyError> {
+        let mut reader = std::mem::take(&mut self.reader);
+        let frame = reader.poll(cx, |cx| self.poll_body(cx));
+        self.reader = reader;
+        if frame.is_ready() || self.reader.is_empty() {
+            self.join_timer = None;
+            return frame;
+        }
+        let timer = self
+            .join_timer
+            .get_or_insert_with(|| Box::pin(sleep(JOIN_TIME)));
+        ready!(timer.as_mut().poll(cx));
+        self.join_timer = None;
+        Poll::Ready(self.reader.joined().map(Ok))
+    }
+
     /// Reads the next frame from the caller.
-    fn poll_body(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    fn poll_body(&mut self, cx: &mut Context<'_>) -> PolledFrame<BodyError> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        if Instant::now() >= self.limits.due {
+            return Poll::Ready(Some(Err(BodyError::Late)));
+        }
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
-                self.is_idle = false;
+                self.idle_until = None;
+                self.arrived += 1;
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(err))) => Poll::Ready(Some(Err(BodyError::Broken(err)))),
@@ -210,10 +267,15 @@
                 self.ended = true;
                 Poll::Ready(None)
             }
-            Poll::Pending => self.poll_idle(cx),
+            Poll::Pending => self.poll_timeout(cx),
         }
     }
 
+    /// Returns `true` if all of the body has been read and passed on by the reader.
+    fn is_read(&self) -> bool {
+        self.reader.is_empty() && self.body.is_end_stream()
+    }
+
     /// Keeps a frame that was read before any attempt. It may exceed the bound by its length, since no
     /// attempt has it yet.
     fn keep_ahead(&mut self, frame: Frame<Bytes>) {
@@ -225,33 +287,39 @@
 
     /// Keeps `frame` for another attempt; when it does not fit, all kept bytes are dropped.
     fn keep(&mut self, frame: &Frame<Bytes>, next: &mut usize) {
-        *next += 1;
-        match frame.data_ref() {
+        let Some(data) = frame.data_ref() else {
+            return;
+        };
+        *next += data.len();
+        match data.len() <= self.keep_bytes {
             _ if self.dropped => {}
-            Some(data) if data.len() <= self.keep_bytes => {
+            true => {
                 self.keep_bytes -= data.len();
                 self.kept.push(data.clone());
             }
-            Some(_) => {
+            false => {
                 self.dropped = true;
-                self.kept = Vec::new();
+                self.kept.clear();
             }
-            None => {}
         }
     }
 
-    fn poll_idle(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    /// Waits for more data until the caller has been idle for too long, or until the deadline.
+    fn poll_timeout(&mut self, cx: &mut Context<'_>) -> PolledFrame<BodyError> {
+        let BodyLimits { idle, due, .. } = self.limits;
+        let idle_until = *self.idle_until.get_or_insert_with(|| Instant::now() + idle);
+        let until = due.min(idle_until);
         let timer = self
             .timer
-            .get_or_insert_with(|| Box::pin(sleep(self.idle_timeout)));
-        if !self.is_idle {
-            self.is_idle = true;
-            timer.as_mut().reset(Instant::now() + self.idle_timeout);
-        }
-        match timer.as_mut().poll(cx) {
-            Poll::Ready(()) => Poll::Ready(Some(Err(BodyError::Slow))),
-            Poll::Pending => Poll::Pending,
+            .get_or_insert_with(|| Box::pin(sleep_until(until)));
+        if timer.deadline() != until {
+            timer.as_mut().reset(until);
         }
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(Some(Err(match until == due {
+            true => BodyError::Late,
+            false => BodyError::Slow,
+        })))
     }
 }
 
@@ -259,10 +327,7 @@
     type Data = Bytes;
     type Error = BodyError;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> PolledFrame<BodyError> {
         match &mut *self {
             Self::Empty => Poll::Ready(None),
             Self::Whole(bytes) => {
@@ -284,8 +349,8 @@
             Self::Empty => true,
             Self::Whole(bytes) => bytes.is_empty(),
             Self::Stream(stream) => stream.source.with(|inner| {
-                let kept = stream.next >= inner.kept.len();
-                kept && !(inner.dropped && stream.next == 0) && inner.body.is_end_stream()
+                let kept = stream.next >= inner.kept.end();
+                kept && !(inner.dropped && stream.next == 0) && inner.is_read()
             }),
         }
     }
--- a/crates/swiftcart-node/src/calls/exchange.rs
+++ b/crates/swiftcart-node/src/calls/exchange.rs
@@ -168,8 +168,12 @@
             });
         }
     };
+    let is_late = Instant::now() >= until;
     let reason = match sent {
         Ok(Ok(response)) => return SendOutcome::Response(response),
+        // Whatever failed, the end of the exchange is the cause.
+        _ if is_late && pooled.conn().wrote() => Reason::Timeout,
+        _ if is_late => Reason::DeadlinePassed,
         Ok(Err(SendError::Unsent(Some(back)))) if pooled.is_reused() => {
             return SendOutcome::Unsent(*back);
         }
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -31,6 +31,7 @@
 use tokio::task::JoinError;
 
 use super::answer::{Answer, refuse, told_retry_after};
+use super::body::BodyLimits;
 use super::guard::Guard;
 use super::keyed::claim_guard_order;
 use super::origin::CallerConn;
@@ -218,8 +219,12 @@
         let first = prior.map_or(now, |prior| prior.first);
         call.returning = prior.is_some_and(|prior| prior.has_waited(now));
         call.raise_age(now.since(first));
-        let limits = &settings.limits;
-        let original = OriginalRequest::new(head, body, limits.replay_bytes, limits.body_timeout());
+        let limits = BodyLimits {
+            keep_bytes: settings.limits.replay_bytes as usize,
+            idle: settings.limits.body_timeout(),
+            due: self.shared.clock.tokio(call.due.at()),
+        };
+        let original = OriginalRequest::new(head, body, limits);
         let result = self
             .serve(call.clone(), account, routed.entry, &original)
             .await;
--- a/crates/swiftcart-node/src/calls/ingress/attempt.rs
+++ b/crates/swiftcart-node/src/calls/ingress/attempt.rs
@@ -104,7 +104,7 @@
             let start = self.shared.clock.now();
             let filled = original.fill(bytes).await;
             self.log_body(call, original, start);
-            filled.map_err(|_| Reason::CallerGone)?;
+            filled.map_err(|err| err.reason())?;
         }
         self.guard.run(call, service, original.request(None)).await
     }
--- a/crates/swiftcart-node/src/calls/ingress/original.rs
+++ b/crates/swiftcart-node/src/calls/ingress/original.rs
@@ -1,14 +1,13 @@
 //! Caller's request, kept for retries.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::request::Parts;
 use http::{Request, Uri};
 use hyper::body::{Body, Incoming};
 use swiftcart_core::{BodyHash, Fingerprint};
 
-use crate::calls::body::{BodyError, BodySource, Gate, Outgoing};
+use crate::calls::body::{BodyError, BodyLimits, BodySource, Gate, Outgoing};
 use crate::calls::request::CallPrint;
 
 /// Head and body source of a request, kept for all of its attempts.
@@ -21,18 +20,16 @@
 }
 
 impl OriginalRequest {
-    /// Creates the original request, which keeps up to `limit` bytes of the body for retries.
-    ///
-    /// The body fails if it delivers no data for `idle_timeout`.
+    /// Creates the original request, which keeps the first bytes of the body for retries.
     #[must_use]
-    pub fn new(head: Parts, body: Option<Incoming>, limit: u32, idle_timeout: Duration) -> Self {
-        let limit = limit as usize;
+    pub fn new(head: Parts, body: Option<Incoming>, limits: BodyLimits) -> Self {
+        let kept = limits.keep_bytes as u64;
         let body = body.filter(|body| !body.is_end_stream());
-        let is_long = |body: &Incoming| body.size_hint().upper().is_none_or(|n| n > limit as u64);
+        let is_long = |body: &Incoming| body.size_hint().upper().is_none_or(|n| n > kept);
         Self {
             head,
             exceeds_buffer: body.as_ref().is_some_and(is_long),
-            source: body.map(|body| BodySource::new(body, limit, idle_timeout)),
+            source: body.map(|body| BodySource::new(body, limits)),
         }
     }
 
@@ -54,7 +51,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the body ends early.
+    /// Returns an error if the body ends early, or has not arrived by the deadline.
     pub async fn fill(&self, bytes: usize) -> Result<(), BodyError> {
         match &self.source {
             Some(source) => source.fill(bytes).await,
@@ -62,7 +59,7 @@
         }
     }
 
-    /// Returns the number of bytes that are kept, and the number of pieces in which they arrived.
+    /// Returns the number of bytes that are kept, and the number of pieces that have arrived.
     #[must_use]
     pub fn kept(&self) -> (usize, usize) {
         let kept = |source: &Arc<BodySource>| source.kept();
--- a/crates/swiftcart-node/src/calls/ingress/quarantine.rs
+++ b/crates/swiftcart-node/src/calls/ingress/quarantine.rs
@@ -15,8 +15,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Reason::Quarantined`] with the remaining quarantine time, or
-    /// [`Reason::CallerGone`] if the body cannot be read.
+    /// Returns [`Reason::Quarantined`] with the remaining quarantine time, or the reason why the body
+    /// cannot be read.
     pub(super) async fn check_quarantine(
         &self,
         call: &Call,
@@ -28,7 +28,7 @@
         }
         let bytes = self.shared.settings.limits.replay_bytes as usize;
         let filled = original.fill(bytes).await;
-        filled.map_err(|_| Reason::CallerGone)?;
+        filled.map_err(|err| err.reason())?;
         let now = self.shared.clock.now();
         let Some(print) = original.print(call.print) else {
             return Ok(());
--- a/crates/swiftcart-node/src/calls/keyed.rs
+++ b/crates/swiftcart-node/src/calls/keyed.rs
@@ -143,8 +143,10 @@
         match Limited::new(body, bound).collect().await {
             Ok(body) => Ok(body.to_bytes()),
             Err(err) if err.is::<LengthLimitError>() => Err(Reason::BodyTooLarge.into()),
-            Err(err) if err.is::<BodyError>() => Err(Reason::CallerGone.into()),
-            Err(_) => Err(Reason::BadRequest.into()),
+            Err(err) => {
+                let reason = err.downcast_ref().map(BodyError::reason);
+                Err(reason.unwrap_or(Reason::BadRequest).into())
+            }
         }
     }
 
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -15,7 +15,7 @@
 use tower::Service;
 
 use super::answer::{Answer, refuse};
-use super::body::{BodySource, Outgoing};
+use super::body::{BodyLimits, BodySource, Outgoing};
 use super::guard::Guard;
 use super::headers::{LOAD, NOTICE, process_notice};
 use super::ingress::Ingress;
@@ -116,7 +116,6 @@
 
     async fn run(&self, request: Request<Incoming>) -> Result<Response<Answer>, Refusal> {
         let settings = &self.shared.settings;
-        let limits = &settings.limits;
         let now = self.shared.clock.now();
         let (mut head, body) = request.into_parts();
         let (call, service) = Call::from_peer(&mut head, settings, now)?;
@@ -124,7 +123,8 @@
             true => Outgoing::Empty,
             false if call.is_upload() => self.read_upload(&call, body).await?,
             false => {
-                BodySource::new(body, FINGERPRINT_BODY_BYTES, limits.body_timeout()).start(None)
+                let limits = self.body_limits(&call, FINGERPRINT_BODY_BYTES);
+                BodySource::new(body, limits).start(None)
             }
         };
         let service = service.to_str().unwrap_or_default();
@@ -153,12 +153,19 @@
             return Err(Refusal::new(Reason::Overloaded).with_retry(UPLOAD_RETRY_AFTER));
         };
         let room = limits.replay_bytes as usize;
-        let source = BodySource::new(body, room, limits.body_timeout());
-        let due = self.shared.clock.tokio(call.due.at());
-        match timeout_at(due, source.fill(room)).await {
-            Ok(Ok(())) => Ok(source.start(None)),
-            Ok(Err(_)) => Err(Reason::CallerGone.into()),
-            Err(_) => Err(Reason::DeadlinePassed.into()),
+        let source = BodySource::new(body, self.body_limits(call, room));
+        match source.fill(room).await {
+            Ok(()) => Ok(source.start(None)),
+            Err(err) => Err(err.reason().into()),
+        }
+    }
+
+    /// Returns the limits of a body of which up to `keep_bytes` bytes are kept.
+    fn body_limits(&self, call: &Call, keep_bytes: usize) -> BodyLimits {
+        BodyLimits {
+            keep_bytes,
+            idle: self.shared.settings.limits.body_timeout(),
+            due: self.shared.clock.tokio(call.due.at()),
         }
     }
 }
