End each answer by its deadline, whoever stalls or sends without end

Cause: the deadline covered an exchange up to the head and the first 64 KiB of the answer. Behind that neither hop had an end, nor had the passing on to the caller.

Change: StreamingBody ends by the deadline of its request, also while bytes arrive; ConnRequests decides when a connection ends because its response could not be passed on; a response that waits for its turn keeps its end. These timers are looked at outside the cooperative budget, since a flood uses that up. What has arrived as a whole is still delivered late.

Ruled out: a timer in the socket alone. It sees no stall, since hyper asks a socket only while it has something to write.

--- a/crates/swiftcart-core/src/conn_requests.rs
+++ b/crates/swiftcart-core/src/conn_requests.rs
@@ -21,6 +21,15 @@
     Last,
 }
 
+/// Reason why a connection ends at a certain time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ConnEnd {
+    /// A response could not be passed on in time.
+    Overdue,
+    /// The connection was idle for too long.
+    Idle,
+}
+
 /// State of a caller's connection, for the decision when it ends.
 ///
 /// Requests are numbered from 0 in the order in which they arrive. They are taken and answered in
@@ -59,6 +68,8 @@
     partial: bool,
     /// Time of the end of the last response.
     finished_at: Option<Instant>,
+    /// Time by which the response that is being sent must have ended.
+    send_by: Option<Instant>,
 }
 
 impl ConnRequests {
@@ -116,9 +127,15 @@
         }
     }
 
+    /// Records that the response to the request that was taken last is sent, and ends by `at`.
+    pub const fn send_by(&mut self, at: Instant) {
+        self.send_by = Some(at);
+    }
+
     /// Records that a response has been sent to its end.
     pub const fn finish(&mut self, now: Instant) {
         self.finished += 1;
+        self.send_by = None;
         self.finished_at = Some(now);
     }
 
@@ -142,11 +159,17 @@
         self.arrived - self.finished
     }
 
-    /// Returns the time at which the connection has been idle for `time`, or `None` while requests
-    /// are owed a response, a head is arriving, or nothing was answered yet.
+    /// Returns the time at which the connection ends unless something happens before, and the reason.
+    ///
+    /// A connection is idle while no request is owed a response, no head is arriving, and something was
+    /// answered. It ends when it has been idle for `idle_time`, if there is such a time.
     #[must_use]
-    pub fn idle_at(&self, time: Duration) -> Option<Instant> {
-        let idle = self.owed() == 0 && !self.partial;
-        self.finished_at.filter(|_| idle).map(|since| since + time)
+    pub fn ends_at(&self, idle_time: Option<Duration>) -> Option<(Instant, ConnEnd)> {
+        if let Some(at) = self.send_by {
+            return Some((at, ConnEnd::Overdue));
+        }
+        let is_idle = self.owed() == 0 && !self.partial;
+        let since = self.finished_at.filter(|_| is_idle)?;
+        Some((since + idle_time?, ConnEnd::Idle))
     }
 }
--- a/crates/swiftcart-core/src/deadline.rs
+++ b/crates/swiftcart-core/src/deadline.rs
@@ -11,6 +11,14 @@
 /// processing.
 pub const HOP_ALLOWANCE: Duration = Duration::from_millis(5);
 
+/// Time after its deadline within which a response is ended that has not been passed on.
+///
+/// A caller is to see an end within 500 ms of its route's timeout.
+pub const DELIVERY_TIME: Duration = Duration::from_millis(250);
+
+/// Time that a response which is in memory as a whole has to be passed on, also after its deadline.
+pub const SEND_TIME: Duration = Duration::from_secs(1);
+
 quick_error! {
     /// Error of a deadline that a caller sent.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -83,6 +91,29 @@
         self.0
     }
 
+    /// Returns the time by which a response has been passed on or is ended.
+    ///
+    /// A response is complete if it is in memory as a whole. It is passed on also when it is late.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use swiftcart_core::{DELIVERY_TIME, Deadline, Instant, SEND_TIME};
+    ///
+    /// let now = Instant::from_millis(10_000);
+    /// let due = Deadline::new(now, Duration::from_millis(10));
+    /// assert_eq!(due.response_end(now, false), due.at() + DELIVERY_TIME);
+    /// assert_eq!(due.response_end(now, true), now + SEND_TIME);
+    /// ```
+    #[must_use]
+    pub fn response_end(self, now: Instant, is_complete: bool) -> Instant {
+        match is_complete {
+            true => self.0.max(now + SEND_TIME),
+            false => self.0 + DELIVERY_TIME,
+        }
+    }
+
     /// Returns the remaining time, or zero after the deadline.
     #[must_use]
     pub const fn left(self, now: Instant) -> Duration {
--- a/crates/swiftcart-core/tests/conn_requests.rs
+++ b/crates/swiftcart-core/tests/conn_requests.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use swiftcart_core::{ConnRequests, HeadKind, Instant};
+use swiftcart_core::{ConnEnd, ConnRequests, HeadKind, Instant};
 
 const IDLE: Duration = Duration::from_secs(1);
 
@@ -19,11 +19,13 @@
     Take,
     /// A response ends at this time, in milliseconds.
     Finish(u64),
+    /// A response is sent that ends by this time, in milliseconds.
+    SendBy(u64),
     /// The node stops.
     Stop,
 }
 
-use Event::{Arrive, Finish, Part, Stop, Take};
+use Event::{Arrive, Finish, Part, SendBy, Stop, Take};
 
 const PLAIN: Event = Arrive(HeadKind::Plain);
 const BODY: Event = Arrive(HeadKind::WithBody);
@@ -43,6 +45,7 @@
             Part => requests.arrive_partly(),
             Take => drop(requests.take()),
             Finish(ms) => requests.finish(at(*ms)),
+            SendBy(ms) => requests.send_by(at(*ms)),
             Stop => requests.stop(),
         }
     }
@@ -119,7 +122,27 @@
     #[case] expected_ms: Option<u64>,
 ) {
     let (requests, _) = apply(events);
-    assert_eq!(requests.idle_at(IDLE), expected_ms.map(at));
+    let expected = expected_ms.map(|ms| (at(ms), ConnEnd::Idle));
+    assert_eq!(requests.ends_at(Some(IDLE)), expected);
+    assert_eq!(requests.ends_at(None), None);
+}
+
+/// Guards against a response that lasts beyond its time, with and without a limit of idle time.
+#[rstest]
+#[case::being_sent(&[PLAIN, Take, SendBy(700)], Some(700))]
+#[case::being_sent_for_longer(&[PLAIN, Take, SendBy(700), SendBy(900)], Some(900))]
+#[case::being_sent_after_a_stop(&[PLAIN, Take, SendBy(700), Stop], Some(700))]
+#[case::being_sent_before_another(&[PLAIN, PLAIN, Take, SendBy(700)], Some(700))]
+#[case::not_begun(&[PLAIN, Take], None)]
+#[case::ended(&[PLAIN, PLAIN, Take, SendBy(700), Finish(300)], None)]
+fn a_connection_ends_by_the_time_of_its_response(
+    #[case] events: &[Event],
+    #[case] expected_ms: Option<u64>,
+    #[values(None, Some(IDLE))] idle_time: Option<Duration>,
+) {
+    let (requests, _) = apply(events);
+    let expected = expected_ms.map(|ms| (at(ms), ConnEnd::Overdue));
+    assert_eq!(requests.ends_at(idle_time), expected);
 }
 
 #[rstest]
--- a/crates/swiftcart-node/src/calls/answer.rs
+++ b/crates/swiftcart-node/src/calls/answer.rs
@@ -1,8 +1,10 @@
 //! Response bodies: texts that a node creates, and bodies that stream through the node.
+//!
+//! A body that streams has an end in time: what has not arrived by the deadline of its request does not
+//! arrive any more.
 
-use std::collections::VecDeque;
-use std::future::poll_fn;
-use std::pin::Pin;
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
@@ -13,12 +15,14 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use quick_error::quick_error;
-use swiftcart_core::{CallResult, Outcome, Reason, Refusal};
-use tokio::time::{Instant, timeout_at};
+use swiftcart_core::{CallResult, HeldBytes, Outcome, Reason, Refusal};
+use tokio::task::coop::unconstrained;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::admissions::Slot;
 use super::headers::{OUTCOME, REASON, RETRIED};
 use super::in_flight::InFlight;
+use super::joined::{JoinedReader, PolledFrame};
 use super::pacing::Pacing;
 use super::pool::Pooled;
 use super::runs::Run;
@@ -43,6 +47,10 @@
             source(err)
             display("response body ended early: {err}")
         }
+        /// The body had not arrived by the deadline of the request.
+        TimedOut {
+            display("response body timed out: it had not arrived by the deadline")
+        }
     }
 }
 
@@ -53,6 +61,8 @@
     Whole,
     /// The sender ended the response early.
     Broken,
+    /// The response had not arrived by the deadline.
+    TimedOut,
     /// The caller disconnected.
     Gone,
 }
@@ -64,6 +74,7 @@
         match self {
             Self::Whole => "whole",
             Self::Broken => "broken",
+            Self::TimedOut => "timed-out",
             Self::Gone => "gone",
         }
     }
@@ -73,7 +84,7 @@
     pub const fn outcome(self) -> Outcome {
         match self {
             Self::Whole => Outcome::Done,
-            Self::Broken | Self::Gone => Outcome::Unknown,
+            Self::Broken | Self::TimedOut | Self::Gone => Outcome::Unknown,
         }
     }
 
@@ -82,7 +93,7 @@
     pub const fn result(self) -> CallResult {
         match self {
             Self::Whole => CallResult::Success,
-            Self::Broken => CallResult::Failure,
+            Self::Broken | Self::TimedOut => CallResult::Failure,
             Self::Gone => CallResult::Cancelled,
         }
     }
@@ -124,10 +135,14 @@
 pub struct StreamingBody {
     body: Incoming,
     pooled: Option<Pooled>,
-    /// Chunks that were read ahead.
-    buffered: VecDeque<Bytes>,
+    reader: JoinedReader<AnswerError>,
+    /// Data that was read ahead.
+    held: HeldBytes,
     observers: EndObservers,
     ended: Option<AnswerEnd>,
+    /// Deadline of the request.
+    due: Instant,
+    timer: Option<Pin<Box<Sleep>>>,
     /// `None` until the egress of the response is set.
     pacing: Option<Pacing>,
 }
@@ -141,14 +156,19 @@
     }
 
     /// Creates a response body that streams `body` from the connection of `pooled`.
+    ///
+    /// The body ends early if it has not arrived by `due`, the deadline of the request.
     #[must_use]
-    pub fn stream(body: Incoming, pooled: Pooled) -> Self {
+    pub fn stream(body: Incoming, pooled: Pooled, due: Instant) -> Self {
         let mut streaming = StreamingBody {
             body,
             pooled: Some(pooled),
-            buffered: VecDeque::new(),
+            reader: JoinedReader::default(),
+            held: HeldBytes::new(),
             observers: EndObservers::default(),
             ended: None,
+            due,
+            timer: None,
             pacing: None,
         };
         if streaming.body.is_end_stream() {
@@ -196,16 +216,33 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Reason::AnswerBroken`] when the response ends early, and [`Reason::Timeout`] when
-    /// `until` has passed.
-    pub async fn hold(&mut self, bytes: usize, until: Instant) -> Result<(), Reason> {
+    /// Returns [`Reason::AnswerBroken`] when the response ends early, and [`Reason::Timeout`] when it
+    /// has not arrived by its deadline.
+    pub async fn hold(&mut self, bytes: usize) -> Result<(), Reason> {
         let Self::Stream(streaming) = self else {
             return Ok(());
         };
-        match timeout_at(until, streaming.buffer(bytes)).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(Reason::AnswerBroken),
-            Err(_) => Err(Reason::Timeout),
+        streaming.buffer(bytes).await.map_err(|err| match err {
+            AnswerError::Broken(_) => Reason::AnswerBroken,
+            AnswerError::TimedOut => Reason::Timeout,
+        })
+    }
+
+    /// Returns `true` if the response is in memory as a whole.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        match self {
+            Self::Text(_) => true,
+            Self::Stream(streaming) => streaming.ended == Some(AnswerEnd::Whole),
+        }
+    }
+
+    /// Returns the deadline of the request, or `None` for a text that a node created.
+    #[must_use]
+    pub const fn due(&self) -> Option<Instant> {
+        match self {
+            Self::Text(_) => None,
+            Self::Stream(streaming) => Some(streaming.due),
         }
     }
 
@@ -248,25 +285,23 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let buffered: usize = self.buffered.iter().map(Bytes::len).sum();
+        let read = (self.held.len() + self.reader.len()) as u64;
         let rest = self.body.size_hint();
         let mut hint = SizeHint::new();
-        hint.set_lower(rest.lower() + buffered as u64);
+        hint.set_lower(rest.lower() + read);
         if let Some(upper) = rest.upper() {
-            hint.set_upper(upper + buffered as u64);
+            hint.set_upper(upper + read);
         }
         hint
     }
 
     async fn buffer(&mut self, bytes: usize) -> Result<(), AnswerError> {
-        let mut len = 0;
-        while len < bytes && self.ended.is_none() {
-            match poll_fn(|cx| self.poll_body(cx)).await {
+        while self.held.len() < bytes && !self.is_read() {
+            match poll_fn(|cx| self.poll_joined(cx)).await {
                 Some(Ok(frame)) => {
                     // Trailers are dropped.
                     if let Ok(data) = frame.into_data() {
-                        len += data.len();
-                        self.buffered.push_back(data);
+                        self.held.push(data);
                     }
                 }
                 Some(Err(err)) => return Err(err),
@@ -276,14 +311,19 @@
         Ok(())
     }
 
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+    /// Returns `true` if all of the response has arrived and been read.
+    fn is_read(&self) -> bool {
+        self.ended == Some(AnswerEnd::Whole) && self.reader.is_empty()
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> PolledFrame<AnswerError> {
         if let Some(pacing) = &mut self.pacing {
             ready!(pacing.poll_ready(cx));
         }
-        let frame = match (self.buffered.pop_front(), self.ended) {
-            (Some(data), _) => Some(Ok(Frame::data(data))),
-            (None, Some(AnswerEnd::Whole)) => None,
-            (None, _) => ready!(self.poll_body(cx)),
+        let frame = match self.held.take_front() {
+            Some(data) => Some(Ok(Frame::data(data))),
+            None if self.is_read() => None,
+            None => ready!(self.poll_joined(cx)),
         };
         if let (Some(pacing), Some(Ok(frame))) = (&self.pacing, &frame) {
             pacing.sent(frame.data_ref().map_or(0, Bytes::len));
@@ -291,10 +331,25 @@
         Poll::Ready(frame)
     }
 
-    fn poll_body(
-        &mut self,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+    /// Reads the next frame. Short pieces that have arrived are joined.
+    fn poll_joined(&mut self, cx: &mut Context<'_>) -> PolledFrame<AnswerError> {
+        let mut reader = std::mem::take(&mut self.reader);
+        let frame = reader.poll(cx, |cx| self.poll_body(cx));
+        let joined = frame.is_pending().then(|| reader.joined()).flatten();
+        self.reader = reader;
+        match joined {
+            Some(joined) => Poll::Ready(Some(Ok(joined))),
+            None => frame,
+        }
+    }
+
+    fn poll_body(&mut self, cx: &mut Context<'_>) -> PolledFrame<AnswerError> {
+        if self.ended == Some(AnswerEnd::Whole) {
+            return Poll::Ready(None);
+        }
+        if Instant::now() >= self.due {
+            return Poll::Ready(Some(Err(self.time_out())));
+        }
         let mut frame = Pin::new(&mut self.body).poll_frame(cx);
         if frame.is_pending() {
             // The body makes progress only when its connection is polled, so poll the body again.
@@ -304,7 +359,7 @@
             frame = Pin::new(&mut self.body).poll_frame(cx);
         }
         match frame {
-            Poll::Pending => Poll::Pending,
+            Poll::Pending => self.poll_due(cx),
             Poll::Ready(Some(Ok(frame))) => {
                 if self.body.is_end_stream() {
                     self.finish(AnswerEnd::Whole);
@@ -321,16 +376,26 @@
             }
         }
     }
+
+    /// Waits until the deadline. It is seen also by a task that has used up its time.
+    fn poll_due(&mut self, cx: &mut Context<'_>) -> PolledFrame<AnswerError> {
+        let due = self.due;
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(due)));
+        ready!(pin!(unconstrained(timer.as_mut())).poll(cx));
+        Poll::Ready(Some(Err(self.time_out())))
+    }
+
+    fn time_out(&mut self) -> AnswerError {
+        self.finish(AnswerEnd::TimedOut);
+        AnswerError::TimedOut
+    }
 }
 
 impl Body for Answer {
     type Data = Bytes;
     type Error = AnswerError;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> PolledFrame<AnswerError> {
         match &mut *self {
             Self::Text(text) => Poll::Ready(text.take().map(|text| Ok(Frame::data(text)))),
             Self::Stream(streaming) => streaming.poll(cx),
@@ -340,9 +405,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Text(text) => text.is_none(),
-            Self::Stream(streaming) => {
-                streaming.buffered.is_empty() && streaming.body.is_end_stream()
-            }
+            Self::Stream(streaming) => streaming.held.is_empty() && streaming.is_read(),
         }
     }
 
--- a/crates/swiftcart-node/src/calls/conn.rs
+++ b/crates/swiftcart-node/src/calls/conn.rs
@@ -34,6 +34,9 @@
 /// 0.2 s and 0.6 s.
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Maximum number of bytes that are buffered in each direction, which bounds the head of a response.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Idle time before the first TCP keepalive probe, the smallest value that the socket accepts.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between TCP keepalive probes, the smallest value that the socket accepts.
@@ -127,7 +130,9 @@
             io: TokioIo::new(socket),
             wrote: Arc::clone(&wrote),
         };
-        let (sender, conn) = Builder::new().handshake(io).await?;
+        let mut builder = Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let (sender, conn) = builder.handshake(io).await?;
         Ok(Self {
             number: NEXT_CONN.fetch_add(1, Ordering::Relaxed),
             opened: Instant::now(),
--- a/crates/swiftcart-node/src/calls/guard.rs
+++ b/crates/swiftcart-node/src/calls/guard.rs
@@ -371,6 +371,7 @@
         request: Request<Outgoing>,
     ) -> Result<Response<Answer>, Refusal> {
         let method = request.method().clone();
+        let due = self.shared.clock.tokio(call.due.at());
         let repeat = call.terms.is_some_and(|terms| terms.repeat);
         let _repeat = repeat.then(|| RunningRetry::new(&self.repeats));
         let sent = upstream.send(call, call.due.at(), request).await;
@@ -401,14 +402,16 @@
             slot.finish(failure_result(reason));
             run.rejected();
             if reason == Reason::Shed {
-                Answer::stream(response.into_body(), pooled).discard();
+                Answer::stream(response.into_body(), pooled, due).discard();
             }
             return Err(reason.into());
         }
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head.headers);
         strip_internal(&mut head.headers);
-        let answer = Answer::stream(body, pooled).with_slot(slot).with_run(run);
+        let answer = Answer::stream(body, pooled, due)
+            .with_slot(slot)
+            .with_run(run);
         Ok(Response::from_parts(head, answer))
     }
 
--- a/crates/swiftcart-node/src/calls/ingress/attempt.rs
+++ b/crates/swiftcart-node/src/calls/ingress/attempt.rs
@@ -1,7 +1,9 @@
 //! One attempt of a request at one guard.
 
+use std::time::Duration;
+
 use http::{HeaderValue, Response};
-use swiftcart_core::{CallResult, Pick, Reason, Refusal, ServiceEntry};
+use swiftcart_core::{CallResult, HOP_ALLOWANCE, Pick, Reason, Refusal, ServiceEntry};
 
 use super::failed::{FailedAttempt, call_result, is_retryable_failure};
 use super::forward::take_load_report;
@@ -12,6 +14,9 @@
 use crate::calls::in_flight::InFlight;
 use crate::calls::request::Call;
 
+/// Time before the deadline at the ingress from which a guard may end a response.
+const GUARD_LEAD: Duration = HOP_ALLOWANCE.saturating_mul(2);
+
 impl Ingress {
     /// Sends the request to the guard of `pick` and reports the result to the balancer.
     ///
@@ -119,10 +124,16 @@
     ) -> Result<Response<Answer>, FailedAttempt> {
         let bytes = self.shared.settings.limits.held_bytes as usize;
         let mut response = result?;
-        if bytes > 0 {
-            let until = self.shared.clock.tokio(call.due.at());
-            response.body_mut().hold(bytes, until).await?;
+        let held = match bytes {
+            0 => Ok(()),
+            bytes => response.body_mut().hold(bytes).await,
+        };
+        // A guard ends its response a little before the deadline, and its connection with it.
+        let is_late = call.due.misses(self.shared.clock.now(), GUARD_LEAD);
+        match held {
+            Err(Reason::AnswerBroken) if is_late => Err(Reason::Timeout.into()),
+            Err(reason) => Err(reason.into()),
+            Ok(()) => Ok(response),
         }
-        Ok(response)
     }
 }
--- a/crates/swiftcart-node/src/calls/ingress/forward.rs
+++ b/crates/swiftcart-node/src/calls/ingress/forward.rs
@@ -85,7 +85,7 @@
         }
         // A guard frames every response with a length or as chunks.
         match is_framed(&method, response.status(), response.headers()) {
-            true => split_refusal(response.map(|body| Answer::stream(body, pooled))),
+            true => split_refusal(response.map(|body| Answer::stream(body, pooled, until))),
             false => Err(Reason::AnswerBroken.into()),
         }
         .map_err(|failed| failed.with_exchange(exchange))
--- a/crates/swiftcart-node/src/calls/joined.rs
+++ b/crates/swiftcart-node/src/calls/joined.rs
@@ -37,6 +37,14 @@
         self.joined.is_empty() && self.next.is_none()
     }
 
+    /// Returns the number of bytes that have been read and not passed on.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        let next = self.next.as_ref().and_then(|next| next.as_ref().ok());
+        let next = next.and_then(Frame::data_ref);
+        self.joined.len() + next.map_or(0, Bytes::len)
+    }
+
     /// Returns the next frame of the body that `poll` reads.
     ///
     /// While the body is pending, its short pieces wait for more; see [`joined`](Self::joined).
--- a/crates/swiftcart-node/src/calls/keyed/work.rs
+++ b/crates/swiftcart-node/src/calls/keyed/work.rs
@@ -13,12 +13,12 @@
     Reason, Refusal, RequestHash, StartPermit,
 };
 use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::partition::{OfferResult, Partition, Verdict};
 use super::stored::{replay, store};
 use crate::calls::admissions::Slot;
-use crate::calls::answer::{Answer, is_framed};
+use crate::calls::answer::{Answer, AnswerError, is_framed};
 use crate::calls::body::Outgoing;
 use crate::calls::guard::Guard;
 use crate::calls::headers::{strip_hop_by_hop, strip_internal};
@@ -110,11 +110,15 @@
         request.headers_mut().clone_from(&self.head.headers);
         let sent = self.upstream.send(&self.call, start.until, request).await?;
         let until = self.guard.shared().clock.tokio(start.until);
-        let read = self.read(sent);
-        timeout_at(until, read).await.map_err(|_| Reason::Timeout)?
+        self.read(sent, until).await
     }
 
-    async fn read(&self, sent: Sent) -> Result<(http::response::Parts, Bytes), Reason> {
+    /// Reads the response, which ends by `until`.
+    async fn read(
+        &self,
+        sent: Sent,
+        until: Instant,
+    ) -> Result<(http::response::Parts, Bytes), Reason> {
         let Sent { exchanged, run } = sent;
         let (mut head, body) = exchanged.response.into_parts();
         if !is_framed(&self.head.method, head.status, &head.headers) {
@@ -123,13 +127,14 @@
         strip_hop_by_hop(&mut head.headers);
         strip_internal(&mut head.headers);
         let bound = self.guard.shared().settings.limits.keyed_bytes as usize;
-        let body = Limited::new(Answer::stream(body, exchanged.pooled).with_run(run), bound)
-            .collect()
-            .await;
-        match body {
+        let answer = Answer::stream(body, exchanged.pooled, until).with_run(run);
+        match Limited::new(answer, bound).collect().await {
             Ok(body) => Ok((head, body.to_bytes())),
             Err(err) if err.is::<http_body_util::LengthLimitError>() => Err(Reason::AnswerTooLarge),
-            Err(_) => Err(Reason::AnswerBroken),
+            Err(err) => Err(match err.downcast_ref() {
+                Some(AnswerError::TimedOut) => Reason::Timeout,
+                _ => Reason::AnswerBroken,
+            }),
         }
     }
 
--- a/crates/swiftcart-node/src/calls/lifetime.rs
+++ b/crates/swiftcart-node/src/calls/lifetime.rs
@@ -1,11 +1,17 @@
 //! Lifetime of one connection, shared by all parts that could end it.
 
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Poll, ready};
 use std::time::Duration;
 
-use swiftcart_core::{ConnRequests, HeadKind};
+use swiftcart_core::{ConnEnd, ConnRequests, Deadline, HeadKind};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::task::coop::unconstrained;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use super::answer::Answer;
 
 /// Requests of one connection. The connection ends only by what is decided here.
 #[derive(Debug, Clone)]
@@ -91,22 +97,47 @@
         }
     }
 
-    /// Waits until the connection has been idle for `time` after a response.
-    pub async fn idle(&self, time: Duration) {
-        loop {
-            let changed = self.0.changed.notified();
-            let now = self.now();
-            let idle_at = self.lock().idle_at(time);
-            match idle_at {
-                None => changed.await,
-                Some(at) if at <= now => return,
-                Some(at) => sleep(at.since(now)).await,
+    /// Records that the response to the request that was taken last is sent, and how long that may take.
+    pub fn send(&self, response: &Answer) {
+        let now = self.now();
+        let due = response.due().map_or(now, |due| self.time(due));
+        let end = Deadline::at_instant(due).response_end(now, response.is_complete());
+        self.lock().send_by(end);
+    }
+
+    /// Waits until the connection ends by itself; see [`ConnRequests::ends_at`].
+    ///
+    /// The state changes only while the connection is polled, so this is polled after the connection and
+    /// needs no notification.
+    pub async fn end(&self, idle_time: Option<Duration>) -> ConnEnd {
+        let mut timer: Option<Pin<Box<Sleep>>> = None;
+        poll_fn(|cx| {
+            loop {
+                let Some((at, end)) = self.lock().ends_at(idle_time) else {
+                    return Poll::Pending;
+                };
+                if at <= self.now() {
+                    return Poll::Ready(end);
+                }
+                let at = self.0.opened + at.elapsed();
+                let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(at)));
+                if timer.deadline() > at || timer.is_elapsed() {
+                    timer.as_mut().reset(at);
+                }
+                // The end is seen also by a task that has used up its time.
+                ready!(pin!(unconstrained(timer.as_mut())).poll(cx));
             }
-        }
+        })
+        .await
     }
 
     fn now(&self) -> swiftcart_core::Instant {
-        swiftcart_core::Instant::new(self.0.opened.elapsed())
+        self.time(Instant::now())
+    }
+
+    /// Converts an instant to the clock of the requests.
+    fn time(&self, instant: Instant) -> swiftcart_core::Instant {
+        swiftcart_core::Instant::new(instant.saturating_duration_since(self.0.opened))
     }
 
     fn lock(&self) -> MutexGuard<'_, ConnRequests> {
--- a/crates/swiftcart-node/src/calls/pipelining.rs
+++ b/crates/swiftcart-node/src/calls/pipelining.rs
@@ -16,6 +16,7 @@
 use http::request::Parts;
 use http::{Extensions, HeaderName, HeaderValue, Request, Response, Uri, Version};
 use swiftcart_core::RequestFraming;
+use tokio::sync::oneshot;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::answer::Answer;
@@ -31,7 +32,12 @@
 pub type ResponseTask = AbortOnDropHandle<Response<Answer>>;
 
 /// Function that starts a request, or returns `None` if the request may not start early.
-type Start = dyn Fn(&Parts) -> Option<ResponseTask> + Send + Sync;
+type Start = dyn Fn(&Parts, Turn) -> Option<ResponseTask> + Send + Sync;
+
+/// Signal that all responses ahead of a request have been sent.
+///
+/// A response that waits for its turn is not passed on, so its task keeps its end in time.
+pub type Turn = oneshot::Receiver<()>;
 
 /// Starter of pipelined requests.
 #[derive(Clone)]
@@ -63,12 +69,15 @@
     number: u64,
     head: Parts,
     started: ResponseTask,
+    turn: oneshot::Sender<()>,
 }
 
 impl Starter {
     /// Creates a starter that calls `start` for each request.
     #[must_use]
-    pub fn new(start: impl Fn(&Parts) -> Option<ResponseTask> + Send + Sync + 'static) -> Self {
+    pub fn new(
+        start: impl Fn(&Parts, Turn) -> Option<ResponseTask> + Send + Sync + 'static,
+    ) -> Self {
         Self(Arc::new(start))
     }
 }
@@ -110,7 +119,11 @@
         let due = state.started.front().is_some_and(is_due);
         let ahead = due.then(|| state.started.pop_front()).flatten()?;
         match ahead.number == number && is_same_head(&ahead.head, head) {
-            true => Some(ahead.started),
+            true => {
+                // A task that has ended does not wait for its turn.
+                let _ = ahead.turn.send(());
+                Some(ahead.started)
+            }
             false => {
                 state.started.clear();
                 state.framing.give_up();
@@ -151,11 +164,13 @@
             return;
         };
         head.extensions.extend(conn.origin.clone());
-        if let Some(started) = (conn.starter.0)(&head) {
+        let (turn, waiting) = oneshot::channel();
+        if let Some(started) = (conn.starter.0)(&head, waiting) {
             self.started.push_back(StartedRequest {
                 number,
                 head,
                 started,
+                turn,
             });
         }
     }
--- a/crates/swiftcart-node/src/calls/runs.rs
+++ b/crates/swiftcart-node/src/calls/runs.rs
@@ -208,7 +208,7 @@
                 self.runs.record_answer(self.id, self.is_success);
             }
             AnswerEnd::Broken => drop(tokio::spawn(async move { self.record_break().await })),
-            AnswerEnd::Gone => {}
+            AnswerEnd::TimedOut | AnswerEnd::Gone => {}
         }
     }
 
--- a/crates/swiftcart-node/src/calls/serve.rs
+++ b/crates/swiftcart-node/src/calls/serve.rs
@@ -3,7 +3,7 @@
 mod conn_service;
 
 use std::convert::Infallible;
-use std::future::{Future, pending};
+use std::future::Future;
 use std::io::{self, Write};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
 use slog::{info, warn};
-use swiftcart_core::Reason;
+use swiftcart_core::{ConnEnd, Reason};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
@@ -71,6 +71,8 @@
     Stopping,
     /// The connection was idle for too long.
     Idle,
+    /// A response could not be passed on in time.
+    Overdue,
 }
 
 impl CloseCause {
@@ -81,6 +83,7 @@
             Self::Completed => "completed",
             Self::Stopping => "stopping",
             Self::Idle => "idle",
+            Self::Overdue => "overdue",
         }
     }
 }
@@ -221,6 +224,7 @@
         let disconnected = socket.clone();
         let mut conn = pin!(self.builder.serve_connection(socket, service));
         let mut disconnected = pin!(disconnected.disconnected());
+        let idle_time = keep_alive.map(|time| time + KEEP_ALIVE_GRACE);
         let ended = async {
             // `disconnected` is polled first, since it reads the bytes that have arrived. With the
             // reverse order, hyper would not notice these bytes.
@@ -228,15 +232,20 @@
                 biased;
                 () = disconnected.as_mut() => return (CloseCause::Gone, None),
                 result = conn.as_mut() => return (CloseCause::Completed, Some(result)),
+                end = lifetime.end(idle_time) => match end {
+                    ConnEnd::Overdue => return (CloseCause::Overdue, None),
+                    ConnEnd::Idle => CloseCause::Idle,
+                },
                 () = self.closing.cancelled() => CloseCause::Stopping,
-                () = idle(&lifetime, keep_alive) => CloseCause::Idle,
             };
             // hyper answers no request behind the current one after `graceful_shutdown`.
             lifetime.stop();
+            let mut overdue = pin!(lifetime.end(None));
             tokio::select! {
                 biased;
                 () = disconnected.as_mut() => return (CloseCause::Gone, None),
                 result = conn.as_mut() => return (cause, Some(result)),
+                _ = overdue.as_mut() => return (CloseCause::Overdue, None),
                 () = lifetime.none_waits() => {}
             }
             conn.as_mut().graceful_shutdown();
@@ -244,6 +253,7 @@
                 biased;
                 () = disconnected => (CloseCause::Gone, None),
                 result = conn.as_mut() => (cause, Some(result)),
+                _ = overdue => (CloseCause::Overdue, None),
             }
         };
         let (cause, result) = ended.await;
@@ -251,7 +261,7 @@
             self.log_owed(number, cause, &lifetime, pipeline.as_ref(), result.as_ref());
         }
         match result {
-            None => self.count_closed("gone"),
+            None => self.count_closed(cause.as_str()),
             Some(Err(err)) => self.record_error(&err),
             Some(Ok(())) => {}
         }
@@ -325,11 +335,3 @@
         sleep(ACCEPT_BACKOFF).await;
     }
 }
-
-/// Waits until a caller's connection has been idle for longer than the announced keep-alive time.
-async fn idle(lifetime: &Lifetime, keep_alive: Option<Duration>) {
-    match keep_alive {
-        Some(time) => lifetime.idle(time + KEEP_ALIVE_GRACE).await,
-        None => pending().await,
-    }
-}
--- a/crates/swiftcart-node/src/calls/serve/conn_service.rs
+++ b/crates/swiftcart-node/src/calls/serve/conn_service.rs
@@ -37,6 +37,9 @@
 #[derive(Debug)]
 pub struct SentBody {
     answer: Answer,
+    lifetime: Lifetime,
+    /// `true` once the lifetime knows that the response is in memory as a whole.
+    is_complete: bool,
     _end: ResponseEnd,
 }
 
@@ -110,7 +113,13 @@
         Box::pin(async move {
             let mut response = answering.await?;
             conn.set_persistence(&mut response);
-            Ok(response.map(|answer| SentBody { answer, _end: end }))
+            conn.lifetime.send(response.body());
+            Ok(response.map(|answer| SentBody {
+                is_complete: answer.is_complete(),
+                lifetime: conn.lifetime,
+                answer,
+                _end: end,
+            }))
         })
     }
 }
@@ -123,7 +132,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
-        Pin::new(&mut self.answer).poll_frame(cx)
+        let frame = Pin::new(&mut self.answer).poll_frame(cx);
+        if !self.is_complete && self.answer.is_complete() {
+            self.is_complete = true;
+            self.lifetime.send(&self.answer);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -20,7 +20,7 @@
 use super::headers::{LOAD, NOTICE, process_notice};
 use super::ingress::Ingress;
 use super::lifetime::RequestNumber;
-use super::pipelining::{Pipeline, Starter};
+use super::pipelining::{Pipeline, Starter, Turn};
 use super::request::Call;
 use super::serve::ResponseFuture;
 use crate::settings::Settings;
@@ -55,17 +55,38 @@
     /// Returns a starter for pipelined requests.
     #[must_use]
     pub fn starter(&self) -> Starter {
-        let ingress = Arc::clone(&self.ingress);
-        Starter::new(move |head: &Parts| {
-            let may = ingress.may_start(head);
+        let service = self.clone();
+        Starter::new(move |head: &Parts, turn: Turn| {
+            let may = service.ingress.may_start(head);
             may.then(|| {
-                let (ingress, head) = (Arc::clone(&ingress), head.clone());
-                let answering = async move { ingress.answer(head, None).await };
+                let (service, head) = (service.clone(), head.clone());
+                let answering = async move { service.answer_in_turn(head, turn).await };
                 AbortOnDropHandle::new(tokio::spawn(answering))
             })
         })
     }
 
+    /// Answers a pipelined request, whose response waits for those ahead of it.
+    ///
+    /// A response that has not arrived as a whole holds its backend server. It is therefore given up at
+    /// its deadline, as if it were being passed on.
+    async fn answer_in_turn(&self, head: Parts, turn: Turn) -> Response<Answer> {
+        let response = self.ingress.answer(head, None).await;
+        let due = response.body().due();
+        let due = due.filter(|_| !response.body().is_complete());
+        let Some(due) = due else {
+            return response;
+        };
+        match timeout_at(due, turn).await {
+            Ok(_) => response,
+            Err(_) => {
+                let counters = &self.shared.counters;
+                counters.refuse(Reason::Timeout.as_str());
+                refuse(Reason::Timeout.into(), false, self.shared.settings.answers)
+            }
+        }
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Answer> {
         let (mut head, body) = request.into_parts();
         let pipeline = head.extensions.remove::<Pipeline>();
--- a/crates/swiftcart-node/src/calls/socket.rs
+++ b/crates/swiftcart-node/src/calls/socket.rs
@@ -4,7 +4,7 @@
 use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -13,6 +13,7 @@
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::task::coop::unconstrained;
 use tokio::time::{Instant, Sleep, sleep};
 
 use super::pipelining::Pipeline;
@@ -179,18 +180,18 @@
             inner.linger = Some(Box::pin(sleep(LINGER_TIMEOUT)));
         }
         inner.pipeline = None;
+        // The timeout is looked at first and also by a task that has used up its time: a remote side that
+        // sends without end would otherwise keep the socket open.
+        if let Some(linger) = &mut inner.linger
+            && pin!(unconstrained(linger.as_mut())).poll(cx).is_ready()
+        {
+            return Poll::Ready(Ok(()));
+        }
         while inner.end.is_none() {
             inner.ahead.clear();
-            if inner.fill(cx).is_pending() {
-                break;
-            }
-        }
-        let ended = inner.end.is_some();
-        match &mut inner.linger {
-            _ if ended => Poll::Ready(Ok(())),
-            Some(linger) => linger.as_mut().poll(cx).map(Ok),
-            None => Poll::Ready(Ok(())),
+            ready!(inner.fill(cx));
         }
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
