Hash bodies of any length as they pass, so that fatal requests are known

Cause: the guard keeps 16 KiB of a body that is no upload, and made the fingerprint from what it keeps. A longer body had none, so no crash was laid to its request.

Change: once the first bytes of a body are dropped, a hasher goes on where they end; the hash is there when the body has been read.

Left: a body of over 512 KiB is known only after it has been sent.

--- a/crates/swiftcart-core/src/crash/fingerprint.rs
+++ b/crates/swiftcart-core/src/crash/fingerprint.rs
@@ -111,13 +111,41 @@
     /// Returns the hash of the body that consists of `chunks`, regardless of the chunk boundaries.
     #[must_use]
     pub fn new<'a>(chunks: impl IntoIterator<Item = &'a [u8]>) -> Self {
-        let mut hasher = blake3::Hasher::new();
+        let mut hasher = BodyHasher::default();
         for chunk in chunks {
             hasher.update(chunk);
         }
-        match hasher.count() {
-            0 => Self::default(),
-            _ => Self(truncated_hash(&hasher)),
+        hasher.hash()
+    }
+}
+
+/// Hasher of a request body that arrives in pieces and is not kept.
+///
+/// # Examples
+///
+/// ```
+/// use swiftcart_core::{BodyHash, BodyHasher};
+///
+/// let mut hasher = BodyHasher::default();
+/// hasher.update(b"open every ");
+/// hasher.update(b"valve");
+/// assert_eq!(hasher.hash(), BodyHash::new([&b"open every valve"[..]]));
+/// ```
+#[derive(Debug, Default, Clone)]
+pub struct BodyHasher(blake3::Hasher);
+
+impl BodyHasher {
+    /// Adds the next bytes of the body.
+    pub fn update(&mut self, bytes: &[u8]) {
+        self.0.update(bytes);
+    }
+
+    /// Returns the hash of the bytes so far.
+    #[must_use]
+    pub fn hash(&self) -> BodyHash {
+        match self.0.count() {
+            0 => BodyHash::default(),
+            _ => BodyHash(truncated_hash(&self.0)),
         }
     }
 }
--- a/crates/swiftcart-node/src/calls/body.rs
+++ b/crates/swiftcart-node/src/calls/body.rs
@@ -15,7 +15,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use quick_error::quick_error;
-use swiftcart_core::{BodyHash, HeldBytes, Reason};
+use swiftcart_core::{BodyHash, BodyHasher, HeldBytes, Reason};
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use super::joined::{JoinedReader, PolledFrame};
@@ -95,6 +95,8 @@
     arrived: usize,
     keep_bytes: usize,
     dropped: bool,
+    /// Hasher of the whole body, once its first bytes are dropped.
+    hasher: Option<Box<BodyHasher>>,
     ended: bool,
     limits: BodyLimits,
     timer: Option<Pin<Box<Sleep>>>,
@@ -144,6 +146,7 @@
             arrived: 0,
             keep_bytes: limits.keep_bytes,
             dropped: false,
+            hasher: None,
             ended: false,
             limits,
             timer: None,
@@ -182,12 +185,15 @@
         self.with(|inner| inner.body.size_hint().upper())
     }
 
-    /// Returns the hash of the body if the whole body is kept.
+    /// Returns the hash of the body once all of it has been read.
     #[must_use]
     pub fn print(&self) -> Option<BodyHash> {
         self.with(|inner| {
-            let whole = !inner.dropped && (inner.ended || inner.is_read());
-            whole.then(|| BodyHash::new(inner.kept.pieces()))
+            let is_read = inner.reader.is_empty() && (inner.ended || inner.is_read());
+            is_read.then(|| match &inner.hasher {
+                Some(hasher) => hasher.hash(),
+                None => BodyHash::new(inner.kept.pieces()),
+            })
         })
     }
 
@@ -291,17 +297,16 @@
             return;
         };
         *next += data.len();
-        match data.len() <= self.keep_bytes {
-            _ if self.dropped => {}
-            true => {
-                self.keep_bytes -= data.len();
-                self.kept.push(data.clone());
-            }
-            false => {
-                self.dropped = true;
-                self.kept.clear();
-            }
+        if !self.dropped && data.len() <= self.keep_bytes {
+            self.keep_bytes -= data.len();
+            self.kept.push(data.clone());
+            return;
         }
+        self.dropped = true;
+        let hasher = self.hasher.get_or_insert_default();
+        self.kept.pieces().for_each(|piece| hasher.update(piece));
+        hasher.update(data);
+        self.kept.clear();
     }
 
     /// Waits for more data until the caller has been idle for too long, or until the deadline.
--- a/crates/swiftcart-node/src/calls/runs.rs
+++ b/crates/swiftcart-node/src/calls/runs.rs
@@ -72,7 +72,7 @@
         Self { call, body }
     }
 
-    /// Returns the fingerprint of the request; `None` if the whole body is not available.
+    /// Returns the fingerprint of the request; `None` while its body has not been read as a whole.
     #[must_use]
     pub fn fingerprint(&self) -> Option<Fingerprint> {
         let body = match &self.body {
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -193,8 +193,8 @@
 
 /// Maximum body length that is kept until the response arrives, in bytes.
 ///
-/// The body is part of the fingerprint that identifies repeats of a request. Requests with longer
-/// bodies are not identified. Requests other than uploads have bodies of about 300 bytes.
+/// The body is part of the fingerprint that identifies repeats of a request. It is hashed only if the
+/// request is suspected of a crash; longer bodies are hashed as they pass.
 const FINGERPRINT_BODY_BYTES: usize = 16 << 10;
 
 /// Link rate required per concurrently received upload body, in Mbit/s.
