Write a departure to the directory once

Cause: the list of departures was reported again whenever it changed, also when one was forgotten after two minutes or when a backend server no longer drained. Each such change cost a call to the store, and the next heartbeat waited for it. Found by reading.

Change: only a new departure is reported. Who remembers an old one forgets it by its age.

--- a/crates/swiftcart-node/src/departures.rs
+++ b/crates/swiftcart-node/src/departures.rs
@@ -33,20 +33,18 @@
 }
 
 impl Departures {
-    /// Sets the departures, and returns `true` if they have changed.
+    /// Sets the departures, and returns `true` if there are new ones.
+    ///
+    /// A departure that no longer matters is not worth a report: whoever remembers it forgets it as well.
     pub fn set(&self, departures: Vec<Departure>) -> bool {
         self.own.send_if_modified(|own| {
-            let is_same = own.departures.len() == departures.len()
-                && own
-                    .departures
-                    .iter()
-                    .zip(&departures)
-                    .all(|(old, new)| old.is_same(new));
-            if !is_same {
+            let is_known = |new: &Departure| own.departures.iter().any(|old| old.is_same(new));
+            let has_new = !departures.iter().all(is_known);
+            if has_new {
                 own.number += 1;
                 own.departures = departures;
             }
-            !is_same
+            has_new
         })
     }
 
--- a/crates/swiftcart-node/src/shared.rs
+++ b/crates/swiftcart-node/src/shared.rs
@@ -221,7 +221,7 @@
     }
 
     /// Makes the departures of the backend server known to the parts that remember them. Returns
-    /// `true` if they have changed.
+    /// `true` if there are new ones.
     pub fn publish_departures(&self) -> bool {
         let now = self.clock.now();
         let departures = self.registration().departures(now, unix_ms());
