--- a/crates/swiftcart-core/src/member/departure/ledger.rs
+++ b/crates/swiftcart-core/src/member/departure/ledger.rs
@@ -6,8 +6,7 @@
 use super::{DEPARTURE_MEMORY_MS, Departure};
 use crate::{Instant, NodeId};
 
-/// Maximum number of nodes whose departures are remembered; three times the largest mesh reports to
-/// the witnesses of one node at most.
+/// Maximum number of nodes whose departures are remembered.
 const MAX_NODES: usize = 4096;
 
 /// Departures of other nodes, by the node that acknowledged them.
--- a/crates/swiftcart-node/src/calls.rs
+++ b/crates/swiftcart-node/src/calls.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod pipelining;
 mod pool;
+mod refusal;
 mod request;
 mod rng;
 mod runs;
--- a/crates/swiftcart-node/src/calls/ingress.rs
+++ b/crates/swiftcart-node/src/calls/ingress.rs
@@ -30,12 +30,13 @@
 
 use tokio::task::JoinError;
 
-use super::answer::{Answer, refuse, told_retry_after};
+use super::answer::Answer;
 use super::body::BodyLimits;
 use super::guard::Guard;
 use super::keyed::claim_guard_order;
 use super::origin::CallerConn;
 use super::peers::Peers;
+use super::refusal::{refuse, told_retry_after};
 use super::request::Call;
 use super::rng::with_rng;
 use crate::counters::Stage;
--- a/crates/swiftcart-node/src/calls/service.rs
+++ b/crates/swiftcart-node/src/calls/service.rs
@@ -14,13 +14,14 @@
 use tokio_util::task::AbortOnDropHandle;
 use tower::Service;
 
-use super::answer::{Answer, refuse};
+use super::answer::Answer;
 use super::body::{BodyLimits, BodySource, Outgoing};
 use super::guard::Guard;
 use super::headers::{LOAD, NOTICE, process_notice};
 use super::ingress::Ingress;
 use super::lifetime::RequestNumber;
 use super::pipelining::{Pipeline, Starter, Turn};
+use super::refusal::refuse;
 use super::request::Call;
 use super::serve::ResponseFuture;
 use crate::settings::Settings;
